--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Two commands on a fresh machine: make demo, make test.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint format load slopes binary clean
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -e '.[dev]'
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m tools.demo $(if $(KEEP),--keep) $(if $(BINARY),--binary dist/wingfall)
+
+test: $(VENV)/.installed
+	$(BIN)/python -m tools.run_tests
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check --quiet .
+	$(BIN)/flake8 .
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format .
+
+clean:
+	rm -rf $(VENV) build dist out
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,56 @@
+"""What the stand-ins share: their command line and their server."""
+
+from __future__ import annotations
+
+import argparse
+
+import bottle
+import gevent.event
+import orjson
+
+from wingfall.http_server import HttpServer
+
+
+def parse_port(about: str) -> int:
+    """Read ``--port`` from the command line.
+
+    :param about: what the program is.
+    :returns: the port, 0 for a free one.
+    """
+    parser = argparse.ArgumentParser(description=about)
+    parser.add_argument('--port', type=int, default=0)
+    return int(parser.parse_args().port)
+
+
+def serve(app: bottle.Bottle, port: int) -> None:
+    """Serve on loopback until the process is ended.
+
+    :param app: the application.
+    :param port: port, 0 for a free one.
+    """
+    start_server(app, port)
+    gevent.event.Event().wait()
+
+
+def start_server(app: bottle.Bottle, port: int = 0) -> HttpServer:
+    """Start to serve on loopback.
+
+    :param app: the application.
+    :param port: port, 0 for a free one.
+    :returns: the running server.
+    """
+    address = argparse.Namespace(host='127.0.0.1', port=port)
+    server = HttpServer(app=app, address=address)
+    server.start()
+    return server
+
+
+def answer_json(body: object, status: int = 200) -> bottle.HTTPResponse:
+    """Make a JSON response.
+
+    :param body: what to send.
+    :param status: HTTP status.
+    :returns: the response.
+    """
+    headers = {'Content-Type': 'application/json'}
+    return bottle.HTTPResponse(orjson.dumps(body), status, headers)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of wingfall."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developers: demo, load and slopes."""
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,289 @@
+"""Starts a small wingfall with stand-ins, each as a process of its own."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess  # noqa: S404
+import sys
+import time
+from typing import Any, Final, final
+
+import orjson
+import urllib3
+import yaml
+
+HOST: Final = '127.0.0.1'
+_SECRET: Final = 'a secret for local use only\n'
+_READY_S: Final = 30
+_POLL_S: Final = 0.05
+_STOP_S: Final = 20
+_ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
+
+
+@final
+class Process:
+    """One child process and where it listens."""
+
+    __slots__ = ('admin_port', 'child', 'name', 'port')
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        child: subprocess.Popen[bytes],
+        port: int,
+        admin_port: int = 0,
+    ) -> None:
+        """Keep a child.
+
+        :param name: its name.
+        :param child: the process.
+        :param port: its main port.
+        :param admin_port: its admin port, if it has one.
+        """
+        self.name = name
+        self.child = child
+        self.port = port
+        self.admin_port = admin_port
+
+    @property
+    def url(self) -> str:
+        """Base URL of the main port."""
+        return f'http://{HOST}:{self.port}'
+
+    @property
+    def admin_url(self) -> str:
+        """Base URL of the admin port."""
+        return f'http://{HOST}:{self.admin_port}'
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal.
+
+        :param number: the signal.
+        """
+        self.child.send_signal(number)
+
+    def stop(self) -> int:
+        """Ask for a planned stop and wait for it.
+
+        :returns: the exit code.
+        """
+        self.signal(signal.SIGTERM)
+        return self.wait()
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.child.kill()
+        self.child.wait()
+
+    def wait(self) -> int:
+        """Wait for the process to end.
+
+        :returns: the exit code.
+        """
+        return self.child.wait(timeout=_STOP_S)
+
+
+@final
+class Fleet:
+    """All processes of one run; their files are in one folder."""
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        program: tuple[str, ...] = (sys.executable, '-m', 'wingfall'),
+    ) -> None:
+        """Start with no processes.
+
+        :param folder: folder for settings and logs.
+        :param program: how wingfall is started.
+        """
+        self.processes: dict[str, Process] = {}
+        self._folder = folder
+        self._program = program
+        self._http = urllib3.PoolManager(retries=False)
+        self._secret = folder / 'secret'
+        self._secret.write_text(_SECRET)
+
+    def start_standin(self, name: str, module: str, *options: str) -> Process:
+        """Start a stand-in and wait until it listens.
+
+        :param name: name of the process.
+        :param module: its module in ``standins``.
+        :param options: options of its command line.
+        :returns: the process.
+        """
+        port = free_port()
+        command = (sys.executable, '-m', f'standins.{module}', *options)
+        child = self._spawn(name, (*command, '--port', str(port)))
+        process = Process(name=name, child=child, port=port)
+        self.processes[name] = process
+        wait_for(lambda: _listens(port), f'{name} to listen')
+        return process
+
+    def start_agent(
+        self,
+        name: str,
+        endpoint: Process,
+        **changes: dict[str, Any],
+    ) -> Process:
+        """Start an agent beside an endpoint.
+
+        :param name: name of the endpoint.
+        :param endpoint: the endpoint.
+        :param changes: settings that differ from the defaults, by section.
+        :returns: the process.
+        """
+        settings = {
+            'endpoint': {'url': endpoint.url, **changes.pop('endpoint', {})},
+            **changes,
+        }
+        return self._start_daemon('agent', 'listen', name, settings)
+
+    def start_router(
+        self,
+        name: str,
+        platform: Process,
+        **changes: dict[str, Any],
+    ) -> Process:
+        """Start a router.
+
+        :param name: its name.
+        :param platform: the platform.
+        :param changes: settings that differ from the defaults, by section.
+        :returns: the process.
+        """
+        settings = {'platform': {'url': platform.url}, **changes}
+        return self._start_daemon('router', 'callers', name, settings)
+
+    def get_json(self, url: str) -> Any:
+        """Read JSON.
+
+        :param url: where.
+        :returns: the parsed answer.
+        """
+        return orjson.loads(self._http.request('GET', url).data)
+
+    def post_json(self, url: str, body: Any) -> None:
+        """Send JSON.
+
+        :param url: where.
+        :param body: what.
+        """
+        self._http.request('POST', url, body=orjson.dumps(body))
+
+    def put_object(self, platform: Process, raw: dict[str, Any]) -> int:
+        """Write an object to the platform.
+
+        :param platform: the platform.
+        :param raw: the object.
+        :returns: the HTTP status.
+        """
+        kind, name = raw['kind'], raw['metadata']['name']
+        url = f'{platform.url}/apis/wingfall/v1/objects/{kind}/{name}'
+        return self._http.request('PUT', url, body=orjson.dumps(raw)).status
+
+    def wait_links(self, router: Process, count: int) -> None:
+        """Wait until a router can use a number of endpoints.
+
+        :param router: the router.
+        :param count: endpoints that must be up.
+        """
+        wait_for(
+            lambda: self._links_up(router) >= count,
+            f'{router.name} to reach {count} endpoints',
+        )
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self.processes.values():
+            if process.child.poll() is None:
+                process.signal(signal.SIGCONT)
+                process.kill()
+
+    def _links_up(self, router: Process) -> int:
+        try:
+            status = self.get_json(f'{router.admin_url}/status')
+        except urllib3.exceptions.HTTPError:
+            return 0
+        states = [link['state'] for link in status['endpoints'].values()]
+        return states.count('up')
+
+    def _start_daemon(
+        self,
+        role: str,
+        listener: str,
+        name: str,
+        changes: dict[str, Any],
+    ) -> Process:
+        port, admin_port = free_port(), free_port()
+        settings = {
+            'name': name,
+            'zone': 'local',
+            'secret_path': str(self._secret),
+            listener: {'host': HOST, 'port': port},
+            'admin': {'host': HOST, 'port': admin_port},
+            **changes,
+        }
+        path = self._folder / f'{role}-{name}.yaml'
+        path.write_text(yaml.safe_dump(settings))
+        command = (*self._program, role, '--settings', str(path))
+        child = self._spawn(f'{role}-{name}', command)
+        process = Process(
+            name=name,
+            child=child,
+            port=port,
+            admin_port=admin_port,
+        )
+        self.processes[f'{role}-{name}'] = process
+        wait_for(lambda: _listens(port), f'{role} {name} to listen')
+        return process
+
+    def _spawn(
+        self,
+        name: str,
+        command: tuple[str, ...],
+    ) -> subprocess.Popen[bytes]:
+        with (self._folder / f'{name}.log').open('ab') as log:
+            return subprocess.Popen(  # noqa: S603
+                command,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                cwd=_ROOT,
+                env={**os.environ, 'PYTHONDONTWRITEBYTECODE': '1'},
+            )
+
+
+def free_port() -> int:
+    """Find a free port on loopback.
+
+    :returns: the port.
+    """
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return int(sock.getsockname()[1])
+
+
+def wait_for(condition: Any, what: str, timeout_s: float = _READY_S) -> None:
+    """Wait for a condition.
+
+    :param condition: a function that becomes true.
+    :param what: what is waited for, for the error.
+    :param timeout_s: longest wait.
+    :raises TimeoutError: if it stays false.
+    """
+    end = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > end:
+            raise TimeoutError(f'waited {timeout_s} s for {what}')
+        time.sleep(_POLL_S)
+
+
+def _listens(port: int) -> bool:
+    with socket.socket() as sock:
+        return sock.connect_ex((HOST, port)) == 0
--- /dev/null
+++ b/wingfall/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The program beside each endpoint."""
--- /dev/null
+++ b/wingfall/agent/application.py
@@ -0,0 +1,237 @@
+"""Wires the parts of the agent and runs them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, final
+
+import gevent
+from gevent.event import Event
+from returns.result import Result
+
+from wingfall.admin import make_admin_app
+from wingfall.agent.admission import Admission
+from wingfall.agent.calls import CallTable
+from wingfall.agent.endpoint_client import EndpointClient
+from wingfall.agent.listener import RouterListener
+from wingfall.clock import MS_PER_S, Clock
+from wingfall.decision.gate import Gate
+from wingfall.decision.order import orders
+from wingfall.http_server import HttpServer
+from wingfall.log import part_logger
+from wingfall.loop_lag import LoopLag
+from wingfall.metrics import Metrics
+from wingfall.supervisor import Supervisor
+from wingfall.wire.handshake import Identity
+from wingfall.wire.messages import Report
+
+if TYPE_CHECKING:
+    from types import SimpleNamespace
+
+    from wingfall.agent.call import Call
+    from wingfall.agent.session import Session
+
+_TICK_MS = 20
+
+logger = part_logger('agent')
+
+
+@final
+class AgentApplication:
+    """The agent beside one endpoint."""
+
+    __slots__ = (
+        '_admin',
+        '_admission',
+        '_calls',
+        '_clock',
+        '_config_version',
+        '_gate',
+        '_identity',
+        '_listener',
+        '_metrics',
+        '_sessions',
+        '_settings',
+        '_stop',
+        '_supervisor',
+    )
+
+    def __init__(self, *, settings: SimpleNamespace, secret: bytes) -> None:
+        """Wire the parts and bind the ports.
+
+        :param settings: the checked settings.
+        :param secret: secret shared by all processes.
+        """
+        clock = Clock()
+        metrics = Metrics()
+        sessions: dict[str, Session] = {}
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._sessions = sessions
+        self._config_version = 0
+        self._stop = Event()
+        self._supervisor = Supervisor(name='agent', clock=clock)
+        self._identity = Identity(name=settings.name, secret=secret)
+        self._gate = _make_gate(settings, clock)
+        self._admission = Admission(
+            clock=clock,
+            gate=self._gate,
+            sessions=sessions,
+            metrics=metrics,
+        )
+        self._calls = CallTable(
+            clock=clock,
+            client=_make_client(settings),
+            window=settings.limits.window_bytes,
+            orphan_ms=settings.limits.orphan_ms,
+            finished=self._call_finished,
+        )
+        self._listener = RouterListener(
+            address=settings.listen,
+            identity=self._identity,
+            clock=clock,
+            sessions=sessions,
+            admission=self._admission,
+            calls=self._calls,
+            report=self._note_router,
+            metrics=metrics,
+        )
+        admin_app = make_admin_app(
+            ready=self._not_ready,
+            status=self._status,
+            metrics=metrics,
+        )
+        self._admin = HttpServer(app=admin_app, address=settings.admin)
+
+    @property
+    def port(self) -> int:
+        """Port for routers."""
+        return self._listener.port
+
+    @property
+    def admin_port(self) -> int:
+        """Port for operators."""
+        return self._admin.port
+
+    def run(self) -> None:
+        """Serve until :meth:`stop`, then drain."""
+        self.start()
+        self._stop.wait()
+        self._drain()
+        self.close()
+
+    def start(self) -> None:
+        """Start serving and return."""
+        lag = LoopLag(clock=self._clock, metrics=self._metrics)
+        self._supervisor.start('loop_lag', lag.run)
+        self._supervisor.start('ticks', self._tick)
+        self._supervisor.start('reports', self._report)
+        self._admin.start()
+        self._listener.start()
+        logger.info('Agent %s serves routers on port %d.', *self._where())
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self._stop.set()
+
+    def close(self) -> None:
+        """End everything now."""
+        self._supervisor.stop()
+        self._listener.stop()
+        self._admin.stop()
+
+    def _where(self) -> tuple[str, int]:
+        return self._identity.name, self.port
+
+    def _drain(self) -> None:
+        logger.info('Leaving: %d calls run.', self._gate.in_use)
+        self._admission.leave()
+        self._send_reports()
+        deadline_ms = self._clock.now_ms() + self._settings.limits.drain_ms
+        while self._busy() and self._clock.now_ms() < deadline_ms:
+            gevent.sleep(_TICK_MS / MS_PER_S)
+        logger.info('Left: %d calls cut off.', self._gate.in_use)
+
+    def _busy(self) -> bool:
+        # A finished call is held until its router has the whole answer.
+        return bool(self._gate.in_use or self._calls.held)
+
+    def _tick(self) -> None:
+        while not self._supervisor.stopped:
+            self._admission.tick()
+            self._calls.forget_orphans()
+            gevent.sleep(_TICK_MS / MS_PER_S)
+
+    def _report(self) -> None:
+        period_s = self._settings.limits.report_ms / MS_PER_S
+        while not self._supervisor.stopped:
+            self._send_reports()
+            gevent.sleep(period_s)
+
+    def _send_reports(self) -> None:
+        report = self._make_report()
+        for session in list(self._sessions.values()):
+            session.connection.send(report)
+
+    def _make_report(self) -> Report:
+        return Report(
+            limit=self._gate.limit,
+            running=self._gate.in_use,
+            waiting=self._gate.waiting,
+            mean_run_ms=self._gate.mean_run_ms,
+            config_version=self._config_version,
+            leaving=self._gate.leaving,
+        )
+
+    def _note_router(self, config_version: int) -> Report:
+        self._config_version = max(self._config_version, config_version)
+        return self._make_report()
+
+    def _call_finished(self, call: Call) -> None:
+        self._metrics.stream_bytes.add({}, call.length)
+        self._admission.finish(call.call_id, whole=call.whole)
+
+    def _not_ready(self) -> str:
+        return 'leaving' if self._gate.leaving else ''
+
+    def _status(self) -> dict[str, Any]:
+        return {
+            'name': self._identity.name,
+            'incarnation': self._identity.incarnation,
+            'config_version': self._config_version,
+            'limit': self._gate.limit,
+            'running': self._gate.in_use,
+            'waiting': self._gate.waiting,
+            'mean_run_ms': self._gate.mean_run_ms,
+            'leaving': self._gate.leaving,
+            'routers': sorted(self._sessions),
+        }
+
+
+def check_agent_policy(settings: SimpleNamespace) -> Result[Any, str]:
+    """Check that the policies named in the settings exist.
+
+    :param settings: the checked settings.
+    :returns: the order, or a sentence that lists those there are.
+    """
+    return orders.find(settings.policy.order)
+
+
+def _make_gate(settings: SimpleNamespace, clock: Clock) -> Gate:
+    factory = orders.find(settings.policy.order).unwrap()
+    return Gate(
+        clock=clock,
+        order=factory(capacity=settings.limits.queue),
+        limit=settings.endpoint.slots,
+        headroom=settings.endpoint.headroom,
+        grant_ms=settings.limits.grant_ms,
+    )
+
+
+def _make_client(settings: SimpleNamespace) -> EndpointClient:
+    return EndpointClient(
+        url=settings.endpoint.url,
+        slots=settings.endpoint.slots,
+        connect_ms=settings.endpoint.connect_ms,
+        idle_ms=settings.endpoint.idle_ms,
+    )
--- /dev/null
+++ b/wingfall/agent/call.py
@@ -0,0 +1,184 @@
+"""One call that runs, or has run, at the endpoint."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+from returns.result import Success
+
+from wingfall.agent.answer import AnswerBuffer
+from wingfall.errors import RunState
+from wingfall.wire.messages import Chunk, End, Head, Refused
+from wingfall.wire.reasons import RefusalReason
+
+if TYPE_CHECKING:
+    from wingfall.agent.endpoint_client import (
+        EndpointAnswer,
+        EndpointClient,
+        EndpointFault,
+    )
+    from wingfall.wire.connection import Connection
+    from wingfall.wire.messages import Message, Run
+
+_RETRY_MS = 1000
+
+
+@final
+class Call:
+    """Relays the endpoint's answer to the router that asked.
+
+    The connection can be replaced while the call runs: what the router has
+    not confirmed is sent again on the new one.
+    """
+
+    __slots__ = (
+        '_buffer',
+        '_connection',
+        '_end',
+        '_head',
+        '_run',
+        'orphaned_ms',
+        'owner',
+    )
+
+    def __init__(
+        self,
+        *,
+        run: Run,
+        owner: str,
+        connection: Connection,
+        window: int,
+    ) -> None:
+        """Set up a call; :meth:`relay` starts it.
+
+        :param run: the request.
+        :param owner: name of the router.
+        :param connection: connection to the router.
+        :param window: bytes that may be unconfirmed.
+        """
+        self._run = run
+        self.owner = owner
+        self.orphaned_ms: int | None = None
+        self._connection: Connection | None = connection
+        self._buffer = AnswerBuffer(window=window)
+        self._head: Head | None = None
+        self._end: End | Refused | None = None
+
+    @property
+    def call_id(self) -> str:
+        """Id of the call."""
+        return self._run.call_id
+
+    @property
+    def ended(self) -> bool:
+        """Whether the endpoint is done with it."""
+        return self._end is not None
+
+    @property
+    def whole(self) -> bool:
+        """Whether it ended with the whole answer."""
+        return isinstance(self._end, End) and not self._end.fault
+
+    @property
+    def length(self) -> int:
+        """Bytes of the body so far."""
+        return self._buffer.end
+
+    def relay(self, client: EndpointClient) -> None:
+        """Run the call to its end.
+
+        :param client: the endpoint.
+        """
+        opened = client.open(self._run)
+        if not isinstance(opened, Success):
+            self._finish_with(opened.failure())
+            return
+        answer = opened.unwrap()
+        try:
+            self._relay_answer(answer)
+        finally:
+            if self.whole:
+                answer.release()
+            else:
+                answer.close()
+
+    def ack(self, offset: int) -> None:
+        """Note what the router has passed on.
+
+        :param offset: bytes confirmed.
+        """
+        self._buffer.ack(offset)
+
+    def orphan(self, now_ms: int) -> None:
+        """Note that the connection to the router is lost.
+
+        :param now_ms: the time.
+        """
+        self._connection = None
+        self.orphaned_ms = now_ms
+
+    def resume(self, connection: Connection, offset: int) -> bool:
+        """Go on over a new connection.
+
+        :param connection: the new connection.
+        :param offset: bytes that the router has.
+        :returns: False if the bytes from there on are forgotten.
+        """
+        missed = self._buffer.read_from(offset)
+        if missed is None:
+            return False
+        self._buffer.ack(offset)
+        self._connection = connection
+        self.orphaned_ms = None
+        if self._head is not None:
+            connection.send(self._head)
+        if missed:
+            chunk = Chunk(call_id=self.call_id, offset=offset, body=missed)
+            connection.send(chunk)
+        if self._end is not None:
+            connection.send(self._end)
+        return True
+
+    def _relay_answer(self, answer: EndpointAnswer) -> None:
+        self._head = Head(
+            call_id=self.call_id,
+            status=answer.status,
+            headers=answer.headers,
+        )
+        self._send(self._head)
+        for piece in answer.pieces():
+            if not isinstance(piece, Success):
+                self._finish_with(piece.failure())
+                return
+            body = piece.unwrap()
+            offset = self._buffer.append(body)
+            self._send(Chunk(call_id=self.call_id, offset=offset, body=body))
+            self._buffer.wait_room()
+        self._finish(End(call_id=self.call_id, length=self.length))
+
+    def _finish_with(self, fault: EndpointFault) -> None:
+        if fault.run is RunState.not_run:
+            self._finish(
+                Refused(
+                    call_id=self.call_id,
+                    reason=RefusalReason.endpoint_down,
+                    retry_after_ms=_RETRY_MS,
+                ),
+            )
+            return
+        self._finish(
+            End(
+                call_id=self.call_id,
+                length=self.length,
+                run=fault.run,
+                fault=fault.message,
+            ),
+        )
+
+    def _finish(self, end: End | Refused) -> None:
+        self._end = end
+        self._send(end)
+
+    def _send(self, message: Message) -> None:
+        if self._connection is not None:
+            self._connection.send(message)
--- /dev/null
+++ b/wingfall/agent/calls.py
@@ -0,0 +1,129 @@
+"""All calls of an agent: started, resumed, cancelled, forgotten."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Callable, final
+
+import gevent
+
+from wingfall.agent.call import Call
+from wingfall.log import part_logger
+
+if TYPE_CHECKING:
+    from gevent import Greenlet
+
+    from wingfall.agent.endpoint_client import EndpointClient
+    from wingfall.clock import Clock
+    from wingfall.wire.connection import Connection
+    from wingfall.wire.messages import Run
+
+logger = part_logger('agent.calls')
+
+
+@final
+class CallTable:
+    """The calls by id, each with the greenlet that relays it."""
+
+    __slots__ = (
+        '_calls',
+        '_client',
+        '_clock',
+        '_finished',
+        '_greenlets',
+        '_orphan_ms',
+        '_window',
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        client: EndpointClient,
+        window: int,
+        orphan_ms: int,
+        finished: Callable[[Call], None],
+    ) -> None:
+        """Start empty.
+
+        :param clock: the time.
+        :param client: the endpoint.
+        :param window: unconfirmed bytes of one call.
+        :param orphan_ms: how long a call outlives its connection.
+        :param finished: called once for each call when its slot is free.
+        """
+        self._clock = clock
+        self._client = client
+        self._window = window
+        self._orphan_ms = orphan_ms
+        self._finished = finished
+        self._calls: dict[str, Call] = {}
+        self._greenlets: dict[str, Greenlet] = {}
+
+    @property
+    def running(self) -> int:
+        """Calls that the endpoint works on."""
+        return len(self._greenlets)
+
+    @property
+    def held(self) -> int:
+        """Calls that run, or whose end no router has confirmed."""
+        return len(self._calls)
+
+    def start(self, run: Run, owner: str, connection: Connection) -> None:
+        """Run a call.
+
+        :param run: the request; its id must be new.
+        :param owner: name of the router.
+        :param connection: connection to the router.
+        """
+        call = Call(
+            run=run,
+            owner=owner,
+            connection=connection,
+            window=self._window,
+        )
+        self._calls[call.call_id] = call
+        self._greenlets[call.call_id] = gevent.spawn(self._relay, call)
+
+    def find(self, call_id: str) -> Call | None:
+        """Find a call.
+
+        :param call_id: its id.
+        :returns: the call, or None if it never ran or is forgotten.
+        """
+        return self._calls.get(call_id)
+
+    def cancel(self, call_id: str) -> None:
+        """Stop a call if it runs, and forget it.
+
+        :param call_id: its id.
+        """
+        self._calls.pop(call_id, None)
+        greenlet = self._greenlets.get(call_id)
+        if greenlet is not None:
+            greenlet.kill(block=False)
+
+    def orphan(self, owner: str) -> None:
+        """Note that a router's connection is lost.
+
+        :param owner: the router.
+        """
+        now_ms = self._clock.now_ms()
+        for call in self._calls.values():
+            if call.owner == owner and call.orphaned_ms is None:
+                call.orphan(now_ms)
+
+    def forget_orphans(self) -> None:
+        """Cancel and forget calls whose router stayed away too long."""
+        oldest_ms = self._clock.now_ms() - self._orphan_ms
+        for call_id, call in list(self._calls.items()):
+            if call.orphaned_ms is not None and call.orphaned_ms < oldest_ms:
+                logger.info('Forgot %s: its router stayed away.', call_id)
+                self.cancel(call_id)
+
+    def _relay(self, call: Call) -> None:
+        try:
+            call.relay(self._client)
+        finally:
+            self._greenlets.pop(call.call_id, None)
+            self._finished(call)
--- /dev/null
+++ b/wingfall/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module a command."""
--- /dev/null
+++ b/wingfall/cmd/daemon.py
@@ -0,0 +1,105 @@
+"""What the two daemons share: settings, secret, log and signals."""
+
+from __future__ import annotations
+
+import pathlib
+import signal
+import sys
+from typing import TYPE_CHECKING, Any, Callable, Protocol
+
+import gevent
+from returns.result import Failure, Result, Success
+
+from wingfall.cmd.application import EXIT_USAGE
+from wingfall.errors import FieldFault
+from wingfall.log import configure_logging, part_logger
+from wingfall.settings.loader import load_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from types import SimpleNamespace
+
+_MIN_SECRET_BYTES = 16
+_EXIT_REFUSED = 1
+
+logger = part_logger('daemon')
+
+
+class Daemon(Protocol):
+    """A program that serves until it is told to stop."""
+
+    def run(self) -> None:
+        """Serve."""
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+
+
+class DaemonFactory(Protocol):
+    """How a daemon is made."""
+
+    def __call__(self, *, settings: SimpleNamespace, secret: bytes) -> Daemon:
+        """Make the daemon from checked settings."""
+
+
+def run_daemon(
+    path: str,
+    schema: dict[str, Any],
+    check_policy: Callable[[SimpleNamespace], Result[Any, str]],
+    factory: DaemonFactory,
+) -> int:
+    """Run a daemon to its planned stop.
+
+    :param path: the settings file.
+    :param schema: its schema.
+    :param check_policy: checks the policies that the settings name.
+    :param factory: makes the daemon.
+    :returns: the exit code.
+    """
+    loaded = load_settings(path, schema)
+    if not isinstance(loaded, Success):
+        return print_faults(loaded.failure())
+    settings = loaded.unwrap()
+    policy = check_policy(settings)
+    if not isinstance(policy, Success):
+        return print_faults([_fault(path, 'policy', policy.failure())])
+    secret = _read_secret(path, settings.secret_path)
+    if not isinstance(secret, Success):
+        return print_faults([secret.failure()])
+    configure_logging(settings.log_level)
+    try:
+        daemon = factory(settings=settings, secret=secret.unwrap())
+    except OSError as error:
+        logger.error('Can not listen: %s.', error)
+        return _EXIT_REFUSED
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, daemon.stop)
+    daemon.run()
+    return 0
+
+
+def print_faults(faults: Iterable[FieldFault]) -> int:
+    """Print faults to standard error, a line each.
+
+    :param faults: the faults.
+    :returns: the exit code for an invalid file.
+    """
+    for fault in faults:
+        sys.stderr.write(f'{fault}\n')
+    return EXIT_USAGE
+
+
+def _read_secret(path: str, secret_path: str) -> Result[bytes, FieldFault]:
+    try:
+        secret = pathlib.Path(secret_path).read_bytes().strip()
+    except OSError as error:
+        reason = f"{secret_path} can't be read: {error.strerror}"
+        return Failure(_fault(path, 'secret_path', reason))
+    if len(secret) < _MIN_SECRET_BYTES:
+        reason = f'the secret has fewer than {_MIN_SECRET_BYTES} bytes'
+        return Failure(_fault(path, 'secret_path', reason))
+    return Success(secret)
+
+
+def _fault(path: str, field: str, reason: str) -> FieldFault:
+    return FieldFault(source=path, line=1, field=field, reason=reason)
--- /dev/null
+++ b/wingfall/config/__init__.py
@@ -0,0 +1,1 @@
+"""This process's copy of the accepted configuration."""
--- /dev/null
+++ b/wingfall/decision/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions, as pure code with a clock passed in."""
--- /dev/null
+++ b/wingfall/decision/gate.py
@@ -0,0 +1,259 @@
+"""What an agent admits to its endpoint: slots, grants and refusals."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, final
+
+from wingfall.wire.reasons import RefusalReason
+
+if TYPE_CHECKING:
+    from wingfall.clock import Clock
+    from wingfall.decision.order import Order
+    from wingfall.decision.ticket import Ticket
+
+_SMOOTHING: Final = 0.1
+_FIRST_RUN_MS: Final = 200
+_MIN_RETRY_MS: Final = 1000
+
+
+@final
+class Verdict:
+    """What the gate decided about one ticket."""
+
+    __slots__ = ('reason', 'retry_after_ms', 'ticket')
+
+    def __init__(
+        self,
+        *,
+        ticket: Ticket,
+        reason: RefusalReason | None = None,
+        retry_after_ms: int = 0,
+    ) -> None:
+        """Decide.
+
+        :param ticket: the ticket.
+        :param reason: why it is refused, None if it is granted.
+        :param retry_after_ms: estimate of when there is room.
+        """
+        self.ticket = ticket
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
+@final
+class Gate:
+    """Counts the slots of one endpoint and alone gives them out.
+
+    A slot is granted to a ticket, held until the run comes or the grant
+    lapses, and free again when the call has ended. Every method that can free
+    or fill a slot returns the verdicts that follow.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_grant_ms',
+        '_grants',
+        '_headroom',
+        '_leaving',
+        '_limit',
+        '_mean_run_ms',
+        '_order',
+        '_running',
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        order: Order,
+        limit: int,
+        headroom: int,
+        grant_ms: int,
+    ) -> None:
+        """Set up a gate with all slots free.
+
+        :param clock: the time.
+        :param order: the waiting policy.
+        :param limit: slots.
+        :param headroom: slots that only tier 0 may take.
+        :param grant_ms: how long a granted slot is held.
+        """
+        self._clock = clock
+        self._order = order
+        self._limit = limit
+        self._headroom = min(headroom, limit - 1)
+        self._grant_ms = grant_ms
+        self._grants: dict[str, tuple[Ticket, int]] = {}
+        self._running: dict[str, int] = {}
+        self._mean_run_ms: float = _FIRST_RUN_MS
+        self._leaving = False
+
+    @property
+    def limit(self) -> int:
+        """Calls that may run at once."""
+        return self._limit
+
+    @property
+    def in_use(self) -> int:
+        """Slots that run a call or are granted."""
+        return len(self._running) + len(self._grants)
+
+    @property
+    def waiting(self) -> int:
+        """Offers that wait."""
+        return len(self._order)
+
+    @property
+    def mean_run_ms(self) -> int:
+        """Smoothed time of a finished call."""
+        return int(self._mean_run_ms)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether new work is refused."""
+        return self._leaving
+
+    def offer(self, ticket: Ticket, *, eager: bool) -> list[Verdict]:
+        """Consider an offer.
+
+        :param ticket: the offer.
+        :param eager: whether it must start at once or not at all.
+        :returns: the verdicts, none for this ticket if it waits.
+        """
+        if self._leaving:
+            return [self._refuse(ticket, RefusalReason.leaving)]
+        if eager:
+            return [self._offer_eager(ticket)]
+        if self._can_start(ticket):
+            return [self._grant(ticket)]
+        wait_ms = self._wait_ms(ticket.tier)
+        if ticket.queued_ms + wait_ms > ticket.start_by_ms:
+            return [self._refuse(ticket, RefusalReason.too_late)]
+        shed = self._order.push(ticket)
+        verdicts = self._fill()
+        if shed is ticket:
+            verdicts.append(self._refuse(shed, RefusalReason.queue_full))
+        elif shed is not None:
+            verdicts.append(self._refuse(shed, RefusalReason.shed))
+        return verdicts
+
+    def start(self, call_id: str) -> Ticket | None:
+        """Turn a grant into a running call.
+
+        :param call_id: id of the offer.
+        :returns: its ticket, or None if no slot is held for it.
+        """
+        granted = self._grants.pop(call_id, None)
+        if granted is None:
+            return None
+        self._running[call_id] = self._clock.now_ms()
+        return granted[0]
+
+    def finish(self, call_id: str, *, whole: bool) -> list[Verdict]:
+        """Free the slot of a running call.
+
+        :param call_id: id of the offer.
+        :param whole: whether the answer was whole, so that its time counts.
+        :returns: the verdicts that follow.
+        """
+        started_ms = self._running.pop(call_id, None)
+        if started_ms is None:
+            return []
+        if whole:
+            run_ms = self._clock.now_ms() - started_ms
+            self._mean_run_ms += (run_ms - self._mean_run_ms) * _SMOOTHING
+        return self._fill()
+
+    def withdraw(self, call_id: str) -> tuple[bool, list[Verdict]]:
+        """Take an offer or grant back.
+
+        :param call_id: id of the offer.
+        :returns: False if the call runs, and the verdicts that follow.
+        """
+        if call_id in self._running:
+            return False, []
+        self._order.remove(call_id)
+        self._grants.pop(call_id, None)
+        return True, self._fill()
+
+    def drop_owner(self, owner: str) -> list[Verdict]:
+        """Take back all that a lost router has not started.
+
+        :param owner: the router.
+        :returns: the verdicts that follow for others.
+        """
+        for ticket in list(self._order):
+            if ticket.owner == owner:
+                self._order.remove(ticket.call_id)
+        for call_id, (ticket, _lapse_ms) in list(self._grants.items()):
+            if ticket.owner == owner:
+                self._grants.pop(call_id)
+        return self._fill()
+
+    def tick(self) -> list[Verdict]:
+        """Let grants lapse and refuse what can't be met any more.
+
+        :returns: the verdicts that follow.
+        """
+        now_ms = self._clock.now_ms()
+        verdicts: list[Verdict] = []
+        for call_id, (ticket, lapse_ms) in list(self._grants.items()):
+            if lapse_ms <= now_ms:
+                self._grants.pop(call_id)
+                verdicts.append(
+                    self._refuse(ticket, RefusalReason.grant_lapsed),
+                )
+        for ticket in list(self._order):
+            if min(ticket.start_by_ms, ticket.expires_ms) <= now_ms:
+                self._order.remove(ticket.call_id)
+                verdicts.append(self._refuse(ticket, RefusalReason.too_late))
+        return verdicts + self._fill()
+
+    def leave(self) -> list[Verdict]:
+        """Take no new work from now on; grants and calls are kept.
+
+        :returns: refusals of all that wait.
+        """
+        self._leaving = True
+        tickets = list(self._order)
+        for ticket in tickets:
+            self._order.remove(ticket.call_id)
+        return [
+            self._refuse(ticket, RefusalReason.leaving) for ticket in tickets
+        ]
+
+    def _offer_eager(self, ticket: Ticket) -> Verdict:
+        if self._can_start(ticket):
+            return self._grant(ticket)
+        return self._refuse(ticket, RefusalReason.busy)
+
+    def _can_start(self, ticket: Ticket) -> bool:
+        reserve = self._headroom if ticket.tier else 0
+        free = self._limit - self.in_use - reserve
+        return free > 0 and not self._order.ahead_of(ticket.tier)
+
+    def _fill(self) -> list[Verdict]:
+        verdicts: list[Verdict] = []
+        while self.in_use < self._limit and not self._leaving:
+            free = self._limit - self.in_use
+            ticket = self._order.pop(top_only=free <= self._headroom)
+            if ticket is None:
+                break
+            verdicts.append(self._grant(ticket))
+        return verdicts
+
+    def _grant(self, ticket: Ticket) -> Verdict:
+        lapse_ms = self._clock.now_ms() + self._grant_ms
+        self._grants[ticket.call_id] = (ticket, lapse_ms)
+        return Verdict(ticket=ticket)
+
+    def _refuse(self, ticket: Ticket, reason: RefusalReason) -> Verdict:
+        return Verdict(
+            ticket=ticket,
+            reason=reason,
+            retry_after_ms=max(_MIN_RETRY_MS, self._wait_ms(ticket.tier)),
+        )
+
+    def _wait_ms(self, tier: int) -> int:
+        ahead = self._order.ahead_of(tier) + 1
+        return int(ahead * self._mean_run_ms / self._limit)
--- /dev/null
+++ b/wingfall/decision/ticket.py
@@ -0,0 +1,65 @@
+"""An offer as an agent's queue sees it."""
+
+from __future__ import annotations
+
+from typing import final
+
+
+@final
+class Ticket:
+    """One waiting request; all times are readings of the agent's clock."""
+
+    __slots__ = (
+        'call_id',
+        'class_name',
+        'customer',
+        'expires_ms',
+        'owner',
+        'private',
+        'queued_ms',
+        'share',
+        'start_by_ms',
+        'tier',
+        'worth',
+    )
+
+    def __init__(
+        self,
+        *,
+        call_id: str,
+        class_name: str,
+        tier: int,
+        customer: str,
+        worth: float,
+        share: float,
+        private: int,
+        queued_ms: int,
+        start_by_ms: int,
+        expires_ms: int,
+        owner: str = '',
+    ) -> None:
+        """Describe a waiting request.
+
+        :param call_id: id of the offer.
+        :param class_name: its class.
+        :param tier: tier of the class, 0 is the highest.
+        :param customer: who sent it.
+        :param worth: weight of the customer.
+        :param share: guaranteed share of starts of the class.
+        :param private: private waiting places of the class.
+        :param queued_ms: when it came.
+        :param start_by_ms: latest start that meets the target.
+        :param expires_ms: when its caller gives up.
+        :param owner: the router that sent it.
+        """
+        self.call_id = call_id
+        self.class_name = class_name
+        self.tier = tier
+        self.customer = customer
+        self.worth = worth
+        self.share = share
+        self.private = private
+        self.queued_ms = queued_ms
+        self.start_by_ms = start_by_ms
+        self.expires_ms = expires_ms
+        self.owner = owner
--- /dev/null
+++ b/wingfall/errors.py
@@ -0,0 +1,105 @@
+"""The typed outcomes that stand for errors."""
+
+from __future__ import annotations
+
+import enum
+from typing import final
+
+
+class RunState(enum.StrEnum):
+    """What is known about whether a call ran at its endpoint."""
+
+    ran = 'ran'
+    not_run = 'not_run'
+    unknown = 'unknown'
+
+
+@final
+class FieldFault:
+    """One fault in a settings or object file."""
+
+    __slots__ = ('field', 'line', 'reason', 'source')
+
+    def __init__(
+        self,
+        *,
+        source: str,
+        line: int,
+        field: str,
+        reason: str,
+    ) -> None:
+        """Describe a fault.
+
+        :param source: name of the file.
+        :param line: line in the file, from 1.
+        :param field: dotted path of the field, empty for the whole.
+        :param reason: what is wrong, in one sentence.
+        """
+        self.source = source
+        self.line = line
+        self.field = field
+        self.reason = reason
+
+    def __str__(self) -> str:
+        """Format as ``file:line: field: reason``."""
+        field = self.field or '(document)'
+        return f'{self.source}:{self.line}: {field}: {self.reason}'
+
+
+@final
+class Refusal:
+    """An answer to a caller that is not the endpoint's.
+
+    The fields follow the error body of OpenAI's API, with ``run`` added.
+    """
+
+    __slots__ = ('code', 'kind', 'message', 'retry_after_ms', 'run', 'status')
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        kind: str,
+        code: str,
+        message: str,
+        run: RunState = RunState.not_run,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        """Describe a refusal.
+
+        :param status: HTTP status.
+        :param kind: family of the error, sent as ``type``.
+        :param code: stable word for programs.
+        :param message: sentence for people.
+        :param run: whether the call ran.
+        :param retry_after_ms: when to ask again, if that is worth it.
+        """
+        self.status = status
+        self.kind = kind
+        self.code = code
+        self.message = message
+        self.run = run
+        self.retry_after_ms = retry_after_ms
+
+
+class WireError(Exception):
+    """A peer broke the protocol; the connection is of no further use."""
+
+
+class PlatformError:
+    """A failed call to the platform's object API."""
+
+    __slots__ = ('message', 'status')
+
+    def __init__(self, *, status: int, message: str) -> None:
+        """Describe the failure.
+
+        :param status: HTTP status, or 0 when no answer came.
+        :param message: what happened.
+        """
+        self.status = status
+        self.message = message
+
+    def __str__(self) -> str:
+        """Format for logs."""
+        return f'status {self.status}: {self.message}'
--- /dev/null
+++ b/wingfall/http_server.py
@@ -0,0 +1,123 @@
+"""An HTTP server on gevent's WSGI server, with small answers sent at once."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Any, Final, final
+
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from wingfall.log import part_logger
+from wingfall.wire.connection import set_no_delay
+
+if TYPE_CHECKING:
+    from types import SimpleNamespace
+
+    from bottle import Bottle
+
+SOCKET_KEY: Final = 'wingfall.socket'
+_BACKLOG: Final = 1024
+
+logger = part_logger('http')
+
+
+@final
+class _Handler(WSGIHandler):
+    """Turns Nagle's algorithm off and shows the socket to the application."""
+
+    def __init__(self, sock: socket.socket, *rest: Any, **named: Any) -> None:
+        """Take over an accepted connection.
+
+        :param sock: its socket.
+        :param rest: passed on to gevent.
+        :param named: passed on to gevent.
+        """
+        set_no_delay(sock)
+        super().__init__(sock, *rest, **named)
+
+    def get_environ(self) -> dict[str, Any]:
+        """Make the WSGI environment.
+
+        :returns: the environment with the caller's socket in it.
+        """
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        if self.server.closed:
+            self.close_connection = True
+        return environ
+
+    def handle_one_response(self) -> None:
+        """Answer one request, counted from its head to its last byte."""
+        self.server.active += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.active -= 1
+
+
+@final
+class _Server(WSGIServer):
+    """Counts the requests in flight."""
+
+    active = 0
+
+
+@final
+class HttpServer:
+    """Serves a bottle application."""
+
+    __slots__ = ('_server',)
+
+    def __init__(self, *, app: Bottle, address: SimpleNamespace) -> None:
+        """Bind the address at once, so that a taken port fails early.
+
+        :param app: the application.
+        :param address: ``host`` and ``port`` of the settings.
+        """
+        self._server = _Server(
+            listener=(address.host, address.port),
+            application=app,
+            log=None,
+            error_log=logger,
+            handler_class=_Handler,
+            backlog=_BACKLOG,
+        )
+        self._server.init_socket()
+
+    @property
+    def port(self) -> int:
+        """The port in use."""
+        return int(self._server.socket.getsockname()[1])
+
+    @property
+    def active(self) -> int:
+        """Requests whose answer is not written to its end."""
+        return self._server.active
+
+    def start(self) -> None:
+        """Accept connections from now on."""
+        self._server.start()
+
+    def stop_accepting(self) -> None:
+        """Take no new connections; those that are open go on."""
+        self._server.close()
+
+    def stop(self) -> None:
+        """End all connections."""
+        self._server.stop(timeout=0)
+
+
+def peer_closed(sock: socket.socket) -> bool:
+    """Tell whether the other side has closed, without taking bytes.
+
+    :param sock: the caller's socket.
+    :returns: whether nothing more can come from it.
+    """
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    plain = getattr(sock, '_sock', sock)
+    try:
+        return plain.recv(1, flags) == b''
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- /dev/null
+++ b/wingfall/log.py
@@ -0,0 +1,48 @@
+"""Loggers with a fixed prefix per part, on ``absl.logging``."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from absl import logging as absl_logging
+
+if TYPE_CHECKING:
+    from collections.abc import MutableMapping
+
+
+class PartLogger(logging.LoggerAdapter[logging.Logger]):
+    """Put the name of a part before each of its messages."""
+
+    def process(
+        self,
+        msg: Any,
+        kwargs: MutableMapping[str, Any],
+    ) -> tuple[str, MutableMapping[str, Any]]:
+        """Add the prefix.
+
+        :param msg: the message with its lazy placeholders.
+        :param kwargs: options of the logging call.
+        :returns: the prefixed message and the same options.
+        """
+        prefix = (self.extra or {}).get('part', '')
+        return f'{prefix}: {msg}', kwargs
+
+
+def part_logger(part: str) -> PartLogger:
+    """Make the logger of a part.
+
+    :param part: fixed prefix of its lines.
+    :returns: a logger for ``%s`` style lazy messages.
+    """
+    return PartLogger(absl_logging.get_absl_logger(), {'part': part})
+
+
+def configure_logging(level: str) -> None:
+    """Send log lines to standard error from a level upward.
+
+    :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+    absl_logging.use_absl_handler()
+    absl_logging.set_verbosity(level)
+    absl_logging.set_stderrthreshold(level)
--- /dev/null
+++ b/wingfall/objects/__init__.py
@@ -0,0 +1,1 @@
+"""The plain objects of the configuration."""
--- /dev/null
+++ b/wingfall/platform/client.py
@@ -0,0 +1,250 @@
+"""The platform's object API, in the manner of the Kubernetes REST API."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final, Protocol, final
+
+import orjson
+import urllib3
+from returns.result import Failure, Result, Success
+
+from wingfall.clock import MS_PER_S
+from wingfall.errors import PlatformError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from wingfall.metrics import Metrics
+
+GONE: Final = 410
+CONFLICT: Final = 409
+NOT_FOUND: Final = 404
+
+_OK: Final = 200
+_FIRST_ERROR: Final = 300
+_OBJECTS: Final = '/apis/wingfall/v1/objects'
+_WATCH_SLACK_MS: Final = 2000
+_MAX_MESSAGE: Final = 200
+
+
+@final
+class ObjectList:
+    """All objects at one version."""
+
+    __slots__ = ('objects', 'version')
+
+    def __init__(self, *, version: int, objects: list[dict[str, Any]]) -> None:
+        """Keep a list.
+
+        :param version: version of the whole list.
+        :param objects: the objects as JSON.
+        """
+        self.version = version
+        self.objects = objects
+
+
+@final
+class WatchEvent:
+    """One accepted change, or a mark that nothing happened up to a version."""
+
+    __slots__ = ('deleted', 'raw', 'version')
+
+    def __init__(
+        self,
+        *,
+        version: int,
+        raw: dict[str, Any] | None,
+        deleted: bool = False,
+    ) -> None:
+        """Describe a change.
+
+        :param version: version after the change.
+        :param raw: the object as JSON, None for a mark.
+        :param deleted: whether the object is gone.
+        """
+        self.version = version
+        self.raw = raw
+        self.deleted = deleted
+
+
+class ObjectApi(Protocol):
+    """What wingfall needs of the platform; bind another platform here."""
+
+    def list_objects(self) -> Result[ObjectList, PlatformError]:
+        """Read all objects."""
+
+    def watch_objects(
+        self,
+        version: int,
+        timeout_ms: int,
+    ) -> Iterator[Result[WatchEvent, PlatformError]]:
+        """Wait for changes after a version."""
+
+
+@final
+class HttpObjectApi:
+    """The object API over HTTP; calls are counted in the metrics."""
+
+    __slots__ = ('_metrics', '_pool', '_timeout_ms', '_url')
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        timeout_ms: int,
+        metrics: Metrics,
+    ) -> None:
+        """Set up the client; no call is made yet.
+
+        :param url: base URL of the API.
+        :param timeout_ms: bound of a short call.
+        :param metrics: where calls are counted.
+        """
+        self._url = url.rstrip('/')
+        self._timeout_ms = timeout_ms
+        self._metrics = metrics
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def list_objects(self) -> Result[ObjectList, PlatformError]:
+        """Read all objects.
+
+        :returns: the list, or why there is none.
+        """
+        return self._call('GET', _OBJECTS).bind(_read_list)
+
+    def read(self, kind: str, name: str) -> Result[Any, PlatformError]:
+        """Read one object.
+
+        :param kind: its kind.
+        :param name: its name.
+        :returns: the object as JSON, or why there is none.
+        """
+        return self._call('GET', f'{_OBJECTS}/{kind}/{name}')
+
+    def write(self, raw: dict[str, Any]) -> Result[Any, PlatformError]:
+        """Create or replace an object.
+
+        With a ``resourceVersion`` the write is conditional on it; without
+        one the object must not exist yet.
+
+        :param raw: the object as JSON.
+        :returns: the object as accepted, or why it was not.
+        """
+        kind, name = raw['kind'], raw['metadata']['name']
+        return self._call('PUT', f'{_OBJECTS}/{kind}/{name}', raw)
+
+    def watch_objects(
+        self,
+        version: int,
+        timeout_ms: int,
+    ) -> Iterator[Result[WatchEvent, PlatformError]]:
+        """Wait for changes after a version.
+
+        :param version: the last version that is known.
+        :param timeout_ms: how long the platform keeps the watch open.
+        :yields: the changes in their order; ends when the watch ends.
+        """
+        query = f'?watch=1&resourceVersion={version}&timeoutMs={timeout_ms}'
+        silence_ms = timeout_ms + _WATCH_SLACK_MS
+        opened = self._open('GET', _OBJECTS + query, None, silence_ms)
+        if not isinstance(opened, Success):
+            yield Failure(opened.failure())
+            return
+        response = opened.unwrap()
+        try:
+            yield from _read_events(response)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            yield Failure(PlatformError(status=0, message=str(error)))
+        finally:
+            response.close()
+
+    def _call(
+        self,
+        verb: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+    ) -> Result[Any, PlatformError]:
+        opened = self._open(verb, path, body, self._timeout_ms)
+        if not isinstance(opened, Success):
+            return opened
+        response = opened.unwrap()
+        try:
+            return Success(orjson.loads(response.data))
+        except (
+            urllib3.exceptions.HTTPError,
+            orjson.JSONDecodeError,
+            OSError,
+        ) as error:
+            return Failure(PlatformError(status=0, message=str(error)))
+        finally:
+            response.release_conn()
+
+    def _open(
+        self,
+        verb: str,
+        path: str,
+        body: dict[str, Any] | None,
+        silence_ms: int,
+    ) -> Result[urllib3.BaseHTTPResponse, PlatformError]:
+        try:
+            response = self._pool.request(
+                verb,
+                self._url + path,
+                body=None if body is None else orjson.dumps(body),
+                headers={'Content-Type': 'application/json'},
+                timeout=urllib3.Timeout(
+                    connect=self._timeout_ms / MS_PER_S,
+                    read=silence_ms / MS_PER_S,
+                ),
+                preload_content=False,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            self._count(verb, 0)
+            return Failure(PlatformError(status=0, message=str(error)))
+        self._count(verb, response.status)
+        if response.status < _FIRST_ERROR:
+            return Success(response)
+        text = response.data.decode(errors='replace')[:_MAX_MESSAGE]
+        return Failure(PlatformError(status=response.status, message=text))
+
+    def _count(self, verb: str, status: int) -> None:
+        self._metrics.platform_calls.inc({'verb': verb, 'status': str(status)})
+
+
+def _read_list(body: Any) -> Result[ObjectList, PlatformError]:
+    try:
+        version = int(body['metadata']['resourceVersion'])
+        return Success(ObjectList(version=version, objects=body['items']))
+    except (KeyError, TypeError, ValueError):
+        return Failure(PlatformError(status=_OK, message='not a list'))
+
+
+def _read_events(
+    response: urllib3.BaseHTTPResponse,
+) -> Iterator[Result[WatchEvent, PlatformError]]:
+    pending = b''
+    for received in response.stream(amt=None):
+        *lines, pending = (pending + received).split(b'\n')
+        for line in filter(None, lines):
+            yield _read_event(line)
+
+
+def _read_event(line: bytes) -> Result[WatchEvent, PlatformError]:
+    try:
+        event = orjson.loads(line)
+        kind = event['type']
+        raw = event['object']
+        if kind == 'ERROR':
+            return Failure(
+                PlatformError(status=raw['code'], message=raw['message']),
+            )
+        version = int(raw['metadata']['resourceVersion'])
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+        return Failure(PlatformError(status=_OK, message='not an event'))
+    return Success(
+        WatchEvent(
+            version=version,
+            raw=None if kind == 'BOOKMARK' else raw,
+            deleted=kind == 'DELETED',
+        ),
+    )
--- /dev/null
+++ b/wingfall/router/__init__.py
@@ -0,0 +1,1 @@
+"""The program on entry VMs."""
--- /dev/null
+++ b/wingfall/router/application.py
@@ -0,0 +1,249 @@
+"""Wires the parts of the router and runs them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, final
+
+import gevent
+from gevent.event import Event
+from returns.result import Result
+
+from wingfall.admin import make_admin_app
+from wingfall.clock import MS_PER_S, Clock
+from wingfall.config.copy import ConfigCopy
+from wingfall.config.follower import ConfigFollower
+from wingfall.decision.choice import choices
+from wingfall.decision.retry import RetryBudget
+from wingfall.http_server import HttpServer
+from wingfall.log import part_logger
+from wingfall.loop_lag import LoopLag
+from wingfall.metrics import Metrics
+from wingfall.platform.client import HttpObjectApi
+from wingfall.router.api import CallerApi
+from wingfall.router.directory import Directory
+from wingfall.router.dispatcher import Dispatcher
+from wingfall.router.intake import Intake
+from wingfall.router.link import AgentLink
+from wingfall.supervisor import Supervisor
+from wingfall.wire.handshake import Identity
+
+if TYPE_CHECKING:
+    from types import SimpleNamespace
+
+    from wingfall.objects.endpoint import Endpoint
+
+_POLL_MS = 20
+_GAUGE_MS = 500
+
+logger = part_logger('router')
+
+
+@final
+class RouterApplication:
+    """The router on an entry VM."""
+
+    __slots__ = (
+        '_admin',
+        '_api',
+        '_callers',
+        '_clock',
+        '_copy',
+        '_directory',
+        '_follower',
+        '_identity',
+        '_lag',
+        '_metrics',
+        '_settings',
+        '_stop',
+        '_supervisor',
+    )
+
+    def __init__(self, *, settings: SimpleNamespace, secret: bytes) -> None:
+        """Wire the parts and bind the ports.
+
+        :param settings: the checked settings.
+        :param secret: secret shared by all processes.
+        """
+        self._settings = settings
+        self._clock = Clock()
+        self._metrics = Metrics()
+        self._stop = Event()
+        self._identity = Identity(name=settings.name, secret=secret)
+        self._copy = ConfigCopy()
+        self._copy.listen(self._show_config)
+        self._supervisor = Supervisor(name='router', clock=self._clock)
+        self._lag = LoopLag(clock=self._clock, metrics=self._metrics)
+        self._follower = self._make_follower()
+        self._directory = Directory(
+            copy=self._copy,
+            supervisor=self._supervisor,
+            make_link=self._make_link,
+        )
+        self._api = self._make_api()
+        self._callers = HttpServer(app=self._api.app, address=settings.callers)
+        admin_app = make_admin_app(
+            ready=self._not_ready,
+            status=self._status,
+            metrics=self._metrics,
+        )
+        self._admin = HttpServer(app=admin_app, address=settings.admin)
+
+    @property
+    def port(self) -> int:
+        """Port for callers."""
+        return self._callers.port
+
+    @property
+    def admin_port(self) -> int:
+        """Port for operators."""
+        return self._admin.port
+
+    def run(self) -> None:
+        """Serve until :meth:`stop`, then drain."""
+        self.start()
+        self._stop.wait()
+        self._drain()
+        self.close()
+
+    def start(self) -> None:
+        """Start serving and return."""
+        self._supervisor.start('loop_lag', self._lag.run)
+        self._supervisor.start('gauges', self._show_gauges)
+        self._supervisor.start(
+            'follower',
+            lambda: self._follower.follow(self._stop),
+        )
+        self._admin.start()
+        self._callers.start()
+        logger.info(
+            'Router %s serves callers on port %d.',
+            self._identity.name,
+            self.port,
+        )
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self._stop.set()
+
+    def close(self) -> None:
+        """End everything now."""
+        self._supervisor.stop()
+        self._callers.stop()
+        self._admin.stop()
+
+    def _drain(self) -> None:
+        logger.info('Leaving: %d requests are held.', self._api.held)
+        self._api.drain()
+        deadline_ms = self._clock.now_ms() + self._settings.limits.drain_ms
+        while self._callers.active and self._clock.now_ms() < deadline_ms:
+            gevent.sleep(_POLL_MS / MS_PER_S)
+        self._callers.stop_accepting()
+        logger.info('Left: %d requests cut off.', self._callers.active)
+
+    def _make_follower(self) -> ConfigFollower:
+        platform = self._settings.platform
+        api = HttpObjectApi(
+            url=platform.url,
+            timeout_ms=platform.timeout_ms,
+            metrics=self._metrics,
+        )
+        return ConfigFollower(
+            api=api,
+            copy=self._copy,
+            watch_ms=platform.watch_ms,
+        )
+
+    def _make_api(self) -> CallerApi:
+        policy, limits = self._settings.policy, self._settings.limits
+        choice = choices.find(policy.choice).unwrap()
+        dispatcher = Dispatcher(
+            settings=self._settings,
+            clock=self._clock,
+            directory=self._directory,
+            choice=choice(seed=hash(self._identity.incarnation)),
+            budget=RetryBudget(percent=policy.retry_percent),
+            metrics=self._metrics,
+        )
+        intake = Intake(
+            clock=self._clock,
+            copy=self._copy,
+            identity=self._identity,
+            body_bytes=limits.body_bytes,
+        )
+        return CallerApi(
+            limits=limits,
+            clock=self._clock,
+            copy=self._copy,
+            intake=intake,
+            dispatcher=dispatcher,
+            lag=self._lag,
+            metrics=self._metrics,
+        )
+
+    def _make_link(self, endpoint: Endpoint) -> AgentLink:
+        return AgentLink(
+            endpoint=endpoint,
+            zone=self._settings.zone,
+            identity=self._identity,
+            copy=self._copy,
+        )
+
+    def _show_config(self) -> None:
+        self._metrics.config_version.set({}, self._copy.version)
+        self._metrics.config_faults.set({}, len(self._copy.faults))
+
+    def _show_gauges(self) -> None:
+        while not self._supervisor.stopped:
+            links = self._directory.links.values()
+            up = sum(link.usable for link in links)
+            self._metrics.links.set({}, up)
+            self._metrics.queue_length.set({}, self._api.held)
+            gevent.sleep(_GAUGE_MS / MS_PER_S)
+
+    def _not_ready(self) -> str:
+        if self._api.draining:
+            return 'draining'
+        if not self._copy.version:
+            return 'no configuration yet'
+        return ''
+
+    def _status(self) -> dict[str, Any]:
+        return {
+            'name': self._identity.name,
+            'zone': self._settings.zone,
+            'incarnation': self._identity.incarnation,
+            'config_version': self._copy.version,
+            'config_faults': {
+                '/'.join(key): reason
+                for key, reason in self._copy.faults.items()
+            },
+            'held': self._api.held,
+            'draining': self._api.draining,
+            'endpoints': {
+                name: _link_status(link)
+                for name, link in self._directory.links.items()
+            },
+        }
+
+
+def check_router_policy(settings: SimpleNamespace) -> Result[Any, str]:
+    """Check that the policies named in the settings exist.
+
+    :param settings: the checked settings.
+    :returns: the choice, or a sentence that lists those there are.
+    """
+    return choices.find(settings.policy.choice)
+
+
+def _link_status(link: AgentLink) -> dict[str, Any]:
+    report = link.report
+    if report is None:
+        return {'state': 'down', 'open_calls': link.open_calls}
+    return {
+        'state': 'leaving' if report.leaving else 'up',
+        'open_calls': link.open_calls,
+        'limit': report.limit,
+        'running': report.running,
+        'waiting': report.waiting,
+        'mean_run_ms': report.mean_run_ms,
+    }
--- /dev/null
+++ b/wingfall/router/attempt.py
@@ -0,0 +1,196 @@
+"""One request's offers, and the call that comes of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+from gevent.queue import Empty, SimpleQueue
+
+from wingfall.clock import MS_PER_S
+from wingfall.wire.messages import Cancel, Offer, Run, Withdraw
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wingfall.clock import Clock
+    from wingfall.router.link import AgentLink
+    from wingfall.router.request import Request
+    from wingfall.wire.messages import Message
+
+_POLL_MS = 250
+
+
+@final
+class Attempt:
+    """Keeps track of which agents have an offer or the run of a request.
+
+    Offers have ids of their own, so that a late answer to an earlier offer is
+    never taken for one to a later offer.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_gone',
+        '_mailbox',
+        '_offers',
+        '_round',
+        'request',
+        'running_on',
+    )
+
+    def __init__(
+        self,
+        *,
+        request: Request,
+        clock: Clock,
+        gone: Callable[[], bool],
+    ) -> None:
+        """Start without offers.
+
+        :param request: the request.
+        :param clock: the time.
+        :param gone: tells whether the caller has left.
+        """
+        self.request = request
+        self.running_on: AgentLink | None = None
+        self._clock = clock
+        self._gone = gone
+        self._mailbox: SimpleQueue[Message] = SimpleQueue()
+        self._offers: dict[str, AgentLink] = {}
+        self._round = 0
+
+    @property
+    def offers(self) -> dict[str, AgentLink]:
+        """Open offers by id."""
+        return self._offers
+
+    @property
+    def caller_left(self) -> bool:
+        """Whether nobody wants the answer any more."""
+        return self._gone()
+
+    def offer(self, link: AgentLink, *, eager: bool) -> str:
+        """Offer the request to an agent.
+
+        :param link: the agent.
+        :param eager: whether to send the run at once.
+        :returns: id of the offer.
+        """
+        self._round += 1
+        call_id = f'{self.request.request_id}.{self._round}'
+        self._offers[call_id] = link
+        link.open_call(call_id, self._mailbox)
+        link.send(self._make_offer(link, call_id, eager=eager))
+        if eager:
+            self.run(call_id)
+        return call_id
+
+    def run(self, call_id: str) -> None:
+        """Send the run to an agent that granted, and nowhere else.
+
+        :param call_id: id of the offer.
+        """
+        link = self._offers[call_id]
+        self.running_on = link
+        request = self.request
+        link.send(
+            Run(
+                call_id=call_id,
+                method=request.method,
+                path=request.path,
+                headers=request.headers,
+                body=request.body,
+                timeout_ms=max(1, self.left_ms()),
+                priority=request.request_class.tier,
+            ),
+        )
+
+    def withdraw_others(self, call_id: str) -> None:
+        """Withdraw all offers but one.
+
+        :param call_id: id of the offer to keep.
+        """
+        for other in list(self._offers):
+            if other != call_id:
+                self._offers[other].send(Withdraw(call_id=other))
+                self.drop(other)
+
+    def drop(self, call_id: str) -> None:
+        """Forget an offer.
+
+        :param call_id: id of the offer.
+        """
+        link = self._offers.pop(call_id, None)
+        if link is not None:
+            link.close_call(call_id)
+
+    def close(self) -> None:
+        """Withdraw or cancel whatever is still open."""
+        for call_id, link in list(self._offers.items()):
+            started = link is self.running_on
+            ending = Cancel if started else Withdraw
+            link.send(ending(call_id=call_id))
+            self.drop(call_id)
+
+    def left_ms(self) -> int:
+        """Tell how much time the caller leaves.
+
+        :returns: milliseconds, negative when it is over.
+        """
+        return self.request.deadline_ms - self._clock.now_ms()
+
+    def receive(self) -> Message | None:
+        """Wait for the next message of an open offer.
+
+        :returns: the message, or None when the time is over or the caller
+            has left.
+        """
+        while self.left_ms() > 0:
+            wait_ms = min(_POLL_MS, self.left_ms())
+            try:
+                message = self._mailbox.get(timeout=wait_ms / MS_PER_S)
+            except Empty:
+                if self._gone():
+                    return None
+                continue
+            if self._is_open(message):
+                return message
+        return None
+
+    def take_now(self) -> Message | None:
+        """Take the next message if there is one already.
+
+        :returns: the message, or None.
+        """
+        while not self._mailbox.empty():
+            message = self._mailbox.get_nowait()
+            if self._is_open(message):
+                return message
+        return None
+
+    def _is_open(self, message: Message) -> bool:
+        return getattr(message, 'call_id', '') in self._offers
+
+    def _make_offer(
+        self,
+        link: AgentLink,
+        call_id: str,
+        *,
+        eager: bool,
+    ) -> Offer:
+        request = self.request
+        terms = request.request_class
+        now_ms = self._clock.now_ms()
+        run_ms = link.report.mean_run_ms if link.report else 0
+        return Offer(
+            call_id=call_id,
+            class_name=terms.name,
+            tier=terms.tier,
+            customer=request.customer.name,
+            worth=request.customer.worth,
+            share=terms.share,
+            private=terms.private,
+            slack_ms=max(0, request.start_by_ms(run_ms) - now_ms),
+            expires_ms=max(0, request.deadline_ms - now_ms),
+            eager=eager,
+        )
--- /dev/null
+++ b/wingfall/router/directory.py
@@ -0,0 +1,95 @@
+"""The links to all agents that the configuration names."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Callable, final
+
+from wingfall.log import part_logger
+from wingfall.router.link import AgentLink
+
+if TYPE_CHECKING:
+    from wingfall.config.copy import ConfigCopy
+    from wingfall.objects.endpoint import Endpoint
+    from wingfall.router.request import Request
+    from wingfall.supervisor import Supervisor
+
+logger = part_logger('router.directory')
+
+
+@final
+class Directory:
+    """Opens and closes links as endpoints come and go."""
+
+    __slots__ = ('_copy', '_links', '_make_link', '_supervisor')
+
+    def __init__(
+        self,
+        *,
+        copy: ConfigCopy,
+        supervisor: Supervisor,
+        make_link: Callable[[Endpoint], AgentLink],
+    ) -> None:
+        """Follow a copy of the configuration.
+
+        :param copy: the configuration.
+        :param supervisor: keeps the links.
+        :param make_link: makes a link to an endpoint's agent.
+        """
+        self._copy = copy
+        self._supervisor = supervisor
+        self._make_link = make_link
+        self._links: dict[str, AgentLink] = {}
+        copy.listen(self._follow)
+
+    @property
+    def links(self) -> dict[str, AgentLink]:
+        """All links by name of the endpoint."""
+        return self._links
+
+    def usable(self, request: Request, tried: set[str]) -> list[AgentLink]:
+        """List the links that can take a request now.
+
+        :param request: the request.
+        :param tried: endpoints that have refused it.
+        :returns: the links.
+        """
+        return [
+            link
+            for link in self._links.values()
+            if link.usable
+            and link.endpoint.name not in tried
+            and not request.why_not(link.endpoint)
+        ]
+
+    def configured(self, request: Request) -> bool:
+        """Tell whether any endpoint may serve a request, up or not.
+
+        :param request: the request.
+        :returns: whether there is one.
+        """
+        return any(
+            not request.why_not(endpoint) for endpoint in self._copy.endpoints
+        )
+
+    def _follow(self) -> None:
+        wanted = {endpoint.name: endpoint for endpoint in self._copy.endpoints}
+        for name, link in list(self._links.items()):
+            if not _same_place(link.endpoint, wanted.get(name)):
+                self._links.pop(name).stop()
+        for name, endpoint in wanted.items():
+            if name in self._links:
+                self._links[name].endpoint = endpoint
+            else:
+                self._open(endpoint)
+
+    def _open(self, endpoint: Endpoint) -> None:
+        link = self._make_link(endpoint)
+        self._links[endpoint.name] = link
+        self._supervisor.start(f'link {endpoint.name}', link.run)
+        logger.info('Endpoint %s was added.', endpoint.name)
+
+
+def _same_place(known: Endpoint, wanted: Endpoint | None) -> bool:
+    if wanted is None:
+        return False
+    return (known.host, known.port) == (wanted.host, wanted.port)
--- /dev/null
+++ b/wingfall/router/refusals.py
@@ -0,0 +1,103 @@
+"""The refusals that a dispatch can end in."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wingfall.errors import Refusal, RunState
+from wingfall.wire.messages import End
+
+if TYPE_CHECKING:
+    from wingfall.router.attempt import Attempt
+    from wingfall.wire.messages import Refused
+
+_NOT_FOUND = 404
+_CALLER_LEFT = 499
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_TIMED_OUT = 504
+_RETRY_MS = 1000
+
+
+def no_endpoint(*, configured: bool) -> Refusal:
+    """Refuse a request that no endpoint can take now.
+
+    :param configured: whether there is one that could if it were up.
+    :returns: the refusal.
+    """
+    if configured:
+        return Refusal(
+            status=_UNAVAILABLE,
+            kind='capacity_error',
+            code='no_endpoint_up',
+            message='no endpoint that may serve this request is up',
+            retry_after_ms=_RETRY_MS,
+        )
+    return Refusal(
+        status=_NOT_FOUND,
+        kind='invalid_request_error',
+        code='no_endpoint',
+        message='no endpoint serves this model or service for this class',
+    )
+
+
+def no_capacity(refused: Refused | None) -> Refusal:
+    """Refuse a request that the agents have no room for.
+
+    :param refused: the last agent's refusal.
+    :returns: the refusal, with the time the agent estimated.
+    """
+    reason = refused.reason if refused else 'busy'
+    retry_after_ms = refused.retry_after_ms if refused else _RETRY_MS
+    return Refusal(
+        status=_UNAVAILABLE,
+        kind='capacity_error',
+        code=reason,
+        message=f'there is no room for this request now: {reason}',
+        retry_after_ms=max(_RETRY_MS, retry_after_ms),
+    )
+
+
+def gave_up(attempt: Attempt, run: RunState) -> Refusal:
+    """Refuse a request whose time is over or whose caller has left.
+
+    :param attempt: the attempt.
+    :param run: what is known about its run.
+    :returns: the refusal.
+    """
+    if attempt.caller_left:
+        return Refusal(
+            status=_CALLER_LEFT,
+            kind='caller_error',
+            code='caller_left',
+            message='the caller left',
+            run=run,
+        )
+    return Refusal(
+        status=_TIMED_OUT,
+        kind='timeout_error',
+        code='timed_out',
+        message='there was no answer in time',
+        run=run,
+        retry_after_ms=_RETRY_MS,
+    )
+
+
+def run_failed(ending: Refused | End) -> Refusal:
+    """Refuse a request whose run failed and may not be repeated.
+
+    :param ending: how the run ended.
+    :returns: the refusal.
+    """
+    run = RunState.unknown
+    message = 'the endpoint was lost while it had the request'
+    if isinstance(ending, End):
+        run = RunState(ending.run)
+        message = ending.fault
+    return Refusal(
+        status=_BAD_GATEWAY,
+        kind='endpoint_error',
+        code='endpoint_lost',
+        message=message,
+        run=run,
+    )
--- /dev/null
+++ b/wingfall/router/request.py
@@ -0,0 +1,107 @@
+"""A caller's request after it was checked."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+if TYPE_CHECKING:
+    from wingfall.objects.customer import Customer
+    from wingfall.objects.endpoint import Endpoint
+    from wingfall.objects.request_class import RequestClass
+
+
+@final
+class Request:
+    """What the router knows of a request when it looks for an endpoint."""
+
+    __slots__ = (
+        'arrived_ms',
+        'body',
+        'customer',
+        'headers',
+        'method',
+        'model',
+        'path',
+        'repeatable',
+        'request_class',
+        'request_id',
+        'service',
+        'timeout_ms',
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        customer: Customer,
+        request_class: RequestClass,
+        arrived_ms: int,
+        timeout_ms: int,
+        repeatable: bool,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        model: str | None = None,
+        service: str | None = None,
+    ) -> None:
+        """Describe a request.
+
+        :param request_id: its id, unique in the site.
+        :param customer: who sent it.
+        :param request_class: its class.
+        :param arrived_ms: when it came.
+        :param timeout_ms: when its caller is answered at the latest.
+        :param repeatable: whether a second run does no harm.
+        :param method: HTTP method.
+        :param path: path and query at the endpoint.
+        :param headers: headers for the endpoint.
+        :param body: its body.
+        :param model: the model, for an engine.
+        :param service: the service, for a plain service.
+        """
+        self.request_id = request_id
+        self.customer = customer
+        self.request_class = request_class
+        self.arrived_ms = arrived_ms
+        self.timeout_ms = timeout_ms
+        self.repeatable = repeatable
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.model = model
+        self.service = service
+
+    @property
+    def deadline_ms(self) -> int:
+        """When the caller gives up."""
+        return self.arrived_ms + self.timeout_ms
+
+    def start_by_ms(self, run_ms: int) -> int:
+        """Compute the latest start that meets the target of its class.
+
+        :param run_ms: expected time of the run.
+        :returns: a reading of the router's clock.
+        """
+        target = self.request_class.target
+        slack_ms = self.timeout_ms
+        if target.first_token_ms is not None:
+            slack_ms = min(slack_ms, target.first_token_ms)
+        if target.complete_ms is not None:
+            slack_ms = min(slack_ms, max(1, target.complete_ms - run_ms))
+        return self.arrived_ms + slack_ms
+
+    def why_not(self, endpoint: Endpoint) -> str:
+        """Tell why an endpoint can't serve this request.
+
+        :param endpoint: the endpoint.
+        :returns: the reason, empty if it can.
+        """
+        if self.service != endpoint.service:
+            return f'serves {endpoint.service or "models"}'
+        if self.model is not None and self.model not in endpoint.models:
+            return f'has no model {self.model}'
+        if not self.request_class.endpoints.matches(endpoint.labels):
+            return f'labels miss {self.request_class.endpoints.text!r}'
+        return ''
--- /dev/null
+++ b/wingfall/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the programs: YAML, schema and defaults."""
--- /dev/null
+++ b/wingfall/settings/document.py
@@ -0,0 +1,167 @@
+"""YAML documents checked against a schema, with a line for each fault."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeAlias, final
+
+import yaml
+from jsonschema import Draft202012Validator
+from returns.result import Failure, Result, Success
+
+from wingfall.errors import FieldFault
+
+if TYPE_CHECKING:
+    from jsonschema import ValidationError
+
+_Path: TypeAlias = tuple[str | int, ...]
+_Loader = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+
+
+@final
+class Document:
+    """One YAML document and the lines of its fields."""
+
+    __slots__ = ('_lines', 'body', 'source')
+
+    def __init__(
+        self,
+        *,
+        source: str,
+        body: Any,
+        lines: dict[_Path, int],
+    ) -> None:
+        """Keep a parsed document.
+
+        :param source: name of the file.
+        :param body: the plain values of the document.
+        :param lines: line of each field, from 1.
+        """
+        self.source = source
+        self.body = body
+        self._lines = lines
+
+    def fault(self, path: _Path, reason: str) -> FieldFault:
+        """Describe a fault at a field.
+
+        :param path: keys and indexes from the top.
+        :param reason: what is wrong.
+        :returns: the fault with its line.
+        """
+        return FieldFault(
+            source=self.source,
+            line=self._line(path),
+            field='.'.join(str(step) for step in path),
+            reason=reason,
+        )
+
+    def check(self, schema: dict[str, Any]) -> list[FieldFault]:
+        """Check the document against a schema.
+
+        :param schema: a JSON schema.
+        :returns: all faults in the order of their lines.
+        """
+        errors = Draft202012Validator(schema).iter_errors(self.body)
+        faults: list[FieldFault] = []
+        for error in errors:
+            faults.extend(self._describe(error))
+        return sorted(faults, key=_by_line)
+
+    def _line(self, path: _Path) -> int:
+        while path and path not in self._lines:
+            path = path[:-1]
+        return self._lines.get(path, 1)
+
+    def _describe(self, error: ValidationError) -> list[FieldFault]:
+        path: _Path = tuple(error.absolute_path)
+        if error.validator != 'additionalProperties':
+            return [self.fault(path, error.message)]
+        known = error.schema.get('properties', {})
+        return [
+            self.fault((*path, key), 'unknown field')
+            for key in error.instance
+            if key not in known
+        ]
+
+
+def read_documents(
+    source: str,
+    text: str,
+) -> Result[list[Document], list[FieldFault]]:
+    """Parse all documents of a YAML text.
+
+    :param source: name of the file, for faults.
+    :param text: the text.
+    :returns: the documents that are not empty, or the faults.
+    """
+    try:
+        nodes = list(yaml.compose_all(text, Loader=_Loader))
+    except yaml.YAMLError as error:
+        return Failure([_syntax_fault(source, error)])
+    documents: list[Document] = []
+    faults: list[FieldFault] = []
+    for node in nodes:
+        if node is None:
+            continue
+        lines: dict[_Path, int] = {}
+        faults.extend(_index_lines(source, node, lines, ()))
+        documents.append(
+            Document(source=source, body=_construct(node), lines=lines),
+        )
+    if faults:
+        return Failure(faults)
+    return Success(documents)
+
+
+def _by_line(fault: FieldFault) -> int:
+    return fault.line
+
+
+def _construct(node: yaml.Node) -> Any:
+    return yaml.constructor.SafeConstructor().construct_document(node)
+
+
+def _syntax_fault(source: str, error: yaml.YAMLError) -> FieldFault:
+    mark = getattr(error, 'problem_mark', None)
+    line = mark.line + 1 if mark else 1
+    reason = getattr(error, 'problem', None) or 'not valid YAML'
+    return FieldFault(source=source, line=line, field='', reason=str(reason))
+
+
+def _index_lines(
+    source: str,
+    node: yaml.Node,
+    lines: dict[_Path, int],
+    path: _Path,
+) -> list[FieldFault]:
+    lines.setdefault(path, node.start_mark.line + 1)
+    if isinstance(node, yaml.MappingNode):
+        return _index_mapping(source, node, lines, path)
+    faults: list[FieldFault] = []
+    if isinstance(node, yaml.SequenceNode):
+        for index, child in enumerate(node.value):
+            faults.extend(_index_lines(source, child, lines, (*path, index)))
+    return faults
+
+
+def _index_mapping(
+    source: str,
+    node: yaml.MappingNode,
+    lines: dict[_Path, int],
+    path: _Path,
+) -> list[FieldFault]:
+    faults: list[FieldFault] = []
+    for key, child in node.value:
+        child_path = (*path, str(key.value))
+        line = key.start_mark.line + 1
+        if child_path in lines:
+            faults.append(
+                FieldFault(
+                    source=source,
+                    line=line,
+                    field='.'.join(str(step) for step in child_path),
+                    reason='the field is given twice',
+                ),
+            )
+        lines[child_path] = line
+        faults.extend(_index_lines(source, child, lines, child_path))
+    return faults
--- /dev/null
+++ b/wingfall/settings/loader.py
@@ -0,0 +1,77 @@
+"""Reading settings files into namespaces with the defaults filled in."""
+
+from __future__ import annotations
+
+import pathlib
+from types import SimpleNamespace
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from wingfall.errors import FieldFault
+from wingfall.settings.document import read_documents
+
+
+def load_settings(
+    path: str,
+    schema: dict[str, Any],
+) -> Result[SimpleNamespace, list[FieldFault]]:
+    """Read and check a settings file.
+
+    :param path: the file.
+    :param schema: its schema, see :mod:`wingfall.settings.schema`.
+    :returns: a namespace a section, or all faults of the file.
+    """
+    return read_text(path).bind(lambda text: parse_settings(path, text, schema))
+
+
+def read_text(path: str) -> Result[str, list[FieldFault]]:
+    """Read a text file.
+
+    :param path: the file.
+    :returns: its text, or the fault that it can't be read.
+    """
+    try:
+        return Success(pathlib.Path(path).read_text('utf-8'))
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, 'strerror', None) or 'not UTF-8 text'
+        return Failure([_whole_fault(path, f"can't be read: {reason}")])
+
+
+def parse_settings(
+    source: str,
+    text: str,
+    schema: dict[str, Any],
+) -> Result[SimpleNamespace, list[FieldFault]]:
+    """Check the text of a settings file.
+
+    :param source: name of the file, for faults.
+    :param text: its text.
+    :param schema: its schema.
+    :returns: a namespace a section, or all faults of the text.
+    """
+    parsed = read_documents(source, text)
+    if not isinstance(parsed, Success):
+        return Failure(parsed.failure())
+    documents = parsed.unwrap()
+    if len(documents) != 1:
+        reason = f'one document is expected, found {len(documents)}'
+        return Failure([_whole_fault(source, reason)])
+    faults = documents[0].check(schema)
+    if faults:
+        return Failure(faults)
+    return Success(_fill(schema, documents[0].body))
+
+
+def _whole_fault(source: str, reason: str) -> FieldFault:
+    return FieldFault(source=source, line=1, field='', reason=reason)
+
+
+def _fill(schema: dict[str, Any], body: dict[str, Any]) -> SimpleNamespace:
+    filled: dict[str, Any] = {}
+    for name, field in schema['properties'].items():
+        if field.get('type') == 'object':
+            filled[name] = _fill(field, body.get(name, {}))
+        else:
+            filled[name] = body.get(name, field.get('default'))
+    return SimpleNamespace(**filled)
--- /dev/null
+++ b/wingfall/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between wingfall's own processes."""
--- /dev/null
+++ b/wingfall/wire/reasons.py
@@ -0,0 +1,19 @@
+"""Why an agent refuses an offer."""
+
+from __future__ import annotations
+
+import enum
+
+
+class RefusalReason(enum.StrEnum):
+    """The words in ``Refused.reason``."""
+
+    leaving = 'leaving'
+    queue_full = 'queue_full'
+    shed = 'shed'
+    too_late = 'too_late'
+    grant_lapsed = 'grant_lapsed'
+    busy = 'busy'
+    unknown_call = 'unknown_call'
+    endpoint_down = 'endpoint_down'
+    link_down = 'link_down'
