Tests of the thin path, and the faults they found

Cause and change, each with its test: - A request whose repeated run found no further endpoint was answered not_run although it had run; a dispatch now remembers its failed run. - A customer that had been away was served until it had caught up, since its account was levelled only at a start; it is now levelled when it joins. - The engine stand-in answered 500 where it should have cut the connection.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -18,6 +18,7 @@
 import hashlib
 import heapq
 import itertools
+import socket
 from typing import TYPE_CHECKING, Any, Final, final
 
 import bottle
@@ -42,13 +43,22 @@
 class Stream:
     """One generation."""
 
-    def __init__(self, *, request_id: str, model: str, tokens: int) -> None:
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        model: str,
+        tokens: int,
+        sock: socket.socket,
+    ) -> None:
         """Describe a generation.
 
         :param request_id: id of the request.
         :param model: the model.
         :param tokens: tokens that it will have.
+        :param sock: connection of the caller.
         """
+        self.sock = sock
         self.request_id = request_id
         self.model = model
         self.tokens = tokens
@@ -106,6 +116,34 @@
         self._numbers = itertools.count()
         self.app = self._make_app()
 
+    def enter(self, priority: int) -> None:
+        """Wait for a place in the batch.
+
+        :param priority: lower goes first.
+        """
+        if self._running < self._capacity:
+            self._running += 1
+            return
+        turn = Event()
+        entry = (priority, next(self._numbers), turn)
+        heapq.heappush(self._waiting, entry)
+        try:
+            turn.wait()
+        except BaseException:
+            if turn.is_set():
+                self.leave()
+            else:
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
+            raise
+
+    def leave(self) -> None:
+        """Give a place in the batch to the next one."""
+        if self._waiting:
+            heapq.heappop(self._waiting)[2].set()
+        else:
+            self._running -= 1
+
     def _make_app(self) -> bottle.Bottle:
         app = bottle.Bottle()
         app.post('/v1/chat/completions', callback=self._complete)
@@ -124,14 +162,14 @@
             request_id=request_id,
             model=asked['model'],
             tokens=int(asked.get('max_tokens', _DEFAULT_TOKENS)),
+            sock=bottle.request.environ[SOCKET_KEY],
         )
         self.streams.setdefault(request_id, []).append(stream)
         priority = int(bottle.request.get_header('X-Request-Priority', '0'))
-        sock = bottle.request.environ[SOCKET_KEY]
         if asked.get('stream'):
             bottle.response.content_type = 'text/event-stream'
             return self._send_stream(stream, priority)
-        return self._send_whole(stream, priority, sock)
+        return self._send_whole(stream, priority)
 
     def _send_stream(self, stream: Stream, priority: int) -> Iterator[bytes]:
         with _Slot(self, priority):
@@ -147,13 +185,12 @@
         self,
         stream: Stream,
         priority: int,
-        sock: Any,
     ) -> bottle.HTTPResponse:
         with _Slot(self, priority):
             words: list[str] = []
             for number in self._generate(stream):
                 words.append(stream.word(number))
-                if peer_closed(sock):
+                if peer_closed(stream.sock):
                     raise ConnectionAbortedError
         message = {'role': 'assistant', 'content': ''.join(words)}
         answer = answer_json(
@@ -177,14 +214,15 @@
                 pace = self.script.get('pace', 1)
                 gevent.sleep(self._token_ms * pace / _MS)
             if number == self.script.get('cut_after', -1):
-                self._cut()
+                self._cut(stream)
             stream.made += 1
             yield number
 
-    def _cut(self) -> None:
+    def _cut(self, stream: Stream) -> None:
         cuts = self.script.get('cuts', 0)
         if cuts > 0:
             self.script['cuts'] = cuts - 1
+            stream.sock.shutdown(socket.SHUT_RDWR)
             raise ConnectionAbortedError
 
     def _resume(self, request_id: str) -> Any:
@@ -218,34 +256,6 @@
             }
         )
 
-    def enter(self, priority: int) -> None:
-        """Wait for a place in the batch.
-
-        :param priority: lower goes first.
-        """
-        if self._running < self._capacity:
-            self._running += 1
-            return
-        turn = Event()
-        entry = (priority, next(self._numbers), turn)
-        heapq.heappush(self._waiting, entry)
-        try:
-            turn.wait()
-        except BaseException:
-            if turn.is_set():
-                self.leave()
-            else:
-                self._waiting.remove(entry)
-                heapq.heapify(self._waiting)
-            raise
-
-    def leave(self) -> None:
-        """Give a place in the batch to the next one."""
-        if self._waiting:
-            heapq.heappop(self._waiting)[2].set()
-        else:
-            self._running -= 1
-
 
 @final
 class _Slot:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -129,14 +129,14 @@
         oldest = self.version - min(len(self.changes), self._history)
         if version < oldest:
             gone = {'code': _GONE, 'message': 'version too old'}
-            yield orjson.dumps({'type': 'ERROR', 'object': gone}) + b'\n'
+            yield _line({'type': 'ERROR', 'object': gone})
             return
         with gevent.Timeout(wait_s, False):
             while not self.script.get('down'):
                 seen = self.version
                 missed = self.changes[len(self.changes) - (seen - version) :]
                 for change in missed if seen > version else ():
-                    yield orjson.dumps(change) + b'\n'
+                    yield _line(change)
                 version = seen
                 if seen == self.version:
                     self._changed.wait()
@@ -175,5 +175,9 @@
         return answer_json({'calls': self.calls, 'version': self.version})
 
 
+def _line(event: dict[str, Any]) -> bytes:
+    return orjson.dumps(event, option=orjson.OPT_APPEND_NEWLINE)
+
+
 if __name__ == '__main__':
     serve(PlatformStandIn().app, parse_port('The platform stand-in.'))
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -5,9 +5,10 @@
 import argparse
 
 import bottle
-import gevent.event
 import orjson
 
+from gevent.event import Event
+
 from wingfall.http_server import HttpServer
 
 
@@ -29,7 +30,7 @@
     :param port: port, 0 for a free one.
     """
     start_server(app, port)
-    gevent.event.Event().wait()
+    Event().wait()
 
 
 def start_server(app: bottle.Bottle, port: int = 0) -> HttpServer:
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,155 @@
+"""Messages, frames, handshake and the agent's port."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.local_site import HOST, SECRET, wait_until
+from wingfall.errors import WireError
+from wingfall.wire.codec import MAX_MESSAGE_BYTES, FrameDecoder, encode
+from wingfall.wire.connection import Connection
+from wingfall.wire.handshake import Identity, greet_peer
+from wingfall.wire.messages import Chunk, End, Report
+
+
+def _feed(decoder, received):
+    return list(decoder.feed(received))
+
+
+def test_messages_come_back_whatever_the_cuts():
+    sent = [
+        Chunk(call_id='a', offset=0, body=b'\x00\xff'),
+        End(call_id='a', length=2),
+    ]
+    stream = b''.join(map(encode, sent))
+    decoder = FrameDecoder()
+    got = [
+        message
+        for index in range(len(stream))
+        for message in decoder.feed(stream[index : index + 1])
+    ]
+    assert [message.fields() for message in got] == [
+        message.fields() for message in sent
+    ]
+
+
+def test_reader_may_stop_after_any_message():
+    decoder = FrameDecoder()
+    ends = [End(call_id=str(number), length=0) for number in range(3)]
+    first = next(decoder.feed(b''.join(map(encode, ends))))
+    rest = _feed(decoder, b'')
+    assert [end.call_id for end in (first, *rest)] == ['0', '1', '2']
+
+
+def test_message_over_the_bound_is_refused_before_it_is_read():
+    decoder = FrameDecoder(max_bytes=100)
+    with pytest.raises(WireError, match='101 bytes'):
+        _feed(decoder, struct.pack('>I', 101))
+
+
+@given(st.binary(max_size=200))
+def test_garbage_is_a_wire_error_or_waits(garbage):
+    decoder = FrameDecoder()
+    try:
+        _feed(decoder, garbage)
+    except WireError:
+        return
+    assert len(garbage) < 4 or decoder.max_bytes
+
+
+@given(st.binary(max_size=60))
+def test_framed_garbage_is_a_wire_error(garbage):
+    decoder = FrameDecoder()
+    framed = struct.pack('>I', len(garbage)) + garbage
+    with pytest.raises(WireError):
+        _feed(decoder, framed)
+
+
+def test_wrong_types_and_short_messages_are_refused():
+    decoder = FrameDecoder()
+    wrong = Chunk(call_id='a', offset='zero', body=b'')
+    with pytest.raises(WireError, match='wrong type'):
+        _feed(decoder, encode(wrong))
+
+
+def test_longer_message_of_a_newer_program_is_read(monkeypatch):
+    report = Report(
+        limit=1,
+        running=0,
+        waiting=0,
+        mean_run_ms=0,
+        config_version=1,
+        leaving=False,
+    )
+    fields = [*report.fields(), 'new']
+    monkeypatch.setattr(Report, 'fields', lambda _self: fields)
+    (got,) = _feed(FrameDecoder(), encode(report))
+    assert got.config_version == 1
+
+
+@pytest.fixture
+def agent(site):
+    """Give an agent with an engine."""
+    site.add_engine('engine')
+    return site.agents['engine']
+
+
+def test_stranger_without_the_secret_is_refused(agent):
+    connection = Connection(
+        sock=socket.create_connection((HOST, agent.port)),
+    )
+    stranger = Identity(name='router-x', secret=b'some other secret')
+    with pytest.raises(WireError):
+        greet_peer(stranger, connection, 0)
+    assert not agent.status()['routers']
+
+
+def test_peer_with_the_secret_is_welcome(agent):
+    connection = Connection(
+        sock=socket.create_connection((HOST, agent.port)),
+    )
+    identity = Identity(name='router-x', secret=SECRET)
+    assert greet_peer(identity, connection, 7).name == 'engine'
+    assert agent.status()['routers'] == ['router-x']
+    assert agent.status()['config_version'] == 7
+    connection.close()
+    wait_until(lambda: not agent.status()['routers'])
+
+
+@pytest.mark.parametrize(
+    'garbage',
+    [b'GET / HTTP/1.1\r\n\r\n', b'\x00\x00\x00\x04abcd', b'\xff' * 5000],
+)
+def test_garbage_on_the_agents_port_is_closed(site, agent, garbage):
+    sock = socket.create_connection((HOST, agent.port))
+    sock.sendall(garbage)
+    sock.settimeout(10)
+    received = [sock.recv(4096)]
+    try:
+        while received[-1]:
+            received.append(sock.recv(4096))
+    except ConnectionResetError:
+        received.append(b'')
+    assert received[-1] == b''
+    site.add_class('plain')
+    assert site.ask(site.add_router()).status == 200
+
+
+def test_accepted_router_socket_has_no_delay(agent, monkeypatch):
+    seen = []
+    monkeypatch.setattr(
+        'wingfall.agent.listener.accept_peer',
+        lambda _identity, connection: seen.append(connection.no_delay),
+    )
+    socket.create_connection((HOST, agent.port)).close()
+    wait_until(lambda: seen)
+    assert seen == [True]
+
+
+def test_bound_fits_the_largest_body():
+    assert MAX_MESSAGE_BYTES > 3_000_000
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -44,8 +44,8 @@
         self.request_id = ''
         self.body = b''
         self.whole = False
-        self.first_ms = 0.0
-        self.total_ms = 0.0
+        self.first_ms = float()
+        self.total_ms = float()
 
     @property
     def sha256(self) -> str:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -122,7 +122,7 @@
         path = '/v1/chat/completions'
         payload = {
             'model': 'demo-model',
-            'stream': chance.random() < 0.5,
+            'stream': chance.choice((True, False)),
             'max_tokens': chance.randint(4, 40),
             'messages': [{'role': 'user', 'content': f'request {number}'}],
         }
@@ -153,7 +153,8 @@
     :param ledger: runs by request id.
     :returns: answers that are whole, doubled and lost.
     """
-    whole = doubled = 0
+    whole = 0
+    doubled = 0
     for outcome in outcomes:
         runs = ledger.get(outcome.request_id, [])
         doubled += len(runs) > 1
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -168,6 +168,14 @@
         """
         return orjson.loads(self._http.request('GET', url).data)
 
+    def get_text(self, url: str) -> str:
+        """Read text.
+
+        :param url: where.
+        :returns: the answer.
+        """
+        return self._http.request('GET', url).data.decode()
+
     def post_json(self, url: str, body: Any) -> None:
         """Send JSON.
 
@@ -194,18 +202,16 @@
         :param count: endpoints that must be up.
         """
         wait_for(
-            lambda: self._links_up(router) >= count,
+            lambda: self.links_up(router) >= count,
             f'{router.name} to reach {count} endpoints',
         )
 
-    def stop(self) -> None:
-        """End all processes."""
-        for process in self.processes.values():
-            if process.child.poll() is None:
-                process.signal(signal.SIGCONT)
-                process.kill()
+    def links_up(self, router: Process) -> int:
+        """Count the endpoints that a router can use.
 
-    def _links_up(self, router: Process) -> int:
+        :param router: the router.
+        :returns: how many are up.
+        """
         try:
             status = self.get_json(f'{router.admin_url}/status')
         except urllib3.exceptions.HTTPError:
@@ -213,6 +219,13 @@
         states = [link['state'] for link in status['endpoints'].values()]
         return states.count('up')
 
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self.processes.values():
+            if process.child.poll() is None:
+                process.signal(signal.SIGCONT)
+                process.kill()
+
     def _start_daemon(
         self,
         role: str,
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -56,7 +56,7 @@
     count = _Count()
     code = pytest.main(['-q', *deselected, *sys.argv[1:]], plugins=[count])
     print(f'tests: {count.passed} passed, {count.failed} failed')
-    return _NO_TESTS if not count.passed else int(code)
+    return int(code) if count.passed else _NO_TESTS
 
 
 def _read_known_red() -> list[str]:
--- a/wingfall/admin.py
+++ b/wingfall/admin.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from wingfall.metrics import Metrics
 
+_OK = 200
 _UNAVAILABLE = 503
 
 
@@ -28,19 +29,19 @@
     """
     app = bottle.Bottle()
 
-    def healthz() -> str:  # noqa: WPS430
+    def healthz() -> str:
         return 'ok\n'
 
-    def readyz() -> bottle.HTTPResponse:  # noqa: WPS430
+    def readyz() -> bottle.HTTPResponse:
         reason = ready()
-        code = _UNAVAILABLE if reason else 200
+        code = _UNAVAILABLE if reason else _OK
         return bottle.HTTPResponse(f'{reason or "ready"}\n', code)
 
-    def render_metrics() -> bytes:  # noqa: WPS430
+    def render_metrics() -> bytes:
         bottle.response.content_type = 'text/plain; version=0.0.4'
         return metrics.render()
 
-    def show_status() -> bytes:  # noqa: WPS430
+    def show_status() -> bytes:
         bottle.response.content_type = 'application/json'
         return orjson.dumps(status(), option=orjson.OPT_INDENT_2)
 
--- a/wingfall/agent/application.py
+++ b/wingfall/agent/application.py
@@ -98,7 +98,7 @@
         )
         admin_app = make_admin_app(
             ready=self._not_ready,
-            status=self._status,
+            status=self.status,
             metrics=metrics,
         )
         self._admin = HttpServer(app=admin_app, address=settings.admin)
@@ -113,11 +113,21 @@
         """Port for operators."""
         return self._admin.port
 
+    @property
+    def calls(self) -> CallTable:
+        """The calls of this agent."""
+        return self._calls
+
+    @property
+    def gate(self) -> Gate:
+        """The slots of this agent."""
+        return self._gate
+
     def run(self) -> None:
         """Serve until :meth:`stop`, then drain."""
         self.start()
         self._stop.wait()
-        self._drain()
+        self.drain()
         self.close()
 
     def start(self) -> None:
@@ -134,24 +144,42 @@
         """Ask for a planned stop."""
         self._stop.set()
 
+    def drain(self) -> None:
+        """Take no new work, and wait until what there is has ended."""
+        logger.info('Leaving: %d calls run.', self._gate.in_use)
+        self._admission.leave()
+        self._send_reports()
+        deadline_ms = self._clock.now_ms() + self._settings.limits.drain_ms
+        while self._busy() and self._clock.now_ms() < deadline_ms:
+            gevent.sleep(_TICK_MS / MS_PER_S)
+        logger.info('Left: %d calls cut off.', self._gate.in_use)
+
     def close(self) -> None:
         """End everything now."""
         self._supervisor.stop()
         self._listener.stop()
         self._admin.stop()
 
+    def status(self) -> dict[str, Any]:
+        """Show the state of this agent.
+
+        :returns: the state as JSON.
+        """
+        return {
+            'name': self._identity.name,
+            'incarnation': self._identity.incarnation,
+            'config_version': self._config_version,
+            'limit': self._gate.limit,
+            'running': self._gate.in_use,
+            'waiting': self._gate.waiting,
+            'mean_run_ms': self._gate.mean_run_ms,
+            'leaving': self._gate.leaving,
+            'routers': sorted(self._sessions),
+        }
+
     def _where(self) -> tuple[str, int]:
         return self._identity.name, self.port
 
-    def _drain(self) -> None:
-        logger.info('Leaving: %d calls run.', self._gate.in_use)
-        self._admission.leave()
-        self._send_reports()
-        deadline_ms = self._clock.now_ms() + self._settings.limits.drain_ms
-        while self._busy() and self._clock.now_ms() < deadline_ms:
-            gevent.sleep(_TICK_MS / MS_PER_S)
-        logger.info('Left: %d calls cut off.', self._gate.in_use)
-
     def _busy(self) -> bool:
         # A finished call is held until its router has the whole answer.
         return bool(self._gate.in_use or self._calls.held)
@@ -194,19 +222,6 @@
     def _not_ready(self) -> str:
         return 'leaving' if self._gate.leaving else ''
 
-    def _status(self) -> dict[str, Any]:
-        return {
-            'name': self._identity.name,
-            'incarnation': self._identity.incarnation,
-            'config_version': self._config_version,
-            'limit': self._gate.limit,
-            'running': self._gate.in_use,
-            'waiting': self._gate.waiting,
-            'mean_run_ms': self._gate.mean_run_ms,
-            'leaving': self._gate.leaving,
-            'routers': sorted(self._sessions),
-        }
-
 
 def check_agent_policy(settings: SimpleNamespace) -> Result[Any, str]:
     """Check that the policies named in the settings exist.
--- a/wingfall/agent/session.py
+++ b/wingfall/agent/session.py
@@ -32,7 +32,7 @@
 
 
 def _receives(kind: type[Message]) -> Callable[[_Receiver], _Receiver]:
-    def decorate(receiver: _Receiver) -> _Receiver:  # noqa: WPS430
+    def decorate(receiver: _Receiver) -> _Receiver:
         _RECEIVERS[kind] = receiver
         return receiver
 
--- a/wingfall/decision/order.py
+++ b/wingfall/decision/order.py
@@ -128,7 +128,7 @@
     the request with least slack.
     """
 
-    __slots__ = ('_credits', '_served')
+    __slots__ = ('_credits', '_levels', '_served')
 
     def __init__(self, *, capacity: int) -> None:
         """Start empty.
@@ -137,7 +137,10 @@
         """
         super().__init__(capacity=capacity)
         self._credits: dict[str, float] = {}
-        self._served: dict[str, float] = {}
+        # Starts by worth, by tier and customer; the level of a tier is what
+        # its last started customer had before.
+        self._served: dict[tuple[int, str], float] = {}
+        self._levels: dict[int, float] = {}
 
     def push(self, ticket: Ticket) -> Ticket | None:
         """Add a request.
@@ -146,6 +149,7 @@
         :returns: the request that is shed for room, which may be this one;
             its tier is never above that of any other in a shared place.
         """
+        self._join(ticket)
         self._tickets.append(ticket)
         sharing = self._sharing()
         if len(sharing) <= self._capacity:
@@ -223,20 +227,34 @@
             eligible,
             key=lambda ticket: (
                 ticket.tier,
-                self._served.get(ticket.customer, 0),
+                self._served[ticket.tier, ticket.customer],
                 ticket.start_by_ms,
             ),
         )
 
-    def _charge(self, chosen: Ticket) -> None:
-        name = chosen.class_name
-        self._credits[name] = max(0, self._credits.get(name, 0) - 1)
-        waiting = {ticket.customer for ticket in self._tickets}
-        known = [self._served.get(customer, 0) for customer in waiting]
+    def _join(self, ticket: Ticket) -> None:
         # One that was away starts level with those that waited.
-        level = min(known, default=0)
+        account = (ticket.tier, ticket.customer)
+        level = self._levels.get(ticket.tier, 0)
+        self._served[account] = max(level, self._served.get(account, 0))
+
+    def _charge(self, chosen: Ticket) -> None:
+        credit = self._credits[chosen.class_name]
+        self._credits[chosen.class_name] = max(0, credit - 1)
+        account = (chosen.tier, chosen.customer)
+        level = self._served[account]
+        self._levels[chosen.tier] = max(
+            level,
+            self._levels.get(chosen.tier, 0),
+        )
+        self._served[account] = level + 1 / chosen.worth
+        self._forget()
+
+    def _forget(self) -> None:
+        # An account at its tier's level says no more than the level does.
+        waiting = {(ticket.tier, ticket.customer) for ticket in self._tickets}
         self._served = {
-            customer: max(level, self._served.get(customer, 0))
-            for customer in (*waiting, chosen.customer)
+            account: served
+            for account, served in self._served.items()
+            if account in waiting or served > self._levels.get(account[0], 0)
         }
-        self._served[chosen.customer] += 1 / chosen.worth
--- a/wingfall/http_server.py
+++ b/wingfall/http_server.py
@@ -22,7 +22,7 @@
 
 
 @final
-class _Handler(WSGIHandler):
+class _CallerHandler(WSGIHandler):
     """Turns Nagle's algorithm off and shows the socket to the application."""
 
     def __init__(self, sock: socket.socket, *rest: Any, **named: Any) -> None:
@@ -79,7 +79,7 @@
             application=app,
             log=None,
             error_log=logger,
-            handler_class=_Handler,
+            handler_class=_CallerHandler,
             backlog=_BACKLOG,
         )
         self._server.init_socket()
--- a/wingfall/objects/files.py
+++ b/wingfall/objects/files.py
@@ -29,9 +29,7 @@
     raws: list[dict[str, Any]] = []
     faults: list[FieldFault] = []
     for path in paths:
-        parsed = read_text(path).bind(
-            lambda text, path=path: read_documents(path, text),
-        )
+        parsed = _read_documents(path)
         if not isinstance(parsed, Success):
             faults.extend(parsed.failure())
             continue
@@ -43,6 +41,10 @@
     return Success(raws)
 
 
+def _read_documents(path: str) -> Result[list[Document], list[FieldFault]]:
+    return read_text(path).bind(lambda text: read_documents(path, text))
+
+
 def _check(document: Document) -> list[FieldFault]:
     raw = document.body
     kind = raw.get('kind') if isinstance(raw, dict) else None
--- a/wingfall/objects/selector.py
+++ b/wingfall/objects/selector.py
@@ -18,6 +18,7 @@
     rf'(?:(?P<sign>!=|==|=)\s*(?P<word>{_WORD})'
     r'|\s(?P<set>in|notin)\s*\((?P<words>[^()]*)\))?',
 )
+_NO_WORDS: Final[frozenset[str]] = frozenset()
 _COMMA: Final = re.compile(r',(?![^()]*\))')
 
 
@@ -41,7 +42,7 @@
         *,
         key: str,
         operator: Operator,
-        words: frozenset[str] = frozenset(),
+        words: frozenset[str] = _NO_WORDS,
     ) -> None:
         """Describe the comparison.
 
--- a/wingfall/registry.py
+++ b/wingfall/registry.py
@@ -35,7 +35,7 @@
         :raises ValueError: if the name is taken, which is a broken invariant.
         """
 
-        def decorate(entry: _Entry) -> _Entry:  # noqa: WPS430
+        def decorate(entry: _Entry) -> _Entry:
             if name in self._entries:
                 raise ValueError(f'{self._kind} {name} is registered twice')
             self._entries[name] = entry
--- a/wingfall/router/application.py
+++ b/wingfall/router/application.py
@@ -83,7 +83,7 @@
         self._callers = HttpServer(app=self._api.app, address=settings.callers)
         admin_app = make_admin_app(
             ready=self._not_ready,
-            status=self._status,
+            status=self.status,
             metrics=self._metrics,
         )
         self._admin = HttpServer(app=admin_app, address=settings.admin)
@@ -98,11 +98,21 @@
         """Port for operators."""
         return self._admin.port
 
+    @property
+    def directory(self) -> Directory:
+        """The links to agents."""
+        return self._directory
+
+    @property
+    def copy(self) -> ConfigCopy:
+        """The configuration in force."""
+        return self._copy
+
     def run(self) -> None:
         """Serve until :meth:`stop`, then drain."""
         self.start()
         self._stop.wait()
-        self._drain()
+        self.drain()
         self.close()
 
     def start(self) -> None:
@@ -125,13 +135,8 @@
         """Ask for a planned stop."""
         self._stop.set()
 
-    def close(self) -> None:
-        """End everything now."""
-        self._supervisor.stop()
-        self._callers.stop()
-        self._admin.stop()
-
-    def _drain(self) -> None:
+    def drain(self) -> None:
+        """Take no new work, and wait until what there is has ended."""
         logger.info('Leaving: %d requests are held.', self._api.held)
         self._api.drain()
         deadline_ms = self._clock.now_ms() + self._settings.limits.drain_ms
@@ -140,6 +145,34 @@
         self._callers.stop_accepting()
         logger.info('Left: %d requests cut off.', self._callers.active)
 
+    def close(self) -> None:
+        """End everything now."""
+        self._supervisor.stop()
+        self._callers.stop()
+        self._admin.stop()
+
+    def status(self) -> dict[str, Any]:
+        """Show the state of this router.
+
+        :returns: the state as JSON.
+        """
+        return {
+            'name': self._identity.name,
+            'zone': self._settings.zone,
+            'incarnation': self._identity.incarnation,
+            'config_version': self._copy.version,
+            'config_faults': {
+                '/'.join(key): reason
+                for key, reason in self._copy.faults.items()
+            },
+            'held': self._api.held,
+            'draining': self._api.draining,
+            'endpoints': {
+                name: _link_status(link)
+                for name, link in self._directory.links.items()
+            },
+        }
+
     def _make_follower(self) -> ConfigFollower:
         platform = self._settings.platform
         api = HttpObjectApi(
@@ -207,24 +240,6 @@
             return 'no configuration yet'
         return ''
 
-    def _status(self) -> dict[str, Any]:
-        return {
-            'name': self._identity.name,
-            'zone': self._settings.zone,
-            'incarnation': self._identity.incarnation,
-            'config_version': self._copy.version,
-            'config_faults': {
-                '/'.join(key): reason
-                for key, reason in self._copy.faults.items()
-            },
-            'held': self._api.held,
-            'draining': self._api.draining,
-            'endpoints': {
-                name: _link_status(link)
-                for name, link in self._directory.links.items()
-            },
-        }
-
 
 def check_router_policy(settings: SimpleNamespace) -> Result[Any, str]:
     """Check that the policies named in the settings exist.
--- a/wingfall/router/dispatcher.py
+++ b/wingfall/router/dispatcher.py
@@ -15,6 +15,7 @@
     no_capacity,
     no_endpoint,
     run_failed,
+    run_state,
 )
 from wingfall.wire.messages import Grant, Refused
 from wingfall.wire.reasons import RefusalReason
@@ -37,13 +38,29 @@
 class _Progress:
     """What one request has learned over its rounds."""
 
-    __slots__ = ('eager', 'refused', 'tried')
+    __slots__ = ('eager', 'failed', 'refused', 'rounds', 'tried')
 
     def __init__(self) -> None:
         """Start with nothing tried."""
         self.tried: set[str] = set()
+        self.rounds = 0
         self.eager = True
         self.refused: Refused | None = None
+        self.failed: Refused | End | None = None
+
+    @property
+    def run(self) -> RunState:
+        """What is known about earlier runs of the request."""
+        return run_state(self.failed) if self.failed else RunState.not_run
+
+    def refuse(self) -> Refusal:
+        """Refuse the request for what was learned last.
+
+        :returns: the refusal.
+        """
+        if self.failed is not None:
+            return run_failed(self.failed)
+        return no_capacity(self.refused)
 
 
 @final
@@ -112,11 +129,12 @@
         progress = _Progress()
         outcome: Result[Answer, Refusal] | None = None
         try:
-            for _round in range(self._attempts):
+            while progress.rounds < self._attempts:
+                progress.rounds += 1
                 outcome = self._try_round(attempt, progress)
                 if outcome is not None:
                     return outcome
-            return Failure(no_capacity(progress.refused))
+            return Failure(progress.refuse())
         finally:
             if not isinstance(outcome, Success):
                 attempt.close()
@@ -153,7 +171,7 @@
         while attempt.offers:
             message = attempt.receive()
             if message is None:
-                return Failure(gave_up(attempt, RunState.not_run))
+                return Failure(gave_up(attempt, progress.run))
             if isinstance(message, Grant):
                 attempt.withdraw_others(message.call_id)
                 attempt.run(message.call_id)
@@ -200,6 +218,7 @@
             )
             attempt.close()
             attempt.running_on = None
+            progress.failed = ending
             return None
         return Failure(run_failed(ending))
 
@@ -227,8 +246,8 @@
             progress.tried.add(link.endpoint.name)
 
     def _nowhere(self, request: Request, progress: _Progress) -> Refusal:
-        if progress.refused is not None:
-            return no_capacity(progress.refused)
+        if progress.refused or progress.failed:
+            return progress.refuse()
         return no_endpoint(configured=self._directory.configured(request))
 
     def _log_offers(
--- a/wingfall/router/refusals.py
+++ b/wingfall/router/refusals.py
@@ -89,15 +89,24 @@
     :param ending: how the run ended.
     :returns: the refusal.
     """
-    run = RunState.unknown
     message = 'the endpoint was lost while it had the request'
     if isinstance(ending, End):
-        run = RunState(ending.run)
         message = ending.fault
     return Refusal(
         status=_BAD_GATEWAY,
         kind='endpoint_error',
         code='endpoint_lost',
         message=message,
-        run=run,
+        run=run_state(ending),
     )
+
+
+def run_state(ending: Refused | End) -> RunState:
+    """Tell what is known about a run that gave no head.
+
+    :param ending: how it ended.
+    :returns: the state; ``not_run`` never comes of a run that was sent.
+    """
+    if isinstance(ending, End):
+        return RunState(ending.run)
+    return RunState.unknown
--- a/wingfall/router/reply.py
+++ b/wingfall/router/reply.py
@@ -130,9 +130,13 @@
 
     def _finish(self, fault: Refusal | None) -> None:
         head = self._answer.head
-        status = fault.status if fault else head.status if head else 0
+        answered = head.status if head else 0
         self._answer.close()
-        self._ended(status, RunState.ran, fault)
+        self._ended(
+            fault.status if fault else answered,
+            RunState.ran,
+            fault,
+        )
 
 
 def render_refusal(refusal: Refusal, request_id: str = '') -> HTTPResponse:
@@ -177,7 +181,7 @@
 
 
 def _error_event(refusal: Refusal) -> bytes:
-    return b'event: error\ndata: ' + _error_body(refusal) + b'\n\n'
+    return b'event: error\ndata: %s\n\n' % _error_body(refusal)
 
 
 def _cut(refusal: Refusal) -> bytes:
--- a/wingfall/settings/document.py
+++ b/wingfall/settings/document.py
@@ -73,14 +73,20 @@
 
     def _describe(self, error: ValidationError) -> list[FieldFault]:
         path: _Path = tuple(error.absolute_path)
-        if error.validator != 'additionalProperties':
-            return [self.fault(path, error.message)]
-        known = error.schema.get('properties', {})
-        return [
-            self.fault((*path, key), 'unknown field')
-            for key in error.instance
-            if key not in known
-        ]
+        if error.validator == 'additionalProperties':
+            known = error.schema.get('properties', {})
+            unknown = [key for key in error.instance if key not in known]
+            return [
+                self.fault((*path, key), 'unknown field') for key in unknown
+            ]
+        if error.validator == 'required':
+            # The library reports each missing field by itself, unnamed.
+            return [
+                self.fault((*path, name), 'the field is missing')
+                for name in error.validator_value
+                if error.message.startswith(repr(name))
+            ]
+        return [self.fault(path, error.message)]
 
 
 def read_documents(
--- a/wingfall/wire/codec.py
+++ b/wingfall/wire/codec.py
@@ -64,7 +64,7 @@
             yield _decode(body)
 
     def _frame_end(self) -> int:
-        (length,) = _LENGTH.unpack_from(self._buffer)
+        length = int.from_bytes(self._buffer[: _LENGTH.size])
         if length > self.max_bytes:
             raise WireError(
                 f'a message of {length} bytes, at most {self.max_bytes}',
--- a/wingfall/wire/connection.py
+++ b/wingfall/wire/connection.py
@@ -68,6 +68,12 @@
         """Whether either side has ended the connection."""
         return self._closed
 
+    @property
+    def no_delay(self) -> bool:
+        """Whether small messages leave at once."""
+        level, option = socket.IPPROTO_TCP, socket.TCP_NODELAY
+        return bool(self._socket.getsockopt(level, option))
+
     def allow_large(self) -> None:
         """Take messages of full size, once the peer has proved itself."""
         self._decoder.max_bytes = MAX_MESSAGE_BYTES
--- a/wingfall/wire/messages.py
+++ b/wingfall/wire/messages.py
@@ -43,13 +43,13 @@
     :raises ValueError: if the tag is taken or the types don't fit.
     """
 
-    def decorate(cls: _MessageType) -> _MessageType:  # noqa: WPS430
-        if tag in _MESSAGES or len(types) != len(cls.__slots__):
-            raise ValueError(f'message {cls.__name__} does not fit its tag')
-        cls.tag = tag
-        cls.types = types
-        _MESSAGES[tag] = cls
-        return cls
+    def decorate(kind: _MessageType) -> _MessageType:
+        if tag in _MESSAGES or len(types) != len(kind.__slots__):
+            raise ValueError(f'message {kind.__name__} does not fit its tag')
+        kind.tag = tag
+        kind.types = types
+        _MESSAGES[tag] = kind
+        return kind
 
     return decorate
 
@@ -64,15 +64,15 @@
     if not isinstance(fields, list) or not fields:
         raise WireError('not a message')
     tag = fields.pop(0)
-    cls = _MESSAGES.get(tag) if isinstance(tag, int) else None
-    if cls is None:
+    kind = _MESSAGES.get(tag) if isinstance(tag, int) else None
+    if kind is None:
         raise WireError(f'unknown message tag {tag!r:.40}')
-    if not all(map(isinstance, fields, cls.types)):
-        raise WireError(f'a field of {cls.__name__} has a wrong type')
+    if not all(map(isinstance, fields, kind.types)):
+        raise WireError(f'a field of {kind.__name__} has a wrong type')
     try:
-        return cls(**dict(zip(cls.__slots__, fields, strict=False)))
+        return kind(**dict(zip(kind.__slots__, fields, strict=False)))
     except TypeError as error:
-        raise WireError(f'{cls.__name__} is too short') from error
+        raise WireError(f'{kind.__name__} is too short') from error
 
 
 @final
