Demo: end on SIGINT and SIGTERM, and give the verdict before staying up

Cause: a demo started in the background ignores SIGINT, so its processes stayed. Ruled out: the fleet's clean-up, which ran once the signal was taken. Seen: make demo KEEP=1 printed the verdict and a curl line that streamed to [DONE]; after SIGINT no process was left.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -13,11 +13,13 @@
 import collections
 import pathlib
 import random
+import signal
 import statistics
 import sys
 import tempfile
 from typing import TYPE_CHECKING, Any, Final, final
 
+import gevent
 import yaml
 from gevent.event import Event
 from gevent.pool import Pool
@@ -207,13 +209,13 @@
     for outcome in outcomes:
         if outcome.code:
             print(f'not answered: {outcome.asked.class_name} {outcome.code}')
-    if keep:
-        _keep_up(site)
     whole, doubled, lost = judge(outcomes, ledger)
     print(
         f'demo: {len(outcomes)} sent, {whole} whole, '
         f'{doubled} doubled, {lost} lost',
     )
+    if keep:
+        _keep_up(site)
     return int(bool(doubled or lost))
 
 
@@ -226,10 +228,10 @@
         '-d \'{"model": "demo-model", "stream": true, "messages": []}\'',
         flush=True,
     )
-    try:
-        Event().wait()
-    except KeyboardInterrupt:
-        print()
+    ended = Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        gevent.signal_handler(number, ended.set)
+    ended.wait()
 
 
 def main() -> int:
