Overload: adaptive limit, late refusal as a policy, and the load tool

Change: the limit of an endpoint follows its token gaps against the targets of what it runs; only the tiered order refuses what can't be on time; routers know the head-room, so an eager offer isn't sent where it must be refused; the gate counts inversions. make load serves the same arrivals by our policy and two baselines in turn, for both users.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,6 @@
 
 clean:
 	rm -rf $(VENV) build dist out
+
+load: $(VENV)/.installed
+	$(BIN)/python -m tools.load $(LOAD)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -99,13 +99,16 @@
         capacity: int,
         token_ms: float,
         prefill_ms: float,
+        crowding: float = 0,
     ) -> None:
         """Start idle.
 
         :param capacity: generations that run at once.
         :param token_ms: time between tokens.
         :param prefill_ms: time to the first token.
+        :param crowding: how much slower each further generation makes all.
         """
+        self._crowding = crowding
         self.script: dict[str, Any] = {}
         self.streams: dict[str, list[Stream]] = {}
         self._capacity = capacity
@@ -208,16 +211,19 @@
         return answer
 
     def _generate(self, stream: Stream) -> Iterator[int]:
-        gevent.sleep(self._prefill_ms * self.script.get('pace', 1) / _MS)
+        gevent.sleep(self._prefill_ms * self._pace() / _MS)
         for number in range(stream.tokens):
             if number:
-                pace = self.script.get('pace', 1)
-                gevent.sleep(self._token_ms * pace / _MS)
+                gevent.sleep(self._token_ms * self._pace() / _MS)
             if number == self.script.get('cut_after', -1):
                 self._cut(stream)
             stream.made += 1
             yield number
 
+    def _pace(self) -> float:
+        crowd = 1 + self._crowding * max(0, self._running - 1)
+        return self.script.get('pace', 1) * crowd
+
     def _cut(self, stream: Stream) -> None:
         cuts = self.script.get('cuts', 0)
         if cuts > 0:
@@ -282,11 +288,13 @@
     parser.add_argument('--capacity', type=int, default=8)
     parser.add_argument('--token-ms', type=float, default=5)
     parser.add_argument('--prefill-ms', type=float, default=20)
+    parser.add_argument('--crowding', type=float, default=0)
     chosen = parser.parse_args()
     engine = EngineStandIn(
         capacity=chosen.capacity,
         token_ms=chosen.token_ms,
         prefill_ms=chosen.prefill_ms,
+        crowding=chosen.crowding,
     )
     serve(engine.app, chosen.port)
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -6,6 +6,7 @@
 
 from tests.tickets import make_ticket
 from wingfall.decision.gate import Gate
+from wingfall.decision.limit import FixedLimit, Pace
 from wingfall.decision.order import orders
 from wingfall.wire.reasons import RefusalReason
 
@@ -19,7 +20,7 @@
         return Gate(
             clock=clock,
             order=order,
-            limit=limit,
+            limit=FixedLimit(clock=clock, pace=Pace(), slots=limit),
             headroom=headroom,
             grant_ms=500,
         )
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -128,18 +128,18 @@
     def start_agent(
         self,
         name: str,
-        endpoint: Process,
+        beside: Process,
         **changes: dict[str, Any],
     ) -> Process:
         """Start an agent beside an endpoint.
 
         :param name: name of the endpoint.
-        :param endpoint: the endpoint.
+        :param beside: the endpoint.
         :param changes: settings that differ from the defaults, by section.
         :returns: the process.
         """
         settings = {
-            'endpoint': {'url': endpoint.url, **changes.pop('endpoint', {})},
+            'endpoint': {'url': beside.url, **changes.pop('endpoint', {})},
             **changes,
         }
         return self._start_daemon('agent', 'listen', name, settings)
--- a/wingfall/agent/admission.py
+++ b/wingfall/agent/admission.py
@@ -54,18 +54,18 @@
         """
         self._carry_out(self._gate.offer(ticket, eager=eager))
 
-    def start(self, call_id: str) -> bool:
+    def start(self, call_id: str) -> Ticket | None:
         """Start a granted call.
 
         :param call_id: its id.
-        :returns: whether a slot was held for it.
+        :returns: its ticket, or None if no slot was held for it.
         """
         ticket = self._gate.start(call_id)
         if ticket is None:
-            return False
+            return None
         wait_ms = self._clock.now_ms() - ticket.queued_ms
         self._metrics.wait_ms.observe({'tier': str(ticket.tier)}, wait_ms)
-        return True
+        return ticket
 
     def finish(self, call_id: str, *, whole: bool) -> None:
         """Free the slot of a call.
@@ -97,6 +97,8 @@
         self._carry_out(self._gate.tick())
         self._metrics.queue_length.set({}, self._gate.waiting)
         self._metrics.running.set({}, self._gate.in_use)
+        self._metrics.limit.set({}, self._gate.limit)
+        self._metrics.inversions.set({}, self._gate.inversions)
 
     def leave(self) -> None:
         """Take no new work from now on."""
--- a/wingfall/agent/answer.py
+++ b/wingfall/agent/answer.py
@@ -33,6 +33,11 @@
         """Offset after the last byte."""
         return self._acked + len(self._held)
 
+    @property
+    def has_room(self) -> bool:
+        """Whether the window is open."""
+        return self._room.is_set()
+
     def append(self, body: bytes) -> int:
         """Add bytes.
 
--- a/wingfall/agent/application.py
+++ b/wingfall/agent/application.py
@@ -13,8 +13,9 @@
 from wingfall.agent.calls import CallTable
 from wingfall.agent.endpoint_client import EndpointClient
 from wingfall.agent.listener import RouterListener
-from wingfall.clock import MS_PER_S, Clock
+from wingfall.clock import MS_PER_S, US_PER_MS, Clock
 from wingfall.decision.gate import Gate
+from wingfall.decision.limit import Pace, limits
 from wingfall.decision.order import orders
 from wingfall.http_server import HttpServer
 from wingfall.log import part_logger
@@ -49,6 +50,7 @@
         '_identity',
         '_listener',
         '_metrics',
+        '_pace',
         '_sessions',
         '_settings',
         '_stop',
@@ -72,7 +74,8 @@
         self._stop = Event()
         self._supervisor = Supervisor(name='agent', clock=clock)
         self._identity = Identity(name=settings.name, secret=secret)
-        self._gate = _make_gate(settings, clock)
+        self._pace = Pace()
+        self._gate = _make_gate(settings, clock, self._pace)
         self._admission = Admission(
             clock=clock,
             gate=self._gate,
@@ -82,6 +85,7 @@
         self._calls = CallTable(
             clock=clock,
             client=_make_client(settings),
+            pace=self._pace,
             window=settings.limits.window_bytes,
             orphan_ms=settings.limits.orphan_ms,
             finished=self._call_finished,
@@ -173,6 +177,9 @@
             'running': self._gate.in_use,
             'waiting': self._gate.waiting,
             'mean_run_ms': self._gate.mean_run_ms,
+            'token_gap_ms': round(self._pace.gap_ms, 1),
+            'pressure': round(self._pace.pressure, 2),
+            'inversions': self._gate.inversions,
             'leaving': self._gate.leaving,
             'routers': sorted(self._sessions),
         }
@@ -209,6 +216,8 @@
             mean_run_ms=self._gate.mean_run_ms,
             config_version=self._config_version,
             leaving=self._gate.leaving,
+            headroom=self._gate.headroom,
+            token_gap_us=int(self._pace.gap_ms * US_PER_MS),
         )
 
     def _note_router(self, config_version: int) -> Report:
@@ -227,17 +236,24 @@
     """Check that the policies named in the settings exist.
 
     :param settings: the checked settings.
-    :returns: the order, or a sentence that lists those there are.
+    :returns: the last one, or a sentence that lists those there are.
     """
-    return orders.find(settings.policy.order)
+    return orders.find(settings.policy.order).bind(
+        lambda _order: limits.find(settings.policy.limit),
+    )
 
 
-def _make_gate(settings: SimpleNamespace, clock: Clock) -> Gate:
-    factory = orders.find(settings.policy.order).unwrap()
+def _make_gate(settings: SimpleNamespace, clock: Clock, pace: Pace) -> Gate:
+    make_order = orders.find(settings.policy.order).unwrap()
+    make_limit = limits.find(settings.policy.limit).unwrap()
     return Gate(
         clock=clock,
-        order=factory(capacity=settings.limits.queue),
-        limit=settings.endpoint.slots,
+        order=make_order(capacity=settings.limits.queue),
+        limit=make_limit(
+            clock=clock,
+            pace=pace,
+            slots=settings.endpoint.slots,
+        ),
         headroom=settings.endpoint.headroom,
         grant_ms=settings.limits.grant_ms,
     )
--- a/wingfall/agent/call.py
+++ b/wingfall/agent/call.py
@@ -17,6 +17,7 @@
         EndpointClient,
         EndpointFault,
     )
+    from wingfall.agent.stopwatch import Stopwatch
     from wingfall.wire.connection import Connection
     from wingfall.wire.messages import Message, Run
 
@@ -37,6 +38,7 @@
         '_end',
         '_head',
         '_run',
+        '_stopwatch',
         'orphaned_ms',
         'owner',
     )
@@ -48,6 +50,7 @@
         owner: str,
         connection: Connection,
         window: int,
+        stopwatch: Stopwatch,
     ) -> None:
         """Set up a call; :meth:`relay` starts it.
 
@@ -55,8 +58,10 @@
         :param owner: name of the router.
         :param connection: connection to the router.
         :param window: bytes that may be unconfirmed.
+        :param stopwatch: notes the pace of the answer.
         """
         self._run = run
+        self._stopwatch = stopwatch
         self.owner = owner
         self.orphaned_ms: int | None = None
         self._connection: Connection | None = connection
@@ -140,20 +145,25 @@
         return True
 
     def _relay_answer(self, answer: EndpointAnswer) -> None:
+        headers = answer.headers
         self._head = Head(
             call_id=self.call_id,
             status=answer.status,
-            headers=answer.headers,
+            headers=headers,
         )
+        self._stopwatch.start(headers)
         self._send(self._head)
         for piece in answer.pieces():
             if not isinstance(piece, Success):
                 self._finish_with(piece.failure())
                 return
             body = piece.unwrap()
+            self._stopwatch.note(body)
             offset = self._buffer.append(body)
             self._send(Chunk(call_id=self.call_id, offset=offset, body=body))
-            self._buffer.wait_room()
+            if not self._buffer.has_room:
+                self._buffer.wait_room()
+                self._stopwatch.skip()
         self._finish(End(call_id=self.call_id, length=self.length))
 
     def _finish_with(self, fault: EndpointFault) -> None:
--- a/wingfall/agent/calls.py
+++ b/wingfall/agent/calls.py
@@ -7,6 +7,7 @@
 import gevent
 
 from wingfall.agent.call import Call
+from wingfall.agent.stopwatch import Stopwatch
 from wingfall.log import part_logger
 
 if TYPE_CHECKING:
@@ -14,6 +15,8 @@
 
     from wingfall.agent.endpoint_client import EndpointClient
     from wingfall.clock import Clock
+    from wingfall.decision.limit import Pace
+    from wingfall.decision.ticket import Ticket
     from wingfall.wire.connection import Connection
     from wingfall.wire.messages import Run
 
@@ -31,6 +34,7 @@
         '_finished',
         '_greenlets',
         '_orphan_ms',
+        '_pace',
         '_window',
     )
 
@@ -39,6 +43,7 @@
         *,
         clock: Clock,
         client: EndpointClient,
+        pace: Pace,
         window: int,
         orphan_ms: int,
         finished: Callable[[Call], None],
@@ -47,12 +52,14 @@
 
         :param clock: the time.
         :param client: the endpoint.
+        :param pace: where the pace of the answers is noted.
         :param window: unconfirmed bytes of one call.
         :param orphan_ms: how long a call outlives its connection.
         :param finished: called once for each call when its slot is free.
         """
         self._clock = clock
         self._client = client
+        self._pace = pace
         self._window = window
         self._orphan_ms = orphan_ms
         self._finished = finished
@@ -69,18 +76,19 @@
         """Calls that run, or whose end no router has confirmed."""
         return len(self._calls)
 
-    def start(self, run: Run, owner: str, connection: Connection) -> None:
+    def start(self, run: Run, ticket: Ticket, connection: Connection) -> None:
         """Run a call.
 
         :param run: the request; its id must be new.
-        :param owner: name of the router.
+        :param ticket: the granted offer.
         :param connection: connection to the router.
         """
         call = Call(
             run=run,
-            owner=owner,
+            owner=ticket.owner,
             connection=connection,
             window=self._window,
+            stopwatch=Stopwatch(pace=self._pace, ticket=ticket),
         )
         self._calls[call.call_id] = call
         self._greenlets[call.call_id] = gevent.spawn(self._relay, call)
--- a/wingfall/agent/session.py
+++ b/wingfall/agent/session.py
@@ -95,15 +95,18 @@
             start_by_ms=now_ms + offer.slack_ms,
             expires_ms=now_ms + offer.expires_ms,
             owner=self.router,
+            first_token_ms=offer.first_token_ms,
+            token_gap_ms=offer.token_gap_ms,
         )
         self._admission.offer(ticket, eager=offer.eager)
 
     @_receives(Run)
     def _run(self, run: Run) -> None:
-        if self._admission.start(run.call_id):
-            self._calls.start(run, self.router, self.connection)
-        else:
+        ticket = self._admission.start(run.call_id)
+        if ticket is None:
             self._refuse_unknown(run.call_id)
+        else:
+            self._calls.start(run, ticket, self.connection)
 
     @_receives(Withdraw)
     def _withdraw(self, withdraw: Withdraw) -> None:
--- a/wingfall/clock.py
+++ b/wingfall/clock.py
@@ -5,6 +5,7 @@
 import time
 
 MS_PER_S = 1000
+US_PER_MS = 1000
 _NS_PER_MS = 1_000_000
 
 
--- a/wingfall/decision/choice.py
+++ b/wingfall/decision/choice.py
@@ -26,6 +26,7 @@
         'name',
         'reported',
         'same_zone',
+        'token_gap_ms',
     )
 
     def __init__(
@@ -37,6 +38,8 @@
         reported: int,
         sent_since: int,
         mean_run_ms: int,
+        reserved: int = 0,
+        token_gap_ms: float = 0,
     ) -> None:
         """Describe an agent.
 
@@ -46,13 +49,16 @@
         :param reported: calls that run or wait by its last report.
         :param sent_since: calls that this router has added since.
         :param mean_run_ms: mean time of its calls.
+        :param reserved: slots of the limit that the request may not take.
+        :param token_gap_ms: its time between two tokens, 0 if not known.
         """
         self.name = name
         self.same_zone = same_zone
         self.limit = limit
         self.reported = reported
         self.load = reported + sent_since
-        self.free_slots = max(0, limit - self.load)
+        self.free_slots = max(0, limit - reserved - self.load)
+        self.token_gap_ms = token_gap_ms
         self.mean_run_ms = mean_run_ms
 
     @property
--- a/wingfall/decision/gate.py
+++ b/wingfall/decision/gate.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
+    from wingfall.decision.limit import Limit
     from wingfall.decision.order import Order
     from wingfall.decision.ticket import Ticket
 
@@ -54,6 +55,7 @@
         '_grant_ms',
         '_grants',
         '_headroom',
+        '_inversions',
         '_leaving',
         '_limit',
         '_mean_run_ms',
@@ -66,7 +68,7 @@
         *,
         clock: Clock,
         order: Order,
-        limit: int,
+        limit: Limit,
         headroom: int,
         grant_ms: int,
     ) -> None:
@@ -74,14 +76,15 @@
 
         :param clock: the time.
         :param order: the waiting policy.
-        :param limit: slots.
+        :param limit: the limit of the slots.
         :param headroom: slots that only tier 0 may take.
         :param grant_ms: how long a granted slot is held.
         """
         self._clock = clock
         self._order = order
         self._limit = limit
-        self._headroom = min(headroom, limit - 1)
+        self._headroom = headroom
+        self._inversions = 0
         self._grant_ms = grant_ms
         self._grants: dict[str, tuple[Ticket, int]] = {}
         self._running: dict[str, int] = {}
@@ -91,7 +94,17 @@
     @property
     def limit(self) -> int:
         """Calls that may run at once."""
-        return self._limit
+        return self._limit.slots
+
+    @property
+    def headroom(self) -> int:
+        """Slots that only tier 0 may take, never the last one."""
+        return min(self._headroom, self.limit - 1)
+
+    @property
+    def inversions(self) -> int:
+        """Requests shed while one of a lower tier kept a shared place."""
+        return self._inversions
 
     @property
     def in_use(self) -> int:
@@ -126,10 +139,10 @@
             return [self._offer_eager(ticket)]
         if self._can_start(ticket):
             return [self._grant(ticket)]
-        wait_ms = self._wait_ms(ticket.tier)
-        if ticket.queued_ms + wait_ms > ticket.start_by_ms:
+        if self._is_hopeless(ticket):
             return [self._refuse(ticket, RefusalReason.too_late)]
         shed = self._order.push(ticket)
+        self._note_shed(shed)
         verdicts = self._fill()
         if shed is ticket:
             verdicts.append(self._refuse(shed, RefusalReason.queue_full))
@@ -196,6 +209,7 @@
         :returns: the verdicts that follow.
         """
         now_ms = self._clock.now_ms()
+        self._limit.adjust(in_use=self.in_use)
         verdicts: list[Verdict] = []
         for call_id, (ticket, lapse_ms) in list(self._grants.items()):
             if lapse_ms <= now_ms:
@@ -204,7 +218,7 @@
                     self._refuse(ticket, RefusalReason.grant_lapsed),
                 )
         for ticket in list(self._order):
-            if min(ticket.start_by_ms, ticket.expires_ms) <= now_ms:
+            if self._last_start_ms(ticket) <= now_ms:
                 self._order.remove(ticket.call_id)
                 verdicts.append(self._refuse(ticket, RefusalReason.too_late))
         return verdicts + self._fill()
@@ -227,16 +241,33 @@
             return self._grant(ticket)
         return self._refuse(ticket, RefusalReason.busy)
 
+    def _last_start_ms(self, ticket: Ticket) -> int:
+        if self._order.refuses_late:
+            return min(ticket.start_by_ms, ticket.expires_ms)
+        return ticket.expires_ms
+
+    def _is_hopeless(self, ticket: Ticket) -> bool:
+        if not self._order.refuses_late:
+            return False
+        starts_ms = ticket.queued_ms + self._wait_ms(ticket.tier)
+        return starts_ms > ticket.start_by_ms
+
+    def _note_shed(self, shed: Ticket | None) -> None:
+        if shed is not None:
+            self._inversions += any(
+                kept.tier > shed.tier for kept in self._order.sharing()
+            )
+
     def _can_start(self, ticket: Ticket) -> bool:
-        reserve = self._headroom if ticket.tier else 0
-        free = self._limit - self.in_use - reserve
+        reserve = self.headroom if ticket.tier else 0
+        free = self.limit - self.in_use - reserve
         return free > 0 and not self._order.ahead_of(ticket.tier)
 
     def _fill(self) -> list[Verdict]:
         verdicts: list[Verdict] = []
-        while self.in_use < self._limit and not self._leaving:
-            free = self._limit - self.in_use
-            ticket = self._order.pop(top_only=free <= self._headroom)
+        while self.in_use < self.limit and not self._leaving:
+            free = self.limit - self.in_use
+            ticket = self._order.pop(top_only=free <= self.headroom)
             if ticket is None:
                 break
             verdicts.append(self._grant(ticket))
@@ -256,4 +287,4 @@
 
     def _wait_ms(self, tier: int) -> int:
         ahead = self._order.ahead_of(tier) + 1
-        return int(ahead * self._mean_run_ms / self._limit)
+        return int(ahead * self._mean_run_ms / self.limit)
--- a/wingfall/decision/order.py
+++ b/wingfall/decision/order.py
@@ -20,6 +20,8 @@
 class Order(Protocol):
     """What a waiting policy must do."""
 
+    refuses_late: bool
+
     def __len__(self) -> int:
         """Count the waiting requests."""
 
@@ -38,6 +40,9 @@
     def ahead_of(self, tier: int) -> int:
         """Count the requests that start before a new one of a tier."""
 
+    def sharing(self) -> list[Ticket]:
+        """List the requests in shared places."""
+
 
 class OrderFactory(Protocol):
     """How an order is made."""
@@ -88,6 +93,7 @@
     """Baseline: first come, first served; the newest is shed."""
 
     __slots__ = ()
+    refuses_late = False
 
     def push(self, ticket: Ticket) -> Ticket | None:
         """Add a request.
@@ -116,6 +122,13 @@
         """
         return len(self._tickets)
 
+    def sharing(self) -> list[Ticket]:
+        """List the requests in shared places.
+
+        :returns: all that wait.
+        """
+        return list(self._tickets)
+
 
 @final
 @orders.register('tiered')
@@ -129,6 +142,7 @@
     """
 
     __slots__ = ('_credits', '_levels', '_served')
+    refuses_late = True
 
     def __init__(self, *, capacity: int) -> None:
         """Start empty.
@@ -151,7 +165,7 @@
         """
         self._join(ticket)
         self._tickets.append(ticket)
-        sharing = self._sharing()
+        sharing = self.sharing()
         if len(sharing) <= self._capacity:
             return None
         crowds = Counter(sharer.customer for sharer in sharing)
@@ -190,8 +204,12 @@
         """
         return sum(ticket.tier <= tier for ticket in self._tickets)
 
-    def _sharing(self) -> list[Ticket]:
-        # The oldest of each class sit in its private places.
+    def sharing(self) -> list[Ticket]:
+        """List the requests in shared places.
+
+        :returns: all but the oldest of each class, which sit in its private
+            places.
+        """
         seated: Counter[str] = Counter()
         sharing: list[Ticket] = []
         for ticket in self._tickets:
--- a/wingfall/decision/ticket.py
+++ b/wingfall/decision/ticket.py
@@ -14,12 +14,14 @@
         'class_name',
         'customer',
         'expires_ms',
+        'first_token_ms',
         'owner',
         'private',
         'queued_ms',
         'share',
         'start_by_ms',
         'tier',
+        'token_gap_ms',
         'worth',
     )
 
@@ -37,6 +39,8 @@
         start_by_ms: int,
         expires_ms: int,
         owner: str = '',
+        first_token_ms: int = 0,
+        token_gap_ms: int = 0,
     ) -> None:
         """Describe a waiting request.
 
@@ -51,6 +55,8 @@
         :param start_by_ms: latest start that meets the target.
         :param expires_ms: when its caller gives up.
         :param owner: the router that sent it.
+        :param first_token_ms: target of the class, 0 for none.
+        :param token_gap_ms: target of the class, 0 for none.
         """
         self.call_id = call_id
         self.class_name = class_name
@@ -63,3 +69,5 @@
         self.start_by_ms = start_by_ms
         self.expires_ms = expires_ms
         self.owner = owner
+        self.first_token_ms = first_token_ms
+        self.token_gap_ms = token_gap_ms
--- a/wingfall/metrics.py
+++ b/wingfall/metrics.py
@@ -18,6 +18,8 @@
         'config_faults',
         'config_version',
         'decisions',
+        'inversions',
+        'limit',
         'links',
         'loop_lag_ms',
         'platform_calls',
@@ -78,6 +80,16 @@
             'Requests that wait here.',
             registry=registry,
         )
+        self.limit = Gauge(
+            'wingfall_limit',
+            'Calls that may run at once at this endpoint.',
+            registry=registry,
+        )
+        self.inversions = Gauge(
+            'wingfall_inversions',
+            'Requests shed while one of a lower tier kept a shared place.',
+            registry=registry,
+        )
         self.running = Gauge(
             'wingfall_running',
             'Calls that run here.',
--- a/wingfall/router/attempt.py
+++ b/wingfall/router/attempt.py
@@ -193,4 +193,6 @@
             slack_ms=max(0, request.start_by_ms(run_ms) - now_ms),
             expires_ms=max(0, request.deadline_ms - now_ms),
             eager=eager,
+            first_token_ms=terms.target.first_token_ms or 0,
+            token_gap_ms=terms.target.token_gap_ms or 0,
         )
--- a/wingfall/router/dispatcher.py
+++ b/wingfall/router/dispatcher.py
@@ -147,9 +147,10 @@
         links = self._directory.usable(attempt.request, progress.tried)
         if not links:
             return Failure(self._nowhere(attempt.request, progress))
+        tier = attempt.request.request_class.tier
         by_name = {link.endpoint.name: link for link in links}
         ranked = self._choice.rank(
-            [link.candidate for link in links],
+            [link.candidate(tier) for link in links],
             self._offers,
         )
         eager = progress.eager and ranked[0].free_slots > 0
--- a/wingfall/router/link.py
+++ b/wingfall/router/link.py
@@ -7,7 +7,7 @@
 
 from gevent.event import Event
 
-from wingfall.clock import MS_PER_S
+from wingfall.clock import MS_PER_S, US_PER_MS
 from wingfall.decision.choice import Candidate
 from wingfall.errors import WireError
 from wingfall.log import part_logger
@@ -92,9 +92,12 @@
         """Offers and calls that are open on this link."""
         return len(self._calls)
 
-    @property
-    def candidate(self) -> Candidate:
-        """How this agent looks to a choice."""
+    def candidate(self, tier: int) -> Candidate:
+        """Describe this agent for a choice.
+
+        :param tier: tier of the request.
+        :returns: its load by the last report and what was sent since.
+        """
         report = self._report
         return Candidate(
             name=self.endpoint.name,
@@ -103,6 +106,8 @@
             reported=report.running + report.waiting if report else 0,
             sent_since=self._sent_since,
             mean_run_ms=report.mean_run_ms if report else 0,
+            reserved=report.headroom if report and tier else 0,
+            token_gap_ms=report.token_gap_us / US_PER_MS if report else 0,
         )
 
     def open_call(self, call_id: str, mailbox: Mailbox) -> None:
--- a/wingfall/settings/schema.py
+++ b/wingfall/settings/schema.py
@@ -122,6 +122,7 @@
     policy=_section(
         'Decisions.',
         order=_text('How waiting offers are ordered.', 'tiered'),
+        limit=_text('How many calls run at once.', 'adaptive'),
     ),
     limits=_section(
         'Bounds.',
--- a/wingfall/wire/messages.py
+++ b/wingfall/wire/messages.py
@@ -30,6 +30,7 @@
         return [self.tag, *(getattr(self, slot) for slot in self.__slots__)]
 
 
+_NUMBER: Final = (int, float)
 _MessageType = TypeVar('_MessageType', bound=type[Message])
 _MESSAGES: Final[dict[int, type[Message]]] = {}
 
@@ -155,7 +156,7 @@
 
 
 @final
-@message(4, int, int, int, int, int, bool)
+@message(4, int, int, int, int, int, bool, int, int)
 class Report(Message):
     """State of an agent, sent now and then and as the heartbeat."""
 
@@ -166,6 +167,8 @@
         'mean_run_ms',
         'config_version',
         'leaving',
+        'headroom',
+        'token_gap_us',
     )
 
     def __init__(
@@ -177,6 +180,8 @@
         mean_run_ms: int,
         config_version: int,
         leaving: bool,
+        headroom: int = 0,
+        token_gap_us: int = 0,
     ) -> None:
         """Report the load.
 
@@ -186,6 +191,8 @@
         :param mean_run_ms: mean time of a finished call.
         :param config_version: highest configuration the agent has seen.
         :param leaving: whether it takes no new work.
+        :param headroom: slots of the limit that only tier 0 may take.
+        :param token_gap_us: smoothed microseconds between two tokens.
         """
         self.limit = limit
         self.running = running
@@ -193,10 +200,12 @@
         self.mean_run_ms = mean_run_ms
         self.config_version = config_version
         self.leaving = leaving
+        self.headroom = headroom
+        self.token_gap_us = token_gap_us
 
 
 @final
-@message(5, str, str, int, str, (int, float), (int, float), int, int, int, bool)
+@message(5, str, str, int, str, _NUMBER, _NUMBER, int, int, int, bool, int, int)
 class Offer(Message):
     """Ask for a slot; carries all that an agent must know of the class."""
 
@@ -211,6 +220,8 @@
         'slack_ms',
         'expires_ms',
         'eager',
+        'first_token_ms',
+        'token_gap_ms',
     )
 
     def __init__(
@@ -226,6 +237,8 @@
         slack_ms: int,
         expires_ms: int,
         eager: bool = False,
+        first_token_ms: int = 0,
+        token_gap_ms: int = 0,
     ) -> None:
         """Offer a call.
 
@@ -239,6 +252,8 @@
         :param slack_ms: time left to start so that the target is met.
         :param expires_ms: time left until the caller is refused.
         :param eager: whether run follows at once, without a grant.
+        :param first_token_ms: target of the class, 0 for none.
+        :param token_gap_ms: target of the class, 0 for none.
         """
         self.call_id = call_id
         self.class_name = class_name
@@ -250,6 +265,8 @@
         self.slack_ms = slack_ms
         self.expires_ms = expires_ms
         self.eager = eager
+        self.first_token_ms = first_token_ms
+        self.token_gap_ms = token_gap_ms
 
 
 @final
