Routers as peers: configuration from each other, customers' limits divided

Limits are divided by seen demand with a prior. Fault found by reading: a caller that left in the middle of a stream was held as an open request for ever; the first ending now releases it, with a test. Not done: routers find each other by seeds only, not yet by the VM list.

--- a/tests/local_site.py
+++ b/tests/local_site.py
@@ -105,13 +105,20 @@
         self._add_agent(name, standin.app, {})
         self._declare(name, port, type='service', service='seats')
 
-    def add_router(self, **sections: dict[str, Any]) -> RouterApplication:
+    def add_router(
+        self,
+        *,
+        wait: bool = True,
+        **sections: dict[str, Any],
+    ) -> RouterApplication:
         """Start a router and wait until it has its links.
 
+        :param wait: whether to wait.
         :param sections: settings that differ, by section.
         :returns: the router.
         """
-        sections.setdefault('platform', {})['url'] = self.platform_url
+        platform = sections.setdefault('platform', {})
+        platform.setdefault('url', self.platform_url)
         router = RouterApplication(
             settings=make_settings(
                 ROUTER_SCHEMA,
@@ -123,7 +130,8 @@
         )
         router.start()
         self.routers.append(router)
-        self.wait_links(router)
+        if wait:
+            self.wait_links(router)
         return router
 
     def wait_links(self, router: RouterApplication) -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -101,7 +101,9 @@
         timeout_ms=2000,
         metrics=Metrics(),
     )
-    follower = ConfigFollower(api=api, copy=copy, watch_ms=300)
+    follower = ConfigFollower(
+        api=api, copy=copy, watch_ms=300, holds_watch=lambda: True
+    )
     stop = Event()
     running = gevent.spawn(follower.follow, stop)
     yield copy
--- a/tests/test_router_api.py
+++ b/tests/test_router_api.py
@@ -207,6 +207,7 @@
     agent = plain.agents['engine']
     wait_until(lambda: not agent.calls.held)
     assert plain.runs()[0].made < 100
+    wait_until(lambda: not plain.routers[0].status()['held'])
 
 
 def test_slow_caller_bounds_what_is_held(site):
--- a/wingfall/config/copy.py
+++ b/wingfall/config/copy.py
@@ -6,6 +6,7 @@
 
 from returns.result import Success
 
+from wingfall.config.history import History, object_key
 from wingfall.log import part_logger
 from wingfall.objects.customer import Customer
 from wingfall.objects.endpoint import Endpoint
@@ -33,6 +34,7 @@
     __slots__ = (
         '_customers_by_key',
         '_faults',
+        '_history',
         '_listeners',
         '_tables',
         '_version',
@@ -41,6 +43,7 @@
     def __init__(self) -> None:
         """Start empty at version 0, before the first list."""
         self._version = 0
+        self._history = History()
         self._tables: dict[type[ConfigObject], dict[str, Any]] = {
             RequestClass: {},
             Endpoint: {},
@@ -55,6 +58,11 @@
         """Version in force, 0 before the first list."""
         return self._version
 
+    @property
+    def history(self) -> History:
+        """The objects as JSON and the latest changes."""
+        return self._history
+
     @property
     def faults(self) -> dict[_Key, str]:
         """Why the newest version of an object is refused, by kind and name."""
@@ -106,11 +114,12 @@
         """
         if objects.version <= self._version:
             return False
-        listed = {_key(raw) for raw in objects.objects}
+        listed = {object_key(raw) for raw in objects.objects}
         for key in self._keys() - listed:
             self._remove(key)
         for raw in objects.objects:
             self._take(raw)
+        self._history.replace(objects.version, objects.objects)
         self._finish(objects.version)
         return True
 
@@ -123,17 +132,18 @@
         if event.version <= self._version:
             return False
         if event.raw is None:
-            self._version = event.version
+            self._finish(event.version)
             return True
         if event.deleted:
-            self._remove(_key(event.raw))
+            self._remove(object_key(event.raw))
         else:
             self._take(event.raw)
+        self._history.note(event)
         self._finish(event.version)
         return True
 
     def _take(self, raw: dict[str, Any]) -> None:
-        key = _key(raw)
+        key = object_key(raw)
         if not is_config_kind(key[0]):
             return
         parsed = parse_object(raw)
@@ -174,7 +184,3 @@
         logger.info('Version %d is in force.', version)
         for listener in self._listeners:
             listener()
-
-
-def _key(raw: dict[str, Any]) -> _Key:
-    return str(raw.get('kind')), str(raw.get('metadata', {}).get('name'))
--- a/wingfall/config/follower.py
+++ b/wingfall/config/follower.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING, final
+from typing import TYPE_CHECKING, Callable, final
 
 from returns.result import Success
 
@@ -18,6 +18,8 @@
     from wingfall.config.copy import ConfigCopy
     from wingfall.platform.client import ObjectApi
 
+_IDLE_MS = 500
+
 logger = part_logger('config.follower')
 
 
@@ -30,7 +32,14 @@
     that routers don't ask in step.
     """
 
-    __slots__ = ('_api', '_backoff', '_copy', '_listed', '_watch_ms')
+    __slots__ = (
+        '_api',
+        '_backoff',
+        '_copy',
+        '_holds_watch',
+        '_too_old',
+        '_watch_ms',
+    )
 
     def __init__(
         self,
@@ -38,17 +47,21 @@
         api: ObjectApi,
         copy: ConfigCopy,
         watch_ms: int,
+        holds_watch: Callable[[], bool],
     ) -> None:
         """Set up a follower.
 
         :param api: the platform.
         :param copy: the copy to keep.
         :param watch_ms: longest wait of one watch.
+        :param holds_watch: whether to ask the platform at all, or leave it
+            to the peers.
         """
         self._api = api
         self._copy = copy
         self._watch_ms = watch_ms
-        self._listed = False
+        self._holds_watch = holds_watch
+        self._too_old = False
         self._backoff = Backoff()
 
     def follow(self, stop: Event) -> None:
@@ -57,21 +70,29 @@
         :param stop: set when the process ends.
         """
         while not stop.is_set():
-            ready = self._watch() if self._listed else self._list()
-            if ready:
+            if self._step(stop):
                 self._backoff.reset()
                 continue
             delay_ms = self._backoff.take_ms()
             jitter = random.uniform(0.5, 1)  # noqa: S311, WPS432
             stop.wait(delay_ms * jitter / MS_PER_S)
 
+    def _step(self, stop: Event) -> bool:
+        # A version that peers gave saves the list.
+        if self._too_old or not self._copy.version:
+            return self._list()
+        if self._holds_watch():
+            return self._watch()
+        stop.wait(_IDLE_MS / MS_PER_S)
+        return True
+
     def _list(self) -> bool:
         listed = self._api.list_objects()
         if not isinstance(listed, Success):
             logger.warning('The list failed: %s.', listed.failure())
             return False
         self._copy.apply_list(listed.unwrap())
-        self._listed = True
+        self._too_old = False
         return True
 
     def _watch(self) -> bool:
@@ -82,6 +103,6 @@
                 continue
             error = event.failure()
             logger.warning('The watch failed: %s.', error)
-            self._listed = error.status != GONE
+            self._too_old = error.status == GONE
             return False
         return True
--- a/wingfall/platform/client.py
+++ b/wingfall/platform/client.py
@@ -211,25 +211,12 @@
         self._metrics.platform_calls.inc({'verb': verb, 'status': str(status)})
 
 
-def _read_list(body: Any) -> Result[ObjectList, PlatformError]:
-    try:
-        version = int(body['metadata']['resourceVersion'])
-        return Success(ObjectList(version=version, objects=body['items']))
-    except (KeyError, TypeError, ValueError):
-        return Failure(PlatformError(status=_OK, message='not a list'))
-
+def read_event(line: bytes) -> Result[WatchEvent, PlatformError]:
+    """Parse one line of a watch.
 
-def _read_events(
-    response: urllib3.BaseHTTPResponse,
-) -> Iterator[Result[WatchEvent, PlatformError]]:
-    pending = b''
-    for received in response.stream(amt=None):
-        *lines, pending = (pending + received).split(b'\n')
-        for line in filter(None, lines):
-            yield _read_event(line)
-
-
-def _read_event(line: bytes) -> Result[WatchEvent, PlatformError]:
+    :param line: the event as JSON.
+    :returns: the change; or the error that the line tells or is.
+    """
     try:
         event = orjson.loads(line)
         kind = event['type']
@@ -248,3 +235,21 @@
             deleted=kind == 'DELETED',
         ),
     )
+
+
+def _read_list(body: Any) -> Result[ObjectList, PlatformError]:
+    try:
+        version = int(body['metadata']['resourceVersion'])
+        return Success(ObjectList(version=version, objects=body['items']))
+    except (KeyError, TypeError, ValueError):
+        return Failure(PlatformError(status=_OK, message='not a list'))
+
+
+def _read_events(
+    response: urllib3.BaseHTTPResponse,
+) -> Iterator[Result[WatchEvent, PlatformError]]:
+    pending = b''
+    for received in response.stream(amt=None):
+        *lines, pending = (pending + received).split(b'\n')
+        for line in filter(None, lines):
+            yield read_event(line)
--- a/wingfall/router/api.py
+++ b/wingfall/router/api.py
@@ -19,6 +19,7 @@
 
     from wingfall.clock import Clock
     from wingfall.config.copy import ConfigCopy
+    from wingfall.decision.customer_limits import CustomerLimits, Overuse
     from wingfall.loop_lag import LoopLag
     from wingfall.metrics import Metrics
     from wingfall.router.dispatcher import Dispatcher
@@ -26,6 +27,7 @@
     from wingfall.router.request import Request
 
 _NOT_FOUND: Final = 404
+_TOO_MANY: Final = 429
 _UNAVAILABLE: Final = 503
 _RETRY_MS: Final = 1000
 _ANY_METHOD: Final = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
@@ -40,6 +42,7 @@
     __slots__ = (
         '_clock',
         '_copy',
+        '_customer_limits',
         '_dispatcher',
         '_draining',
         '_held',
@@ -58,6 +61,7 @@
         copy: ConfigCopy,
         intake: Intake,
         dispatcher: Dispatcher,
+        customer_limits: CustomerLimits,
         lag: LoopLag,
         metrics: Metrics,
     ) -> None:
@@ -68,6 +72,7 @@
         :param copy: the configuration.
         :param intake: checks requests.
         :param dispatcher: runs them.
+        :param customer_limits: limits of customers.
         :param lag: lag of the loop.
         :param metrics: where answers are counted.
         """
@@ -76,9 +81,10 @@
         self._copy = copy
         self._intake = intake
         self._dispatcher = dispatcher
+        self._customer_limits = customer_limits
         self._lag = lag
         self._metrics = metrics
-        self._held: set[str] = set()
+        self._held: dict[str, Request] = {}
         self._draining = False
         self.app = self._make_app()
 
@@ -167,13 +173,14 @@
             bound=self._limits.waiting,
             lag_ms=self._lag.worst_ms,
         )
-        if room:
-            return Success(request)
-        return Failure(_busy('router_full', 'this router has no room'))
+        if not room:
+            return Failure(_busy('router_full', 'this router has no room'))
+        admitted = self._customer_limits.admit(request.customer)
+        return admitted.map(lambda _none: request).alt(_over_limit)
 
     def _dispatch(self, request: Request) -> bottle.HTTPResponse:
         sock = bottle.request.environ[SOCKET_KEY]
-        self._held.add(request.request_id)
+        self._held[request.request_id] = request
         passed_on = False
         try:
             dispatched = self._dispatcher.dispatch(
@@ -190,7 +197,7 @@
             return render_refusal(refusal, request.request_id)
         finally:
             if not passed_on:
-                self._held.discard(request.request_id)
+                self._release(request)
 
     def _make_reply(self, request: Request, answer: Any) -> Reply:
         return Reply(
@@ -207,7 +214,7 @@
         run: RunState,
         fault: Refusal | None,
     ) -> None:
-        self._held.discard(request.request_id)
+        self._release(request)
         class_name = request.request_class.name
         logger.info(
             'Request %s class %s: status %d, %s, %s, after %d ms.',
@@ -220,6 +227,10 @@
         )
         self._count(class_name, status, run)
 
+    def _release(self, request: Request) -> None:
+        if self._held.pop(request.request_id, None) is not None:
+            self._customer_limits.release(request.customer)
+
     def _count(self, class_name: str, status: int, run: RunState) -> None:
         self._metrics.answers.inc(
             {
@@ -240,6 +251,16 @@
     )
 
 
+def _over_limit(overuse: Overuse) -> Refusal:
+    return Refusal(
+        status=_TOO_MANY,
+        kind='rate_limit_error',
+        code=overuse.code,
+        message='the limit of this customer is reached',
+        retry_after_ms=overuse.retry_after_ms,
+    )
+
+
 def _render_error(error: bottle.HTTPError) -> bytes:
     if error.exception is not None:
         logger.error('A request failed: %r.', error.exception)
--- a/wingfall/router/application.py
+++ b/wingfall/router/application.py
@@ -11,8 +11,10 @@
 from wingfall.admin import make_admin_app
 from wingfall.clock import MS_PER_S, Clock
 from wingfall.config.copy import ConfigCopy
+from wingfall.config.fetcher import ConfigFetcher
 from wingfall.config.follower import ConfigFollower
 from wingfall.decision.choice import choices
+from wingfall.decision.customer_limits import CustomerLimits
 from wingfall.decision.retry import RetryBudget
 from wingfall.http_server import HttpServer
 from wingfall.log import part_logger
@@ -24,6 +26,7 @@
 from wingfall.router.dispatcher import Dispatcher
 from wingfall.router.intake import Intake
 from wingfall.router.link import AgentLink
+from wingfall.router.peers import Peers
 from wingfall.supervisor import Supervisor
 from wingfall.wire.handshake import Identity
 
@@ -52,7 +55,9 @@
         '_follower',
         '_identity',
         '_lag',
+        '_limits',
         '_metrics',
+        '_peers',
         '_settings',
         '_stop',
         '_supervisor',
@@ -73,6 +78,16 @@
         self._copy.listen(self._show_config)
         self._supervisor = Supervisor(name='router', clock=self._clock)
         self._lag = LoopLag(clock=self._clock, metrics=self._metrics)
+        self._limits = CustomerLimits(clock=self._clock)
+        self._peers = Peers(
+            settings=settings.peers,
+            zone=settings.zone,
+            identity=self._identity,
+            copy=self._copy,
+            fetcher=ConfigFetcher(clock=self._clock, copy=self._copy),
+            limits=self._limits,
+            supervisor=self._supervisor,
+        )
         self._follower = self._make_follower()
         self._directory = Directory(
             copy=self._copy,
@@ -98,6 +113,16 @@
         """Port for operators."""
         return self._admin.port
 
+    @property
+    def peer_port(self) -> int:
+        """Port for other routers."""
+        return self._peers.port
+
+    @property
+    def peers(self) -> Peers:
+        """The other routers."""
+        return self._peers
+
     @property
     def directory(self) -> Directory:
         """The links to agents."""
@@ -123,6 +148,7 @@
             'follower',
             lambda: self._follower.follow(self._stop),
         )
+        self._peers.start()
         self._admin.start()
         self._callers.start()
         logger.info(
@@ -139,6 +165,7 @@
         """Take no new work, and wait until what there is has ended."""
         logger.info('Leaving: %d requests are held.', self._api.held)
         self._api.drain()
+        self._peers.leave()
         deadline_ms = self._clock.now_ms() + self._settings.limits.drain_ms
         while self._callers.active and self._clock.now_ms() < deadline_ms:
             gevent.sleep(_POLL_MS / MS_PER_S)
@@ -148,6 +175,7 @@
     def close(self) -> None:
         """End everything now."""
         self._supervisor.stop()
+        self._peers.stop()
         self._callers.stop()
         self._admin.stop()
 
@@ -165,6 +193,11 @@
                 '/'.join(key): reason
                 for key, reason in self._copy.faults.items()
             },
+            'holds_watch': self._peers.holds_watch,
+            'peers': {
+                name: state.config_version
+                for name, state in self._peers.states.items()
+            },
             'held': self._api.held,
             'draining': self._api.draining,
             'endpoints': {
@@ -184,6 +217,7 @@
             api=api,
             copy=self._copy,
             watch_ms=platform.watch_ms,
+            holds_watch=lambda: self._peers.holds_watch,
         )
 
     def _make_api(self) -> CallerApi:
@@ -209,6 +243,7 @@
             copy=self._copy,
             intake=intake,
             dispatcher=dispatcher,
+            customer_limits=self._limits,
             lag=self._lag,
             metrics=self._metrics,
         )
--- a/wingfall/router/refusals.py
+++ b/wingfall/router/refusals.py
@@ -66,13 +66,7 @@
     :returns: the refusal.
     """
     if attempt.caller_left:
-        return Refusal(
-            status=_CALLER_LEFT,
-            kind='caller_error',
-            code='caller_left',
-            message='the caller left',
-            run=run,
-        )
+        return caller_left(run)
     return Refusal(
         status=_TIMED_OUT,
         kind='timeout_error',
@@ -83,6 +77,21 @@
     )
 
 
+def caller_left(run: RunState) -> Refusal:
+    """Note that nobody is there to get the answer.
+
+    :param run: what is known about the run.
+    :returns: the refusal, for logs and metrics.
+    """
+    return Refusal(
+        status=_CALLER_LEFT,
+        kind='caller_error',
+        code='caller_left',
+        message='the caller left',
+        run=run,
+    )
+
+
 def run_failed(ending: Refused | End) -> Refusal:
     """Refuse a request whose run failed and may not be repeated.
 
--- a/wingfall/router/reply.py
+++ b/wingfall/router/reply.py
@@ -11,6 +11,7 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.errors import Refusal, RunState
+from wingfall.router.refusals import caller_left
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -36,7 +37,7 @@
     no client takes for a whole answer.
     """
 
-    __slots__ = ('_answer', '_collect_bytes', '_ended', '_request_id')
+    __slots__ = ('_answer', '_collect_bytes', '_done', '_ended', '_request_id')
 
     def __init__(
         self,
@@ -57,6 +58,7 @@
         self._request_id = request_id
         self._collect_bytes = collect_bytes
         self._ended = ended
+        self._done = False
 
     def render(self) -> HTTPResponse:
         """Make the response.
@@ -102,7 +104,7 @@
         try:
             yield from self._until_fault(pieces, _error_event)
         finally:
-            self._answer.close()
+            self._finish(caller_left(RunState.ran))
 
     def _rest(
         self,
@@ -113,7 +115,7 @@
             yield b''.join(collected)
             yield from self._until_fault(pieces, _cut)
         finally:
-            self._answer.close()
+            self._finish(caller_left(RunState.ran))
 
     def _until_fault(
         self,
@@ -129,6 +131,10 @@
         self._finish(None)
 
     def _finish(self, fault: Refusal | None) -> None:
+        # The first ending counts: a body that is closed early has no other.
+        if self._done:
+            return
+        self._done = True
         head = self._answer.head
         answered = head.status if head else 0
         self._answer.close()
--- a/wingfall/settings/schema.py
+++ b/wingfall/settings/schema.py
@@ -79,6 +79,18 @@
         watch_ms=_number(30_000, 100, 600_000, 'Longest wait of one watch.'),
         timeout_ms=_number(3000, 50, 60_000, 'Bound of one short call.'),
     ),
+    peers=_section(
+        'Other routers.',
+        host=_text('IP number to listen on for peers.', '127.0.0.1'),
+        port=_number(0, 0, _MAX_PORT, 'Port for peers; 0 takes a free one.'),
+        seeds={
+            'type': 'array',
+            'items': {'type': 'string', 'pattern': r'^[0-9A-Fa-f.:\[\]]+:\d+$'},
+            'default': [],
+            'description': 'Addresses (host:port) of some other routers.',
+        },
+        watchers=_number(2, 1, 100, 'Routers of a zone that hold watches.'),
+    ),
     policy=_section(
         'Decisions.',
         choice=_text('How agents are chosen.', 'expected_delay'),
--- a/wingfall/wire/peer_messages.py
+++ b/wingfall/wire/peer_messages.py
@@ -27,8 +27,8 @@
         :param zone: availability zone of the sender.
         :param config_version: configuration in force there.
         :param leaving: whether it is stopping.
-        :param demands: customers whose limits count there, each as name,
-            requests a minute and open requests.
+        :param demands: customers whose limits count there, each as its name
+            and its requests in 1000 seconds.
         """
         self.zone = zone
         self.config_version = config_version
