Idempotency keys have a home at an agent

Cause: a caller that asks again after a lost answer could seat a player twice. Members are told ahead. The start page's takeover by the next in rank is not taken: two halves of a network could both run a young key (docs/design/idempotency.md). Fault found by a test that failed first: the next home took its own start for the beginning of its duty and ran a key a second time.

--- a/wingfall/agent/answer.py
+++ b/wingfall/agent/answer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import final
 
 from gevent.event import Event
@@ -45,6 +46,9 @@
         :returns: their offset.
         """
         offset = self.end
+        if self._window == sys.maxsize:
+            self._acked += len(body)
+            return offset
         self._held += body
         if len(self._held) >= self._window:
             self._room.clear()
@@ -54,6 +58,12 @@
         """Wait until the window is open."""
         self._room.wait()
 
+    def open(self) -> None:
+        """Hold nothing any more, and always have room."""
+        self._window = sys.maxsize
+        self.ack(self.end)
+        self._room.set()
+
     def ack(self, offset: int) -> None:
         """Forget confirmed bytes.
 
--- a/wingfall/agent/application.py
+++ b/wingfall/agent/application.py
@@ -13,8 +13,9 @@
 from wingfall.agent.calls import CallTable
 from wingfall.agent.endpoint_client import EndpointClient
 from wingfall.agent.listener import RouterListener
-from wingfall.clock import MS_PER_S, US_PER_MS, Clock
+from wingfall.clock import MS_PER_S, US_PER_MS, Clock, WallClock
 from wingfall.decision.gate import Gate
+from wingfall.decision.keys import KeyTable
 from wingfall.decision.limit import Pace, limits
 from wingfall.decision.order import orders
 from wingfall.decision.slots import Slots
@@ -88,6 +89,11 @@
             client=_make_client(settings),
             pace=self._pace,
             estimates=self._gate.estimates,
+            keys=KeyTable(
+                clock=clock,
+                wall=WallClock(),
+                window_ms=settings.limits.key_window_ms,
+            ),
             window=settings.limits.window_bytes,
             orphan_ms=settings.limits.orphan_ms,
             finished=self._call_finished,
--- a/wingfall/agent/call.py
+++ b/wingfall/agent/call.py
@@ -18,6 +18,8 @@
         EndpointFault,
     )
     from wingfall.agent.stopwatch import Stopwatch
+    from wingfall.decision.keys import KeyedAnswer
+    from wingfall.decision.ticket import Ticket
     from wingfall.wire.connection import Connection
     from wingfall.wire.messages import Message, Run
 
@@ -37,32 +39,36 @@
         '_connection',
         '_end',
         '_head',
+        '_keyed',
         '_run',
         '_stopwatch',
+        '_ticket',
         'orphaned_ms',
-        'owner',
     )
 
     def __init__(
         self,
         *,
         run: Run,
-        owner: str,
+        ticket: Ticket,
         connection: Connection,
         window: int,
+        keyed: KeyedAnswer | None,
         stopwatch: Stopwatch,
     ) -> None:
         """Set up a call; :meth:`relay` starts it.
 
         :param run: the request.
-        :param owner: name of the router.
+        :param ticket: the granted offer.
         :param connection: connection to the router.
         :param window: bytes that may be unconfirmed.
+        :param keyed: where the answer of an idempotency key is kept.
         :param stopwatch: notes the pace of the answer.
         """
         self._run = run
         self._stopwatch = stopwatch
-        self.owner = owner
+        self._ticket = ticket
+        self._keyed = keyed
         self.orphaned_ms: int | None = None
         self._connection: Connection | None = connection
         self._buffer = AnswerBuffer(window=window)
@@ -74,6 +80,26 @@
         """Id of the call."""
         return self._run.call_id
 
+    @property
+    def owner(self) -> str:
+        """Name of the router that asked."""
+        return self._ticket.owner
+
+    @property
+    def key(self) -> str:
+        """Its idempotency key, empty for none."""
+        return self._ticket.key
+
+    @property
+    def is_keyed(self) -> bool:
+        """Whether this is the one run of an idempotency key."""
+        return self._keyed is not None
+
+    @property
+    def ran(self) -> bool:
+        """Whether the endpoint may have run it."""
+        return not isinstance(self._end, Refused)
+
     @property
     def ended(self) -> bool:
         """Whether the endpoint is done with it."""
@@ -144,6 +170,27 @@
             connection.send(self._end)
         return True
 
+    def detach(self) -> None:
+        """Go on without a router, only for the idempotency key."""
+        self._connection = None
+        self._buffer.open()
+
+    def replay(self, held: KeyedAnswer) -> None:
+        """Send a held answer.
+
+        :param held: the answer of an earlier run of the key.
+        """
+        self._head = Head(
+            call_id=self.call_id,
+            status=held.status,
+            headers=held.headers,
+        )
+        self._send(self._head)
+        body = bytes(held.body)
+        offset = self._buffer.append(body)
+        self._send(Chunk(call_id=self.call_id, offset=offset, body=body))
+        self._finish(End(call_id=self.call_id, length=self.length))
+
     def _relay_answer(self, answer: EndpointAnswer) -> None:
         headers = answer.headers
         self._head = Head(
@@ -152,6 +199,8 @@
             headers=headers,
         )
         self._stopwatch.start(headers)
+        if self._keyed is not None:
+            self._keyed.begin(answer.status, headers)
         self._send(self._head)
         for piece in answer.pieces():
             if not isinstance(piece, Success):
@@ -159,6 +208,8 @@
                 return
             body = piece.unwrap()
             self._stopwatch.note(body)
+            if self._keyed is not None:
+                self._keyed.append(body)
             offset = self._buffer.append(body)
             self._send(Chunk(call_id=self.call_id, offset=offset, body=body))
             if not self._buffer.has_room:
--- a/wingfall/agent/calls.py
+++ b/wingfall/agent/calls.py
@@ -16,6 +16,7 @@
     from wingfall.agent.endpoint_client import EndpointClient
     from wingfall.clock import Clock
     from wingfall.decision.estimate import RunEstimates
+    from wingfall.decision.keys import KeyedAnswer, KeyTable
     from wingfall.decision.limit import Pace
     from wingfall.decision.ticket import Ticket
     from wingfall.wire.connection import Connection
@@ -35,6 +36,7 @@
         '_estimates',
         '_finished',
         '_greenlets',
+        '_keys',
         '_orphan_ms',
         '_pace',
         '_window',
@@ -47,6 +49,7 @@
         client: EndpointClient,
         pace: Pace,
         estimates: RunEstimates,
+        keys: KeyTable,
         window: int,
         orphan_ms: int,
         finished: Callable[[Call], None],
@@ -57,6 +60,7 @@
         :param client: the endpoint.
         :param pace: where the pace of the answers is noted.
         :param estimates: where times to first tokens are noted.
+        :param keys: the idempotency keys.
         :param window: unconfirmed bytes of one call.
         :param orphan_ms: how long a call outlives its connection.
         :param finished: called once for each call when its slot is free.
@@ -65,6 +69,7 @@
         self._client = client
         self._pace = pace
         self._estimates = estimates
+        self._keys = keys
         self._window = window
         self._orphan_ms = orphan_ms
         self._finished = finished
@@ -81,26 +86,37 @@
         """Calls that run, or whose end no router has confirmed."""
         return len(self._calls)
 
-    def start(self, run: Run, ticket: Ticket, connection: Connection) -> None:
+    @property
+    def keys(self) -> KeyTable:
+        """The idempotency keys of this agent."""
+        return self._keys
+
+    def start(self, run: Run, ticket: Ticket, connection: Connection) -> bool:
         """Run a call.
 
         :param run: the request; its id must be new.
         :param ticket: the granted offer.
         :param connection: connection to the router.
+        :returns: False if its idempotency key has a run already.
         """
-        call = Call(
-            run=run,
-            owner=ticket.owner,
-            connection=connection,
-            window=self._window,
-            stopwatch=Stopwatch(
-                pace=self._pace,
-                estimates=self._estimates,
-                ticket=ticket,
-            ),
-        )
-        self._calls[call.call_id] = call
+        keyed = None
+        if ticket.key:
+            keyed = self._keys.begin(ticket.key, ticket.digest)
+            if keyed is None:
+                return False
+        call = self._make_call(run, ticket, connection, keyed)
         self._greenlets[call.call_id] = gevent.spawn(self._relay, call)
+        return True
+
+    def replay(self, run: Run, ticket: Ticket, connection: Connection) -> None:
+        """Send the held answer of a key again.
+
+        :param run: the request.
+        :param ticket: its offer.
+        :param connection: connection to the router.
+        """
+        call = self._make_call(run, ticket, connection, None)
+        call.replay(self._keys.find(ticket.key))
 
     def find(self, call_id: str) -> Call | None:
         """Find a call.
@@ -115,9 +131,14 @@
 
         :param call_id: its id.
         """
-        self._calls.pop(call_id, None)
+        call = self._calls.pop(call_id, None)
         greenlet = self._greenlets.get(call_id)
-        if greenlet is not None:
+        if greenlet is None:
+            return
+        if call is not None and call.is_keyed:
+            # Its caller may ask again: the run goes on for the key.
+            call.detach()
+        else:
             greenlet.kill(block=False)
 
     def orphan(self, owner: str) -> None:
@@ -132,15 +153,43 @@
 
     def forget_orphans(self) -> None:
         """Cancel and forget calls whose router stayed away too long."""
+        self._keys.forget_old()
         oldest_ms = self._clock.now_ms() - self._orphan_ms
         for call_id, call in list(self._calls.items()):
             if call.orphaned_ms is not None and call.orphaned_ms < oldest_ms:
                 logger.info('Forgot %s: its router stayed away.', call_id)
                 self.cancel(call_id)
 
+    def _end(self, call: Call) -> None:
+        if call.is_keyed:
+            self._keys.end(call.key, whole=call.whole, ran=call.ran)
+        self._finished(call)
+
+    def _make_call(
+        self,
+        run: Run,
+        ticket: Ticket,
+        connection: Connection,
+        keyed: KeyedAnswer | None,
+    ) -> Call:
+        call = Call(
+            run=run,
+            ticket=ticket,
+            connection=connection,
+            window=self._window,
+            keyed=keyed,
+            stopwatch=Stopwatch(
+                pace=self._pace,
+                estimates=self._estimates,
+                ticket=ticket,
+            ),
+        )
+        self._calls[call.call_id] = call
+        return call
+
     def _relay(self, call: Call) -> None:
         try:
             call.relay(self._client)
         finally:
             self._greenlets.pop(call.call_id, None)
-            self._finished(call)
+            self._end(call)
--- a/wingfall/agent/session.py
+++ b/wingfall/agent/session.py
@@ -4,11 +4,14 @@
 
 from typing import TYPE_CHECKING, Any, Callable, Final, final
 
+from wingfall.decision.keys import KeyState
 from wingfall.decision.ticket import Ticket
 from wingfall.log import part_logger
 from wingfall.wire.messages import (
     Ack,
     Cancel,
+    Grant,
+    HomeMembers,
     Message,
     Offer,
     Refused,
@@ -28,6 +31,13 @@
 _Receiver = Callable[['Session', Any], None]
 _RECEIVERS: Final[dict[type[Message], _Receiver]] = {}
 
+_KEY_REASONS: Final = {
+    KeyState.running: RefusalReason.key_in_use,
+    KeyState.mismatch: RefusalReason.key_mismatch,
+    KeyState.lost: RefusalReason.key_not_held,
+    KeyState.too_old: RefusalReason.key_not_held,
+}
+
 logger = part_logger('agent.session')
 
 
@@ -43,7 +53,14 @@
 class Session:
     """Serves one connection of a router."""
 
-    __slots__ = ('_admission', '_calls', '_clock', 'connection', 'router')
+    __slots__ = (
+        '_admission',
+        '_calls',
+        '_clock',
+        '_replays',
+        'connection',
+        'router',
+    )
 
     def __init__(
         self,
@@ -67,6 +84,7 @@
         self._clock = clock
         self._admission = admission
         self._calls = calls
+        self._replays: dict[str, Ticket] = {}
 
     def serve(self) -> None:
         """Serve until the connection ends.
@@ -103,22 +121,37 @@
             owner=self.router,
             first_token_ms=offer.first_token_ms,
             token_gap_ms=offer.token_gap_ms,
+            key=offer.key,
+            digest=offer.digest,
         )
-        self._admission.offer(ticket, eager=offer.eager)
+        if offer.key:
+            self._offer_keyed(offer, ticket)
+        else:
+            self._admission.offer(ticket, eager=offer.eager)
 
     @_receives(Run)
     def _run(self, run: Run) -> None:
+        if run.call_id in self._replays:
+            ticket = self._replays.pop(run.call_id)
+            self._calls.replay(run, ticket, self.connection)
+            return
         ticket = self._admission.start(run.call_id)
         if ticket is None:
-            self._refuse_unknown(run.call_id)
-        else:
-            self._calls.start(run, ticket, self.connection)
+            self._refuse(run.call_id, RefusalReason.unknown_call)
+        elif not self._calls.start(run, ticket, self.connection):
+            self._admission.finish(run.call_id, whole=False)
+            self._refuse(run.call_id, RefusalReason.key_in_use)
 
     @_receives(Withdraw)
     def _withdraw(self, withdraw: Withdraw) -> None:
+        self._replays.pop(withdraw.call_id, None)
         if self._admission.withdraw(withdraw.call_id):
             self.connection.send(Withdrawn(call_id=withdraw.call_id))
 
+    @_receives(HomeMembers)
+    def _home_members(self, told: HomeMembers) -> None:
+        self._calls.keys.note_home(told.home, told.members)
+
     @_receives(Ack)
     def _ack(self, ack: Ack) -> None:
         call = self._calls.find(ack.call_id)
@@ -136,13 +169,26 @@
         call = self._calls.find(resume.call_id)
         owned = call is not None and call.owner == self.router
         if not (owned and call.resume(self.connection, resume.offset)):
-            self._refuse_unknown(resume.call_id)
+            self._refuse(resume.call_id, RefusalReason.unknown_call)
+
+    def _offer_keyed(self, offer: Offer, ticket: Ticket) -> None:
+        state = self._calls.keys.look_up(
+            offer.key,
+            digest=offer.digest,
+            home=offer.home,
+            members=offer.members,
+        )
+        if state is KeyState.fresh:
+            self._admission.offer(ticket, eager=offer.eager)
+        elif state is KeyState.held:
+            # The answer is there, so it takes no slot.
+            self._replays[offer.call_id] = ticket
+            self.connection.send(Grant(call_id=offer.call_id))
+        else:
+            self._refuse(offer.call_id, _KEY_REASONS[state])
 
-    def _refuse_unknown(self, call_id: str) -> None:
+    def _refuse(self, call_id: str, reason: RefusalReason) -> None:
+        logger.info('Call %s: refused, %s.', call_id, reason)
         self.connection.send(
-            Refused(
-                call_id=call_id,
-                reason=RefusalReason.unknown_call,
-                retry_after_ms=0,
-            ),
+            Refused(call_id=call_id, reason=reason, retry_after_ms=0),
         )
--- a/wingfall/clock.py
+++ b/wingfall/clock.py
@@ -25,6 +25,22 @@
         return time.monotonic_ns() // _NS_PER_MS
 
 
+class WallClock(Clock):
+    """Time of day in milliseconds since 1970, only for ages of UUIDv7 keys.
+
+    It may jump; nothing is timed with it.
+    """
+
+    __slots__ = ()
+
+    def now_ms(self) -> int:
+        """Read the clock.
+
+        :returns: milliseconds since 1970.
+        """
+        return time.time_ns() // _NS_PER_MS
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to, for tests and models."""
 
--- a/wingfall/decision/ticket.py
+++ b/wingfall/decision/ticket.py
@@ -13,8 +13,10 @@
         'call_id',
         'class_name',
         'customer',
+        'digest',
         'expires_ms',
         'first_token_ms',
+        'key',
         'owner',
         'private',
         'queued_ms',
@@ -41,6 +43,8 @@
         owner: str = '',
         first_token_ms: int = 0,
         token_gap_ms: int = 0,
+        key: str = '',
+        digest: bytes = b'',
     ) -> None:
         """Describe a waiting request.
 
@@ -57,6 +61,8 @@
         :param owner: the router that sent it.
         :param first_token_ms: target of the class, 0 for none.
         :param token_gap_ms: target of the class, 0 for none.
+        :param key: idempotency key, empty for none.
+        :param digest: digest of the request that the key stands for.
         """
         self.call_id = call_id
         self.class_name = class_name
@@ -71,3 +77,5 @@
         self.owner = owner
         self.first_token_ms = first_token_ms
         self.token_gap_ms = token_gap_ms
+        self.key = key
+        self.digest = digest
--- a/wingfall/router/attempt.py
+++ b/wingfall/router/attempt.py
@@ -34,6 +34,7 @@
         '_mailbox',
         '_offers',
         '_round',
+        'members',
         'request',
         'running_on',
     )
@@ -52,6 +53,7 @@
         :param gone: tells whether the caller has left.
         """
         self.request = request
+        self.members = b''
         self.running_on: AgentLink | None = None
         self._clock = clock
         self._gone = gone
@@ -189,6 +191,10 @@
             eager=eager,
             first_token_ms=terms.target.first_token_ms or 0,
             token_gap_ms=terms.target.token_gap_ms or 0,
+            key=request.key,
+            digest=request.digest() if request.key else b'',
+            home=request.home_name if request.key else '',
+            members=self.members,
         )
 
 
--- a/wingfall/router/directory.py
+++ b/wingfall/router/directory.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Callable, final
 
 from wingfall.log import part_logger
+from wingfall.router.homes import Home, find_home, members_by_endpoint
 from wingfall.router.link import AgentLink
 
 if TYPE_CHECKING:
@@ -61,6 +62,21 @@
             and not request.why_not(link.endpoint)
         ]
 
+    def home(self, request: Request) -> Home:
+        """Find the home of a request's idempotency key.
+
+        :param request: the request.
+        :returns: the home.
+        """
+        return find_home(
+            request.key,
+            [
+                endpoint.name
+                for endpoint in self._copy.endpoints
+                if not request.why_not(endpoint)
+            ],
+        )
+
     def configured(self, request: Request) -> bool:
         """Tell whether any endpoint may serve a request, up or not.
 
@@ -81,6 +97,9 @@
                 self._links[name].endpoint = endpoint
             else:
                 self._open(endpoint)
+        told = members_by_endpoint(self._copy)
+        for name, link in self._links.items():
+            link.tell_homes(told.get(name, {}))
 
     def _open(self, endpoint: Endpoint) -> None:
         link = self._make_link(endpoint)
--- a/wingfall/router/dispatcher.py
+++ b/wingfall/router/dispatcher.py
@@ -11,7 +11,10 @@
 from wingfall.router.answer import Answer
 from wingfall.router.attempt import Attempt
 from wingfall.router.refusals import (
+    KEY_REASONS,
     gave_up,
+    key_home_down,
+    key_refused,
     no_capacity,
     no_endpoint,
     run_failed,
@@ -28,6 +31,7 @@
     from wingfall.decision.retry import RetryBudget
     from wingfall.metrics import Metrics
     from wingfall.router.directory import Directory
+    from wingfall.router.link import AgentLink
     from wingfall.router.request import Request
     from wingfall.wire.messages import End
 
@@ -60,6 +64,8 @@
         """
         if self.failed is not None:
             return run_failed(self.failed)
+        if self.refused and self.refused.reason in KEY_REASONS:
+            return key_refused(self.refused)
         return no_capacity(self.refused)
 
 
@@ -144,7 +150,7 @@
         attempt: Attempt,
         progress: _Progress,
     ) -> Result[Answer, Refusal] | None:
-        links = self._directory.usable(attempt.request, progress.tried)
+        links = self._find_links(attempt, progress)
         if not links:
             return Failure(self._nowhere(attempt.request, progress))
         tier = attempt.request.request_class.tier
@@ -164,6 +170,20 @@
             return self._await_run(attempt, progress, call_id)
         return self._await_grant(attempt, progress)
 
+    def _find_links(
+        self,
+        attempt: Attempt,
+        progress: _Progress,
+    ) -> list[AgentLink]:
+        if not attempt.request.key:
+            return self._directory.usable(attempt.request, progress.tried)
+        home = self._directory.home(attempt.request)
+        attempt.members = home.members
+        link = self._directory.links.get(home.endpoint)
+        if link is None or home.endpoint in progress.tried:
+            return []
+        return [link] if link.usable else []
+
     def _await_grant(
         self,
         attempt: Attempt,
@@ -249,6 +269,8 @@
     def _nowhere(self, request: Request, progress: _Progress) -> Refusal:
         if progress.refused or progress.failed:
             return progress.refuse()
+        if request.key and self._directory.configured(request):
+            return key_home_down()
         return no_endpoint(configured=self._directory.configured(request))
 
     def _log_offers(
--- a/wingfall/router/intake.py
+++ b/wingfall/router/intake.py
@@ -28,6 +28,7 @@
 _TOO_LARGE: Final = 413
 _UNAVAILABLE: Final = 503
 _RETRY_MS: Final = 1000
+_MAX_KEY: Final = 200
 _PRIVATE_HEADERS: Final = frozenset(
     (
         'authorization',
@@ -184,6 +185,11 @@
         timeout = _read_timeout(http, terms)
         if not isinstance(timeout, Success):
             return Failure(timeout.failure())
+        key = http.get_header('Idempotency-Key', '')
+        if len(key) > _MAX_KEY:
+            reason = f'Idempotency-Key has more than {_MAX_KEY} characters'
+            return Failure(_bad_request('bad_key', reason))
+        repeatable = _is_repeatable(http, terms)
         request_id = f'{self._prefix}-{next(self._numbers):x}'
         return Success(
             Request(
@@ -192,13 +198,14 @@
                 request_class=terms,
                 arrived_ms=arrived_ms,
                 timeout_ms=timeout.unwrap(),
-                repeatable=_is_repeatable(http, terms),
+                repeatable=repeatable,
                 method=http.method,
                 path=path,
                 headers=_endpoint_headers(http, request_id, terms),
                 body=body,
                 model=model,
                 service=service,
+                key=f'{customer.name}/{key}' if key and not repeatable else '',
             ),
         )
 
--- a/wingfall/router/link.py
+++ b/wingfall/router/link.py
@@ -14,7 +14,7 @@
 from wingfall.supervisor import Backoff
 from wingfall.wire.connection import Connection
 from wingfall.wire.handshake import greet_peer
-from wingfall.wire.messages import Message, Refused, Report
+from wingfall.wire.messages import HomeMembers, Message, Refused, Report
 from wingfall.wire.reasons import RefusalReason
 
 if TYPE_CHECKING:
@@ -41,6 +41,7 @@
         '_calls',
         '_connection',
         '_copy',
+        '_homes',
         '_identity',
         '_report',
         '_sent_since',
@@ -72,6 +73,7 @@
         self._connection: Connection | None = None
         self._report: Report | None = None
         self._sent_since = 0
+        self._homes: dict[str, bytes] = {}
         self._calls: dict[str, Mailbox] = {}
         self._up = Event()
         self._stopped = Event()
@@ -135,6 +137,18 @@
         if self._connection is not None:
             self._connection.send(message)
 
+    def tell_homes(self, homes: dict[str, bytes]) -> None:
+        """Tell the agent which endpoints share idempotency keys with it.
+
+        :param homes: digest of the members by home; what the agent has
+            been told already is not sent again.
+        """
+        known = self._homes
+        self._homes = homes
+        for home, members in homes.items():
+            if known.get(home) != members:
+                self.send(HomeMembers(home=home, members=members))
+
     def wait_up(self, timeout_ms: int) -> bool:
         """Wait until the link is up.
 
@@ -179,6 +193,8 @@
 
     def _serve(self, connection: Connection) -> None:
         self._connection = connection
+        for home, members in self._homes.items():
+            self.send(HomeMembers(home=home, members=members))
         for message in connection.receive():
             if isinstance(message, Report):
                 self._take_report(message)
--- a/wingfall/router/refusals.py
+++ b/wingfall/router/refusals.py
@@ -2,22 +2,30 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from wingfall.errors import Refusal, RunState
 from wingfall.wire.messages import End
+from wingfall.wire.reasons import RefusalReason
 
 if TYPE_CHECKING:
     from wingfall.router.attempt import Attempt
     from wingfall.wire.messages import Refused
 
 _NOT_FOUND = 404
+_CONFLICT = 409
 _CALLER_LEFT = 499
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _TIMED_OUT = 504
 _RETRY_MS = 1000
 
+KEY_REASONS: Final = {
+    RefusalReason.key_in_use: 'the first request of this key still runs',
+    RefusalReason.key_mismatch: 'this key stands for another request',
+    RefusalReason.key_not_held: 'this key may have run, its answer is not held',
+}
+
 
 def no_endpoint(*, configured: bool) -> Refusal:
     """Refuse a request that no endpoint can take now.
@@ -77,6 +85,39 @@
     )
 
 
+def key_home_down() -> Refusal:
+    """Refuse a request whose key can't be looked up now.
+
+    :returns: the refusal; an earlier try of the key may have run.
+    """
+    return Refusal(
+        status=_UNAVAILABLE,
+        kind='capacity_error',
+        code='key_home_down',
+        message='the endpoint that knows this Idempotency-Key is not up',
+        run=RunState.unknown,
+        retry_after_ms=_RETRY_MS,
+    )
+
+
+def key_refused(refused: Refused) -> Refusal:
+    """Refuse a request because of its key.
+
+    :param refused: the refusal of the key's home.
+    :returns: the refusal.
+    """
+    return Refusal(
+        status=_CONFLICT,
+        kind='idempotency_error',
+        code=refused.reason,
+        message=KEY_REASONS[RefusalReason(refused.reason)],
+        run=RunState.unknown,
+        retry_after_ms=(
+            _RETRY_MS if refused.reason == RefusalReason.key_in_use else None
+        ),
+    )
+
+
 def caller_left(run: RunState) -> Refusal:
     """Note that nobody is there to get the answer.
 
--- a/wingfall/router/request.py
+++ b/wingfall/router/request.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING, final
 
+from wingfall.router.homes import home_name
+
 if TYPE_CHECKING:
     from wingfall.objects.customer import Customer
     from wingfall.objects.endpoint import Endpoint
@@ -19,6 +22,7 @@
         'body',
         'customer',
         'headers',
+        'key',
         'method',
         'model',
         'path',
@@ -44,6 +48,7 @@
         body: bytes,
         model: str | None = None,
         service: str | None = None,
+        key: str = '',
     ) -> None:
         """Describe a request.
 
@@ -59,6 +64,7 @@
         :param body: its body.
         :param model: the model, for an engine.
         :param service: the service, for a plain service.
+        :param key: idempotency key of an unrepeatable request.
         """
         self.request_id = request_id
         self.customer = customer
@@ -72,12 +78,27 @@
         self.body = body
         self.model = model
         self.service = service
+        self.key = key
 
     @property
     def deadline_ms(self) -> int:
         """When the caller gives up."""
         return self.arrived_ms + self.timeout_ms
 
+    @property
+    def home_name(self) -> str:
+        """What an idempotency key is homed by: the class and the resource."""
+        resource = self.model or self.service or ''
+        return home_name(self.request_class.name, resource)
+
+    def digest(self) -> bytes:
+        """Compute the digest that an idempotency key stands for.
+
+        :returns: a digest of method, path and body.
+        """
+        text = f'{self.method} {self.path}\n'.encode()
+        return hashlib.sha256(text + self.body).digest()
+
     def why_not(self, endpoint: Endpoint) -> str:
         """Tell why an endpoint can't serve this request.
 
--- a/wingfall/settings/schema.py
+++ b/wingfall/settings/schema.py
@@ -152,6 +152,12 @@
             600_000,
             'How long a call outlives the link to its router.',
         ),
+        key_window_ms=_number(
+            120_000,
+            1000,
+            86_400_000,
+            'How long an idempotency key is known after its run.',
+        ),
         report_ms=_number(1000, 50, 60_000, 'Time between load reports.'),
         drain_ms=_number(600_000, 0, 3_600_000, 'Longest planned stop.'),
     ),
--- a/wingfall/wire/messages.py
+++ b/wingfall/wire/messages.py
@@ -31,6 +31,9 @@
 
 
 _NUMBER: Final = (int, float)
+# Fields of an offer: the terms of the class, then times and targets.
+_TERMS: Final = (str, str, int, str, _NUMBER, _NUMBER, int)
+_TARGETS: Final = (int, int, int, bool, int, int)
 _MessageType = TypeVar('_MessageType', bound=type[Message])
 _MESSAGES: Final[dict[int, type[Message]]] = {}
 
@@ -205,9 +208,7 @@
 
 
 @final
-@message(
-    5, str, str, int, str, _NUMBER, _NUMBER, int, int, int, int, bool, int, int
-)
+@message(5, *_TERMS, *_TARGETS, str, bytes, str, bytes)
 class Offer(Message):
     """Ask for a slot; carries all that an agent must know of the class."""
 
@@ -225,6 +226,10 @@
         'eager',
         'first_token_ms',
         'token_gap_ms',
+        'key',
+        'digest',
+        'home',
+        'members',
     )
 
     def __init__(
@@ -243,6 +248,10 @@
         eager: bool = False,
         first_token_ms: int = 0,
         token_gap_ms: int = 0,
+        key: str = '',
+        digest: bytes = b'',
+        home: str = '',
+        members: bytes = b'',
     ) -> None:
         """Offer a call.
 
@@ -259,6 +268,10 @@
         :param eager: whether run follows at once, without a grant.
         :param first_token_ms: target of the class, 0 for none.
         :param token_gap_ms: target of the class, 0 for none.
+        :param key: idempotency key, empty for none.
+        :param digest: digest of the request that the key stands for.
+        :param home: what the key is homed by.
+        :param members: digest of the endpoints that share such keys.
         """
         self.call_id = call_id
         self.class_name = class_name
@@ -273,6 +286,10 @@
         self.eager = eager
         self.first_token_ms = first_token_ms
         self.token_gap_ms = token_gap_ms
+        self.key = key
+        self.digest = digest
+        self.home = home
+        self.members = members
 
 
 @final
@@ -494,6 +511,23 @@
         self.call_id = call_id
 
 
+@final
+@message(17, str, bytes)
+class HomeMembers(Message):
+    """Which endpoints share the idempotency keys of a home."""
+
+    __slots__ = ('home', 'members')
+
+    def __init__(self, *, home: str, members: bytes) -> None:
+        """Tell the members.
+
+        :param home: what the keys are homed by.
+        :param members: digest of the endpoints.
+        """
+        self.home = home
+        self.members = members
+
+
 @final
 @message(16, str, int)
 class Resume(Message):
--- a/wingfall/wire/reasons.py
+++ b/wingfall/wire/reasons.py
@@ -15,5 +15,8 @@
     grant_lapsed = 'grant_lapsed'
     busy = 'busy'
     unknown_call = 'unknown_call'
+    key_in_use = 'key_in_use'
+    key_mismatch = 'key_mismatch'
+    key_not_held = 'key_not_held'
     endpoint_down = 'endpoint_down'
     link_down = 'link_down'
