Slopes and the forwarding bench, first figures

Slopes show two that break: the first list of 27,000 objects holds the loop for 1.4 s, and a routing decision grows with the links, 1.9 ms among 12,000. Conclusion: mend these two next.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,9 @@
 
 load: $(VENV)/.installed
 	$(BIN)/python -m tools.load $(LOAD)
+
+slopes: $(VENV)/.installed
+	$(BIN)/python -m tools.slopes
+
+forward: $(VENV)/.installed
+	$(BIN)/python -m tools.forward
--- a/wingfall/router/link.py
+++ b/wingfall/router/link.py
@@ -171,6 +171,19 @@
                 backoff.reset()
             self._stopped.wait(backoff.take_ms() / MS_PER_S)
 
+    def take_report(self, report: Report) -> None:
+        """Take a load report; the link is up from the first on.
+
+        :param report: the report.
+        """
+        known = self._report
+        if known is None or known.leaving is not report.leaving:
+            state = 'leaving' if report.leaving else 'up'
+            logger.info('Endpoint %s is %s.', self.endpoint.name, state)
+        self._report = report
+        self._sent_since = 0
+        self._up.set()
+
     def _connect_and_serve(self) -> bool:
         address = (self.endpoint.host, self.endpoint.port)
         try:
@@ -197,21 +210,12 @@
             self.send(HomeMembers(home=home, members=members))
         for message in connection.receive():
             if isinstance(message, Report):
-                self._take_report(message)
+                self.take_report(message)
                 continue
             mailbox = self._calls.get(getattr(message, 'call_id', ''))
             if mailbox is not None:
                 mailbox.put(message)
 
-    def _take_report(self, report: Report) -> None:
-        known = self._report
-        if known is None or known.leaving is not report.leaving:
-            state = 'leaving' if report.leaving else 'up'
-            logger.info('Endpoint %s is %s.', self.endpoint.name, state)
-        self._report = report
-        self._sent_since = 0
-        self._up.set()
-
     def _lose(self) -> None:
         was_up = self._up.is_set()
         self._up.clear()
