Lists in slices, and routing decisions that don't grow with the site

Links by class and resource are kept until the next change, and of many a sample of 24 is looked at.

--- a/wingfall/config/copy.py
+++ b/wingfall/config/copy.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING, Any, Callable, TypeAlias, final
 
-from returns.result import Success
+import gevent
+from returns.result import Result, Success
 
 from wingfall.config.history import History, object_key
 from wingfall.log import part_logger
@@ -20,9 +21,33 @@
 
 _Key: TypeAlias = tuple[str, str]
 
+_SLICE = 50
+
 logger = part_logger('config')
 
 
+@final
+class _Parsed:
+    """An object after its check."""
+
+    __slots__ = ('key', 'outcome')
+
+    def __init__(
+        self,
+        *,
+        key: _Key,
+        outcome: Result[ConfigObject, str] | None,
+    ) -> None:
+        """Keep the outcome.
+
+        :param key: kind and name.
+        :param outcome: the typed object or its fault, None for a kind that
+            is no configuration.
+        """
+        self.key = key
+        self.outcome = outcome
+
+
 @final
 class ConfigCopy:
     """Typed objects at one version, which only ever rises.
@@ -109,16 +134,24 @@
     def apply_list(self, objects: ObjectList) -> bool:
         """Take a whole list.
 
+        A long list is parsed in slices, between which others run; it comes
+        in force at once when all is parsed.
+
         :param objects: the list.
         :returns: False if its version is not above the one in force.
         """
+        parsed: list[_Parsed] = []
+        for number, raw in enumerate(objects.objects):
+            if number % _SLICE == _SLICE - 1:
+                gevent.sleep(0)
+            parsed.append(_parse(raw))
         if objects.version <= self._version:
             return False
-        listed = {object_key(raw) for raw in objects.objects}
+        listed = {each.key for each in parsed}
         for key in self._keys() - listed:
             self._remove(key)
-        for raw in objects.objects:
-            self._take(raw)
+        for each in parsed:
+            self._take(each)
         self._history.replace(objects.version, objects.objects)
         self._finish(objects.version)
         return True
@@ -137,22 +170,21 @@
         if event.deleted:
             self._remove(object_key(event.raw))
         else:
-            self._take(event.raw)
+            self._take(_parse(event.raw))
         self._history.note(event)
         self._finish(event.version)
         return True
 
-    def _take(self, raw: dict[str, Any]) -> None:
-        key = object_key(raw)
-        if not is_config_kind(key[0]):
+    def _take(self, parsed: _Parsed) -> None:
+        if parsed.outcome is None:
             return
-        parsed = parse_object(raw)
-        if not isinstance(parsed, Success):
-            self._faults[key] = parsed.failure()
-            logger.warning('Refused %s %s: %s.', *key, parsed.failure())
+        if not isinstance(parsed.outcome, Success):
+            fault = parsed.outcome.failure()
+            self._faults[parsed.key] = fault
+            logger.warning('Refused %s %s: %s.', *parsed.key, fault)
             return
-        self._remove(key)
-        typed = parsed.unwrap()
+        self._remove(parsed.key)
+        typed = parsed.outcome.unwrap()
         self._tables[type(typed)][typed.name] = typed
         if isinstance(typed, Customer):
             for key_hash in typed.key_hashes:
@@ -184,3 +216,9 @@
         logger.info('Version %d is in force.', version)
         for listener in self._listeners:
             listener()
+
+
+def _parse(raw: dict[str, Any]) -> _Parsed:
+    key = object_key(raw)
+    outcome = parse_object(raw) if is_config_kind(key[0]) else None
+    return _Parsed(key=key, outcome=outcome)
--- a/wingfall/router/directory.py
+++ b/wingfall/router/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING, Callable, final
 
 from wingfall.log import part_logger
@@ -14,6 +15,9 @@
     from wingfall.router.request import Request
     from wingfall.supervisor import Supervisor
 
+_SAMPLE = 24
+_ENOUGH = 8
+
 logger = part_logger('router.directory')
 
 
@@ -21,7 +25,14 @@
 class Directory:
     """Opens and closes links as endpoints come and go."""
 
-    __slots__ = ('_copy', '_links', '_make_link', '_supervisor')
+    __slots__ = (
+        '_copy',
+        '_eligible',
+        '_links',
+        '_make_link',
+        '_random',
+        '_supervisor',
+    )
 
     def __init__(
         self,
@@ -40,6 +51,9 @@
         self._supervisor = supervisor
         self._make_link = make_link
         self._links: dict[str, AgentLink] = {}
+        # Links by class and resource, as far as they were asked for.
+        self._eligible: dict[str, list[AgentLink]] = {}
+        self._random = random.Random()  # noqa: S311
         copy.listen(self._follow)
 
     @property
@@ -48,19 +62,22 @@
         return self._links
 
     def usable(self, request: Request, tried: set[str]) -> list[AgentLink]:
-        """List the links that can take a request now.
+        """List links that can take a request now.
+
+        Of many, a random sample is looked at first, so that the cost of a
+        decision doesn't grow with the site.
 
         :param request: the request.
         :param tried: endpoints that have refused it.
-        :returns: the links.
+        :returns: the links, empty only if there is none.
         """
-        return [
-            link
-            for link in self._links.values()
-            if link.usable
-            and link.endpoint.name not in tried
-            and not request.why_not(link.endpoint)
-        ]
+        eligible = self._find_eligible(request)
+        if len(eligible) > _SAMPLE:
+            sampled = self._random.sample(eligible, _SAMPLE)
+            usable = _usable(sampled, tried)
+            if len(usable) > _ENOUGH:
+                return usable
+        return _usable(eligible, tried)
 
     def home(self, request: Request) -> Home:
         """Find the home of a request's idempotency key.
@@ -87,7 +104,21 @@
             not request.why_not(endpoint) for endpoint in self._copy.endpoints
         )
 
+    def _find_eligible(self, request: Request) -> list[AgentLink]:
+        eligible = self._eligible.get(request.home_name)
+        if eligible is None:
+            eligible = [
+                link
+                for link in self._links.values()
+                if not request.why_not(link.endpoint)
+            ]
+            if eligible:
+                # Callers can name any model; only real ones are kept.
+                self._eligible[request.home_name] = eligible
+        return eligible
+
     def _follow(self) -> None:
+        self._eligible.clear()
         wanted = {endpoint.name: endpoint for endpoint in self._copy.endpoints}
         for name, link in list(self._links.items()):
             if not _same_place(link.endpoint, wanted.get(name)):
@@ -108,6 +139,14 @@
         logger.info('Endpoint %s was added.', endpoint.name)
 
 
+def _usable(links: list[AgentLink], tried: set[str]) -> list[AgentLink]:
+    return [
+        link
+        for link in links
+        if link.usable and link.endpoint.name not in tried
+    ]
+
+
 def _same_place(known: Endpoint, wanted: Endpoint | None) -> bool:
     if wanted is None:
         return False
