--- a/wingfall/agent/endpoint_client.py
+++ b/wingfall/agent/endpoint_client.py
@@ -16,6 +16,7 @@
     from wingfall.wire.messages import Run
 
 _READ_BYTES: Final = 65_536
+_GRACE_MS: Final = 1000
 _KEPT_HEADERS: Final = frozenset(
     ('content-type', 'cache-control', 'location', 'etag', 'last-modified'),
 )
@@ -135,7 +136,9 @@
         """
         timeout = urllib3.Timeout(
             connect=self._connect_s,
-            read=min(self._idle_s, run.timeout_ms / MS_PER_S),
+            # The router is the judge of its caller's time; this is for a
+            # router that can't cancel.
+            read=min(self._idle_s, (run.timeout_ms + _GRACE_MS) / MS_PER_S),
         )
         try:
             response = self._pool.urlopen(
