Prefix affinity from a router's own history

Change: a router hashes the first 16 blocks of 256 characters of a prompt, remembers where each went (50,000 entries), and counts the likely cached part of an agent's time to a first token as a gain; a queue outweighs it. The engine stand-in has a block cache; make load compares.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,6 +15,7 @@
     monkey.patch_all()
 
 import argparse
+import collections
 import hashlib
 import heapq
 import itertools
@@ -27,6 +28,7 @@
 from gevent.event import Event
 
 from standins.serving import answer_json, serve
+from wingfall.decision.affinity import hash_prefixes, prompt_text
 from wingfall.http_server import SOCKET_KEY, peer_closed
 
 if TYPE_CHECKING:
@@ -49,6 +51,7 @@
         request_id: str,
         model: str,
         tokens: int,
+        blocks: list[bytes],
         sock: socket.socket,
     ) -> None:
         """Describe a generation.
@@ -56,9 +59,11 @@
         :param request_id: id of the request.
         :param model: the model.
         :param tokens: tokens that it will have.
+        :param blocks: hashes of the blocks of its prompt.
         :param sock: connection of the caller.
         """
         self.sock = sock
+        self.blocks = blocks
         self.request_id = request_id
         self.model = model
         self.tokens = tokens
@@ -100,6 +105,8 @@
         token_ms: float,
         prefill_ms: float,
         crowding: float = 0,
+        block_ms: float = 0,
+        cache_blocks: int = 1000,
     ) -> None:
         """Start idle.
 
@@ -107,7 +114,15 @@
         :param token_ms: time between tokens.
         :param prefill_ms: time to the first token.
         :param crowding: how much slower each further generation makes all.
+        :param block_ms: time for a block of the prompt that isn't cached.
+        :param cache_blocks: blocks that are cached, the least used go first.
         """
+        self.blocks_made = 0
+        self._block_ms = block_ms
+        self._cache_blocks = cache_blocks
+        self._cache: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
         self._crowding = crowding
         self.script: dict[str, Any] = {}
         self.streams: dict[str, list[Stream]] = {}
@@ -154,6 +169,7 @@
         app.get('/streams/<request_id>', callback=self._resume)
         app.post('/script', callback=self._set_script)
         app.get('/ledger', callback=self._ledger)
+        app.get('/blocks', callback=lambda: answer_json(self.blocks_made))
         return app
 
     def _complete(self) -> Any:
@@ -165,6 +181,7 @@
             request_id=request_id,
             model=asked['model'],
             tokens=int(asked.get('max_tokens', _DEFAULT_TOKENS)),
+            blocks=hash_prefixes(prompt_text(asked)),
             sock=bottle.request.environ[SOCKET_KEY],
         )
         self.streams.setdefault(request_id, []).append(stream)
@@ -211,7 +228,8 @@
         return answer
 
     def _generate(self, stream: Stream) -> Iterator[int]:
-        gevent.sleep(self._prefill_ms * self._pace() / _MS)
+        prefill_ms = self._prefill_ms + self._read_prompt(stream)
+        gevent.sleep(prefill_ms * self._pace() / _MS)
         for number in range(stream.tokens):
             if number:
                 gevent.sleep(self._token_ms * self._pace() / _MS)
@@ -220,6 +238,16 @@
             stream.made += 1
             yield number
 
+    def _read_prompt(self, stream: Stream) -> float:
+        missing = [block for block in stream.blocks if block not in self._cache]
+        self.blocks_made += len(missing)
+        for block in stream.blocks:
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+        while len(self._cache) > self._cache_blocks:
+            self._cache.popitem(last=False)
+        return self._block_ms * len(missing)
+
     def _pace(self) -> float:
         crowd = 1 + self._crowding * max(0, self._running - 1)
         return self.script.get('pace', 1) * crowd
@@ -289,12 +317,16 @@
     parser.add_argument('--token-ms', type=float, default=5)
     parser.add_argument('--prefill-ms', type=float, default=20)
     parser.add_argument('--crowding', type=float, default=0)
+    parser.add_argument('--block-ms', type=float, default=0)
+    parser.add_argument('--cache-blocks', type=int, default=1000)
     chosen = parser.parse_args()
     engine = EngineStandIn(
         capacity=chosen.capacity,
         token_ms=chosen.token_ms,
         prefill_ms=chosen.prefill_ms,
         crowding=chosen.crowding,
+        block_ms=chosen.block_ms,
+        cache_blocks=chosen.cache_blocks,
     )
     serve(engine.app, chosen.port)
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -43,6 +43,9 @@
 _US: Final = 1000
 _EVENT: Final = b'data: {"id"'
 _GRACE_S: Final = 2
+_BLOCK_MS: Final = 8
+_CACHE_BLOCKS: Final = 800
+_AFFINITY_LOAD: Final = 0.7
 
 
 @final
@@ -97,6 +100,7 @@
         profile: str,
         without: int,
         slow: int,
+        block_ms: float,
     ) -> None:
         """Start everything.
 
@@ -105,7 +109,9 @@
         :param profile: name of the traffic.
         :param without: engine that is left out, or -1.
         :param slow: engine at a third of its pace, or -1.
+        :param block_ms: time of an engine for a block that isn't cached.
         """
+        self._block_ms = block_ms
         self._fleet = fleet
         self._policy = policy
         self.platform = fleet.start_standin('platform', 'platform')
@@ -149,6 +155,16 @@
             for agent in self.agents
         )
 
+    def blocks_made(self) -> int:
+        """Count the prompt blocks that engines had to work out.
+
+        :returns: the sum over all engines.
+        """
+        return sum(
+            self._fleet.get_json(f'{engine.url}/blocks')
+            for engine in self.engines
+        )
+
     def _write_objects(self, profile: str) -> None:
         for traffic in PROFILES[profile]:
             self._fleet.put_object(self.platform, traffic.to_object())
@@ -164,6 +180,8 @@
             f'--capacity={slots}',
             f'--token-ms={token_ms}',
             f'--prefill-ms={prefill_ms}',
+            f'--block-ms={self._block_ms}',
+            f'--cache-blocks={_CACHE_BLOCKS}',
         )
         self.engines.append(process)
         self._start_agent(name, process, slots, type='engine', models=['m'])
@@ -282,6 +300,7 @@
     profile: str,
     without: int = -1,
     slow: int = -1,
+    block_ms: float = 0,
 ) -> dict[str, Any]:
     """Serve the arrivals by a policy, in a fresh site.
 
@@ -290,6 +309,7 @@
     :param profile: name of the traffic.
     :param without: engine that is left out, or -1.
     :param slow: engine at a third of its pace, or -1.
+    :param block_ms: time of an engine for a block that isn't cached.
     :returns: the figures.
     """
     with tempfile.TemporaryDirectory() as folder:
@@ -301,11 +321,13 @@
                 profile=profile,
                 without=without,
                 slow=slow,
+                block_ms=block_ms,
             )
             outcomes = drive(site, arrivals)
             gevent.sleep(_GRACE_S)
             figures = summarize(outcomes, arrivals, site.runs())
             figures['inversions'] = site.inversions()
+            figures['blocks_made'] = site.blocks_made()
         finally:
             fleet.stop()
     return figures
@@ -374,7 +396,7 @@
             'model': 'm',
             'stream': True,
             'max_tokens': arrival.tokens,
-            'messages': [],
+            'messages': [{'role': 'user', 'content': arrival.prompt}],
         }
     ask = Ask(
         url=router.url + path,
@@ -437,6 +459,30 @@
     return figures
 
 
+def _compare_affinity(chosen: argparse.Namespace, profile: str) -> Any:
+    arrivals = make_arrivals(
+        PROFILES[profile],
+        load=_AFFINITY_LOAD,
+        seconds=chosen.seconds,
+        tokens_per_s=capacity(),
+        customers=list(_CUSTOMERS),
+        seed=_SEED,
+    )
+    print(f'{profile}, {_BLOCK_MS} ms a prompt block that is not cached')
+    figures = {}
+    for name, router in (('affinity', {}), ('none', {'affinity': False})):
+        policy = Policy(name=name, router=router, agent={})
+        figures[name] = run_policy(
+            policy,
+            arrivals,
+            profile=profile,
+            block_ms=_BLOCK_MS,
+        )
+        print_figures(name, figures[name])
+        print(f'    prompt blocks worked out: {figures[name]["blocks_made"]}')
+    return figures
+
+
 def main() -> int:
     """Run the program.
 
@@ -452,6 +498,7 @@
     )
     parser.add_argument('--seconds', type=float, default=10)
     parser.add_argument('--slow', action='store_true')
+    parser.add_argument('--affinity', action='store_true')
     chosen = parser.parse_args()
     report: dict[str, Any] = {}
     for profile in chosen.profiles:
@@ -459,6 +506,8 @@
             report[f'{profile} {load}'] = _compare(chosen, profile, load)
         if chosen.slow:
             report[f'{profile} slow'] = _compare_slow(chosen, profile)
+        if chosen.affinity:
+            report[f'{profile} affinity'] = _compare_affinity(chosen, profile)
     out = pathlib.Path('out')
     out.mkdir(exist_ok=True)
     (out / 'load.json').write_bytes(
--- a/tools/traffic.py
+++ b/tools/traffic.py
@@ -6,7 +6,11 @@
 import random
 from typing import Any, Final, final
 
+from wingfall.decision.affinity import BLOCK_CHARS
+
 _SIGMA: Final = 0.8
+_CONVERSATIONS: Final = 60
+_SHARED_BLOCKS: Final = 12
 _SHORTEST: Final = 2
 _LONGEST_TIMES: Final = 8
 _BURST_TIMES: Final = 3
@@ -176,7 +180,7 @@
 class Arrival:
     """One request to come."""
 
-    __slots__ = ('at_s', 'customer', 'tokens', 'traffic')
+    __slots__ = ('at_s', 'customer', 'prompt', 'tokens', 'traffic')
 
     def __init__(
         self,
@@ -185,6 +189,7 @@
         traffic: TrafficClass,
         tokens: int,
         customer: str,
+        prompt: str,
     ) -> None:
         """Describe a request.
 
@@ -192,7 +197,9 @@
         :param traffic: its class.
         :param tokens: length of its answer, unknown to wingfall.
         :param customer: who sends it.
+        :param prompt: what it says; its beginning is its conversation's.
         """
+        self.prompt = prompt
         self.at_s = at_s
         self.traffic = traffic
         self.tokens = tokens
@@ -232,6 +239,7 @@
                     traffic=traffic,
                     tokens=_length(chance, traffic.tokens),
                     customer=chance.choices(customers, weights)[0],
+                    prompt=_prompt(chance, traffic.name),
                 ),
             )
     return sorted(arrivals, key=_arrives)
@@ -261,6 +269,14 @@
     return times
 
 
+def _prompt(chance: random.Random, name: str) -> str:
+    # Twelve blocks that a conversation shares, and one of its own.
+    conversation = f'{name} {chance.randrange(_CONVERSATIONS):04} '
+    own = f'{chance.random():.16f} '
+    shared = (conversation * BLOCK_CHARS)[: BLOCK_CHARS * _SHARED_BLOCKS]
+    return shared + (own * BLOCK_CHARS)[:BLOCK_CHARS]
+
+
 def _length(chance: random.Random, mean: int) -> int:
     # A log-normal length has the heavy tail that answers have.
     if not mean:
--- a/wingfall/agent/application.py
+++ b/wingfall/agent/application.py
@@ -226,6 +226,7 @@
             leaving=self._gate.leaving,
             headroom=self._gate.headroom,
             token_gap_us=int(self._pace.gap_ms * US_PER_MS),
+            first_token_ms=int(self._pace.first_ms),
         )
 
     def _note_router(self, config_version: int) -> Report:
--- a/wingfall/decision/choice.py
+++ b/wingfall/decision/choice.py
@@ -20,6 +20,7 @@
 
     __slots__ = (
         'free_slots',
+        'gain_ms',
         'limit',
         'load',
         'mean_run_ms',
@@ -40,6 +41,7 @@
         mean_run_ms: int,
         reserved: int = 0,
         token_gap_ms: float = 0,
+        gain_ms: float = 0,
     ) -> None:
         """Describe an agent.
 
@@ -51,6 +53,7 @@
         :param mean_run_ms: mean time of its calls.
         :param reserved: slots of the limit that the request may not take.
         :param token_gap_ms: its time between two tokens, 0 if not known.
+        :param gain_ms: what a cached beginning of the prompt saves there.
         """
         self.name = name
         self.same_zone = same_zone
@@ -59,6 +62,7 @@
         self.load = reported + sent_since
         self.free_slots = max(0, limit - reserved - self.load)
         self.token_gap_ms = token_gap_ms
+        self.gain_ms = gain_ms
         self.mean_run_ms = mean_run_ms
 
     @property
@@ -187,6 +191,11 @@
         """
         samples = min(len(candidates), _SAMPLES_PER_OFFER * count + 1)
         sample = self._random.sample(candidates, samples)
+        sample.extend(
+            agent
+            for agent in candidates
+            if agent.gain_ms and agent not in sample
+        )
         sample.sort(key=_cost)
         return sample[:count]
 
@@ -194,5 +203,5 @@
 def _cost(agent: Candidate) -> tuple[float, float]:
     # A call should end early, so a slow agent must be that much emptier.
     away_ms = 0 if agent.same_zone else _ZONE_MS
-    ends_ms = agent.delay_ms + agent.mean_run_ms + away_ms
+    ends_ms = agent.delay_ms + agent.mean_run_ms + away_ms - agent.gain_ms
     return ends_ms, agent.load / max(1, agent.limit)
--- a/wingfall/decision/limit.py
+++ b/wingfall/decision/limit.py
@@ -31,11 +31,12 @@
     one means that targets are missed.
     """
 
-    __slots__ = ('_samples', 'gap_ms', 'pressure')
+    __slots__ = ('_samples', 'first_ms', 'gap_ms', 'pressure')
 
     def __init__(self) -> None:
         """Start without samples."""
         self.gap_ms = float()
+        self.first_ms = float()
         self.pressure = float()
         self._samples = 0
 
@@ -65,6 +66,10 @@
         :param first_ms: the time.
         :param target_ms: target of its class, 0 for none.
         """
+        known = self.first_ms or first_ms
+        # Cached prompts start sooner; what they save is the slower kind.
+        weight = _SMOOTHING if first_ms > known else _SMOOTHING / 4
+        self.first_ms = known + (first_ms - known) * weight
         if target_ms:
             self._note(first_ms / target_ms)
 
--- a/wingfall/router/directory.py
+++ b/wingfall/router/directory.py
@@ -10,6 +10,8 @@
 from wingfall.router.link import AgentLink
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from wingfall.config.copy import ConfigCopy
     from wingfall.objects.endpoint import Endpoint
     from wingfall.router.request import Request
@@ -61,7 +63,12 @@
         """All links by name of the endpoint."""
         return self._links
 
-    def usable(self, request: Request, tried: set[str]) -> list[AgentLink]:
+    def usable(
+        self,
+        request: Request,
+        tried: set[str],
+        wanted: Iterable[str] = (),
+    ) -> list[AgentLink]:
         """List links that can take a request now.
 
         Of many, a random sample is looked at first, so that the cost of a
@@ -69,11 +76,19 @@
 
         :param request: the request.
         :param tried: endpoints that have refused it.
+        :param wanted: endpoints to look at in any case.
         :returns: the links, empty only if there is none.
         """
         eligible = self._find_eligible(request)
         if len(eligible) > _SAMPLE:
             sampled = self._random.sample(eligible, _SAMPLE)
+            sampled.extend(
+                link
+                for link in map(self._links.get, wanted)
+                if link is not None
+                and link not in sampled
+                and not request.why_not(link.endpoint)
+            )
             usable = _usable(sampled, tried)
             if len(usable) > _ENOUGH:
                 return usable
--- a/wingfall/router/dispatcher.py
+++ b/wingfall/router/dispatcher.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
+from wingfall.decision.affinity import PrefixHistory
 from wingfall.errors import Refusal, RunState
 from wingfall.log import part_logger
 from wingfall.router.answer import Answer
@@ -25,6 +26,7 @@
 from wingfall.wire.reasons import RefusalReason
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from types import SimpleNamespace
 
     from wingfall.clock import Clock
@@ -79,11 +81,13 @@
     """
 
     __slots__ = (
+        '_affinity',
         '_attempts',
         '_budget',
         '_choice',
         '_clock',
         '_directory',
+        '_history',
         '_metrics',
         '_offers',
         '_resume_ms',
@@ -116,6 +120,8 @@
         self._budget = budget
         self._metrics = metrics
         self._wakeups = Wakeups(clock=clock)
+        self._affinity = settings.policy.affinity
+        self._history = PrefixHistory()
         self._attempts = settings.policy.attempts
         self._offers = settings.policy.offers
         self._window = settings.limits.window_bytes
@@ -163,13 +169,17 @@
         attempt: Attempt,
         progress: _Progress,
     ) -> Result[Answer, Refusal] | None:
-        links = self._find_links(attempt, progress)
+        cached = self._history.cached_parts(attempt.request.prefixes)
+        links = self._find_links(attempt, progress, cached)
         if not links:
             return Failure(self._nowhere(attempt.request, progress))
         tier = attempt.request.request_class.tier
         by_name = {link.endpoint.name: link for link in links}
         ranked = self._choice.rank(
-            [link.candidate(tier) for link in links],
+            [
+                link.candidate(tier, cached.get(link.endpoint.name, 0))
+                for link in links
+            ],
             self._offers,
         )
         eager = progress.eager and ranked[0].free_slots > 0
@@ -187,9 +197,14 @@
         self,
         attempt: Attempt,
         progress: _Progress,
+        cached: Iterable[str],
     ) -> list[AgentLink]:
         if not attempt.request.key:
-            return self._directory.usable(attempt.request, progress.tried)
+            return self._directory.usable(
+                attempt.request,
+                progress.tried,
+                cached,
+            )
         home = self._directory.home(attempt.request)
         attempt.members = home.members
         link = self._directory.links.get(home.endpoint)
@@ -228,7 +243,7 @@
         )
         read = answer.read_head()
         if isinstance(read, Success):
-            self._log_start(attempt, answer)
+            self._note_start(attempt, answer)
             return Success(answer)
         return self._after_failed_run(attempt, progress, read.failure())
 
@@ -305,8 +320,10 @@
             ranked[0].delay_ms,
         )
 
-    def _log_start(self, attempt: Attempt, answer: Answer) -> None:
+    def _note_start(self, attempt: Attempt, answer: Answer) -> None:
         request = attempt.request
+        if self._affinity:
+            self._history.note(request.prefixes, answer.endpoint)
         logger.info(
             'Request %s class %s tier %d: runs on %s, head after %d ms.',
             request.request_id,
--- a/wingfall/router/intake.py
+++ b/wingfall/router/intake.py
@@ -8,6 +8,7 @@
 import orjson
 from returns.result import Failure, Result, Success
 
+from wingfall.decision.affinity import hash_prefixes, prompt_text
 from wingfall.decision.classify import check_class, select_class
 from wingfall.errors import Refusal
 from wingfall.objects.customer import hash_key
@@ -44,6 +45,22 @@
 )
 
 
+@final
+class _Prompt:
+    """What the body of a model request says to a router."""
+
+    __slots__ = ('model', 'prefixes')
+
+    def __init__(self, *, model: str, prefixes: list[bytes]) -> None:
+        """Keep it.
+
+        :param model: the model.
+        :param prefixes: hashes of the beginning of the prompt.
+        """
+        self.model = model
+        self.prefixes = prefixes
+
+
 @final
 class Intake:
     """Reads, authenticates and classifies requests."""
@@ -109,12 +126,12 @@
         return self.authenticate(http).bind(
             lambda customer: self._read_body(http).bind(
                 lambda body: _read_model(body).bind(
-                    lambda model: self._build(
+                    lambda prompt: self._build(
                         http,
                         customer,
                         path=path,
                         body=body,
-                        model=model,
+                        prompt=prompt,
                     ),
                 ),
             ),
@@ -174,7 +191,7 @@
         *,
         path: str,
         body: bytes,
-        model: str | None = None,
+        prompt: _Prompt | None = None,
         service: str | None = None,
     ) -> Result[Request, Refusal]:
         arrived_ms = self._clock.now_ms()
@@ -203,7 +220,8 @@
                 path=path,
                 headers=_endpoint_headers(http, request_id, terms),
                 body=body,
-                model=model,
+                model=prompt.model if prompt else None,
+                prefixes=prompt.prefixes if prompt else None,
                 service=service,
                 key=f'{customer.name}/{key}' if key and not repeatable else '',
             ),
@@ -225,7 +243,7 @@
         return check_class(self._copy.find_class(name), name, labels)
 
 
-def _read_model(body: bytes) -> Result[str, Refusal]:
+def _read_model(body: bytes) -> Result[_Prompt, Refusal]:
     try:
         parsed: Any = orjson.loads(body)
     except orjson.JSONDecodeError as error:
@@ -233,7 +251,8 @@
         return Failure(_bad_request('bad_json', reason))
     model = parsed.get('model') if isinstance(parsed, dict) else None
     if isinstance(model, str) and model:
-        return Success(model)
+        prefixes = hash_prefixes(prompt_text(parsed))
+        return Success(_Prompt(model=model, prefixes=prefixes))
     return Failure(_bad_request('no_model', "the body has no text 'model'"))
 
 
--- a/wingfall/router/link.py
+++ b/wingfall/router/link.py
@@ -94,10 +94,11 @@
         """Offers and calls that are open on this link."""
         return len(self._calls)
 
-    def candidate(self, tier: int) -> Candidate:
+    def candidate(self, tier: int, cached_part: float = 0) -> Candidate:
         """Describe this agent for a choice.
 
         :param tier: tier of the request.
+        :param cached_part: part of its prompt that is likely cached there.
         :returns: its load by the last report and what was sent since.
         """
         report = self._report
@@ -110,6 +111,7 @@
             mean_run_ms=report.mean_run_ms if report else 0,
             reserved=report.headroom if report and tier else 0,
             token_gap_ms=report.token_gap_us / US_PER_MS if report else 0,
+            gain_ms=cached_part * report.first_token_ms if report else 0,
         )
 
     def open_call(self, call_id: str, mailbox: Mailbox) -> None:
--- a/wingfall/router/request.py
+++ b/wingfall/router/request.py
@@ -25,6 +25,7 @@
         'key',
         'method',
         'model',
+        'prefixes',
         'path',
         'repeatable',
         'request_class',
@@ -49,6 +50,7 @@
         model: str | None = None,
         service: str | None = None,
         key: str = '',
+        prefixes: list[bytes] | None = None,
     ) -> None:
         """Describe a request.
 
@@ -65,6 +67,7 @@
         :param model: the model, for an engine.
         :param service: the service, for a plain service.
         :param key: idempotency key of an unrepeatable request.
+        :param prefixes: hashes of the beginning of its prompt.
         """
         self.request_id = request_id
         self.customer = customer
@@ -79,6 +82,7 @@
         self.model = model
         self.service = service
         self.key = key
+        self.prefixes = prefixes or []
 
     @property
     def deadline_ms(self) -> int:
--- a/wingfall/settings/schema.py
+++ b/wingfall/settings/schema.py
@@ -95,6 +95,11 @@
         'Decisions.',
         choice=_text('How agents are chosen.', 'expected_delay'),
         offers=_number(2, 1, 3, 'Agents that get an offer at once.'),
+        affinity={
+            'type': 'boolean',
+            'default': True,
+            'description': 'Prefer agents that had a like prompt before.',
+        },
         attempts=_number(4, 1, 10, 'Rounds of offers for one request.'),
         retry_percent=_number(
             10,
--- a/wingfall/wire/messages.py
+++ b/wingfall/wire/messages.py
@@ -159,7 +159,7 @@
 
 
 @final
-@message(4, int, int, int, int, int, bool, int, int)
+@message(4, int, int, int, int, int, bool, int, int, int)
 class Report(Message):
     """State of an agent, sent now and then and as the heartbeat."""
 
@@ -172,6 +172,7 @@
         'leaving',
         'headroom',
         'token_gap_us',
+        'first_token_ms',
     )
 
     def __init__(
@@ -185,6 +186,7 @@
         leaving: bool,
         headroom: int = 0,
         token_gap_us: int = 0,
+        first_token_ms: int = 0,
     ) -> None:
         """Report the load.
 
@@ -196,6 +198,7 @@
         :param leaving: whether it takes no new work.
         :param headroom: slots of the limit that only tier 0 may take.
         :param token_gap_us: smoothed microseconds between two tokens.
+        :param first_token_ms: smoothed time to a first token, uncached.
         """
         self.limit = limit
         self.running = running
@@ -205,6 +208,7 @@
         self.leaving = leaving
         self.headroom = headroom
         self.token_gap_us = token_gap_us
+        self.first_token_ms = first_token_ms
 
 
 @final
