Operators' commands: apply, get, label, delete, status, explain

Change: each sends the version that was read; after a lost answer the object is read back and compared; what can't be told is said so. The platform stand-in can lose answers after a write or deletion.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format load slopes forward latency binary clean
+.PHONY: demo test lint format load slopes forward latency converge binary clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -37,3 +37,6 @@
 
 latency: $(VENV)/.installed
 	$(BIN)/python -m tools.latency
+
+converge: $(VENV)/.installed
+	$(BIN)/python -m tools.converge
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -12,6 +12,7 @@
 if __name__ == '__main__':
     monkey.patch_all()
 
+import socket
 from typing import TYPE_CHECKING, Any, Final, final
 
 import bottle
@@ -20,6 +21,7 @@
 from gevent.event import Event
 
 from standins.serving import answer_json, parse_port, serve
+from wingfall.http_server import SOCKET_KEY
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -151,16 +153,25 @@
     def _put(self, kind: str, name: str) -> bottle.HTTPResponse:
         self._behave()
         status, answer = self.put(orjson.loads(bottle.request.body.read()))
-        if self.script.get('lose_answers', 0) > 0:
-            self.script['lose_answers'] -= 1
-            bottle.request.environ['wingfall.socket'].close()
+        self._lose_answer()
         return answer_json(answer, status)
 
     def _delete(self, kind: str, name: str) -> bottle.HTTPResponse:
         self._behave()
+        wanted = bottle.request.query.get('resourceVersion')
+        held = self.objects.get((kind, name))
+        if held and wanted not in {None, held['metadata']['resourceVersion']}:
+            return answer_json({'code': _CONFLICT}, _CONFLICT)
         status = 200 if self.delete(kind, name) else _NOT_FOUND
+        self._lose_answer()
         return answer_json({}, status)
 
+    def _lose_answer(self) -> None:
+        if self.script.get('lose_answers', 0) > 0:
+            self.script['lose_answers'] -= 1
+            sock = bottle.request.environ[SOCKET_KEY]
+            sock.shutdown(socket.SHUT_RDWR)
+
     def _list_vms(self) -> bottle.HTTPResponse:
         self._behave()
         return answer_json({'items': self.vms})
--- a/wingfall/cmd/application.py
+++ b/wingfall/cmd/application.py
@@ -15,6 +15,12 @@
     ('router', 'Run the router of an entry VM.'),
     ('agent', 'Run the agent beside an endpoint.'),
     ('check', 'Check object files.'),
+    ('apply', 'Create or replace the objects of files.'),
+    ('get', 'Print objects as YAML.'),
+    ('label', 'Set labels by key=value, take them away by key-.'),
+    ('delete', 'Delete an object.'),
+    ('status', 'Show the accepted version and where it is in force.'),
+    ('explain', 'Show which endpoints a request may use, and why not.'),
 )
 
 
--- a/wingfall/platform/client.py
+++ b/wingfall/platform/client.py
@@ -133,6 +133,22 @@
         kind, name = raw['kind'], raw['metadata']['name']
         return self._call('PUT', f'{_OBJECTS}/{kind}/{name}', raw)
 
+    def delete(
+        self,
+        kind: str,
+        name: str,
+        version: str,
+    ) -> Result[Any, PlatformError]:
+        """Delete an object that still has a version.
+
+        :param kind: its kind.
+        :param name: its name.
+        :param version: its version.
+        :returns: success, or why it was not deleted.
+        """
+        path = f'{_OBJECTS}/{kind}/{name}?resourceVersion={version}'
+        return self._call('DELETE', path)
+
     def watch_objects(
         self,
         version: int,
--- a/wingfall/router/request.py
+++ b/wingfall/router/request.py
@@ -5,6 +5,7 @@
 import hashlib
 from typing import TYPE_CHECKING, final
 
+from wingfall.router.eligibility import why_not
 from wingfall.router.homes import home_name
 
 if TYPE_CHECKING:
@@ -109,10 +110,9 @@
         :param endpoint: the endpoint.
         :returns: the reason, empty if it can.
         """
-        if self.service != endpoint.service:
-            return f'serves {endpoint.service or "models"}'
-        if self.model is not None and self.model not in endpoint.models:
-            return f'has no model {self.model}'
-        if not self.request_class.endpoints.matches(endpoint.labels):
-            return f'labels miss {self.request_class.endpoints.text!r}'
-        return ''
+        return why_not(
+            endpoint,
+            request_class=self.request_class,
+            model=self.model,
+            service=self.service,
+        )
