--- a/standins/engine.py
+++ b/standins/engine.py
@@ -4,7 +4,8 @@
 ``max_tokens`` gets that many. Waiting requests start by ``X-Request-Priority``,
 lowest first. Events carry an ``id``; ``GET /streams/REQUEST-ID`` with
 ``Last-Event-ID`` resumes a stream. ``POST /script`` sets
-``{"pace": FACTOR, "cut_after": TOKENS, "cuts": N, "down": bool}``.
+``{"pace": FACTOR, "cut_after": TOKENS, "cuts": N, "down": bool, "refuse":
+bool}``; refused connections are cut before their request counts.
 """
 
 from __future__ import annotations
@@ -53,6 +54,7 @@
         tokens: int,
         blocks: list[bytes],
         sock: socket.socket,
+        marker: str = '',
     ) -> None:
         """Describe a generation.
 
@@ -61,8 +63,10 @@
         :param tokens: tokens that it will have.
         :param blocks: hashes of the blocks of its prompt.
         :param sock: connection of the caller.
+        :param marker: what its caller calls it, over all its tries.
         """
         self.sock = sock
+        self.marker = marker
         self.blocks = blocks
         self.request_id = request_id
         self.model = model
@@ -175,6 +179,10 @@
     def _complete(self) -> Any:
         if self.script.get('down'):
             raise bottle.HTTPResponse('down', _DOWN)
+        if self.script.get('refuse'):
+            sock = bottle.request.environ[SOCKET_KEY]
+            sock.shutdown(socket.SHUT_RDWR)
+            raise ConnectionAbortedError
         asked = orjson.loads(bottle.request.body.read())
         request_id = bottle.request.get_header('X-Request-Id', 'none')
         stream = Stream(
@@ -183,6 +191,7 @@
             tokens=int(asked.get('max_tokens', _DEFAULT_TOKENS)),
             blocks=hash_prefixes(prompt_text(asked)),
             sock=bottle.request.environ[SOCKET_KEY],
+            marker=bottle.request.get_header('X-Marker', ''),
         )
         self.streams.setdefault(request_id, []).append(stream)
         priority = int(bottle.request.get_header('X-Request-Priority', '0'))
@@ -280,6 +289,7 @@
             {
                 request_id: [
                     {
+                        'marker': run.marker,
                         'tokens': run.made,
                         'whole': run.whole,
                         'sha256': run.digest.hexdigest(),
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -42,6 +42,12 @@
     def _run(self, path: str) -> bottle.HTTPResponse:
         request_id = bottle.request.get_header('X-Request-Id', 'none')
         runs = self.runs.setdefault(request_id, [])
+        run: dict[str, Any] = {
+            'marker': bottle.request.get_header('X-Marker', ''),
+            'whole': False,
+            'sha256': '',
+        }
+        runs.append(run)
         gevent.sleep(self.script.get('delay_ms', 0) / _MS)
         answer = answer_json(
             {
@@ -50,11 +56,11 @@
                 'path': f'/{path}',
                 'query': bottle.request.query_string,
                 'body': bottle.request.body.read().decode(errors='replace'),
-                'run': len(runs) + 1,
+                'run': len(runs),
             }
         )
         digest = hashlib.sha256(answer.body).hexdigest()
-        runs.append({'whole': True, 'sha256': digest})
+        run.update(whole=True, sha256=digest)
         return answer
 
     def _set_script(self) -> bottle.HTTPResponse:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,8 @@
 
 ``POST /script`` sets ``{"delay_ms": N, "down": bool, "lose_answers": N}``: how
 late it answers, whether it answers 503, and how many writes take effect
-without an answer that arrives.
+without an answer that arrives. ``"forget": 1`` forgets the changes so far, so
+that a watch from before them is too old.
 """
 
 from __future__ import annotations
@@ -178,6 +179,8 @@
 
     def _set_script(self) -> bottle.HTTPResponse:
         self.script = orjson.loads(bottle.request.body.read())
+        if self.script.pop('forget', 0):
+            self.changes.clear()
         self._changed.set()
         self._changed.clear()
         return answer_json(self.script)
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: each fault at each step."""
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -27,27 +27,32 @@
 class Process:
     """One child process and where it listens."""
 
-    __slots__ = ('admin_port', 'child', 'name', 'port')
+    __slots__ = ('admin_port', 'child', 'command', 'log', 'name', 'port')
 
     def __init__(
         self,
         *,
         name: str,
-        child: subprocess.Popen[bytes],
+        log: pathlib.Path,
+        command: tuple[str, ...],
         port: int,
         admin_port: int = 0,
     ) -> None:
-        """Keep a child.
+        """Start a child.
 
         :param name: its name.
-        :param child: the process.
+        :param log: file for what it prints.
+        :param command: how it is started.
         :param port: its main port.
         :param admin_port: its admin port, if it has one.
         """
         self.name = name
-        self.child = child
+        self.log = log
+        self.command = command
         self.port = port
         self.admin_port = admin_port
+        self.child = self._spawn()
+        wait_for(lambda: _listens(port), f'{name} to listen')
 
     @property
     def url(self) -> str:
@@ -79,6 +84,13 @@
         self.child.kill()
         self.child.wait()
 
+    def restart(self) -> None:
+        """Start it again by the same command, after it has ended."""
+        if self.child.poll() is None:
+            self.kill()
+        self.child = self._spawn()
+        wait_for(lambda: _listens(self.port), f'{self.name} to listen')
+
     def wait(self) -> int:
         """Wait for the process to end.
 
@@ -86,6 +98,17 @@
         """
         return self.child.wait(timeout=_STOP_S)
 
+    def _spawn(self) -> subprocess.Popen[bytes]:
+        with self.log.open('ab') as log:
+            return subprocess.Popen(  # noqa: S603
+                self.command,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                cwd=_ROOT,
+                env={**os.environ, 'PYTHONDONTWRITEBYTECODE': '1'},
+            )
+
 
 @final
 class Fleet:
@@ -119,10 +142,13 @@
         """
         port = free_port()
         command = (sys.executable, '-m', f'standins.{module}', *options)
-        child = self._spawn(name, (*command, '--port', str(port)))
-        process = Process(name=name, child=child, port=port)
+        process = Process(
+            name=name,
+            log=self._folder / f'{name}.log',
+            command=(*command, '--port', str(port)),
+            port=port,
+        )
         self.processes[name] = process
-        wait_for(lambda: _listens(port), f'{name} to listen')
         return process
 
     def start_agent(
@@ -147,17 +173,20 @@
     def start_router(
         self,
         name: str,
-        platform: Process,
+        store: Process,
         **changes: dict[str, Any],
     ) -> Process:
         """Start a router.
 
         :param name: its name.
-        :param platform: the platform.
+        :param store: the platform.
         :param changes: settings that differ from the defaults, by section.
         :returns: the process.
         """
-        settings = {'platform': {'url': platform.url}, **changes}
+        settings = {
+            'platform': {'url': store.url, **changes.pop('platform', {})},
+            **changes,
+        }
         return self._start_daemon('router', 'callers', name, settings)
 
     def get_json(self, url: str) -> Any:
@@ -245,32 +274,16 @@
         path = self._folder / f'{role}-{name}.yaml'
         path.write_text(yaml.safe_dump(settings))
         command = (*self._program, role, '--settings', str(path))
-        child = self._spawn(f'{role}-{name}', command)
         process = Process(
             name=name,
-            child=child,
+            log=self._folder / f'{role}-{name}.log',
+            command=command,
             port=port,
             admin_port=admin_port,
         )
         self.processes[f'{role}-{name}'] = process
-        wait_for(lambda: _listens(port), f'{role} {name} to listen')
         return process
 
-    def _spawn(
-        self,
-        name: str,
-        command: tuple[str, ...],
-    ) -> subprocess.Popen[bytes]:
-        with (self._folder / f'{name}.log').open('ab') as log:
-            return subprocess.Popen(  # noqa: S603
-                command,
-                stdout=log,
-                stderr=log,
-                stdin=subprocess.DEVNULL,
-                cwd=_ROOT,
-                env={**os.environ, 'PYTHONDONTWRITEBYTECODE': '1'},
-            )
-
 
 def free_port() -> int:
     """Find a free port on loopback.
