Wire messages by what they are for, imports sorted

Change: the base, the handshake, agreeing on a slot, and calls have a module each; no message has changed; the linter now checks the order of imports.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check --quiet .
+	$(BIN)/ruff check --quiet --select I .
 	$(BIN)/flake8 .
 
 format: $(VENV)/.installed
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -6,7 +6,6 @@
 
 import bottle
 import orjson
-
 from gevent.event import Event
 
 from wingfall.http_server import HttpServer
--- a/tests/faults/faults.py
+++ b/tests/faults/faults.py
@@ -8,7 +8,8 @@
 import gevent
 
 from wingfall.registry import Registry
-from wingfall.wire.messages import Message, Report
+from wingfall.wire.message import Message
+from wingfall.wire.offer_messages import Report
 
 if TYPE_CHECKING:
     from tests.faults.fault_site import FaultSite
--- a/tests/faults/frame_relay.py
+++ b/tests/faults/frame_relay.py
@@ -14,7 +14,7 @@
 from wingfall.wire.connection import set_no_delay
 
 if TYPE_CHECKING:
-    from wingfall.wire.messages import Message
+    from wingfall.wire.message import Message
 
 _READ_BYTES = 65_536
 
--- a/tests/faults/test_requests.py
+++ b/tests/faults/test_requests.py
@@ -8,10 +8,11 @@
 import gevent
 import pytest
 
-from tests.faults.faults import at_message, faults
 from tests.faults.fault_site import ENDPOINTS
+from tests.faults.faults import at_message, faults
 from tests.invariants import check_answers, check_once
-from wingfall.wire.messages import Chunk, End, Grant, Head, Offer, Run
+from wingfall.wire.call_messages import Chunk, End, Head, Run
+from wingfall.wire.offer_messages import Grant, Offer
 
 if TYPE_CHECKING:
     from tests.faults.fault_site import FaultSite
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,10 +11,11 @@
 
 from tests.local_site import HOST, SECRET, wait_until
 from wingfall.errors import WireError
+from wingfall.wire.call_messages import Chunk, End
 from wingfall.wire.codec import MAX_MESSAGE_BYTES, FrameDecoder, encode
 from wingfall.wire.connection import Connection
 from wingfall.wire.handshake import Identity, greet_peer
-from wingfall.wire.messages import Chunk, End, Report
+from wingfall.wire.offer_messages import Report
 
 
 def _feed(decoder, received):
--- a/tools/forward.py
+++ b/tools/forward.py
@@ -30,9 +30,10 @@
 
 from tools.fleet import HOST, Fleet, free_port, wait_for
 from wingfall.objects.customer import hash_key
+from wingfall.wire.call_messages import Chunk, End, Head, Run
 from wingfall.wire.connection import Connection, set_no_delay
 from wingfall.wire.handshake import Identity, accept_peer, welcome_peer
-from wingfall.wire.messages import Chunk, End, Head, Report, Run
+from wingfall.wire.offer_messages import Report
 
 _STREAMS: Final = 200
 _TICK_S: Final = 0.001
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -39,9 +39,10 @@
 from wingfall.router.link import AgentLink
 from wingfall.router.request import Request
 from wingfall.supervisor import Supervisor
+from wingfall.wire.call_messages import Chunk, Run
 from wingfall.wire.codec import FrameDecoder, encode
 from wingfall.wire.handshake import Identity
-from wingfall.wire.messages import Chunk, Grant, Offer, Report, Run
+from wingfall.wire.offer_messages import Grant, Offer, Report
 from wingfall.wire.peer_messages import ConfigFetch, PeerState
 
 _US: Final = 1_000_000
--- a/wingfall/agent/admission.py
+++ b/wingfall/agent/admission.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, final
 
 from wingfall.log import part_logger
-from wingfall.wire.messages import Grant, Refused
+from wingfall.wire.offer_messages import Grant, Refused
 from wingfall.wire.reasons import RefusalReason
 
 if TYPE_CHECKING:
--- a/wingfall/agent/application.py
+++ b/wingfall/agent/application.py
@@ -25,7 +25,7 @@
 from wingfall.metrics import Metrics
 from wingfall.supervisor import Supervisor
 from wingfall.wire.handshake import Identity
-from wingfall.wire.messages import Report
+from wingfall.wire.offer_messages import Report
 
 if TYPE_CHECKING:
     from types import SimpleNamespace
--- a/wingfall/agent/call.py
+++ b/wingfall/agent/call.py
@@ -8,7 +8,8 @@
 
 from wingfall.agent.answer import AnswerBuffer
 from wingfall.errors import RunState
-from wingfall.wire.messages import Chunk, End, Head, Refused
+from wingfall.wire.call_messages import Chunk, End, Head
+from wingfall.wire.offer_messages import Refused
 from wingfall.wire.reasons import RefusalReason
 
 if TYPE_CHECKING:
@@ -20,8 +21,9 @@
     from wingfall.agent.stopwatch import Stopwatch
     from wingfall.decision.keys import KeyedAnswer
     from wingfall.decision.ticket import Ticket
+    from wingfall.wire.call_messages import Run
     from wingfall.wire.connection import Connection
-    from wingfall.wire.messages import Message, Run
+    from wingfall.wire.message import Message
 
 _RETRY_MS = 1000
 
--- a/wingfall/agent/calls.py
+++ b/wingfall/agent/calls.py
@@ -20,8 +20,8 @@
     from wingfall.decision.keys import KeyedAnswer, KeyTable
     from wingfall.decision.limit import Pace
     from wingfall.decision.ticket import Ticket
+    from wingfall.wire.call_messages import Run
     from wingfall.wire.connection import Connection
-    from wingfall.wire.messages import Run
 
 _STARTED_KEPT = 50_000
 
--- a/wingfall/agent/endpoint_client.py
+++ b/wingfall/agent/endpoint_client.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wingfall.wire.messages import Run
+    from wingfall.wire.call_messages import Run
 
 _READ_BYTES: Final = 65_536
 _GRACE_MS: Final = 1000
--- a/wingfall/agent/listener.py
+++ b/wingfall/agent/listener.py
@@ -21,7 +21,8 @@
     from wingfall.clock import Clock
     from wingfall.metrics import Metrics
     from wingfall.wire.handshake import Identity
-    from wingfall.wire.messages import Hello, Report
+    from wingfall.wire.handshake_messages import Hello
+    from wingfall.wire.offer_messages import Report
 
 _USER_TIMEOUT_MS: Final = 5000
 _BACKLOG: Final = 1024
--- a/wingfall/agent/session.py
+++ b/wingfall/agent/session.py
@@ -7,16 +7,13 @@
 from wingfall.decision.keys import KeyState
 from wingfall.decision.ticket import Ticket
 from wingfall.log import part_logger
-from wingfall.wire.messages import (
-    Ack,
-    Cancel,
+from wingfall.wire.call_messages import Ack, Cancel, Resume, Run
+from wingfall.wire.message import Message
+from wingfall.wire.offer_messages import (
     Grant,
     HomeMembers,
-    Message,
     Offer,
     Refused,
-    Resume,
-    Run,
     Withdraw,
     Withdrawn,
 )
--- a/wingfall/config/fetcher.py
+++ b/wingfall/config/fetcher.py
@@ -19,7 +19,7 @@
 
     from wingfall.clock import Clock
     from wingfall.config.copy import ConfigCopy
-    from wingfall.wire.messages import Message
+    from wingfall.wire.message import Message
 
 _FETCH_MS: Final = 3000
 _PAGE_BYTES: Final = 262_144
--- a/wingfall/router/answer.py
+++ b/wingfall/router/answer.py
@@ -8,14 +8,15 @@
 
 from wingfall.errors import Refusal, RunState
 from wingfall.log import part_logger
-from wingfall.wire.messages import Ack, Chunk, End, Head, Refused, Resume
+from wingfall.wire.call_messages import Ack, Chunk, End, Head, Resume
+from wingfall.wire.offer_messages import Refused
 from wingfall.wire.reasons import RefusalReason
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from wingfall.router.attempt import Attempt
-    from wingfall.wire.messages import Message
+    from wingfall.wire.message import Message
 
 _BAD_GATEWAY = 502
 _TIMED_OUT = 504
--- a/wingfall/router/attempt.py
+++ b/wingfall/router/attempt.py
@@ -6,7 +6,8 @@
 
 from gevent.queue import SimpleQueue
 
-from wingfall.wire.messages import Cancel, Offer, Run, Withdraw
+from wingfall.wire.call_messages import Cancel, Run
+from wingfall.wire.offer_messages import Offer, Withdraw
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -14,7 +15,7 @@
     from wingfall.clock import Clock
     from wingfall.router.link import AgentLink
     from wingfall.router.request import Request
-    from wingfall.wire.messages import Message
+    from wingfall.wire.message import Message
 
 
 @final
--- a/wingfall/router/dispatcher.py
+++ b/wingfall/router/dispatcher.py
@@ -22,7 +22,7 @@
     run_state,
 )
 from wingfall.router.wakeups import Wakeups
-from wingfall.wire.messages import Grant, Refused
+from wingfall.wire.offer_messages import Grant, Refused
 from wingfall.wire.reasons import RefusalReason
 
 if TYPE_CHECKING:
@@ -36,7 +36,7 @@
     from wingfall.router.directory import Directory
     from wingfall.router.link import AgentLink
     from wingfall.router.request import Request
-from wingfall.wire.messages import End
+from wingfall.wire.call_messages import End
 
 logger = part_logger('router.dispatch')
 
--- a/wingfall/router/link.py
+++ b/wingfall/router/link.py
@@ -14,7 +14,8 @@
 from wingfall.supervisor import Backoff
 from wingfall.wire.connection import Connection
 from wingfall.wire.handshake import greet_peer
-from wingfall.wire.messages import HomeMembers, Message, Refused, Report
+from wingfall.wire.message import Message
+from wingfall.wire.offer_messages import HomeMembers, Refused, Report
 from wingfall.wire.reasons import RefusalReason
 
 if TYPE_CHECKING:
--- a/wingfall/router/peers.py
+++ b/wingfall/router/peers.py
@@ -27,7 +27,7 @@
     from wingfall.decision.customer_limits import CustomerLimits
     from wingfall.supervisor import Supervisor
     from wingfall.wire.handshake import Identity
-    from wingfall.wire.messages import Message
+    from wingfall.wire.message import Message
 
 _STATE_MS: Final = 1000
 _SILENCE_MS: Final = 4000
--- a/wingfall/router/refusals.py
+++ b/wingfall/router/refusals.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING, Final
 
 from wingfall.errors import Refusal, RunState
-from wingfall.wire.messages import End
+from wingfall.wire.call_messages import End
 from wingfall.wire.reasons import RefusalReason
 
 if TYPE_CHECKING:
     from wingfall.router.attempt import Attempt
-    from wingfall.wire.messages import Refused
+    from wingfall.wire.offer_messages import Refused
 
 _NOT_FOUND = 404
 _CONFLICT = 409
--- a/wingfall/wire/codec.py
+++ b/wingfall/wire/codec.py
@@ -8,7 +8,7 @@
 import msgpack
 
 from wingfall.errors import WireError
-from wingfall.wire.messages import Message, build_message
+from wingfall.wire.message import Message, build_message
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/wingfall/wire/connection.py
+++ b/wingfall/wire/connection.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wingfall.wire.messages import Message
+    from wingfall.wire.message import Message
 
 _READ_BYTES = 65_536
 _MAX_QUEUED_BYTES = 67_108_864
--- a/wingfall/wire/handshake.py
+++ b/wingfall/wire/handshake.py
@@ -13,13 +13,13 @@
 from typing import TYPE_CHECKING, Final, TypeVar, final
 
 from wingfall.errors import WireError
-from wingfall.wire.messages import PROTOCOL, Challenge, Hello, Welcome
+from wingfall.wire.handshake_messages import PROTOCOL, Challenge, Hello, Welcome
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from wingfall.wire.connection import Connection
-    from wingfall.wire.messages import Message
+    from wingfall.wire.message import Message
 
 HANDSHAKE_MS: Final = 3000
 _NONCE_BYTES: Final = 16
--- a/wingfall/wire/peer_messages.py
+++ b/wingfall/wire/peer_messages.py
@@ -4,7 +4,7 @@
 
 from typing import final
 
-from wingfall.wire.messages import Message, message
+from wingfall.wire.message import Message, message
 
 
 @final
