--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	$(BIN)/pip install --quiet -e '.[dev]'
 	touch $@
 
-demo: $(VENV)/.installed
+demo: $(VENV)/.installed $(if $(BINARY),dist/wingfall)
 	$(BIN)/python -m tools.demo $(if $(KEEP),--keep) $(if $(BINARY),--binary dist/wingfall)
 
 test: $(VENV)/.installed
@@ -24,6 +24,13 @@
 format: $(VENV)/.installed
 	$(BIN)/ruff format .
 
+binary: dist/wingfall
+
+dist/wingfall: $(VENV)/.installed $(shell git ls-files wingfall)
+	mkdir -p dist
+	$(BIN)/shiv --quiet --compile-pyc -p '/usr/bin/env python3' \
+		-e wingfall.__main__:main -o $@ .
+
 clean:
 	rm -rf $(VENV) build dist out
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -39,6 +39,7 @@
 _EXAMPLE: Final = pathlib.Path('examples/demo.yaml')
 _ENGINE_CLASSES: Final = ('lobby', 'briefing')
 _PERCENTILES: Final = 100
+_KB_PER_MB: Final = 1024
 _P50: Final = 49
 _P95: Final = 94
 
@@ -203,6 +204,7 @@
     """
     site = Site(fleet=fleet)
     caller = Caller(connections=_AT_ONCE)
+    _print_processes(fleet)
     outcomes = Pool(_AT_ONCE).map(caller.send, make_asks(site))
     ledger = site.ledger()
     print_table(outcomes, ledger)
@@ -219,6 +221,31 @@
     return int(bool(doubled or lost))
 
 
+def _print_processes(fleet: Fleet) -> None:
+    daemons = [
+        process
+        for name, process in fleet.processes.items()
+        if name.startswith(('router-', 'agent-'))
+    ]
+    pids = [daemon.child.pid for daemon in daemons]
+    children = [
+        pathlib.Path(f'/proc/{pid}/task/{pid}/children').read_text()
+        for pid in pids
+    ]
+    alone = sum(not listed.strip() for listed in children)
+    largest = max(map(_resident_mb, pids))
+    print(
+        f'{alone} of {len(daemons)} daemons are exactly one process; '
+        f'the largest holds {largest:.0f} MB',
+    )
+
+
+def _resident_mb(pid: int) -> float:
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    line = next(row for row in status.splitlines() if row.startswith('VmRSS'))
+    return int(line.split()[1]) / _KB_PER_MB
+
+
 def _keep_up(site: Site) -> None:
     print(
         'Try it; end it with Ctrl-C:\n'
