--- a/wingfall/agent/application.py
+++ b/wingfall/agent/application.py
@@ -5,10 +5,8 @@
 from typing import TYPE_CHECKING, Any, final
 
 import gevent
-from gevent.event import Event
 from returns.result import Result
 
-from wingfall.admin import make_admin_app
 from wingfall.agent.admission import Admission
 from wingfall.agent.calls import CallTable
 from wingfall.agent.endpoint_client import EndpointClient
@@ -19,12 +17,8 @@
 from wingfall.decision.limit import Pace, limits
 from wingfall.decision.order import orders
 from wingfall.decision.slots import Slots
-from wingfall.http_server import HttpServer
 from wingfall.log import part_logger
-from wingfall.loop_lag import LoopLag
-from wingfall.metrics import Metrics
-from wingfall.supervisor import Supervisor
-from wingfall.wire.handshake import Identity
+from wingfall.program import Program
 from wingfall.wire.offer_messages import Report
 
 if TYPE_CHECKING:
@@ -39,24 +33,17 @@
 
 
 @final
-class AgentApplication:
+class AgentApplication(Program):
     """The agent beside one endpoint."""
 
     __slots__ = (
-        '_admin',
         '_admission',
         '_calls',
-        '_clock',
         '_config_version',
         '_gate',
-        '_identity',
         '_listener',
-        '_metrics',
         '_pace',
         '_sessions',
-        '_settings',
-        '_stop',
-        '_supervisor',
     )
 
     def __init__(self, *, settings: SimpleNamespace, secret: bytes) -> None:
@@ -65,17 +52,11 @@
         :param settings: the checked settings.
         :param secret: secret shared by all processes.
         """
-        clock = Clock()
-        metrics = Metrics()
+        super().__init__(settings=settings, secret=secret)
+        clock, metrics = self._clock, self._metrics
         sessions: dict[str, Session] = {}
-        self._settings = settings
-        self._clock = clock
-        self._metrics = metrics
         self._sessions = sessions
         self._config_version = 0
-        self._stop = Event()
-        self._supervisor = Supervisor(name='agent', clock=clock)
-        self._identity = Identity(name=settings.name, secret=secret)
         self._pace = Pace()
         self._gate = _make_gate(settings, clock, self._pace)
         self._admission = Admission(
@@ -108,28 +89,12 @@
             report=self._note_router,
             metrics=metrics,
         )
-        admin_app = make_admin_app(
-            ready=self._not_ready,
-            status=self.status,
-            metrics=metrics,
-        )
-        self._admin = HttpServer(app=admin_app, address=settings.admin)
 
     @property
     def port(self) -> int:
         """Port for routers."""
         return self._listener.port
 
-    @property
-    def admin_port(self) -> int:
-        """Port for operators."""
-        return self._admin.port
-
-    @property
-    def clock(self) -> Clock:
-        """The time of this agent."""
-        return self._clock
-
     @property
     def calls(self) -> CallTable:
         """The calls of this agent."""
@@ -140,42 +105,33 @@
         """The slots of this agent."""
         return self._gate
 
-    def run(self) -> None:
-        """Serve until :meth:`stop`, then drain."""
-        self.start()
-        self._stop.wait()
-        self.drain()
-        self.close()
-
     def start(self) -> None:
         """Start serving and return."""
-        lag = LoopLag(clock=self._clock, metrics=self._metrics)
-        self._supervisor.start('loop_lag', lag.run)
+        super().start()
         self._supervisor.start('ticks', self._tick)
         self._supervisor.start('reports', self._report)
-        self._admin.start()
         self._listener.start()
         logger.info('Agent %s serves routers on port %d.', *self._where())
 
-    def stop(self) -> None:
-        """Ask for a planned stop."""
-        self._stop.set()
-
     def drain(self) -> None:
         """Take no new work, and wait until what there is has ended."""
         logger.info('Leaving: %d calls run.', self._gate.in_use)
         self._admission.leave()
         self._send_reports()
-        deadline_ms = self._clock.now_ms() + self._settings.limits.drain_ms
-        while self._busy() and self._clock.now_ms() < deadline_ms:
-            gevent.sleep(_TICK_MS / MS_PER_S)
+        self._wait_while(self._busy)
         logger.info('Left: %d calls cut off.', self._gate.in_use)
 
     def close(self) -> None:
         """End everything now."""
-        self._supervisor.stop()
+        super().close()
         self._listener.stop()
-        self._admin.stop()
+
+    def not_ready(self) -> str:
+        """Tell why this program isn't ready.
+
+        :returns: the reason, empty if it is ready.
+        """
+        return 'leaving' if self._gate.leaving else ''
 
     def status(self) -> dict[str, Any]:
         """Show the state of this agent.
@@ -242,9 +198,6 @@
         self._metrics.stream_bytes.add({}, call.length)
         self._admission.finish(call.call_id, whole=call.whole)
 
-    def _not_ready(self) -> str:
-        return 'leaving' if self._gate.leaving else ''
-
 
 def check_agent_policy(settings: SimpleNamespace) -> Result[Any, str]:
     """Check that the policies named in the settings exist.
--- a/wingfall/router/application.py
+++ b/wingfall/router/application.py
@@ -5,11 +5,9 @@
 from typing import TYPE_CHECKING, Any, final
 
 import gevent
-from gevent.event import Event
 from returns.result import Result
 
-from wingfall.admin import make_admin_app
-from wingfall.clock import MS_PER_S, Clock
+from wingfall.clock import MS_PER_S
 from wingfall.config.copy import ConfigCopy
 from wingfall.config.fetcher import ConfigFetcher
 from wingfall.config.follower import ConfigFollower
@@ -18,17 +16,14 @@
 from wingfall.decision.retry import RetryBudget
 from wingfall.http_server import HttpServer
 from wingfall.log import part_logger
-from wingfall.loop_lag import LoopLag
-from wingfall.metrics import Metrics
 from wingfall.platform.client import HttpObjectApi
+from wingfall.program import Program
 from wingfall.router.api import CallerApi
 from wingfall.router.directory import Directory
 from wingfall.router.dispatcher import Dispatcher
 from wingfall.router.intake import Intake
 from wingfall.router.link import AgentLink
 from wingfall.router.peers import Peers
-from wingfall.supervisor import Supervisor
-from wingfall.wire.handshake import Identity
 
 if TYPE_CHECKING:
     from types import SimpleNamespace
@@ -42,26 +37,18 @@
 
 
 @final
-class RouterApplication:
+class RouterApplication(Program):
     """The router on an entry VM."""
 
     __slots__ = (
-        '_admin',
         '_api',
         '_callers',
-        '_clock',
         '_copy',
         '_directory',
         '_dispatcher',
         '_follower',
-        '_identity',
-        '_lag',
         '_limits',
-        '_metrics',
         '_peers',
-        '_settings',
-        '_stop',
-        '_supervisor',
     )
 
     def __init__(self, *, settings: SimpleNamespace, secret: bytes) -> None:
@@ -70,15 +57,9 @@
         :param settings: the checked settings.
         :param secret: secret shared by all processes.
         """
-        self._settings = settings
-        self._clock = Clock()
-        self._metrics = Metrics()
-        self._stop = Event()
-        self._identity = Identity(name=settings.name, secret=secret)
+        super().__init__(settings=settings, secret=secret)
         self._copy = ConfigCopy()
         self._copy.listen(self._show_config)
-        self._supervisor = Supervisor(name='router', clock=self._clock)
-        self._lag = LoopLag(clock=self._clock, metrics=self._metrics)
         self._limits = CustomerLimits(clock=self._clock)
         self._peers = Peers(
             settings=settings.peers,
@@ -97,23 +78,12 @@
         )
         self._api = self._make_api()
         self._callers = HttpServer(app=self._api.app, address=settings.callers)
-        admin_app = make_admin_app(
-            ready=self._not_ready,
-            status=self.status,
-            metrics=self._metrics,
-        )
-        self._admin = HttpServer(app=admin_app, address=settings.admin)
 
     @property
     def port(self) -> int:
         """Port for callers."""
         return self._callers.port
 
-    @property
-    def admin_port(self) -> int:
-        """Port for operators."""
-        return self._admin.port
-
     @property
     def peer_port(self) -> int:
         """Port for other routers."""
@@ -134,16 +104,9 @@
         """The configuration in force."""
         return self._copy
 
-    def run(self) -> None:
-        """Serve until :meth:`stop`, then drain."""
-        self.start()
-        self._stop.wait()
-        self.drain()
-        self.close()
-
     def start(self) -> None:
         """Start serving and return."""
-        self._supervisor.start('loop_lag', self._lag.run)
+        super().start()
         self._supervisor.start('wakeups', self._dispatcher.run)
         self._supervisor.start('gauges', self._show_gauges)
         self._supervisor.start(
@@ -151,7 +114,6 @@
             lambda: self._follower.follow(self._stop),
         )
         self._peers.start()
-        self._admin.start()
         self._callers.start()
         logger.info(
             'Router %s serves callers on port %d.',
@@ -159,27 +121,31 @@
             self.port,
         )
 
-    def stop(self) -> None:
-        """Ask for a planned stop."""
-        self._stop.set()
-
     def drain(self) -> None:
         """Take no new work, and wait until what there is has ended."""
         logger.info('Leaving: %d requests are held.', self._api.held)
         self._api.drain()
         self._peers.leave()
-        deadline_ms = self._clock.now_ms() + self._settings.limits.drain_ms
-        while self._callers.active and self._clock.now_ms() < deadline_ms:
-            gevent.sleep(_POLL_MS / MS_PER_S)
+        self._wait_while(lambda: self._callers.active)
         self._callers.stop_accepting()
         logger.info('Left: %d requests cut off.', self._callers.active)
 
     def close(self) -> None:
         """End everything now."""
-        self._supervisor.stop()
+        super().close()
         self._peers.stop()
         self._callers.stop()
-        self._admin.stop()
+
+    def not_ready(self) -> str:
+        """Tell why this program isn't ready.
+
+        :returns: the reason, empty if it is ready.
+        """
+        if self._api.draining:
+            return 'draining'
+        if not self._copy.version:
+            return 'no configuration yet'
+        return ''
 
     def status(self) -> dict[str, Any]:
         """Show the state of this router.
@@ -270,13 +236,6 @@
             self._metrics.queue_length.set({}, self._api.held)
             gevent.sleep(_GAUGE_MS / MS_PER_S)
 
-    def _not_ready(self) -> str:
-        if self._api.draining:
-            return 'draining'
-        if not self._copy.version:
-            return 'no configuration yet'
-        return ''
-
 
 def check_router_policy(settings: SimpleNamespace) -> Result[Any, str]:
     """Check that the policies named in the settings exist.
