VM list: leaving endpoints and routers that find each other

Change: each router reads the list every 30 s with jitter; an endpoint whose VM is leaving gets no new work; routers of the own zone and two of others are kept as peers. A list that can't be read, or isn't one, changes nothing.

--- a/wingfall/objects/endpoint.py
+++ b/wingfall/objects/endpoint.py
@@ -21,6 +21,7 @@
         'name',
         'port',
         'service',
+        'vm',
         'zone',
     )
 
@@ -34,6 +35,7 @@
         zone: str,
         service: str | None,
         models: frozenset[str],
+        vm: str = '',
     ) -> None:
         """Describe an endpoint.
 
@@ -44,6 +46,7 @@
         :param zone: its availability zone.
         :param service: name of the plain service, None for an engine.
         :param models: models that an engine serves.
+        :param vm: name of its VM in the platform's list, if it is known.
         """
         self.name = name
         self.labels = labels
@@ -52,6 +55,7 @@
         self.zone = zone
         self.service = service
         self.models = models
+        self.vm = vm
 
 
 def parse_endpoint(
@@ -79,5 +83,6 @@
             zone=spec['zone'],
             service=service,
             models=frozenset(spec.get('models', ())),
+            vm=spec.get('vm', ''),
         ),
     )
--- a/wingfall/objects/schema.py
+++ b/wingfall/objects/schema.py
@@ -73,6 +73,7 @@
             type={'enum': ['engine', 'service']},
             service=_WORD,
             models={'type': 'array', 'items': _WORD},
+            vm=_WORD,
         ),
     ),
     'Customer': _kind(
--- a/wingfall/platform/client.py
+++ b/wingfall/platform/client.py
@@ -23,6 +23,7 @@
 _OK: Final = 200
 _FIRST_ERROR: Final = 300
 _OBJECTS: Final = '/apis/wingfall/v1/objects'
+_VMS: Final = '/apis/wingfall/v1/vms'
 _WATCH_SLACK_MS: Final = 2000
 _MAX_MESSAGE: Final = 200
 
@@ -43,6 +44,33 @@
         self.objects = objects
 
 
+@final
+class Vm:
+    """A VM as the platform lists it."""
+
+    __slots__ = ('leaving', 'name', 'peer', 'zone')
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        leaving: bool,
+        peer: str = '',
+    ) -> None:
+        """Describe a VM.
+
+        :param name: its name.
+        :param zone: its availability zone.
+        :param leaving: whether it is about to go.
+        :param peer: ``host:port`` for peers if a router runs there.
+        """
+        self.name = name
+        self.zone = zone
+        self.leaving = leaving
+        self.peer = peer
+
+
 @final
 class WatchEvent:
     """One accepted change, or a mark that nothing happened up to a version."""
@@ -112,6 +140,13 @@
         """
         return self._call('GET', _OBJECTS).bind(_read_list)
 
+    def list_vms(self) -> Result[list[Vm], PlatformError]:
+        """Read the list of VMs, which lags.
+
+        :returns: the VMs, or why there are none.
+        """
+        return self._call('GET', _VMS).bind(_read_vms)
+
     def read(self, kind: str, name: str) -> Result[Any, PlatformError]:
         """Read one object.
 
@@ -253,6 +288,23 @@
     )
 
 
+def _read_vms(body: Any) -> Result[list[Vm], PlatformError]:
+    try:
+        return Success(
+            [
+                Vm(
+                    name=str(raw['name']),
+                    zone=str(raw.get('zone', '')),
+                    leaving=raw.get('state') == 'leaving',
+                    peer=str(raw.get('peer', '')),
+                )
+                for raw in body['items']
+            ]
+        )
+    except (KeyError, TypeError, AttributeError):
+        return Failure(PlatformError(status=_OK, message='not a list of VMs'))
+
+
 def _read_list(body: Any) -> Result[ObjectList, PlatformError]:
     try:
         version = int(body['metadata']['resourceVersion'])
--- a/wingfall/router/application.py
+++ b/wingfall/router/application.py
@@ -24,6 +24,7 @@
 from wingfall.router.intake import Intake
 from wingfall.router.link import AgentLink
 from wingfall.router.peers import Peers
+from wingfall.router.vms import VmFollower
 
 if TYPE_CHECKING:
     from types import SimpleNamespace
@@ -49,6 +50,7 @@
         '_follower',
         '_limits',
         '_peers',
+        '_platform',
     )
 
     def __init__(self, *, settings: SimpleNamespace, secret: bytes) -> None:
@@ -70,6 +72,11 @@
             limits=self._limits,
             supervisor=self._supervisor,
         )
+        self._platform = HttpObjectApi(
+            url=settings.platform.url,
+            timeout_ms=settings.platform.timeout_ms,
+            metrics=self._metrics,
+        )
         self._follower = self._make_follower()
         self._directory = Directory(
             copy=self._copy,
@@ -114,6 +121,14 @@
             lambda: self._follower.follow(self._stop),
         )
         self._peers.start()
+        vms = VmFollower(
+            api=self._platform,
+            zone=self._settings.zone,
+            period_ms=self._settings.platform.vms_ms,
+            directory=self._directory,
+            peers=self._peers,
+        )
+        self._supervisor.start('vms', lambda: vms.follow(self._supervisor))
         self._callers.start()
         logger.info(
             'Router %s serves callers on port %d.',
@@ -176,13 +191,8 @@
 
     def _make_follower(self) -> ConfigFollower:
         platform = self._settings.platform
-        api = HttpObjectApi(
-            url=platform.url,
-            timeout_ms=platform.timeout_ms,
-            metrics=self._metrics,
-        )
         return ConfigFollower(
-            api=api,
+            api=self._platform,
             copy=self._copy,
             watch_ms=platform.watch_ms,
             holds_watch=lambda: self._peers.holds_watch,
@@ -250,8 +260,9 @@
     report = link.report
     if report is None:
         return {'state': 'down', 'open_calls': link.open_calls}
+    leaving = report.leaving or link.vm_leaving
     return {
-        'state': 'leaving' if report.leaving else 'up',
+        'state': 'leaving' if leaving else 'up',
         'open_calls': link.open_calls,
         'limit': report.limit,
         'running': report.running,
--- a/wingfall/router/directory.py
+++ b/wingfall/router/directory.py
@@ -94,6 +94,14 @@
                 return usable
         return _usable(eligible, tried)
 
+    def note_leaving(self, vms: set[str]) -> None:
+        """Take which VMs are leaving by the platform's list.
+
+        :param vms: their names.
+        """
+        for link in self._links.values():
+            link.vm_leaving = link.endpoint.vm in vms
+
     def home(self, request: Request) -> Home:
         """Find the home of a request's idempotency key.
 
--- a/wingfall/router/link.py
+++ b/wingfall/router/link.py
@@ -52,6 +52,7 @@
         '_up',
         '_zone',
         'endpoint',
+        'vm_leaving',
     )
 
     def __init__(
@@ -70,6 +71,7 @@
         :param copy: gives the version in force.
         """
         self.endpoint = endpoint
+        self.vm_leaving = False
         self._zone = zone
         self._identity = identity
         self._copy = copy
@@ -86,7 +88,9 @@
     def usable(self) -> bool:
         """Whether offers can be sent."""
         report = self._report
-        return self._up.is_set() and report is not None and not report.leaving
+        if report is None or report.leaving or self.vm_leaving:
+            return False
+        return self._up.is_set()
 
     @property
     def report(self) -> Report | None:
--- a/wingfall/router/peers.py
+++ b/wingfall/router/peers.py
@@ -72,6 +72,7 @@
     __slots__ = (
         '_copy',
         '_fetcher',
+        '_followed',
         '_identity',
         '_leaving',
         '_limits',
@@ -114,6 +115,8 @@
         self._sessions: set[PeerSession] = set()
         self._leaving = False
         self._told = 0
+        # Addresses that a connection is kept to.
+        self._followed: set[str] = set()
         self._server = StreamServer(
             (settings.host, settings.port),
             self._accept,
@@ -151,19 +154,19 @@
         """Accept and connect from now on."""
         self._server.start()
         self._supervisor.start('peer_states', self._tell_states)
-        for seed in self._settings.seeds:
-            self.connect(seed)
+        self.follow(set())
 
-    def connect(self, address: str) -> None:
-        """Keep a connection to a peer.
+    def follow(self, addresses: set[str]) -> None:
+        """Keep connections to the seeds and to these peers, and no others.
 
-        :param address: its ``host:port``.
+        :param addresses: ``host:port`` of each; this router's own is left out.
         """
-        host, _colon, port = address.rpartition(':')
-        self._supervisor.start(
-            f'peer {address}',
-            lambda: self._keep(host.strip('[]'), int(port)),
-        )
+        own = f'{self._settings.host}:{self.port}'
+        wanted = (addresses | set(self._settings.seeds)) - {own}
+        fresh = wanted - self._followed
+        self._followed = wanted
+        for address in fresh:
+            self._connect(address)
 
     def leave(self) -> None:
         """Tell the peers that this router is stopping."""
@@ -176,9 +179,16 @@
         for session in list(self._sessions):
             session.close()
 
-    def _keep(self, host: str, port: int) -> None:
+    def _connect(self, address: str) -> None:
+        host, _colon, port = address.rpartition(':')
+        self._supervisor.start(
+            f'peer {address}',
+            lambda: self._keep(address, host.strip('[]'), int(port)),
+        )
+
+    def _keep(self, address: str, host: str, port: int) -> None:
         backoff = Backoff()
-        while not self._supervisor.stopped:
+        while address in self._followed and not self._supervisor.stopped:
             if self._connect_once(host, port):
                 backoff.reset()
             gevent.sleep(backoff.take_ms() / MS_PER_S)
--- a/wingfall/settings/schema.py
+++ b/wingfall/settings/schema.py
@@ -76,6 +76,7 @@
     platform=_section(
         "The platform's object API.",
         url=_text('Base URL.'),
+        vms_ms=_number(30_000, 100, 600_000, 'Time between VM list reads.'),
         watch_ms=_number(30_000, 100, 600_000, 'Longest wait of one watch.'),
         timeout_ms=_number(3000, 50, 60_000, 'Bound of one short call.'),
     ),
