--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test faults lint format load slopes forward latency converge binary clean
+.PHONY: demo test faults lint format load slopes forward latency converge settings binary clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -51,3 +51,6 @@
 
 faults: $(VENV)/.installed
 	$(BIN)/python -m tools.faults
+
+settings: $(VENV)/.installed
+	$(BIN)/python -m tools.settings_reference
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from returns.result import Success
 
+from tools.settings_reference import PAGE, render
 from wingfall.objects.files import read_object_files
 from wingfall.objects.selector import parse_labels, parse_selector
 from wingfall.settings.loader import parse_settings
@@ -69,6 +70,11 @@
     ]
 
 
+def test_settings_page_is_that_of_the_schemas():
+    page = pathlib.Path(__file__).parent.parent / PAGE
+    assert page.read_text('utf-8') == render()
+
+
 def test_examples_are_valid():
     examples = pathlib.Path(__file__).parent.parent / 'examples'
     paths = sorted(str(path) for path in examples.glob('*.yaml'))
--- /dev/null
+++ b/tools/settings_reference.py
@@ -0,0 +1,71 @@
+"""``make settings``: docs/SETTINGS.md, made from the schemas."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+from typing import TYPE_CHECKING, Any, Final
+
+from wingfall.settings.schema import AGENT_SCHEMA, ROUTER_SCHEMA
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+PAGE: Final = pathlib.Path('docs/SETTINGS.md')
+
+
+def render() -> str:
+    """Write the page.
+
+    :returns: its text in Markdown.
+    """
+    lines = [
+        '# Settings',
+        '',
+        'Made by `make settings` from `wingfall/settings/schema.py`.',
+    ]
+    for title, schema in (('Router', ROUTER_SCHEMA), ('Agent', AGENT_SCHEMA)):
+        lines.extend(
+            (
+                '',
+                f'## {title}',
+                '',
+                '| field | bounds | default | meaning |',
+                '|---|---|---|---|',
+                *_rows(schema, ''),
+            )
+        )
+    return '\n'.join((*lines, ''))
+
+
+def _rows(schema: dict[str, Any], prefix: str) -> Iterator[str]:
+    for name, field in schema['properties'].items():
+        if field.get('type') == 'object':
+            yield from _rows(field, f'{prefix}{name}.')
+            continue
+        default = field.get('default', 'required')
+        yield (
+            f'| `{prefix}{name}` | {_bounds(field)} | `{default}` '
+            f'| {field["description"]} |'
+        )
+
+
+def _bounds(field: dict[str, Any]) -> str:
+    if 'enum' in field:
+        return ', '.join(field['enum'])
+    if 'minimum' in field:
+        return f'{field["minimum"]} to {field["maximum"]}'
+    return str(field['type'])
+
+
+def main() -> int:
+    """Write the page to its file.
+
+    :returns: the exit code.
+    """
+    PAGE.write_text(render(), 'utf-8')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
