--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -4,6 +4,7 @@
 
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess  # noqa: S404
@@ -20,6 +21,8 @@
 _READY_S: Final = 30
 _POLL_S: Final = 0.05
 _STOP_S: Final = 20
+_FIRST_PORT: Final = 20_000
+_LAST_PORT: Final = 32_000
 _ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -288,11 +291,16 @@
 def free_port() -> int:
     """Find a free port on loopback.
 
+    It lies below the ports that the kernel gives to outgoing connections, one
+    of which could take it before the process that it is for listens.
+
     :returns: the port.
     """
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    chance = random.SystemRandom()
+    while True:  # noqa: WPS457
+        port = chance.randrange(_FIRST_PORT, _LAST_PORT)
+        if not _listens(port):
+            return port
 
 
 def wait_for(condition: Any, what: str, timeout_s: float = _READY_S) -> None:
