The codec knows all messages by itself

Cause: a message was known only once some other part had imported its module; a script that used the relay alone got an unknown tag.

--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,6 +4,8 @@
 
 import socket
 import struct
+import subprocess
+import sys
 
 import pytest
 from hypothesis import given
@@ -152,5 +154,22 @@
     assert seen == [True]
 
 
+def test_codec_knows_all_messages_by_itself():
+    frame = encode(Chunk(call_id='a', offset=0, body=b'')).hex()
+    program = (
+        'from wingfall.wire.codec import FrameDecoder\n'
+        f'frames = FrameDecoder().feed(bytes.fromhex("{frame}"))\n'
+        'print([type(each).__name__ for each in frames])'
+    )
+    ended = subprocess.run(
+        [sys.executable, '-c', program],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=True,
+    )
+    assert ended.stdout == "['Chunk']\n"
+
+
 def test_bound_fits_the_largest_body():
     assert MAX_MESSAGE_BYTES > 3_000_000
--- a/wingfall/wire/codec.py
+++ b/wingfall/wire/codec.py
@@ -8,6 +8,12 @@
 import msgpack
 
 from wingfall.errors import WireError
+from wingfall.wire import (
+    call_messages,
+    handshake_messages,
+    offer_messages,
+    peer_messages,
+)
 from wingfall.wire.message import Message, build_message
 
 if TYPE_CHECKING:
@@ -16,6 +22,14 @@
 MAX_HANDSHAKE_BYTES: Final = 4096
 MAX_MESSAGE_BYTES: Final = 4_194_304
 
+# A message is known once its module is imported, so all are imported here.
+VOCABULARY: Final = (
+    call_messages,
+    handshake_messages,
+    offer_messages,
+    peer_messages,
+)
+
 _LENGTH: Final = struct.Struct('>I')
 _PACKER: Final = msgpack.Packer(use_bin_type=True)
 
