--- a/tests/faults/test_configuration.py
+++ b/tests/faults/test_configuration.py
@@ -13,8 +13,8 @@
 from tests.invariants import check_versions
 from tools.fleet import wait_for
 from wingfall.metrics import Metrics
-from wingfall.platform.client import HttpObjectApi
-from wingfall.platform.edit import apply_object, edit_object
+from wingfall.object_api.client import HttpObjectApi
+from wingfall.object_api.edit import apply_object, edit_object
 from wingfall.registry import Registry
 
 if TYPE_CHECKING:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,7 +13,7 @@
 from wingfall.config.follower import ConfigFollower
 from wingfall.metrics import Metrics
 from wingfall.objects.customer import hash_key
-from wingfall.platform.client import HttpObjectApi, ObjectList, WatchEvent
+from wingfall.object_api.client import HttpObjectApi, ObjectList, WatchEvent
 
 
 def _class(name, **spec):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -10,8 +10,8 @@
 from tests.local_site import HOST
 from wingfall.cmd import apply, delete, explain, get, label, status
 from wingfall.metrics import Metrics
-from wingfall.platform.client import HttpObjectApi
-from wingfall.platform.edit import apply_object
+from wingfall.object_api.client import HttpObjectApi
+from wingfall.object_api.edit import apply_object
 
 _LOBBY = {
     'kind': 'RequestClass',
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -34,7 +34,7 @@
 from wingfall.decision.order import orders
 from wingfall.decision.ticket import Ticket
 from wingfall.objects.customer import Customer
-from wingfall.platform.client import ObjectList, WatchEvent
+from wingfall.object_api.client import ObjectList, WatchEvent
 from wingfall.router.directory import Directory
 from wingfall.router.link import AgentLink
 from wingfall.router.request import Request
--- a/wingfall/cmd/application.py
+++ b/wingfall/cmd/application.py
@@ -13,6 +13,7 @@
 
 _COMMANDS: Final = (
     ('router', 'Run the router of an entry VM.'),
+    ('gateway', 'Run a router for endpoints without agents.'),
     ('agent', 'Run the agent beside an endpoint.'),
     ('check', 'Check object files.'),
     ('apply', 'Create or replace the objects of files.'),
--- a/wingfall/cmd/apply.py
+++ b/wingfall/cmd/apply.py
@@ -10,7 +10,7 @@
 from wingfall.cmd.daemon import print_faults
 from wingfall.cmd.operator import open_platform, refuse, report
 from wingfall.objects.files import read_object_files
-from wingfall.platform.edit import apply_object
+from wingfall.object_api.edit import apply_object
 
 # The option is named as in the usual tools.
 Files = Annotated[list[str], Parameter(name=['-f', '--file'])]
--- a/wingfall/cmd/delete.py
+++ b/wingfall/cmd/delete.py
@@ -5,7 +5,7 @@
 from returns.result import Success
 
 from wingfall.cmd.operator import open_platform, refuse, report
-from wingfall.platform.edit import delete_object
+from wingfall.object_api.edit import delete_object
 
 
 def run(kind: str, name: str, *, platform: str | None = None) -> int:
--- a/wingfall/cmd/operator.py
+++ b/wingfall/cmd/operator.py
@@ -9,10 +9,10 @@
 from returns.result import Failure, Result, Success
 
 from wingfall.metrics import Metrics
-from wingfall.platform.client import HttpObjectApi
+from wingfall.object_api.client import HttpObjectApi
 
 if TYPE_CHECKING:
-    from wingfall.platform.edit import Confirmed
+    from wingfall.object_api.edit import Confirmed
 
 EXIT_DONE: Final = 0
 EXIT_REFUSED: Final = 1
--- a/wingfall/config/follower.py
+++ b/wingfall/config/follower.py
@@ -9,14 +9,14 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.log import part_logger
-from wingfall.platform.client import GONE
+from wingfall.object_api.client import GONE
 from wingfall.supervisor import Backoff
 
 if TYPE_CHECKING:
     from gevent.event import Event
 
     from wingfall.config.copy import ConfigCopy
-    from wingfall.platform.client import ObjectApi
+    from wingfall.object_api.client import ObjectApi
 
 _IDLE_MS = 500
 
--- /dev/null
+++ b/wingfall/gateway/application.py
@@ -0,0 +1,273 @@
+"""The gateway: its supervisor tree and its planned stop."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final, final
+
+import bottle
+import gevent
+from gevent.pool import Pool as GreenletPool
+from gevent.server import StreamServer
+from returns.result import Success
+
+from wingfall.clock import MS_PER_S
+from wingfall.decision.endpoint_health import EndpointHealth
+from wingfall.decision.placement import placements
+from wingfall.decision.resend_budget import ResendBudget
+from wingfall.gateway.binding import bindings
+from wingfall.gateway.caller_connection import CallerConnection
+from wingfall.gateway.endpoint_connection import KeptConnections
+from wingfall.gateway.endpoints import EndpointTable
+from wingfall.gateway.follower import StoreFollower
+from wingfall.gateway.load import LoadTable
+from wingfall.gateway.peers import GatewayPeers
+from wingfall.gateway.replica import (
+    ENDPOINTS_KIND,
+    ROUTES_KIND,
+    ObjectReplica,
+)
+from wingfall.gateway.state import GatewayState
+from wingfall.http_server import HttpServer
+from wingfall.log import log_event
+from wingfall.platform import FjordgridBinding  # noqa: F401
+from wingfall.program import Program
+from wingfall.settings.loader import parse_address
+
+if TYPE_CHECKING:
+    import socket
+    from types import SimpleNamespace
+
+_BACKLOG: Final = 1024
+_MAX_CALLERS: Final = 3000
+_HOUSEKEEPING_MS: Final = 1000
+_UNAVAILABLE: Final = 503
+# The balancer notices after two questions, a second apart, that no new
+# connections shall come; idle ones are closed then.
+_LAME_MS: Final = 2600
+
+
+@final
+class GatewayApplication(Program):
+    """Serves callers from endpoints that have no agent."""
+
+    __slots__ = (
+        '_callers',
+        '_followers',
+        '_listed',
+        '_open',
+        '_peers',
+        '_ready_server',
+        '_replicas',
+        '_state',
+    )
+
+    def __init__(self, *, settings: SimpleNamespace) -> None:
+        """Make the gateway and bind its ports.
+
+        :param settings: the checked settings.
+        """
+        super().__init__(settings=settings, secret=b'')
+        self._state = self._make_state()
+        self._open: set[CallerConnection] = set()
+        self._listed = False
+        self._replicas = (
+            ObjectReplica(kind=ROUTES_KIND, listener=self._take_routes),
+            ObjectReplica(kind=ENDPOINTS_KIND, listener=self._take_endpoint),
+        )
+        routes, endpoints = self._replicas
+        binding = self._state.binding
+        self._followers = (
+            StoreFollower(store=binding.routes_store(), replica=routes),
+            StoreFollower(store=binding.endpoints_store(), replica=endpoints),
+        )
+        self._peers = GatewayPeers(
+            name=settings.name,
+            address=settings.peers.listen,
+            seeds=settings.peers.seeds,
+            state=self._state,
+            replicas=self._replicas,
+            supervisor=self._supervisor,
+        )
+        self._ready_server = HttpServer(
+            app=self._make_ready_app(),
+            address=parse_address(settings.readiness),
+        )
+        callers = parse_address(settings.callers)
+        self._callers = StreamServer(
+            (callers.host, callers.port),
+            self._accept,
+            backlog=_BACKLOG,
+            spawn=GreenletPool(_MAX_CALLERS),
+        )
+        self._callers.init_socket()
+
+    @property
+    def caller_port(self) -> int:
+        """Port for callers."""
+        return int(self._callers.socket.getsockname()[1])
+
+    @property
+    def ready_port(self) -> int:
+        """Port of the balancer's question."""
+        return self._ready_server.port
+
+    @property
+    def peer_address(self) -> str:
+        """``host:port`` for peers."""
+        return self._peers.address
+
+    def start(self) -> None:
+        """Start serving and return."""
+        super().start()
+        log_event('gateway', 'Started.', name=self._settings.name)
+        for name, follower in zip(('routes', 'endpoints'), self._followers):
+            self._supervisor.start(
+                name,
+                lambda each=follower: each.follow(self._stop),
+            )
+        self._supervisor.start('housekeeping', self._keep_house)
+        self._peers.start()
+        self._ready_server.start()
+        self._callers.start()
+
+    def drain(self) -> None:
+        """Take no new work, and wait until what there is has ended."""
+        log_event('gateway', 'Stopping.', calls=self._busy())
+        self._state.draining = True
+        self._peers.leave()
+        gevent.sleep(min(_LAME_MS, self._settings.limits.drain_ms) / MS_PER_S)
+        self._callers.close()
+        for connection in list(self._open):
+            connection.close_idle()
+        self._wait_while(lambda: self._open)
+        log_event('gateway', 'Stopped.', calls=self._busy())
+
+    def close(self) -> None:
+        """End everything now."""
+        self._callers.stop(timeout=0)
+        self._ready_server.stop()
+        self._peers.stop()
+        super().close()
+
+    def not_ready(self) -> str:
+        """Tell why the gateway isn't ready.
+
+        :returns: the reason, empty if it is ready.
+        """
+        if self._state.draining:
+            return 'stopping'
+        if self._state.routes is None:
+            return 'no configuration'
+        if not self._state.endpoints.names:
+            return 'no endpoints'
+        return ''
+
+    def status(self) -> dict[str, Any]:
+        """Show the state of the gateway.
+
+        :returns: the state as JSON.
+        """
+        routes = self._state.routes
+        return {
+            'name': self._settings.name,
+            'config': routes.version if routes else None,
+            'endpoints': sorted(self._state.endpoints.names),
+            'peers': self._peers.names,
+            'calls': self._busy(),
+        }
+
+    def _make_state(self) -> GatewayState:
+        settings = self._settings
+        binding = bindings.find(settings.binding).unwrap()
+        return GatewayState(
+            zone=settings.zone,
+            clock=self._clock,
+            metrics=self._metrics,
+            binding=binding(settings=settings.store, metrics=self._metrics),
+            placement=placements.find(settings.policy.placement).unwrap(),
+            budget=ResendBudget(
+                clock=self._clock,
+                ratio=settings.resend.ratio,
+                slack=settings.resend.slack,
+                window_ms=int(settings.resend.window_s * MS_PER_S),
+            ),
+            health=EndpointHealth(clock=self._clock),
+            endpoints=EndpointTable(clock=self._clock),
+            load=LoadTable(),
+            connections=KeptConnections(clock=self._clock),
+        )
+
+    def _make_ready_app(self) -> bottle.Bottle:
+        app = bottle.Bottle()
+
+        def show_ready() -> bottle.HTTPResponse:
+            reason = self.not_ready()
+            code = _UNAVAILABLE if reason else 200
+            return bottle.HTTPResponse(f'{reason or "ready"}\n', code)
+
+        app.get(self._state.binding.ready_path, callback=show_ready)
+        return app
+
+    def _accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
+        connection = CallerConnection(sock=sock, state=self._state)
+        self._open.add(connection)
+        try:
+            connection.run()
+        finally:
+            self._open.discard(connection)
+
+    def _busy(self) -> int:
+        return sum(connection.busy for connection in self._open)
+
+    def _take_routes(self, name: str, spec: dict[str, Any] | None) -> None:
+        if spec is None:
+            return
+        read = self._state.binding.read_routes(spec)
+        if not isinstance(read, Success):
+            log_event('config', 'Refused.', name=name, reason=read.failure())
+            return
+        routes = read.unwrap()
+        in_force = self._state.routes
+        if in_force is not None and routes.version <= in_force.version:
+            return
+        self._state.routes = routes
+        self._metrics.config_version.set({}, routes.version)
+        log_event(
+            'config',
+            'In force.',
+            version=routes.version,
+            routes=len(routes.routes),
+            customers=len(routes.customers),
+        )
+
+    def _take_endpoint(self, name: str, spec: dict[str, Any] | None) -> None:
+        if spec is None:
+            self._state.endpoints.remove(name)
+            return
+        read = self._state.binding.read_endpoint(name, spec)
+        if isinstance(read, Success):
+            self._state.endpoints.put(read.unwrap())
+            self._set_cache_capacity(name)
+        else:
+            log_event(
+                'endpoints',
+                'Refused.',
+                endpoint=name,
+                reason=read.failure(),
+            )
+
+    def _set_cache_capacity(self, name: str) -> None:
+        endpoint = self._state.endpoints.find(name)
+        if endpoint is None or self._state.routes is None:
+            return
+        pool = self._state.routes.pools.get(endpoint.pool)
+        if pool is not None:
+            self._state.caches.set_capacity(name, pool.memory_tokens)
+
+    def _keep_house(self) -> None:
+        while not self._supervisor.stopped:
+            gevent.sleep(_HOUSEKEEPING_MS / MS_PER_S)
+            names = self._state.endpoints.names
+            self._state.connections.forget(names)
+            self._state.health.forget(names)
+            self._state.caches.forget(names)
--- /dev/null
+++ b/wingfall/gateway/attempt.py
@@ -0,0 +1,309 @@
+"""One sending of a request to one endpoint, and what became of it."""
+
+from __future__ import annotations
+
+import enum
+import re
+from typing import TYPE_CHECKING, Callable, Final, final
+
+import h11
+
+from wingfall.gateway.endpoint_connection import (
+    AnswerBrokenError,
+    AnswerLateError,
+    NotConnectedError,
+)
+from wingfall.gateway.event_stream import EventCutter
+
+if TYPE_CHECKING:
+    from wingfall.gateway.binding import AnswerHead, Binding
+    from wingfall.gateway.call import Call, Headers
+    from wingfall.gateway.endpoint_connection import (
+        EndpointConnection,
+        KeptConnections,
+    )
+    from wingfall.gateway.endpoints import PoolEndpoint
+    from wingfall.gateway.reply import Reply
+
+_OK: Final = 200
+_EVENT_STREAM: Final = b'text/event-stream'
+_KEEP_ALIVE: Final = re.compile(rb'timeout=(\d+)')
+_MAX_WHOLE_BYTES: Final = 8_388_608
+
+
+class AttemptEnd(enum.StrEnum):
+    """How an attempt ended."""
+
+    answered = 'answered'
+    failed = 'failed'  # A whole answer that says the run failed.
+    not_sent = 'not_sent'
+    not_run = 'not_run'
+    lost = 'lost'
+    late = 'late'
+    cut = 'cut'  # A stream that broke after events were passed on.
+
+
+@final
+class WholeAnswer:
+    """An answer read to its end."""
+
+    __slots__ = ('body', 'headers', 'status')
+
+    def __init__(self, *, status: int, headers: Headers, body: bytes) -> None:
+        """Keep an answer.
+
+        :param status: its status.
+        :param headers: the headers that the caller shall see.
+        :param body: its body.
+        """
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+@final
+class AttemptOutcome:
+    """How an attempt ended, and the whole answer if there is one."""
+
+    __slots__ = ('answer', 'end', 'reason')
+
+    def __init__(
+        self,
+        *,
+        end: AttemptEnd,
+        answer: WholeAnswer | None = None,
+        reason: str = '',
+    ) -> None:
+        """Describe the end.
+
+        :param end: how it ended.
+        :param answer: an answer that isn't passed on yet.
+        :param reason: what was seen, for logs.
+        """
+        self.end = end
+        self.answer = answer
+        self.reason = reason
+
+
+@final
+class AttemptLimits:
+    """Until when an attempt may take."""
+
+    __slots__ = ('deadline_ms', 'first_byte_ms')
+
+    def __init__(self, *, deadline_ms: int, first_byte_ms: int) -> None:
+        """Set the limits, both readings of the clock.
+
+        :param deadline_ms: when the call ends.
+        :param first_byte_ms: when the answer must have begun.
+        """
+        self.deadline_ms = deadline_ms
+        self.first_byte_ms = first_byte_ms
+
+
+@final
+class Attempt:
+    """Sends a call to an endpoint and reads the answer."""
+
+    __slots__ = (
+        '_binding',
+        '_call',
+        '_connection',
+        '_connections',
+        '_endpoint',
+        '_now_ms',
+        '_on_output',
+        '_reply',
+    )
+
+    def __init__(
+        self,
+        *,
+        call: Call,
+        endpoint: PoolEndpoint,
+        reply: Reply,
+        binding: Binding,
+        connections: KeptConnections,
+        now_ms: Callable[[], int],
+        on_output: Callable[[], None],
+    ) -> None:
+        """Prepare a sending.
+
+        :param call: the request.
+        :param endpoint: where it goes.
+        :param reply: takes the events of a stream.
+        :param binding: the platform's words.
+        :param connections: connections to endpoints.
+        :param now_ms: reads the clock.
+        :param on_output: called at the first event of a stream.
+        """
+        self._call = call
+        self._endpoint = endpoint
+        self._reply = reply
+        self._binding = binding
+        self._connections = connections
+        self._now_ms = now_ms
+        self._on_output = on_output
+        self._connection: EndpointConnection | None = None
+
+    def run(self, limits: AttemptLimits) -> AttemptOutcome:
+        """Send the request and read its answer.
+
+        :param limits: how long it may take.
+        :returns: how it ended; the connection is kept or closed by then.
+        """
+        try:
+            return self._exchange(limits)
+        except NotConnectedError as error:
+            return AttemptOutcome(end=AttemptEnd.not_sent, reason=str(error))
+        except AnswerBrokenError as error:
+            return AttemptOutcome(end=self._broken(), reason=str(error))
+        except AnswerLateError:
+            return AttemptOutcome(end=self._late(), reason='no bytes in time')
+        finally:
+            if self._connection is not None:
+                self._connection.close()
+
+    def _exchange(self, limits: AttemptLimits) -> AttemptOutcome:
+        call = self._call
+        connection = self._connections.take(
+            self._endpoint,
+            timeout_ms=limits.first_byte_ms - self._now_ms(),
+            kept=call.idempotent,
+        )
+        self._connection = connection
+        connection.send(
+            call.head.method,
+            call.head.target,
+            self._binding.endpoint_headers(
+                call,
+                self._endpoint,
+                limits.deadline_ms - self._now_ms(),
+                self._reply.last_event_id or call.head.last_event_id,
+            ),
+            call.body,
+        )
+        response = connection.receive(limits.first_byte_ms - self._now_ms())
+        return self._read_response(response, limits)
+
+    def _read_response(
+        self,
+        response: h11.Response,
+        limits: AttemptLimits,
+    ) -> AttemptOutcome:
+        headers = response.headers.raw_items()
+        head = self._binding.read_answer(response.status_code, headers)
+        if head.call_id != self._call.call_id and not head.not_run:
+            raise AnswerBrokenError('an answer to another request')
+        if not head.valid:
+            raise AnswerBrokenError('an answer in an unknown encoding')
+        self._note_keep_alive(headers)
+        if _is_stream(response):
+            return self._read_stream(response, limits)
+        if self._reply.started:
+            # A stream can't go on with anything but a stream.
+            end = AttemptEnd.not_run if head.not_run else AttemptEnd.cut
+            return AttemptOutcome(end=end, reason=str(response.status_code))
+        return self._read_whole(response, head, limits)
+
+    def _read_whole(
+        self,
+        response: h11.Response,
+        head: AnswerHead,
+        limits: AttemptLimits,
+    ) -> AttemptOutcome:
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            event = self._receive(limits)
+            if isinstance(event, h11.EndOfMessage):
+                break
+            pieces.append(bytes(event.data))
+            size += len(event.data)
+            if size > _MAX_WHOLE_BYTES:
+                raise AnswerBrokenError('an answer beyond all bounds')
+        self._give_back()
+        answer = WholeAnswer(
+            status=response.status_code,
+            headers=self._binding.caller_headers(response.headers.raw_items()),
+            body=b''.join(pieces),
+        )
+        return AttemptOutcome(
+            end=_classify(head),
+            answer=answer,
+            reason=str(response.status_code),
+        )
+
+    def _read_stream(
+        self,
+        response: h11.Response,
+        limits: AttemptLimits,
+    ) -> AttemptOutcome:
+        cutter = EventCutter(last_event_id=self._reply.last_event_id)
+        while True:
+            event = self._receive(limits)
+            if isinstance(event, h11.EndOfMessage):
+                break
+            events = cutter.feed(bytes(event.data))
+            if events:
+                self._pass_on(response, events, cutter.last_event_id)
+        if cutter.torn or not self._reply.started:
+            raise AnswerBrokenError('the stream ended inside an event')
+        self._give_back()
+        return AttemptOutcome(end=AttemptEnd.answered, reason='stream')
+
+    def _pass_on(
+        self,
+        response: h11.Response,
+        events: bytes,
+        last_event_id: str | None,
+    ) -> None:
+        self._on_output()
+        if not self._reply.started:
+            headers = response.headers.raw_items()
+            self._reply.start_stream(
+                response.status_code,
+                self._binding.caller_headers(headers),
+            )
+        self._reply.send_events(events, last_event_id)
+
+    def _receive(self, limits: AttemptLimits) -> h11.Event:
+        if self._connection is None:
+            raise AnswerBrokenError('there is no connection')
+        until_ms = limits.deadline_ms
+        if self._call.route.streaming and not self._reply.started:
+            until_ms = limits.first_byte_ms
+        return self._connection.receive(until_ms - self._now_ms())
+
+    def _give_back(self) -> None:
+        connection = self._connection
+        self._connection = None
+        if connection is not None:
+            self._connections.give_back(self._endpoint, connection)
+
+    def _note_keep_alive(self, headers: Headers) -> None:
+        for name, text in headers:
+            told = _KEEP_ALIVE.search(text)
+            if name.lower() == b'keep-alive' and told and self._connection:
+                self._connection.note_keep_alive(int(told.group(1)))
+
+    def _broken(self) -> AttemptEnd:
+        return AttemptEnd.cut if self._reply.started else AttemptEnd.lost
+
+    def _late(self) -> AttemptEnd:
+        return AttemptEnd.cut if self._reply.started else AttemptEnd.late
+
+
+def _is_stream(response: h11.Response) -> bool:
+    kinds = [text for name, text in response.headers if name == b'content-type']
+    return response.status_code == _OK and any(
+        kind.startswith(_EVENT_STREAM) for kind in kinds
+    )
+
+
+def _classify(head: AnswerHead) -> AttemptEnd:
+    if head.not_run:
+        return AttemptEnd.not_run
+    if head.retry_elsewhere:
+        return AttemptEnd.failed
+    return AttemptEnd.answered
--- /dev/null
+++ b/wingfall/gateway/binding.py
@@ -0,0 +1,146 @@
+"""What a gateway needs of the platform it runs on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final, Protocol, final
+
+from wingfall.registry import Registry
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from wingfall.errors import PlatformError
+    from wingfall.gateway.call import Call, CallHead, Headers
+    from wingfall.gateway.endpoints import PoolEndpoint
+    from wingfall.gateway.routes import Routes
+
+
+@final
+class StoredObject:
+    """One object of the platform's store."""
+
+    __slots__ = ('name', 'revision', 'spec')
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        revision: int,
+        spec: dict[str, Any] | None,
+    ) -> None:
+        """Keep an object.
+
+        :param name: its name within its kind.
+        :param revision: the store's counter at its last change.
+        :param spec: what it says, None once it is gone.
+        """
+        self.name = name
+        self.revision = revision
+        self.spec = spec
+
+
+@final
+class StoreReading:
+    """What one call to the store brought."""
+
+    __slots__ = ('objects', 'revision')
+
+    def __init__(self, *, revision: int, objects: list[StoredObject]) -> None:
+        """Keep a reading.
+
+        :param revision: the store's counter up to which it is complete.
+        :param objects: the objects listed or changed, in order.
+        """
+        self.revision = revision
+        self.objects = objects
+
+
+class ObjectStore(Protocol):
+    """Reads one kind of object."""
+
+    def list_all(self) -> Result[StoreReading, PlatformError]:
+        """Read all objects of the kind."""
+
+    def watch(self, revision: int) -> Result[StoreReading, PlatformError]:
+        """Wait a bounded time for changes after a revision."""
+
+
+@final
+class AnswerHead:
+    """What the head of an endpoint's answer means."""
+
+    __slots__ = ('call_id', 'foreign', 'not_run', 'retry_elsewhere', 'valid')
+
+    def __init__(
+        self,
+        *,
+        call_id: str,
+        not_run: bool,
+        foreign: bool,
+        valid: bool,
+        retry_elsewhere: bool,
+    ) -> None:
+        """Describe an answer.
+
+        :param call_id: the request it says it answers, empty if it doesn't.
+        :param not_run: whether it proves that the request did not run.
+        :param foreign: whether another endpoint has the address by now.
+        :param valid: whether it can be the endpoint's true answer.
+        :param retry_elsewhere: whether the run failed at this endpoint.
+        """
+        self.call_id = call_id
+        self.not_run = not_run
+        self.foreign = foreign
+        self.valid = valid
+        self.retry_elsewhere = retry_elsewhere
+
+
+class Binding(Protocol):
+    """Translates between a platform's words and the product's."""
+
+    ready_path: str
+
+    def read_call(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+    ) -> CallHead:
+        """Read the head of a caller's request."""
+
+    def endpoint_headers(
+        self,
+        call: Call,
+        endpoint: PoolEndpoint,
+        time_left_ms: int,
+        last_event_id: str | None,
+    ) -> Headers:
+        """Write the headers of a request to an endpoint."""
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerHead:
+        """Read the head of an endpoint's answer."""
+
+    def caller_headers(self, headers: Headers) -> Headers:
+        """Choose the headers of an answer that the caller shall see."""
+
+    def refusal_headers(self, head: CallHead) -> Headers:
+        """Write the headers of an answer that is the gateway's own."""
+
+    def read_routes(self, spec: dict[str, Any]) -> Result[Routes, str]:
+        """Read the configuration from its stored object."""
+
+    def read_endpoint(
+        self,
+        name: str,
+        spec: dict[str, Any],
+    ) -> Result[PoolEndpoint, str]:
+        """Read an endpoint from its stored object."""
+
+    def routes_store(self) -> ObjectStore:
+        """Give the store of the configuration."""
+
+    def endpoints_store(self) -> ObjectStore:
+        """Give the store of the endpoints."""
+
+
+bindings: Final[Registry[Any]] = Registry(kind='binding')
--- /dev/null
+++ b/wingfall/gateway/call.py
@@ -0,0 +1,175 @@
+"""A request at a gateway, from its head to its final answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+if TYPE_CHECKING:
+    from wingfall.gateway.routes import KeyHolder, Route
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@final
+class PromptPart:
+    """A piece of a prompt that other prompts may share."""
+
+    __slots__ = ('part_id', 'tokens')
+
+    def __init__(self, *, part_id: str, tokens: int) -> None:
+        """Describe a part.
+
+        :param part_id: names the same piece in all prompts.
+        :param tokens: its length.
+        """
+        self.part_id = part_id
+        self.tokens = tokens
+
+
+@final
+class Prompt:
+    """What is known of a prompt before it runs."""
+
+    __slots__ = ('max_output_tokens', 'model', 'output_tokens', 'parts')
+
+    def __init__(
+        self,
+        *,
+        model: str = '',
+        parts: tuple[PromptPart, ...] = (),
+        output_tokens: int = 0,
+        max_output_tokens: int = 0,
+    ) -> None:
+        """Describe a prompt.
+
+        :param model: the model that it is for.
+        :param parts: its pieces in order; the last is its own.
+        :param output_tokens: likely length of the answer.
+        :param max_output_tokens: longest answer.
+        """
+        self.model = model
+        self.parts = parts
+        self.output_tokens = output_tokens
+        self.max_output_tokens = max_output_tokens
+
+    @property
+    def tokens(self) -> int:
+        """Length of the whole prompt."""
+        return sum(part.tokens for part in self.parts)
+
+    @property
+    def shared(self) -> tuple[PromptPart, ...]:
+        """All parts but the last."""
+        return self.parts[:-1]
+
+
+@final
+class CallHead:
+    """What a caller's request says before its body."""
+
+    __slots__ = (
+        'api_key',
+        'call_id',
+        'headers',
+        'host',
+        'last_event_id',
+        'method',
+        'prompt',
+        'target',
+        'time_left_ms',
+    )
+
+    def __init__(
+        self,
+        *,
+        method: bytes,
+        target: bytes,
+        host: str,
+        headers: Headers,
+        call_id: str,
+        api_key: str | None,
+        time_left_ms: int | None,
+        last_event_id: str | None,
+        prompt: Prompt | None,
+    ) -> None:
+        """Describe a request.
+
+        :param method: its method.
+        :param target: path and query as they came.
+        :param host: the host that it names, without a port.
+        :param headers: the headers that an endpoint shall see.
+        :param call_id: id of this request, empty if it has none.
+        :param api_key: key of the customer, if any.
+        :param time_left_ms: how long the caller waits, if it tells.
+        :param last_event_id: the event after which a stream goes on, if any.
+        :param prompt: what it tells of its prompt, None for plain requests.
+        """
+        self.method = method
+        self.target = target
+        self.host = host
+        self.headers = headers
+        self.call_id = call_id
+        self.api_key = api_key
+        self.time_left_ms = time_left_ms
+        self.last_event_id = last_event_id
+        self.prompt = prompt
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.split(b'?', 1)[0].decode('latin-1')
+
+
+@final
+class Call:
+    """An accepted request that is being served."""
+
+    __slots__ = (
+        'arrived_ms',
+        'body',
+        'customer',
+        'deadline_ms',
+        'head',
+        'route',
+        'tier',
+    )
+
+    def __init__(
+        self,
+        *,
+        head: CallHead,
+        body: bytes,
+        route: Route,
+        customer: KeyHolder | None,
+        arrived_ms: int,
+        deadline_ms: int,
+    ) -> None:
+        """Accept a request.
+
+        :param head: its head.
+        :param body: its whole body.
+        :param route: the route it takes.
+        :param customer: who sent it, None on public routes.
+        :param arrived_ms: when its head was read.
+        :param deadline_ms: when it must have its final answer.
+        """
+        self.head = head
+        self.body = body
+        self.route = route
+        self.customer = customer
+        self.arrived_ms = arrived_ms
+        self.deadline_ms = deadline_ms
+        self.tier = route.tier
+        if customer is not None and customer.tier is not None:
+            self.tier = customer.tier
+
+    @property
+    def call_id(self) -> str:
+        """Id of the request, for logs."""
+        return self.head.call_id
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether it may be sent again though it may have run."""
+        route = self.route
+        return route.resumable if route.streaming else route.repeatable
--- /dev/null
+++ b/wingfall/gateway/caller_connection.py
@@ -0,0 +1,348 @@
+"""One HTTP connection of a caller, request after request."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Final, final
+
+import gevent
+import h11
+import orjson
+from gevent.socket import wait_read
+
+from wingfall.clock import MS_PER_S
+from wingfall.gateway.call import Call
+from wingfall.gateway.dispatcher import Dispatch, ReplyCutError
+from wingfall.gateway.refusals import (
+    BAD_REQUEST,
+    NOT_FOUND,
+    TOO_LARGE,
+    UNAUTHORIZED,
+    refuse_no_routes,
+    refuse_request,
+)
+from wingfall.gateway.reply import Reply
+from wingfall.gateway.routes import CallerLimits
+from wingfall.log import log_event
+from wingfall.wire.connection import set_no_delay
+
+if TYPE_CHECKING:
+    from gevent import Greenlet
+
+    from wingfall.errors import Refusal
+    from wingfall.gateway.call import CallHead
+    from wingfall.gateway.routes import Routes
+    from wingfall.gateway.state import GatewayState
+
+_READ_BYTES: Final = 65_536
+_WRITE_MS: Final = 5000
+# Callers use a connection up to four fifths of the idle bound; some more
+# than the bound is given, since their clocks and ways differ.
+_IDLE_PART: Final = 1.1
+_BODY_MS: Final = 30_000
+# Final answers leave a little before the caller stops waiting.
+_ANSWER_MS: Final = 10
+_DEFAULT_TIMEOUT_MS: Final = 30_000
+_JSON: Final = (b'Content-Type', b'application/json')
+
+
+class CallerGoneError(Exception):
+    """The caller has closed its connection."""
+
+
+class _HeadLateError(Exception):
+    """A request began and did not come in time."""
+
+
+@final
+class CallerConnection:
+    """Reads requests, has them served, and notices when the caller leaves."""
+
+    __slots__ = (
+        '_closing',
+        '_http',
+        '_received',
+        '_socket',
+        '_state',
+        'busy',
+    )
+
+    def __init__(self, *, sock: socket.socket, state: GatewayState) -> None:
+        """Take over an accepted connection.
+
+        :param sock: its socket.
+        :param state: what the gateway knows.
+        """
+        set_no_delay(sock)
+        self._socket = sock
+        self._state = state
+        self._http = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._limits.head_bytes,
+        )
+        self._received = False
+        self._closing = False
+        self.busy = False
+
+    @property
+    def _limits(self) -> CallerLimits:
+        routes = self._state.routes
+        return CallerLimits() if routes is None else routes.limits
+
+    def run(self) -> None:
+        """Serve requests until either side closes."""
+        try:
+            while self._serve_next():
+                self._http.start_next_cycle()
+                self._received = bool(self._http.trailing_data[0])
+        except (CallerGoneError, ReplyCutError):
+            self._closing = True
+        except h11.RemoteProtocolError as error:
+            self._refuse_garbage(error)
+        except (_HeadLateError, OSError):
+            self._closing = True
+        finally:
+            self.busy = False
+            self._socket.close()
+
+    def close_idle(self) -> None:
+        """Close the connection if no request is under way."""
+        self._closing = True
+        if self.busy or self._received:
+            return
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:  # The caller was first.
+            return
+
+    def _serve_next(self) -> bool:
+        request = self._read_request()
+        if request is None:
+            return False
+        arrived_ms = self._state.clock.now_ms()
+        self.busy = True
+        head = self._state.binding.read_call(
+            request.method,
+            request.target,
+            request.headers.raw_items(),
+        )
+        body = self._read_body()
+        if body is None:
+            refusal = refuse_request(
+                TOO_LARGE,
+                'body_too_large',
+                'The body is too large.',
+            )
+            self._closing = True
+            self._refuse(self._make_reply(), head, refusal)
+            return False
+        self._answer(head, body, arrived_ms)
+        self.busy = False
+        return self._can_go_on()
+
+    def _answer(self, head: CallHead, body: bytes, arrived_ms: int) -> None:
+        reply = self._make_reply()
+        call = self._accept(head, body, arrived_ms)
+        if not isinstance(call, Call):
+            self._refuse(reply, head, call)
+            return
+        watcher = gevent.spawn(self._watch, gevent.getcurrent())
+        refusal = None
+        try:
+            refusal = Dispatch(
+                state=self._state,
+                call=call,
+                reply=reply,
+            ).serve()
+        finally:
+            watcher.kill(block=False)
+            if refusal is None:
+                self._log_answer(call, reply)
+        if refusal is not None:
+            self._refuse(reply, head, refusal)
+
+    def _accept(
+        self,
+        head: CallHead,
+        body: bytes,
+        arrived_ms: int,
+    ) -> Call | Refusal:
+        routes = self._state.routes
+        if routes is None:
+            return refuse_no_routes(head.time_left_ms or _DEFAULT_TIMEOUT_MS)
+        route = routes.find_route(head.host, head.path)
+        if route is None:
+            return refuse_request(NOT_FOUND, 'no_route', 'There is no route.')
+        customer = None
+        if routes.customers and not route.public:
+            customer = routes.find_customer(head.api_key or '')
+            if customer is None:
+                return _refuse_key()
+        left_ms = route.timeout_ms
+        if head.time_left_ms is not None:
+            left_ms = min(left_ms, head.time_left_ms)
+        return Call(
+            head=head,
+            body=body,
+            route=route,
+            customer=customer,
+            arrived_ms=arrived_ms,
+            deadline_ms=arrived_ms + left_ms - _ANSWER_MS,
+        )
+
+    def _refuse(self, reply: Reply, head: CallHead, refusal: Refusal) -> None:
+        headers = [_JSON, *self._state.binding.refusal_headers(head)]
+        if refusal.retry_after_ms is not None:
+            seconds = refusal.retry_after_ms / MS_PER_S
+            headers.append((b'Retry-After', b'%.3f' % seconds))
+        body = {
+            'error': {
+                'type': refusal.kind,
+                'code': refusal.code,
+                'message': refusal.message,
+                'run': refusal.run,
+            },
+        }
+        reply.send_whole(refusal.status, headers, orjson.dumps(body))
+        routes = self._state.routes
+        log_event(
+            'refusal',
+            'A call was refused.',
+            call=head.call_id,
+            status=refusal.status,
+            code=refusal.code,
+            run=refusal.run,
+            retry_ms=refusal.retry_after_ms,
+            config=routes.version if routes else None,
+            path=head.path,
+        )
+        self._state.metrics.answers.inc(
+            {'class': '', 'status': str(refusal.status), 'run': refusal.run},
+        )
+
+    def _log_answer(self, call: Call, reply: Reply) -> None:
+        now_ms = self._state.clock.now_ms()
+        log_event(
+            'answer',
+            'A call ended.',
+            call=call.call_id,
+            route=call.route.name,
+            customer=call.customer.name if call.customer else None,
+            status=reply.status,
+            whole=reply.finished,
+            ms=now_ms - call.arrived_ms,
+            first_ms=reply.first_byte_ms - call.arrived_ms,
+        )
+        self._state.metrics.answers.inc(
+            {
+                'class': call.route.name,
+                'status': str(reply.status),
+                'run': 'ran' if reply.finished else 'unknown',
+            },
+        )
+
+    def _make_reply(self) -> Reply:
+        return Reply(
+            write=self._write,
+            closing=lambda: self._closing or self._state.draining,
+            now_ms=self._state.clock.now_ms,
+        )
+
+    def _can_go_on(self) -> bool:
+        return (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and not self._closing
+        )
+
+    def _read_request(self) -> h11.Request | None:
+        started_ms = self._state.clock.now_ms()
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA or self._closing:
+                return None
+            if not self._received:
+                self._wait_for_first_byte(started_ms)
+                started_ms = self._state.clock.now_ms()
+            elif not self._read(started_ms + self._limits.head_ms):
+                return None
+
+    def _wait_for_first_byte(self, started_ms: int) -> None:
+        while not self._received:
+            # The bound may have changed while the connection rested.
+            idle_ms = self._limits.idle_ms * _IDLE_PART
+            self._read(started_ms + int(idle_ms))
+
+    def _read(self, until_ms: int) -> bool:
+        left_ms = until_ms - self._state.clock.now_ms()
+        if left_ms <= 0:
+            raise _HeadLateError
+        self._socket.settimeout(left_ms / MS_PER_S)
+        try:
+            received = self._socket.recv(_READ_BYTES)
+        except TimeoutError:
+            return self._read(until_ms)
+        self._received = True
+        self._http.receive_data(received)
+        return bool(received)
+
+    def _read_body(self) -> bytes | None:
+        pieces: list[bytes] = []
+        size = 0
+        until_ms = self._state.clock.now_ms() + _BODY_MS
+        while True:
+            if self._http.they_are_waiting_for_100_continue:
+                self._write(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._read(until_ms)
+            elif isinstance(event, h11.Data):
+                pieces.append(bytes(event.data))
+                size += len(event.data)
+                if size > self._limits.body_bytes:
+                    return None
+            else:
+                return b''.join(pieces)
+
+    def _write(self, *events: h11.Event) -> None:
+        encoded = b''.join(filter(None, map(self._http.send, events)))
+        if not encoded:
+            return
+        self._socket.settimeout(_WRITE_MS / MS_PER_S)
+        try:
+            self._socket.sendall(encoded)
+        except OSError as error:
+            raise CallerGoneError from error
+
+    def _watch(self, served: Greenlet) -> None:
+        try:
+            wait_read(self._socket.fileno())
+            gone = not self._socket.recv(1, socket.MSG_PEEK)
+        except OSError:
+            gone = True
+        if gone:
+            served.kill(CallerGoneError, block=False)
+
+    def _refuse_garbage(self, error: h11.RemoteProtocolError) -> None:
+        self._closing = True
+        status = error.error_status_hint or BAD_REQUEST
+        log_event('callers', 'Not a request.', status=status, error=str(error))
+        if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        refusal = refuse_request(status, 'not_a_request', 'Not a request.')
+        try:
+            self._make_reply().send_whole(
+                refusal.status,
+                [_JSON],
+                orjson.dumps({'error': {'message': refusal.message}}),
+            )
+        except (CallerGoneError, h11.LocalProtocolError):
+            return
+
+
+def _refuse_key() -> Refusal:
+    return refuse_request(UNAUTHORIZED, 'unknown_key', 'The key is unknown.')
--- /dev/null
+++ b/wingfall/gateway/chooser.py
@@ -0,0 +1,133 @@
+"""Collects what is known of a pool's endpoints and has one chosen."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+from wingfall.decision.placement import Candidate, Demand, gap_tightness
+from wingfall.gateway.load import EndpointLoad
+
+if TYPE_CHECKING:
+    from wingfall.gateway.call import Call, Prompt
+    from wingfall.gateway.endpoints import PoolEndpoint
+    from wingfall.gateway.state import GatewayState
+
+
+@final
+class Choice:
+    """A chosen endpoint and what decided it."""
+
+    __slots__ = ('candidate', 'endpoint', 'load')
+
+    def __init__(
+        self,
+        *,
+        endpoint: PoolEndpoint,
+        candidate: Candidate,
+        load: EndpointLoad,
+    ) -> None:
+        """Keep a choice.
+
+        :param endpoint: the endpoint.
+        :param candidate: what was known of it.
+        :param load: the work that the request brings there.
+        """
+        self.endpoint = endpoint
+        self.candidate = candidate
+        self.load = load
+
+
+def choose_endpoint(
+    state: GatewayState,
+    call: Call,
+    pool: str,
+    avoided: set[str],
+) -> Choice | None:
+    """Choose where a request goes.
+
+    :param state: what the gateway knows.
+    :param call: the request.
+    :param pool: name of its pool.
+    :param avoided: endpoints that it was sent to before.
+    :returns: the choice, None if the pool has no endpoint left.
+    """
+    usable = state.endpoints.usable(pool)
+    fresh = [each for each in usable if each.name not in avoided]
+    known = [each for each in fresh if not state.health.is_out(each.name)]
+    listed = {each.name: each for each in known or fresh}
+    if not listed:
+        return None
+    candidates = [describe(state, call, each) for each in listed.values()]
+    demand = _demand(call)
+    chosen = state.placement(demand, candidates)
+    return Choice(
+        endpoint=listed[chosen.name],
+        candidate=chosen,
+        load=_brought(call.head.prompt, demand, chosen),
+    )
+
+
+def describe(
+    state: GatewayState,
+    call: Call,
+    endpoint: PoolEndpoint,
+) -> Candidate:
+    """Collect what is known of an endpoint.
+
+    :param state: what the gateway knows.
+    :param call: the request.
+    :param endpoint: the endpoint.
+    :returns: the inputs of the decision.
+    """
+    load = state.load.total(endpoint.name)
+    prompt = call.head.prompt
+    cached, kept, memory_tokens = 0, 0, 0
+    if prompt is not None:
+        cache = state.caches.find(endpoint.name)
+        cached = cache.cached_tokens(prompt.shared)
+        kept = cache.tokens
+        pool = state.routes.pools.get(endpoint.pool) if state.routes else None
+        memory_tokens = pool.memory_tokens if pool else 0
+    return Candidate(
+        name=endpoint.name,
+        remote=endpoint.zone != state.zone,
+        slots=endpoint.slots,
+        running=load.running,
+        reading_tokens=load.reading_tokens,
+        memory_used=load.memory_used,
+        memory_tokens=memory_tokens,
+        cached_tokens=cached,
+        kept_tokens=kept,
+        tight=load.tight,
+        failing=state.health.failing(endpoint.name),
+    )
+
+
+def _demand(call: Call) -> Demand:
+    prompt = call.head.prompt
+    if prompt is None:
+        return Demand(body_bytes=len(call.body))
+    return Demand(
+        is_prompt=True,
+        tokens=prompt.tokens,
+        shared_tokens=sum(part.tokens for part in prompt.shared),
+        output_tokens=prompt.output_tokens,
+        tightness=gap_tightness(call.route.target.token_gap_ms),
+        body_bytes=len(call.body),
+    )
+
+
+def _brought(
+    prompt: Prompt | None,
+    demand: Demand,
+    candidate: Candidate,
+) -> EndpointLoad:
+    if prompt is None:
+        return EndpointLoad(running=1)
+    unread = demand.tokens - candidate.cached_tokens
+    return EndpointLoad(
+        running=1,
+        reading_tokens=unread,
+        memory_used=unread + demand.output_tokens,
+        tight=demand.tightness,
+    )
--- /dev/null
+++ b/wingfall/gateway/dispatcher.py
@@ -0,0 +1,247 @@
+"""Serves a call: chooses endpoints until one has answered it."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Final, final
+
+from wingfall.errors import RunState
+from wingfall.gateway.attempt import (
+    Attempt,
+    AttemptEnd,
+    AttemptLimits,
+    AttemptOutcome,
+    WholeAnswer,
+)
+from wingfall.gateway.chooser import Choice, choose_endpoint
+from wingfall.gateway.refusals import (
+    refuse_late,
+    refuse_lost,
+    refuse_no_endpoint,
+    refuse_not_run,
+)
+from wingfall.log import log_event
+
+if TYPE_CHECKING:
+    from wingfall.errors import Refusal
+    from wingfall.gateway.call import Call
+    from wingfall.gateway.load import LoadEntry
+    from wingfall.gateway.reply import Reply
+    from wingfall.gateway.state import GatewayState
+
+# An attempt that could still be followed by another gives up its wait for
+# the first byte after this part of the time left, or this many targets.
+_WAIT_PART: Final = 0.4
+_WAIT_TARGETS: Final = 1.5
+_MIN_LEFT_MS: Final = 5
+_MAX_CONNECTS: Final = 4
+
+
+class ReplyCutError(Exception):
+    """A stream that can't be continued; its connection must be cut."""
+
+
+@final
+class Dispatch:
+    """The service of one call."""
+
+    __slots__ = (
+        '_call',
+        '_kept_answer',
+        '_may_have_run',
+        '_pool',
+        '_reply',
+        '_sent',
+        '_state',
+        '_unreached',
+    )
+
+    def __init__(
+        self,
+        *,
+        state: GatewayState,
+        call: Call,
+        reply: Reply,
+    ) -> None:
+        """Start the service.
+
+        :param state: what the gateway knows.
+        :param call: the request.
+        :param reply: its answer.
+        """
+        self._state = state
+        self._call = call
+        self._reply = reply
+        self._pool = _pick_pool(call)
+        self._sent: list[str] = []
+        self._unreached: set[str] = set()
+        self._may_have_run = False
+        self._kept_answer: WholeAnswer | None = None
+
+    def serve(self) -> Refusal | None:
+        """Serve the call to its final answer.
+
+        :returns: why there is no endpoint's answer, None if there is one.
+        :raises ReplyCutError: if a stream that has begun can't go on.
+        """
+        self._state.budget.note_fresh(self._pool)
+        while True:
+            if self._left_ms() < _MIN_LEFT_MS:
+                return self._give_up(refuse_late)
+            choice = self._choose()
+            if choice is None:
+                return self._give_up(refuse_no_endpoint)
+            outcome = self._try(choice)
+            if outcome.end is AttemptEnd.answered:
+                self._finish(outcome)
+                return None
+            self._note(choice, outcome)
+            if not self._may_try_again(outcome.end):
+                return self._give_up(_REFUSALS[outcome.end])
+
+    def _choose(self) -> Choice | None:
+        avoided = self._unreached | set(self._sent)
+        choice = choose_endpoint(self._state, self._call, self._pool, avoided)
+        if choice is None and self._sent and self._call.idempotent:
+            # All others were tried; the same endpoint may do better now.
+            choice = choose_endpoint(
+                self._state,
+                self._call,
+                self._pool,
+                self._unreached,
+            )
+        return choice
+
+    def _try(self, choice: Choice) -> AttemptOutcome:
+        state = self._state
+        entry = state.load.start(choice.endpoint.name, choice.load)
+        prompt = self._call.head.prompt
+        if prompt is not None:
+            state.caches.note_sent(choice.endpoint.name, prompt.shared)
+        started_ms = state.clock.now_ms()
+        outcome = AttemptOutcome(end=AttemptEnd.cut, reason='the caller left')
+        try:
+            outcome = self._attempt(choice, entry).run(self._limits())
+        finally:
+            entry.end()
+            self._log_attempt(choice, outcome, started_ms)
+        return outcome
+
+    def _attempt(self, choice: Choice, entry: LoadEntry) -> Attempt:
+        state = self._state
+        return Attempt(
+            call=self._call,
+            endpoint=choice.endpoint,
+            reply=self._reply,
+            binding=state.binding,
+            connections=state.connections,
+            now_ms=state.clock.now_ms,
+            on_output=entry.begin_output,
+        )
+
+    def _limits(self) -> AttemptLimits:
+        call = self._call
+        first_byte_ms = call.deadline_ms
+        if call.idempotent and len(self._sent) + 1 < call.route.max_attempts:
+            wait_ms = max(
+                self._left_ms() * _WAIT_PART,
+                call.route.target_ms * _WAIT_TARGETS,
+            )
+            until_ms = self._state.clock.now_ms() + int(wait_ms)
+            first_byte_ms = min(first_byte_ms, until_ms)
+        return AttemptLimits(
+            deadline_ms=call.deadline_ms,
+            first_byte_ms=first_byte_ms,
+        )
+
+    def _finish(self, outcome: AttemptOutcome) -> None:
+        if outcome.answer is None:
+            self._reply.finish_stream()
+        else:
+            self._pass_on(outcome.answer)
+
+    def _pass_on(self, answer: WholeAnswer) -> None:
+        self._reply.send_whole(answer.status, answer.headers, answer.body)
+
+    def _note(self, choice: Choice, outcome: AttemptOutcome) -> None:
+        name = choice.endpoint.name
+        if outcome.end is AttemptEnd.not_sent:
+            self._unreached.add(name)
+            self._state.health.note_unreachable(name)
+            return
+        self._sent.append(name)
+        if outcome.end is AttemptEnd.failed:
+            self._kept_answer = outcome.answer
+        if outcome.end is not AttemptEnd.not_run:
+            self._may_have_run = True
+        self._state.health.note_failure(name)
+
+    def _may_try_again(self, end: AttemptEnd) -> bool:
+        if end is AttemptEnd.not_sent:
+            return len(self._unreached) < _MAX_CONNECTS
+        if len(self._sent) >= self._call.route.max_attempts:
+            return False
+        if self._may_have_run and not self._call.idempotent:
+            return False
+        if self._reply.started and self._reply.last_event_id is None:
+            return False
+        return self._state.budget.take(self._pool)
+
+    def _give_up(self, refuse: _Refuse) -> Refusal | None:
+        if self._reply.started:
+            raise ReplyCutError
+        if self._kept_answer is not None:
+            self._pass_on(self._kept_answer)
+            return None
+        run = RunState.unknown if self._may_have_run else RunState.not_run
+        return refuse(run, self._left_ms())
+
+    def _left_ms(self) -> int:
+        return self._call.deadline_ms - self._state.clock.now_ms()
+
+    def _log_attempt(
+        self,
+        choice: Choice,
+        outcome: AttemptOutcome,
+        started_ms: int,
+    ) -> None:
+        if outcome.end is AttemptEnd.answered:
+            self._state.health.note_success(choice.endpoint.name)
+        known = choice.candidate
+        log_event(
+            'dispatch',
+            'An attempt ended.',
+            call=self._call.call_id,
+            route=self._call.route.name,
+            tier=self._call.tier,
+            attempt=len(self._sent) + 1,
+            endpoint=known.name,
+            end=outcome.end,
+            reason=outcome.reason,
+            ms=self._state.clock.now_ms() - started_ms,
+            left_ms=self._left_ms(),
+            first_ms=self._reply.first_byte_ms - self._call.arrived_ms,
+            running=known.running,
+            reading=known.reading_tokens,
+            cached=known.cached_tokens,
+            failing=round(known.failing, 2),
+        )
+
+
+_Refuse = type(refuse_late)
+_REFUSALS: Final = {
+    AttemptEnd.failed: refuse_lost,
+    AttemptEnd.not_sent: refuse_no_endpoint,
+    AttemptEnd.not_run: refuse_not_run,
+    AttemptEnd.lost: refuse_lost,
+    AttemptEnd.late: refuse_late,
+    AttemptEnd.cut: refuse_lost,
+}
+
+
+def _pick_pool(call: Call) -> str:
+    pools = call.route.pools
+    weights = [entry.weight for entry in pools]
+    if len(pools) == 1 or not any(weights):
+        return pools[0].pool
+    return random.choices(pools, weights)[0].pool  # noqa: S311
--- /dev/null
+++ b/wingfall/gateway/endpoint_connection.py
@@ -0,0 +1,308 @@
+"""One HTTP connection from a gateway to an endpoint."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Final, final
+
+import gevent
+import h11
+
+from wingfall.clock import MS_PER_S
+from wingfall.http_server import peer_closed
+
+if TYPE_CHECKING:
+    from gevent import Greenlet
+
+    from wingfall.clock import Clock
+    from wingfall.gateway.call import Headers
+    from wingfall.gateway.endpoints import PoolEndpoint
+
+_READ_BYTES: Final = 65_536
+_DIRECT_BYTES: Final = 4096
+_CONNECT_MS: Final = 300
+_DEFAULT_KEEP_MS: Final = 1000
+# The endpoint closes by its own clock; half of its time is safe to use.
+_KEEP_PART: Final = 0.5
+# A silent machine is noticed: data not confirmed, or probes not answered.
+_SOCKET_OPTIONS: Final = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 1500),
+)
+
+
+class NotConnectedError(Exception):
+    """No connection came up, so nothing was sent."""
+
+
+class AnswerBrokenError(Exception):
+    """The answer ended before its end, or is no answer."""
+
+
+class AnswerLateError(Exception):
+    """Nothing came within the time that was given."""
+
+
+@final
+class EndpointConnection:
+    """Sends one request at a time and reads its answer as events of h11."""
+
+    __slots__ = (
+        '_clock',
+        '_http',
+        '_idle_since_ms',
+        '_keep_ms',
+        '_socket',
+        '_writer',
+        'reused',
+    )
+
+    def __init__(self, *, sock: socket.socket, clock: Clock) -> None:
+        """Take over a connected socket.
+
+        :param sock: the socket.
+        :param clock: the time.
+        """
+        for option in _SOCKET_OPTIONS:
+            sock.setsockopt(*option)
+        self._socket = sock
+        self._clock = clock
+        self._http = h11.Connection(h11.CLIENT)
+        self._writer: Greenlet | None = None
+        self._idle_since_ms = 0
+        self._keep_ms = _DEFAULT_KEEP_MS
+        self.reused = False
+
+    @property
+    def fresh_enough(self) -> bool:
+        """Whether the endpoint has surely kept the connection."""
+        idle_ms = self._clock.now_ms() - self._idle_since_ms
+        return idle_ms < self._keep_ms * _KEEP_PART and not self._readable()
+
+    def send(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
+        """Send a request; a long body is written while the answer is read.
+
+        :param method: its method.
+        :param target: its path and query.
+        :param headers: its headers without those that frame the body.
+        :param body: its whole body.
+        :raises AnswerBrokenError: if the request can't be sent whole.
+        """
+        framed = list(headers)
+        if body or method not in {b'GET', b'HEAD', b'DELETE', b'OPTIONS'}:
+            framed.append((b'Content-Length', b'%d' % len(body)))
+        try:
+            encoded = self._encode(method, target, framed, body)
+        except h11.LocalProtocolError as error:
+            raise AnswerBrokenError(str(error)) from error
+        if len(encoded) > _DIRECT_BYTES:
+            self._writer = gevent.spawn(self._write, encoded)
+        elif not self._write(encoded):
+            raise AnswerBrokenError('the request could not be written')
+
+    def receive(self, timeout_ms: int) -> h11.Event:
+        """Read the next event of the answer.
+
+        :param timeout_ms: how long to wait for bytes.
+        :returns: a response, data or the end of the message.
+        :raises AnswerBrokenError: if the answer ends early or is none.
+        :raises AnswerLateError: if nothing came in time.
+        """
+        until_ms = self._clock.now_ms() + timeout_ms
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                self._read(until_ms - self._clock.now_ms())
+            elif isinstance(event, h11.ConnectionClosed):
+                raise AnswerBrokenError('closed without an answer')
+            elif not isinstance(event, h11.InformationalResponse):
+                return event
+
+    def release(self) -> bool:
+        """Make ready for another request after a whole answer.
+
+        :returns: whether the connection can take one.
+        """
+        written = self._writer is None or self._writer.ready()
+        trailing, closed = self._http.trailing_data
+        if not written or trailing or closed or self._readable():
+            return False
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        self._idle_since_ms = self._clock.now_ms()
+        self.reused = True
+        return True
+
+    def note_keep_alive(self, seconds: int) -> None:
+        """Note how long the endpoint keeps an idle connection.
+
+        :param seconds: what it told.
+        """
+        self._keep_ms = seconds * MS_PER_S
+
+    def close(self) -> None:
+        """End the connection at once, so that the endpoint stops working."""
+        if self._writer is not None:
+            self._writer.kill(block=False)
+        self._socket.close()
+
+    def _encode(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+    ) -> bytes:
+        request = h11.Request(method=method, target=target, headers=headers)
+        pieces = [self._http.send(request)]
+        if body:
+            pieces.append(self._http.send(h11.Data(data=body)))
+        pieces.append(self._http.send(h11.EndOfMessage()))
+        return b''.join(filter(None, pieces))
+
+    def _write(self, encoded: bytes) -> bool:
+        try:
+            self._socket.sendall(encoded)
+        except OSError:
+            return False
+        return True
+
+    def _next_event(self) -> h11.Event:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise AnswerBrokenError(str(error)) from error
+
+    def _read(self, timeout_ms: int) -> None:
+        if timeout_ms <= 0:
+            raise AnswerLateError
+        self._socket.settimeout(timeout_ms / MS_PER_S)
+        try:
+            received = self._socket.recv(_READ_BYTES)
+        except TimeoutError as error:
+            if error.errno:  # The kernel's: the machine is silent.
+                raise AnswerBrokenError(str(error)) from error
+            raise AnswerLateError from error
+        except OSError as error:
+            raise AnswerBrokenError(str(error)) from error
+        try:
+            self._http.receive_data(received)
+        except h11.RemoteProtocolError as error:
+            raise AnswerBrokenError(str(error)) from error
+
+    def _readable(self) -> bool:
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        try:
+            self._socket._sock.recv(1, flags)  # noqa: SLF001, WPS437
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+
+def connect(
+    endpoint: PoolEndpoint,
+    clock: Clock,
+    timeout_ms: int,
+) -> EndpointConnection:
+    """Open a connection.
+
+    :param endpoint: the endpoint.
+    :param clock: the time.
+    :param timeout_ms: how long it may take.
+    :returns: the connection.
+    :raises NotConnectedError: if none came up.
+    """
+    bound_ms = max(1, min(timeout_ms, _CONNECT_MS))
+    try:
+        sock = socket.create_connection(
+            (endpoint.host, endpoint.port),
+            timeout=bound_ms / MS_PER_S,
+        )
+    except OSError as error:
+        raise NotConnectedError(str(error)) from error
+    return EndpointConnection(sock=sock, clock=clock)
+
+
+@final
+class KeptConnections:
+    """Idle connections to endpoints, the newest taken first."""
+
+    __slots__ = ('_clock', '_idle')
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Start without connections.
+
+        :param clock: the time.
+        """
+        self._clock = clock
+        self._idle: dict[str, list[EndpointConnection]] = {}
+
+    def take(
+        self,
+        endpoint: PoolEndpoint,
+        *,
+        timeout_ms: int,
+        kept: bool,
+    ) -> EndpointConnection:
+        """Give a connection to an endpoint.
+
+        :param endpoint: the endpoint.
+        :param timeout_ms: how long a new one may take to come up.
+        :param kept: whether one that was used before will do.
+        :returns: the connection.
+        :raises NotConnectedError: if none came up.
+        """
+        idle = self._idle.get(endpoint.name, [])
+        while kept and idle:
+            connection = idle.pop()
+            if connection.fresh_enough:
+                return connection
+            connection.close()
+        return connect(endpoint, self._clock, timeout_ms)
+
+    def give_back(
+        self,
+        endpoint: PoolEndpoint,
+        connection: EndpointConnection,
+    ) -> None:
+        """Keep a connection after a whole answer, if it can be used again.
+
+        :param endpoint: the endpoint.
+        :param connection: the connection.
+        """
+        if connection.release():
+            self._idle.setdefault(endpoint.name, []).append(connection)
+        else:
+            connection.close()
+
+    def forget(self, names: set[str]) -> None:
+        """Close connections to endpoints that are not listed any more.
+
+        :param names: the endpoints that are listed.
+        """
+        for name in self._idle.keys() - names:
+            for connection in self._idle.pop(name):
+                connection.close()
+        for idle in self._idle.values():
+            self._close_old(idle)
+
+    def _close_old(self, idle: list[EndpointConnection]) -> None:
+        old = [each for each in idle if not each.fresh_enough]
+        for connection in old:
+            idle.remove(connection)
+            connection.close()
--- /dev/null
+++ b/wingfall/gateway/endpoints.py
@@ -0,0 +1,156 @@
+"""The endpoints that a gateway knows, and whether they take new work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, final
+
+from wingfall.log import log_event
+
+if TYPE_CHECKING:
+    from wingfall.clock import Clock
+
+# An entry that went without notice may only have lapsed in the store. Its
+# endpoint stays usable for this long, well within the time that a leaving
+# endpoint still serves, and is taken only when no other is left.
+_LAPSE_MS: Final = 1500
+
+
+@final
+class PoolEndpoint:
+    """An endpoint of a pool as the platform lists it."""
+
+    __slots__ = (
+        'draining',
+        'host',
+        'name',
+        'pool',
+        'port',
+        'slots',
+        'version',
+        'zone',
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        pool: str,
+        host: str,
+        port: int,
+        zone: str,
+        slots: int,
+        draining: bool,
+        version: str = '',
+    ) -> None:
+        """Describe an endpoint.
+
+        :param name: id of this incarnation, never used twice.
+        :param pool: the pool it belongs to.
+        :param host: its IP number.
+        :param port: its port.
+        :param zone: its availability zone.
+        :param slots: requests it runs at once.
+        :param draining: whether it is about to leave.
+        :param version: version of its software.
+        """
+        self.name = name
+        self.pool = pool
+        self.host = host
+        self.port = port
+        self.zone = zone
+        self.slots = slots
+        self.draining = draining
+        self.version = version
+
+
+@final
+class EndpointTable:
+    """All endpoints by name, with those that went a moment ago."""
+
+    __slots__ = ('_by_name', '_by_pool', '_clock', '_lapsed')
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Start empty.
+
+        :param clock: tells how long ago an entry went.
+        """
+        self._clock = clock
+        self._by_name: dict[str, PoolEndpoint] = {}
+        self._by_pool: dict[str, dict[str, PoolEndpoint]] = {}
+        self._lapsed: dict[str, tuple[PoolEndpoint, int]] = {}
+
+    @property
+    def names(self) -> set[str]:
+        """Names of all endpoints that are listed."""
+        return set(self._by_name)
+
+    def find(self, name: str) -> PoolEndpoint | None:
+        """Find a listed endpoint.
+
+        :param name: its name.
+        :returns: the endpoint, if it is listed.
+        """
+        return self._by_name.get(name)
+
+    def put(self, endpoint: PoolEndpoint) -> None:
+        """List an endpoint, or replace its entry.
+
+        :param endpoint: the endpoint.
+        """
+        known = self._by_name.get(endpoint.name)
+        self._lapsed.pop(endpoint.name, None)
+        self._by_name[endpoint.name] = endpoint
+        self._by_pool.setdefault(endpoint.pool, {})[endpoint.name] = endpoint
+        if known is None or known.draining != endpoint.draining:
+            log_event(
+                'endpoints',
+                'The list has an endpoint.',
+                endpoint=endpoint.name,
+                pool=endpoint.pool,
+                zone=endpoint.zone,
+                draining=endpoint.draining,
+            )
+
+    def remove(self, name: str) -> None:
+        """Take an endpoint off the list.
+
+        :param name: its name.
+        """
+        endpoint = self._by_name.pop(name, None)
+        if endpoint is None:
+            return
+        self._by_pool.get(endpoint.pool, {}).pop(name, None)
+        if not endpoint.draining:
+            until_ms = self._clock.now_ms() + _LAPSE_MS
+            self._lapsed[name] = (endpoint, until_ms)
+        log_event(
+            'endpoints',
+            'An endpoint left the list.',
+            endpoint=name,
+            pool=endpoint.pool,
+            draining=endpoint.draining,
+        )
+
+    def usable(self, pool: str) -> list[PoolEndpoint]:
+        """List the endpoints of a pool that take new work.
+
+        :param pool: name of the pool.
+        :returns: those listed and not draining; where there are none, those
+            whose entries went a moment ago.
+        """
+        listed = self._by_pool.get(pool, {}).values()
+        ready = [endpoint for endpoint in listed if not endpoint.draining]
+        return ready or self._recently_listed(pool)
+
+    def _recently_listed(self, pool: str) -> list[PoolEndpoint]:
+        now_ms = self._clock.now_ms()
+        self._lapsed = {
+            name: (endpoint, until_ms)
+            for name, (endpoint, until_ms) in self._lapsed.items()
+            if until_ms > now_ms
+        }
+        return [
+            endpoint
+            for endpoint, _until_ms in self._lapsed.values()
+            if endpoint.pool == pool
+        ]
--- /dev/null
+++ b/wingfall/gateway/follower.py
@@ -0,0 +1,96 @@
+"""Follows one kind of object in the platform's store: list, then watch."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Final, final
+
+import gevent
+from returns.result import Success
+
+from wingfall.clock import MS_PER_S
+from wingfall.log import log_event
+from wingfall.supervisor import Backoff
+
+if TYPE_CHECKING:
+    from gevent.event import Event
+
+    from wingfall.gateway.binding import ObjectStore
+    from wingfall.gateway.replica import ObjectReplica
+
+_GONE: Final = 410
+_MIN_RETRY_MS: Final = 100
+_MAX_RETRY_MS: Final = 800
+
+
+@final
+class StoreFollower:
+    """Keeps a replica up to date while the store can be reached."""
+
+    __slots__ = ('_backoff', '_lost', '_replica', '_revision', '_store')
+
+    def __init__(self, *, store: ObjectStore, replica: ObjectReplica) -> None:
+        """Set up a follower.
+
+        :param store: the platform's store of the kind.
+        :param replica: the copy to keep.
+        """
+        self._store = store
+        self._replica = replica
+        self._revision: int | None = None
+        self._lost = False
+        self._backoff = Backoff(min_ms=_MIN_RETRY_MS, max_ms=_MAX_RETRY_MS)
+
+    def follow(self, stop: Event) -> None:
+        """Follow until told to stop.
+
+        :param stop: set when the process ends.
+        """
+        while not stop.is_set():
+            if self._step():
+                self._backoff.reset()
+                continue
+            delay_ms = self._backoff.take_ms()
+            jitter = random.uniform(0.5, 1)  # noqa: S311, WPS432
+            gevent.sleep(delay_ms * jitter / MS_PER_S)
+
+    def _step(self) -> bool:
+        revision = self._revision
+        if revision is None:
+            read = self._store.list_all()
+        else:
+            read = self._store.watch(revision)
+        if not isinstance(read, Success):
+            self._note_lost(str(read.failure()))
+            if read.failure().status == _GONE:
+                self._revision = None
+            return False
+        reading = read.unwrap()
+        if revision is None:
+            self._replica.apply_list(reading)
+        else:
+            self._replica.apply_changes(reading)
+        self._revision = max(reading.revision, revision or 0)
+        self._note_regained()
+        return True
+
+    def _note_lost(self, reason: str) -> None:
+        if not self._lost:
+            self._lost = True
+            log_event(
+                'store',
+                'The store was lost.',
+                kind=self._replica.kind,
+                revision=self._revision,
+                reason=reason,
+            )
+
+    def _note_regained(self) -> None:
+        if self._lost:
+            self._lost = False
+            log_event(
+                'store',
+                'The store is back.',
+                kind=self._replica.kind,
+                revision=self._revision,
+            )
--- /dev/null
+++ b/wingfall/gateway/load.py
@@ -0,0 +1,163 @@
+"""What runs where, by this gateway's own count and what its peers tell."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@final
+class EndpointLoad:
+    """Work at one endpoint."""
+
+    __slots__ = ('memory_used', 'reading_tokens', 'running', 'tight')
+
+    def __init__(
+        self,
+        *,
+        running: int = 0,
+        reading_tokens: int = 0,
+        memory_used: int = 0,
+        tight: float = 0,
+    ) -> None:
+        """Describe the work.
+
+        :param running: requests sent there and not ended.
+        :param reading_tokens: prompt tokens of those without a first event.
+        :param memory_used: tokens that these requests hold.
+        :param tight: streams among them, weighed by how short a pause each
+            of them bears.
+        """
+        self.running = running
+        self.reading_tokens = reading_tokens
+        self.memory_used = memory_used
+        self.tight = tight
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing runs there."""
+        return not self.running
+
+    def add(self, other: EndpointLoad, sign: int = 1) -> None:
+        """Add work, or take it away.
+
+        :param other: the work.
+        :param sign: 1 to add, -1 to take away.
+        """
+        self.running += sign * other.running
+        self.reading_tokens += sign * other.reading_tokens
+        self.memory_used += sign * other.memory_used
+        self.tight += sign * other.tight
+
+
+@final
+class LoadTable:
+    """Work at all endpoints."""
+
+    __slots__ = ('_own', '_peers', 'changes')
+
+    def __init__(self) -> None:
+        """Start without work."""
+        self._own: dict[str, EndpointLoad] = {}
+        self._peers: dict[str, dict[str, EndpointLoad]] = {}
+        self.changes = 0
+
+    @property
+    def own(self) -> dict[str, EndpointLoad]:
+        """Work that this gateway has sent, by endpoint."""
+        return self._own
+
+    def total(self, endpoint: str) -> EndpointLoad:
+        """Sum up the work at an endpoint.
+
+        :param endpoint: its name.
+        :returns: the work of this gateway and its peers.
+        """
+        summed = EndpointLoad()
+        for table in (self._own, *self._peers.values()):
+            load = table.get(endpoint)
+            if load is not None:
+                summed.add(load)
+        return summed
+
+    def start(self, endpoint: str, load: EndpointLoad) -> LoadEntry:
+        """Count a request that is sent.
+
+        :param endpoint: where it goes.
+        :param load: the work it brings.
+        :returns: the entry that ends it.
+        """
+        return LoadEntry(table=self, endpoint=endpoint, load=load)
+
+    def change(self, endpoint: str, load: EndpointLoad, sign: int) -> None:
+        """Change this gateway's own work.
+
+        :param endpoint: the endpoint.
+        :param load: the work.
+        :param sign: 1 to add, -1 to take away.
+        """
+        self.changes += 1
+        own = self._own.setdefault(endpoint, EndpointLoad())
+        own.add(load, sign)
+        if own.idle:
+            self._own.pop(endpoint)
+
+    def hear(
+        self,
+        peer: str,
+        loads: Iterable[tuple[str, EndpointLoad]],
+    ) -> None:
+        """Replace what a peer told.
+
+        :param peer: the peer.
+        :param loads: its work by endpoint.
+        """
+        self._peers[peer] = dict(loads)
+
+    def forget(self, peer: str) -> None:
+        """Forget a peer that is gone.
+
+        :param peer: the peer.
+        """
+        self._peers.pop(peer, None)
+
+
+@final
+class LoadEntry:
+    """One request's work, from its sending to its end."""
+
+    __slots__ = ('_endpoint', '_load', '_table')
+
+    def __init__(
+        self,
+        *,
+        table: LoadTable,
+        endpoint: str,
+        load: EndpointLoad,
+    ) -> None:
+        """Count the work.
+
+        :param table: where it is counted.
+        :param endpoint: where the request goes.
+        :param load: the work it brings.
+        """
+        self._table = table
+        self._endpoint = endpoint
+        self._load = load
+        table.change(endpoint, load, 1)
+
+    def begin_output(self) -> None:
+        """Note that the prompt has been read."""
+        read = EndpointLoad(reading_tokens=self._load.reading_tokens)
+        if read.reading_tokens:
+            self._load.reading_tokens = 0
+            self._table.change(self._endpoint, read, -1)
+
+    def end(self) -> None:
+        """Note that the request has ended; further calls do nothing."""
+        ended = self._load
+        self._load = EndpointLoad()
+        if ended.running:
+            self._table.change(self._endpoint, ended, -1)
--- /dev/null
+++ b/wingfall/gateway/peers.py
@@ -0,0 +1,348 @@
+"""Gateways tell each other what they have sent where and what they know."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Any, Final, final
+
+import gevent
+import orjson
+from gevent.server import StreamServer
+
+from wingfall.clock import MS_PER_S
+from wingfall.errors import WireError
+from wingfall.gateway.binding import StoredObject
+from wingfall.gateway.call import PromptPart
+from wingfall.gateway.load import EndpointLoad
+from wingfall.log import log_event
+from wingfall.wire.connection import Connection
+from wingfall.wire.gateway_messages import (
+    GatewayBeat,
+    GatewayHello,
+    ObjectsFetch,
+    ObjectsPage,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wingfall.gateway.replica import ObjectReplica
+    from wingfall.gateway.state import GatewayState
+    from wingfall.supervisor import Supervisor
+    from wingfall.wire.message import Message
+
+_BEAT_MS: Final = 100
+_QUIET_BEATS: Final = 10
+_SILENCE_MS: Final = 3000
+_CONNECT_S: Final = 1
+_DIAL_MS: Final = 1000
+_MISSED_DIALS: Final = 30
+# Peers that watch the store themselves learn a change this much later.
+_FETCH_AFTER_MS: Final = 200
+_FETCH_AGAIN_MS: Final = 1000
+_RECENT_PARTS: Final = 300
+_MILLI: Final = 1000
+
+
+@final
+class PeerSession:
+    """One connection to another gateway, whoever opened it."""
+
+    __slots__ = ('address', 'behind_since_ms', 'connection', 'leaving', 'name')
+
+    def __init__(self, *, hello: GatewayHello, connection: Connection) -> None:
+        """Take over a connection after the first message.
+
+        :param hello: the first message.
+        :param connection: the connection.
+        """
+        self.name = hello.name
+        self.address = hello.address
+        self.connection = connection
+        self.leaving = False
+        # Since when this gateway has been behind the peer, by kind.
+        self.behind_since_ms: dict[str, int] = {}
+
+
+@final
+class GatewayPeers:
+    """All sessions with other gateways, and what they tell."""
+
+    __slots__ = (
+        '_address',
+        '_addresses',
+        '_name',
+        '_replicas',
+        '_seeds',
+        '_server',
+        '_sessions',
+        '_state',
+        '_supervisor',
+        '_told_changes',
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        seeds: Iterable[str],
+        state: GatewayState,
+        replicas: Iterable[ObjectReplica],
+        supervisor: Supervisor,
+    ) -> None:
+        """Bind the address.
+
+        :param name: name of this gateway.
+        :param address: ``host:port`` for peers.
+        :param seeds: addresses that some gateways may be found at.
+        :param state: what this gateway knows.
+        :param replicas: the objects that gateways give each other.
+        :param supervisor: keeps the connections.
+        """
+        self._name = name
+        self._state = state
+        self._seeds = set(seeds)
+        self._replicas = {replica.kind: replica for replica in replicas}
+        self._supervisor = supervisor
+        self._sessions: dict[str, PeerSession] = {}
+        self._told_changes = 0
+        # Known addresses and the dials in a row that failed.
+        self._addresses: dict[str, int] = {}
+        host, _colon, port = address.rpartition(':')
+        self._server = StreamServer((host, int(port)), self._accept)
+        self._server.init_socket()
+        self._address = f'{host}:{self._server.socket.getsockname()[1]}'
+
+    @property
+    def address(self) -> str:
+        """``host:port`` where peers connect."""
+        return self._address
+
+    @property
+    def names(self) -> list[str]:
+        """Names of the connected peers."""
+        return sorted(self._sessions)
+
+    def start(self) -> None:
+        """Accept and connect from now on."""
+        self._learn(self._seeds)
+        self._server.start()
+        self._supervisor.start('beats', self._beat_forever)
+        self._supervisor.start('dials', self._dial_forever)
+
+    def leave(self) -> None:
+        """Tell the peers that this gateway is stopping."""
+        self._tell(leaving=True)
+
+    def stop(self) -> None:
+        """End all connections."""
+        self._server.stop(timeout=0)
+        for session in list(self._sessions.values()):
+            session.connection.close()
+
+    def _learn(self, addresses: Iterable[str]) -> None:
+        for address in addresses:
+            if address != self._address:
+                self._addresses.setdefault(address, 0)
+
+    def _dial_forever(self) -> None:
+        while not self._supervisor.stopped:
+            connected = {each.address for each in self._sessions.values()}
+            for address in self._addresses.keys() - connected:
+                gevent.spawn(self._dial, address)
+            gevent.sleep(_DIAL_MS / MS_PER_S)
+
+    def _dial(self, address: str) -> None:
+        host, _colon, port = address.rpartition(':')
+        try:
+            sock = socket.create_connection((host, int(port)), _CONNECT_S)
+        except OSError:
+            self._note_missed(address)
+            return
+        self._addresses[address] = 0
+        self._run(sock, greets=True)
+
+    def _note_missed(self, address: str) -> None:
+        missed = self._addresses.get(address, 0) + 1
+        self._addresses[address] = missed
+        if missed > _MISSED_DIALS and address not in self._seeds:
+            self._addresses.pop(address)
+
+    def _accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
+        self._run(sock, greets=False)
+
+    def _run(self, sock: socket.socket, *, greets: bool) -> None:
+        connection = Connection(sock=sock)
+        connection.allow_large()
+        connection.set_timeout(_SILENCE_MS)
+        connection.send(self._hello())
+        session: PeerSession | None = None
+        try:
+            for message in connection.receive():
+                if session is None:
+                    session = self._begin(message, connection)
+                else:
+                    self._receive(session, message)
+        except WireError as error:
+            log_event('peers', 'A peer was cut off.', reason=str(error))
+        finally:
+            connection.close()
+            self._end(session)
+
+    def _begin(self, message: Message, connection: Connection) -> PeerSession:
+        if not isinstance(message, GatewayHello):
+            raise WireError('no hello')
+        session = PeerSession(hello=message, connection=connection)
+        self._sessions[session.name] = session
+        self._learn([message.address, *message.known])
+        self._share_budget()
+        log_event('peers', 'A peer is connected.', peer=session.name)
+        connection.send(self._beat(self._recent_parts(), leaving=False))
+        return session
+
+    def _end(self, session: PeerSession | None) -> None:
+        if session is None or self._sessions.get(session.name) is not session:
+            return
+        self._sessions.pop(session.name)
+        self._state.load.forget(session.name)
+        self._share_budget()
+        log_event('peers', 'A peer is gone.', peer=session.name)
+
+    def _share_budget(self) -> None:
+        self._state.budget.share_among(len(self._sessions) + 1)
+
+    def _receive(self, session: PeerSession, message: Message) -> None:
+        if isinstance(message, GatewayBeat):
+            self._hear(session, message)
+        elif isinstance(message, ObjectsFetch):
+            self._answer_fetch(session, message)
+        elif isinstance(message, ObjectsPage):
+            self._take_page(session, message)
+
+    def _hear(self, session: PeerSession, beat: GatewayBeat) -> None:
+        session.leaving = beat.leaving
+        self._state.load.hear(session.name, map(_read_load, beat.loads))
+        for endpoint, *parts in beat.sent:
+            cache = self._state.caches.find(endpoint)
+            cache.note(
+                [
+                    PromptPart(part_id=part_id, tokens=tokens)
+                    for part_id, tokens in parts
+                ],
+            )
+        for kind, revision in beat.revisions.items():
+            self._compare(session, kind, revision)
+
+    def _compare(self, session: PeerSession, kind: str, revision: int) -> None:
+        replica = self._replicas.get(kind)
+        if replica is None or replica.revision >= revision:
+            session.behind_since_ms.pop(kind, None)
+            return
+        now_ms = self._state.clock.now_ms()
+        since_ms = session.behind_since_ms.setdefault(kind, now_ms)
+        if replica.revision and now_ms - since_ms < _FETCH_AFTER_MS:
+            return
+        session.behind_since_ms[kind] = now_ms + _FETCH_AGAIN_MS
+        fetch = ObjectsFetch(kind=kind, revision=replica.revision)
+        session.connection.send(fetch)
+
+    def _answer_fetch(self, session: PeerSession, fetch: ObjectsFetch) -> None:
+        replica = self._replicas.get(fetch.kind)
+        if replica is None:
+            return
+        objects = [
+            [
+                each.name,
+                each.revision,
+                None if each.spec is None else orjson.dumps(each.spec),
+            ]
+            for each in replica.since(fetch.revision)
+        ]
+        page = ObjectsPage(kind=fetch.kind, objects=objects)
+        session.connection.send(page)
+
+    def _take_page(self, session: PeerSession, page: ObjectsPage) -> None:
+        replica = self._replicas.get(page.kind)
+        if replica is None:
+            return
+        taken = 0
+        for name, revision, raw in page.objects:
+            spec = None if raw is None else orjson.loads(raw)
+            stored = StoredObject(name=name, revision=revision, spec=spec)
+            taken += replica.apply(stored)
+        log_event(
+            'peers',
+            'A peer gave objects.',
+            peer=session.name,
+            kind=page.kind,
+            objects=taken,
+            revision=replica.revision,
+        )
+
+    def _beat_forever(self) -> None:
+        quiet = 0
+        while not self._supervisor.stopped:
+            quiet += 1
+            changed = self._told_changes != self._state.load.changes
+            if changed or quiet >= _QUIET_BEATS:
+                quiet = 0
+                self._tell(leaving=self._state.draining)
+            gevent.sleep(_BEAT_MS / MS_PER_S)
+
+    def _tell(self, *, leaving: bool) -> None:
+        self._told_changes = self._state.load.changes
+        news = [
+            [endpoint, *([part.part_id, part.tokens] for part in parts)]
+            for endpoint, parts in self._state.caches.take_news()
+        ]
+        beat = self._beat(news, leaving=leaving)
+        for session in list(self._sessions.values()):
+            session.connection.send(beat)
+
+    def _beat(self, news: list[list[Any]], *, leaving: bool) -> GatewayBeat:
+        return GatewayBeat(
+            revisions={
+                kind: replica.revision
+                for kind, replica in self._replicas.items()
+            },
+            loads=[
+                _write_load(name, load)
+                for name, load in self._state.load.own.items()
+            ],
+            sent=news,
+            leaving=leaving,
+        )
+
+    def _recent_parts(self) -> list[list[Any]]:
+        return [
+            [endpoint, *map(list, cache.recent(_RECENT_PARTS))]
+            for endpoint, cache in self._state.caches.items()
+        ]
+
+    def _hello(self) -> GatewayHello:
+        return GatewayHello(
+            name=self._name,
+            address=self._address,
+            known=sorted(self._addresses),
+        )
+
+
+def _write_load(name: str, load: EndpointLoad) -> list[Any]:
+    return [
+        name,
+        load.running,
+        load.reading_tokens,
+        load.memory_used,
+        int(load.tight * _MILLI),
+    ]
+
+
+def _read_load(raw: list[Any]) -> tuple[str, EndpointLoad]:
+    name, running, reading, memory, tight = raw
+    return name, EndpointLoad(
+        running=running,
+        reading_tokens=reading,
+        memory_used=memory,
+        tight=tight / _MILLI,
+    )
--- /dev/null
+++ b/wingfall/gateway/state.py
@@ -0,0 +1,145 @@
+"""What all calls of a gateway share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+from wingfall.decision.prefix_cache import PrefixCache
+
+if TYPE_CHECKING:
+    from wingfall.clock import Clock
+    from wingfall.decision.endpoint_health import EndpointHealth
+    from wingfall.decision.placement import Placement
+    from wingfall.decision.resend_budget import ResendBudget
+    from wingfall.gateway.binding import Binding
+    from wingfall.gateway.call import PromptPart
+    from wingfall.gateway.endpoint_connection import KeptConnections
+    from wingfall.gateway.endpoints import EndpointTable
+    from wingfall.gateway.load import LoadTable
+    from wingfall.gateway.routes import Routes
+    from wingfall.metrics import Metrics
+
+
+@final
+class PrefixCaches:
+    """The models of all engines' memories."""
+
+    __slots__ = ('_by_endpoint', 'news')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._by_endpoint: dict[str, PrefixCache] = {}
+        # Sendings that the peers have not heard of yet.
+        self.news: list[tuple[str, tuple[PromptPart, ...]]] = []
+
+    def find(self, endpoint: str) -> PrefixCache:
+        """Give the model of an engine.
+
+        :param endpoint: its name.
+        :returns: the model.
+        """
+        return self._by_endpoint.setdefault(endpoint, PrefixCache())
+
+    def set_capacity(self, endpoint: str, capacity: int) -> None:
+        """Start the model of an engine whose memory is known.
+
+        :param endpoint: its name.
+        :param capacity: tokens that it can hold.
+        """
+        if endpoint not in self._by_endpoint and capacity:
+            self._by_endpoint[endpoint] = PrefixCache(capacity=capacity)
+
+    def note_sent(self, endpoint: str, parts: tuple[PromptPart, ...]) -> None:
+        """Note a prompt that this gateway sent.
+
+        :param endpoint: where it went.
+        :param parts: its shared parts.
+        """
+        if parts:
+            self.find(endpoint).note(parts)
+            self.news.append((endpoint, parts))
+
+    def take_news(self) -> list[tuple[str, tuple[PromptPart, ...]]]:
+        """Take what the peers have not heard of.
+
+        :returns: endpoints and the shared parts sent there.
+        """
+        news, self.news = self.news, []
+        return news
+
+    def forget(self, names: set[str]) -> None:
+        """Keep only the endpoints that are listed.
+
+        :param names: their names.
+        """
+        for name in self._by_endpoint.keys() - names:
+            self._by_endpoint.pop(name)
+
+    def items(self) -> list[tuple[str, PrefixCache]]:
+        """List all models.
+
+        :returns: endpoints and their models.
+        """
+        return list(self._by_endpoint.items())
+
+
+@final
+class GatewayState:
+    """The configuration in force, the endpoints, and what runs there."""
+
+    __slots__ = (
+        'binding',
+        'budget',
+        'caches',
+        'clock',
+        'connections',
+        'draining',
+        'endpoints',
+        'health',
+        'load',
+        'metrics',
+        'placement',
+        'routes',
+        'zone',
+    )
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        clock: Clock,
+        metrics: Metrics,
+        binding: Binding,
+        placement: Placement,
+        budget: ResendBudget,
+        health: EndpointHealth,
+        endpoints: EndpointTable,
+        load: LoadTable,
+        connections: KeptConnections,
+    ) -> None:
+        """Join the parts; there is no configuration yet.
+
+        :param zone: availability zone of this gateway.
+        :param clock: the time.
+        :param metrics: counters.
+        :param binding: the platform's words.
+        :param placement: chooses endpoints.
+        :param budget: bounds second sendings.
+        :param health: failures of endpoints.
+        :param endpoints: the endpoints.
+        :param load: what runs there.
+        :param connections: connections to them.
+        """
+        self.zone = zone
+        self.clock = clock
+        self.metrics = metrics
+        self.binding = binding
+        self.placement = placement
+        self.budget = budget
+        self.health = health
+        self.endpoints = endpoints
+        self.load = load
+        self.connections = connections
+        self.caches = PrefixCaches()
+        self.routes: Routes | None = None
+        self.draining = False
--- a/wingfall/log.py
+++ b/wingfall/log.py
@@ -7,9 +7,13 @@
 
 from absl import logging as absl_logging
 
+from wingfall.log_lines import JsonLineHandler
+
 if TYPE_CHECKING:
     from collections.abc import MutableMapping
 
+_FIRST_WARNING = logging.WARNING
+
 
 class PartLogger(logging.LoggerAdapter[logging.Logger]):
     """Put the name of a part before each of its messages."""
@@ -38,6 +42,19 @@
     return PartLogger(absl_logging.get_absl_logger(), {'part': part})
 
 
+def log_event(part: str, sentence: str, **fields: Any) -> None:
+    """Log one decision as a sentence and its inputs.
+
+    :param part: the part that decided.
+    :param sentence: what happened, fixed for each kind of decision.
+    :param fields: the request's id, the inputs, their age, the outcome.
+    """
+    absl_logging.get_absl_logger().info(
+        f'{part}: {sentence}',
+        extra={'fields': fields},
+    )
+
+
 def configure_logging(level: str) -> None:
     """Send log lines to standard error from a level upward.
 
@@ -46,3 +63,17 @@
     absl_logging.use_absl_handler()
     absl_logging.set_verbosity(level)
     absl_logging.set_stderrthreshold(level)
+
+
+def configure_json_logging(level: str) -> JsonLineHandler:
+    """Send log lines to standard output as JSON, a line each.
+
+    :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    :returns: the handler, to flush what it still holds.
+    """
+    handler = JsonLineHandler()
+    logger = absl_logging.get_absl_logger()
+    logger.handlers = [handler]
+    logger.propagate = False
+    absl_logging.set_verbosity(level)
+    return handler
--- /dev/null
+++ b/wingfall/log_lines.py
@@ -0,0 +1,106 @@
+"""Log records as lines of JSON on a descriptor that may not be read.
+
+Writing never blocks: a line goes out only while the descriptor takes it, a
+bounded number of lines waits, and what is dropped beyond that is counted and
+said in the log itself.
+"""
+
+from __future__ import annotations
+
+import collections
+import logging
+import os
+import select
+import sys
+from typing import Any, Final, final
+
+import orjson
+
+_MAX_WAITING: Final = 2000
+# A pipe that polls as writable takes this many bytes at once (PIPE_BUF).
+_MAX_LINE_BYTES: Final = 4096
+_MS_DIGITS: Final = 3
+
+
+@final
+class JsonLineHandler(logging.Handler):
+    """Writes records as JSON without ever waiting for the reader."""
+
+    def __init__(self, *, descriptor: int | None = None) -> None:
+        """Write to a descriptor.
+
+        :param descriptor: where to write, None for standard output.
+        """
+        super().__init__()
+        if descriptor is None:
+            descriptor = sys.stdout.fileno()
+        self._descriptor = descriptor
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+        self._waiting: collections.deque[bytes] = collections.deque()
+        self._dropped = 0
+
+    @property
+    def dropped(self) -> int:
+        """Lines dropped since the last one that got out."""
+        return self._dropped
+
+    @property
+    def waiting(self) -> int:
+        """Lines that wait for the reader."""
+        return len(self._waiting)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record, or keep it for later.
+
+        :param record: the record.
+        """
+        if len(self._waiting) >= _MAX_WAITING:
+            self._dropped += 1
+        else:
+            self._waiting.append(format_line(record))
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what waits, as far as the descriptor takes it."""
+        while self._waiting and self._is_writable():
+            line = self._waiting.popleft()
+            try:
+                os.write(self._descriptor, line)
+            except OSError:
+                self._dropped += 1
+                return
+            self._tell_dropped()
+
+    def _tell_dropped(self) -> None:
+        if self._dropped and self._is_writable():
+            told = {'message': 'log: Lines were dropped.', 'n': self._dropped}
+            os.write(self._descriptor, orjson.dumps(told) + b'\n')
+            self._dropped = 0
+
+    def _is_writable(self) -> bool:
+        events = self._poll.poll(0)
+        return any(event & select.POLLOUT for _fd, event in events)
+
+
+def format_line(record: logging.LogRecord) -> bytes:
+    """Format a record.
+
+    :param record: the record; its ``fields`` go beside the message.
+    :returns: one line of JSON, cut to a length that is written at once.
+    """
+    body: dict[str, Any] = {
+        'time': round(record.created, _MS_DIGITS),
+        'level': record.levelname,
+        'message': record.getMessage(),
+        **getattr(record, 'fields', {}),
+    }
+    if record.exc_info:
+        body['fault'] = logging.Formatter().formatException(record.exc_info)
+    line = orjson.dumps(body, default=str) + b'\n'
+    if len(line) <= _MAX_LINE_BYTES:
+        return line
+    cut = {'message': body['message'][: _MAX_LINE_BYTES // 4], 'cut': True}
+    if 'fault' in body:
+        cut['fault'] = body['fault'][-_MAX_LINE_BYTES // 4 :]
+    return orjson.dumps(cut)[: _MAX_LINE_BYTES - 1] + b'\n'
--- /dev/null
+++ b/wingfall/object_api/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's services."""
--- a/wingfall/platform/edit.py
+++ b/wingfall/object_api/edit.py
@@ -7,11 +7,11 @@
 
 from returns.result import Failure, Result, Success
 
-from wingfall.platform.client import CONFLICT, NOT_FOUND
+from wingfall.object_api.client import CONFLICT, NOT_FOUND
 
 if TYPE_CHECKING:
     from wingfall.errors import PlatformError
-    from wingfall.platform.client import HttpObjectApi
+    from wingfall.object_api.client import HttpObjectApi
 
 
 class Change(enum.StrEnum):
--- /dev/null
+++ b/wingfall/platform/documents.py
@@ -0,0 +1,129 @@
+"""The platform's stored objects as the product's routes and endpoints."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from wingfall.gateway.endpoints import PoolEndpoint
+from wingfall.gateway.routes import (
+    DEFAULT_TIER,
+    CallerLimits,
+    KeyHolder,
+    Pool,
+    Route,
+    Routes,
+    WeightedPool,
+)
+from wingfall.objects.customer import hash_key
+from wingfall.objects.request_class import Target
+
+_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+
+
+def read_routes(spec: dict[str, Any]) -> Result[Routes, str]:
+    """Read the configuration.
+
+    :param spec: what the stored object says.
+    :returns: the routes in force with it, or why it can't be read.
+    """
+    try:
+        return Success(
+            Routes(
+                version=int(spec['version']),
+                routes=tuple(map(_read_route, spec.get('routes', ()))),
+                pools=map(_read_pool, spec.get('services', ())),
+                customers=tuple(map(_read_customer, spec.get('tenants') or ())),
+                limits=_read_limits(spec.get('limits') or {}),
+            ),
+        )
+    except _UNREADABLE as error:
+        return Failure(f'not a configuration: {error!r}')
+
+
+def read_endpoint(
+    name: str,
+    spec: dict[str, Any],
+) -> Result[PoolEndpoint, str]:
+    """Read an endpoint.
+
+    :param name: its id.
+    :param spec: what the stored object says.
+    :returns: the endpoint, or why it can't be read.
+    """
+    try:
+        host, _colon, port = spec['address'].rpartition(':')
+        return Success(
+            PoolEndpoint(
+                name=name,
+                pool=spec['service'],
+                host=host,
+                port=int(port),
+                zone=spec.get('zone', ''),
+                slots=int(spec.get('slots') or 1),
+                draining=spec.get('state') == 'draining',
+                version=str(spec.get('version', '')),
+            ),
+        )
+    except _UNREADABLE as error:
+        return Failure(f'not an endpoint: {error!r}')
+
+
+def _read_route(raw: dict[str, Any]) -> Route:
+    streaming = raw.get('kind') == 'stream'
+    target_ms = int(raw.get('target_latency_ms') or 0)
+    return Route(
+        name=raw['name'],
+        host=raw['host'].lower(),
+        path_prefix=raw['path_prefix'],
+        pools=_read_pools(raw),
+        tier=int(raw.get('priority', DEFAULT_TIER)),
+        target=Target(
+            first_token_ms=target_ms if streaming else None,
+            token_gap_ms=int(raw.get('gap_aim_ms') or 0) or None,
+            complete_ms=None if streaming else target_ms,
+        ),
+        timeout_ms=int(raw['timeout_ms']),
+        max_attempts=max(1, int(raw.get('max_attempts') or 1)),
+        public=bool(raw.get('public')),
+        repeatable=raw.get('kind') == 'safe',
+        streaming=streaming,
+        resumable=streaming and bool(raw.get('resumable')),
+    )
+
+
+def _read_pools(raw: dict[str, Any]) -> tuple[WeightedPool, ...]:
+    backends = raw.get('backends') or [{'service': raw['service']}]
+    return tuple(
+        WeightedPool(pool=entry['service'], weight=entry.get('weight', 1))
+        for entry in backends
+    )
+
+
+def _read_pool(raw: dict[str, Any]) -> Pool:
+    engine = raw.get('engine') or {}
+    return Pool(
+        name=raw['name'],
+        health_path=raw.get('health_path', '/'),
+        memory_tokens=int(engine.get('kv_capacity_tokens', 0)),
+        slots=int(engine.get('slots', 0)),
+    )
+
+
+def _read_customer(raw: dict[str, Any]) -> KeyHolder:
+    return KeyHolder(
+        name=raw['name'],
+        key_hashes=tuple(map(hash_key, raw.get('api_keys') or ())),
+        tier=raw.get('priority'),
+    )
+
+
+def _read_limits(raw: dict[str, Any]) -> CallerLimits:
+    standard = CallerLimits()
+    return CallerLimits(
+        head_bytes=int(raw.get('max_header_bytes') or standard.head_bytes),
+        body_bytes=int(raw.get('max_body_bytes') or standard.body_bytes),
+        head_ms=int(raw.get('header_timeout_ms') or standard.head_ms),
+        idle_ms=int(raw.get('idle_timeout_ms') or standard.idle_ms),
+    )
--- /dev/null
+++ b/wingfall/platform/store.py
@@ -0,0 +1,173 @@
+"""The platform's object store over HTTP."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Any, Final, final
+
+import orjson
+import urllib3
+from returns.result import Failure, Result, Success
+
+from wingfall.clock import MS_PER_S
+from wingfall.errors import PlatformError
+from wingfall.gateway.binding import StoredObject, StoreReading
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from wingfall.metrics import Metrics
+
+_OBJECTS: Final = '/wingfall/objects'
+_OK: Final = 200
+_SLACK_MS: Final = 1000
+_MAX_MESSAGE: Final = 200
+# A connection whose other side has gone silent ends within two seconds.
+_SOCKET_OPTIONS: Final = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 1500),
+)
+
+
+@final
+class HttpObjectStore:
+    """Reads the objects of one kind."""
+
+    __slots__ = (
+        '_kind',
+        '_metrics',
+        '_pool',
+        '_timeout_ms',
+        '_url',
+        '_wait_ms',
+    )
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        kind: str,
+        timeout_ms: int,
+        wait_ms: int,
+        metrics: Metrics,
+    ) -> None:
+        """Set up the client; no call is made yet.
+
+        :param address: ``host:port`` of the store.
+        :param kind: the kind of object.
+        :param timeout_ms: bound of a short call.
+        :param wait_ms: how long a watch waits for changes.
+        :param metrics: where calls are counted.
+        """
+        self._url = f'http://{address}{_OBJECTS}/{kind}'
+        self._kind = kind
+        self._timeout_ms = timeout_ms
+        self._wait_ms = wait_ms
+        self._metrics = metrics
+        self._pool = urllib3.PoolManager(
+            retries=False,
+            socket_options=list(_SOCKET_OPTIONS),
+        )
+
+    def list_all(self) -> Result[StoreReading, PlatformError]:
+        """Read all objects of the kind, page by page.
+
+        :returns: the objects and the revision they stand at, or the failure.
+        """
+        objects: list[StoredObject] = []
+        query: dict[str, str] = {}
+        revision: int | None = None
+        while True:
+            page = self._call(query, self._timeout_ms).bind(_read_page)
+            if not isinstance(page, Success):
+                return page
+            reading, more = page.unwrap()
+            objects.extend(reading.objects)
+            # What changed while later pages were read comes by the watch.
+            revision = reading.revision if revision is None else revision
+            if not more or not reading.objects:
+                return Success(
+                    StoreReading(revision=revision, objects=objects),
+                )
+            query = {'since_rev': reading.objects[-1].name}
+
+    def watch(self, revision: int) -> Result[StoreReading, PlatformError]:
+        """Wait for changes after a revision.
+
+        :param revision: up to where the changes are known.
+        :returns: the changes, none after the time of one watch.
+        """
+        query = {'watch': str(revision), 'wait_ms': str(self._wait_ms)}
+        timeout_ms = self._wait_ms + _SLACK_MS
+        return self._call(query, timeout_ms).bind(_read_changes)
+
+    def _call(
+        self,
+        query: Mapping[str, str],
+        timeout_ms: int,
+    ) -> Result[Any, PlatformError]:
+        status = 0
+        try:
+            response = self._pool.request(
+                'GET',
+                self._url,
+                fields=dict(query),
+                timeout=urllib3.Timeout(
+                    connect=self._timeout_ms / MS_PER_S,
+                    read=timeout_ms / MS_PER_S,
+                ),
+            )
+            status = response.status
+            body = response.data
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return Failure(PlatformError(status=0, message=str(error)))
+        finally:
+            labels = {'verb': 'GET', 'status': str(status)}
+            self._metrics.platform_calls.inc(labels)
+        if status != _OK:
+            text = body.decode(errors='replace')[:_MAX_MESSAGE]
+            return Failure(PlatformError(status=status, message=text))
+        return _parse(body)
+
+
+def _parse(body: bytes) -> Result[Any, PlatformError]:
+    try:
+        return Success(orjson.loads(body))
+    except orjson.JSONDecodeError as error:
+        return Failure(PlatformError(status=_OK, message=str(error)))
+
+
+def _read_page(
+    body: Any,
+) -> Result[tuple[StoreReading, bool], PlatformError]:
+    try:
+        objects = [_read_object(raw, gone=False) for raw in body['items']]
+        reading = StoreReading(revision=int(body['at']), objects=objects)
+        return Success((reading, bool(body.get('more'))))
+    except (KeyError, TypeError, ValueError):
+        return Failure(PlatformError(status=_OK, message='not a list'))
+
+
+def _read_changes(body: Any) -> Result[StoreReading, PlatformError]:
+    try:
+        objects = [
+            _read_object(event['object'], gone=bool(event.get('gone')))
+            for event in body['events']
+        ]
+        return Success(StoreReading(revision=int(body['at']), objects=objects))
+    except (KeyError, TypeError, ValueError):
+        return Failure(PlatformError(status=_OK, message='not changes'))
+
+
+def _read_object(raw: Any, *, gone: bool) -> StoredObject:
+    metadata = raw['metadata']
+    leaving = gone or bool(metadata.get('deleting'))
+    return StoredObject(
+        name=metadata['name'],
+        revision=int(metadata['revision']),
+        spec=None if leaving else dict(raw['spec']),
+    )
--- a/wingfall/router/application.py
+++ b/wingfall/router/application.py
@@ -16,7 +16,7 @@
 from wingfall.decision.retry import RetryBudget
 from wingfall.http_server import HttpServer
 from wingfall.log import part_logger
-from wingfall.platform.client import HttpObjectApi
+from wingfall.object_api.client import HttpObjectApi
 from wingfall.program import Program
 from wingfall.router.api import CallerApi
 from wingfall.router.directory import Directory
--- /dev/null
+++ b/wingfall/settings/gateway_schema.py
@@ -0,0 +1,64 @@
+"""The schema of a gateway's settings, with its defaults."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+from wingfall.settings.fields import (
+    LOG_LEVEL,
+    address,
+    number,
+    section,
+    text,
+)
+
+
+def _real(default: float, about: str) -> dict[str, Any]:
+    return {
+        'type': 'number',
+        'minimum': 0,
+        'default': default,
+        'description': about,
+    }
+
+
+GATEWAY_SCHEMA: Final = section(
+    'Settings of a gateway.',
+    name=text('Name of this process, unique in its site.'),
+    zone=text('Availability zone of its VM.'),
+    callers=text('host:port for callers.'),
+    readiness=text('host:port of the question whether it is ready.'),
+    admin=address('Address for health, metrics and status.'),
+    binding=text('The platform whose words are spoken.', 'fjordgrid'),
+    log_level=LOG_LEVEL,
+    peers=section(
+        'Other gateways.',
+        listen=text('host:port for other gateways.'),
+        seeds={
+            'type': 'array',
+            'items': {'type': 'string'},
+            'default': [],
+            'description': 'host:port where some gateways may be found.',
+        },
+    ),
+    store=section(
+        "The platform's store.",
+        address=text('host:port of the store.'),
+        timeout_ms=number(1500, 10, 60_000, 'Bound of a short call.'),
+        watch_ms=number(2500, 10, 30_000, 'Wait of one watch.'),
+    ),
+    resend=section(
+        'How often requests may be sent a second time.',
+        ratio=_real(0.2, 'Second sendings a request, over all gateways.'),
+        slack=_real(10, 'Second sendings a window beyond that.'),
+        window_s=_real(10, 'Length of the window in seconds.'),
+    ),
+    policy=section(
+        'The decisions.',
+        placement=text('Which endpoint serves.', 'least_read'),
+    ),
+    limits=section(
+        'Bounds of this process.',
+        drain_ms=number(7000, 0, 600_000, 'Longest planned stop.'),
+    ),
+)
--- a/wingfall/settings/loader.py
+++ b/wingfall/settings/loader.py
@@ -63,6 +63,16 @@
     return Success(_fill(schema, documents[0].body))
 
 
+def parse_address(text: str) -> SimpleNamespace:
+    """Split an address.
+
+    :param text: ``host:port``.
+    :returns: a namespace with ``host`` and ``port``.
+    """
+    host, _colon, port = text.rpartition(':')
+    return SimpleNamespace(host=host.strip('[]'), port=int(port))
+
+
 def _whole_fault(source: str, reason: str) -> FieldFault:
     return FieldFault(source=source, line=1, field='', reason=reason)
 
--- a/wingfall/wire/codec.py
+++ b/wingfall/wire/codec.py
@@ -10,6 +10,7 @@
 from wingfall.errors import WireError
 from wingfall.wire import (
     call_messages,
+    gateway_messages,
     handshake_messages,
     offer_messages,
     peer_messages,
@@ -25,6 +26,7 @@
 # A message is known once its module is imported, so all are imported here.
 VOCABULARY: Final = (
     call_messages,
+    gateway_messages,
     handshake_messages,
     offer_messages,
     peer_messages,
--- /dev/null
+++ b/wingfall/wire/gateway_messages.py
@@ -0,0 +1,90 @@
+"""The typed messages between gateways."""
+
+from __future__ import annotations
+
+from typing import Any, final
+
+from wingfall.wire.message import Message, message
+
+
+@final
+@message(48, str, str, list)
+class GatewayHello(Message):
+    """First message of both sides."""
+
+    __slots__ = ('name', 'address', 'known')  # noqa: WPS607
+
+    def __init__(self, *, name: str, address: str, known: list[str]) -> None:
+        """Introduce the sender.
+
+        :param name: its name.
+        :param address: ``host:port`` where it takes connections.
+        :param known: addresses of the gateways that it knows.
+        """
+        self.name = name
+        self.address = address
+        self.known = known
+
+
+@final
+@message(49, dict, list, list, bool)
+class GatewayBeat(Message):
+    """What a gateway tells its peers some times a second."""
+
+    __slots__ = ('revisions', 'loads', 'sent', 'leaving')  # noqa: WPS607
+
+    def __init__(
+        self,
+        *,
+        revisions: dict[str, int],
+        loads: list[list[Any]],
+        sent: list[list[Any]],
+        leaving: bool,
+    ) -> None:
+        """Tell the state.
+
+        :param revisions: newest revision of each kind of object.
+        :param loads: work of the sender by endpoint: name, running, reading
+            tokens, memory, thousandths of tight streams.
+        :param sent: prompts sent since the last beat: name of the endpoint,
+            then the shared parts, each as id and tokens.
+        :param leaving: whether the sender is stopping.
+        """
+        self.revisions = revisions
+        self.loads = loads
+        self.sent = sent
+        self.leaving = leaving
+
+
+@final
+@message(50, str, int)
+class ObjectsFetch(Message):
+    """Asks for what changed after a revision."""
+
+    __slots__ = ('kind', 'revision')
+
+    def __init__(self, *, kind: str, revision: int) -> None:
+        """Ask.
+
+        :param kind: kind of object.
+        :param revision: up to where the sender is complete.
+        """
+        self.kind = kind
+        self.revision = revision
+
+
+@final
+@message(51, str, list)
+class ObjectsPage(Message):
+    """Answers a fetch."""
+
+    __slots__ = ('kind', 'objects')
+
+    def __init__(self, *, kind: str, objects: list[list[Any]]) -> None:
+        """Answer.
+
+        :param kind: kind of object.
+        :param objects: name, revision and JSON of each, None once gone.
+        """
+        self.kind = kind
+        self.objects = objects
