Streams with short pauses apart from long reads; shared parts read once

Ruled out: memory (nothing was preempted). Change: placement weighs the reads sent to an engine lately for a stream by how short a pause it bears, its reads for the streams that run there, and a shared part read again five times its length.

--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -33,8 +33,8 @@
 from wingfall.decision.keys import KeyTable
 from wingfall.decision.order import orders
 from wingfall.decision.ticket import Ticket
-from wingfall.objects.customer import Customer
 from wingfall.object_api.client import ObjectList, WatchEvent
+from wingfall.objects.customer import Customer
 from wingfall.router.directory import Directory
 from wingfall.router.link import AgentLink
 from wingfall.router.request import Request
--- a/wingfall/cmd/apply.py
+++ b/wingfall/cmd/apply.py
@@ -9,8 +9,8 @@
 
 from wingfall.cmd.daemon import print_faults
 from wingfall.cmd.operator import open_platform, refuse, report
-from wingfall.objects.files import read_object_files
 from wingfall.object_api.edit import apply_object
+from wingfall.objects.files import read_object_files
 
 # The option is named as in the usual tools.
 Files = Annotated[list[str], Parameter(name=['-f', '--file'])]
--- a/wingfall/cmd/label.py
+++ b/wingfall/cmd/label.py
@@ -8,8 +8,8 @@
 
 from wingfall.cmd.application import EXIT_USAGE
 from wingfall.cmd.operator import open_platform, refuse, report
-from wingfall.objects.selector import parse_labels
 from wingfall.object_api.edit import edit_object
+from wingfall.objects.selector import parse_labels
 
 
 def run(
--- a/wingfall/decision/placement.py
+++ b/wingfall/decision/placement.py
@@ -15,7 +15,7 @@
     from collections.abc import Sequence
 
 # A shared part read twice costs time and memory at a second engine as well.
-_READ_AGAIN: Final = 2
+_READ_AGAIN: Final = 5
 _RUNNING_TOKENS: Final = 150
 _TOKENS_PER_REMOTE_BYTE: Final = 0.04
 _KEPT_SHARE: Final = 0.01
@@ -23,8 +23,7 @@
 _FAILING_TOKENS: Final = 30_000
 _MEMORY_SHARE: Final = 0.9
 # Reads up to this length fit between the tokens of running streams.
-_SHORT_READ_TOKENS: Final = 4096
-_READ_HARM: Final = 0.3
+_SHORT_READ_TOKENS: Final = 1024
 # Plain services: a request in another zone against one more running here.
 _REMOTE_RUNNING: Final = 0.4
 _FULL_RUNNING: Final = 100
@@ -43,6 +42,7 @@
         'memory_used',
         'name',
         'reading_tokens',
+        'recent_reads',
         'remote',
         'running',
         'slots',
@@ -62,6 +62,7 @@
         cached_tokens: int = 0,
         kept_tokens: int = 0,
         tight: float = 0,
+        recent_reads: float = 0,
         failing: float = 0,
     ) -> None:
         """Describe an endpoint.
@@ -77,6 +78,7 @@
         :param kept_tokens: tokens of all prompts that it keeps.
         :param tight: running streams there, weighed by how short a pause
             each of them bears.
+        :param recent_reads: tokens of long reads sent there lately.
         :param failing: share of its requests that fail, 0 to 1.
         """
         self.name = name
@@ -89,6 +91,7 @@
         self.cached_tokens = cached_tokens
         self.kept_tokens = kept_tokens
         self.tight = tight
+        self.recent_reads = recent_reads
         self.failing = failing
 
 
@@ -159,12 +162,12 @@
     unread_shared = demand.shared_tokens - candidate.cached_tokens
     unread = demand.tokens - candidate.cached_tokens
     long_read = max(0, unread - _SHORT_READ_TOKENS)
-    long_wait = max(0, candidate.reading_tokens - _SHORT_READ_TOKENS)
     cost = unread_shared * _READ_AGAIN
     cost += candidate.reading_tokens
     cost += candidate.running * _RUNNING_TOKENS
-    cost += long_read * candidate.tight * _READ_HARM
-    cost += long_wait * demand.tightness
+    # A read holds up each stream beside it, now or later, for its length.
+    cost += long_read * candidate.tight * (1 - demand.tightness)
+    cost += candidate.recent_reads * demand.tightness
     cost += candidate.kept_tokens * _KEPT_SHARE
     cost += candidate.failing * _FAILING_TOKENS
     if candidate.remote:
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -44,6 +44,9 @@
 # The balancer notices after two questions, a second apart, that no new
 # connections shall come; idle ones are closed then.
 _LAME_MS: Final = 2600
+# Kept of the time of a planned stop for ending the process.
+_EXIT_MS: Final = 700
+_POLL_MS: Final = 50
 
 
 @final
@@ -135,11 +138,13 @@
         log_event('gateway', 'Stopping.', calls=self._busy())
         self._state.draining = True
         self._peers.leave()
-        gevent.sleep(min(_LAME_MS, self._settings.limits.drain_ms) / MS_PER_S)
+        deadline_ms = self._clock.now_ms() + self._drain_ms()
+        gevent.sleep(min(_LAME_MS, self._drain_ms()) / MS_PER_S)
         self._callers.close()
-        for connection in list(self._open):
-            connection.close_idle()
-        self._wait_while(lambda: self._open)
+        while self._open and self._clock.now_ms() < deadline_ms:
+            for connection in list(self._open):
+                connection.close_idle()
+            gevent.sleep(_POLL_MS / MS_PER_S)
         log_event('gateway', 'Stopped.', calls=self._busy())
 
     def close(self) -> None:
@@ -193,7 +198,7 @@
             ),
             health=EndpointHealth(clock=self._clock),
             endpoints=EndpointTable(clock=self._clock),
-            load=LoadTable(),
+            load=LoadTable(clock=self._clock),
             connections=KeptConnections(clock=self._clock),
         )
 
@@ -216,6 +221,9 @@
         finally:
             self._open.discard(connection)
 
+    def _drain_ms(self) -> int:
+        return int(self._settings.limits.stop_s * MS_PER_S) - _EXIT_MS
+
     def _busy(self) -> int:
         return sum(connection.busy for connection in self._open)
 
@@ -271,3 +279,4 @@
             self._state.connections.forget(names)
             self._state.health.forget(names)
             self._state.caches.forget(names)
+            self._state.load.keep_only(names)
--- a/wingfall/gateway/caller_connection.py
+++ b/wingfall/gateway/caller_connection.py
@@ -23,6 +23,7 @@
 )
 from wingfall.gateway.reply import Reply
 from wingfall.gateway.routes import CallerLimits
+from wingfall.http_server import is_readable
 from wingfall.log import log_event
 from wingfall.wire.connection import set_no_delay
 
@@ -42,6 +43,7 @@
 _BODY_MS: Final = 30_000
 # Final answers leave a little before the caller stops waiting.
 _ANSWER_MS: Final = 10
+_YOUNG_MS: Final = 500
 _DEFAULT_TIMEOUT_MS: Final = 30_000
 _JSON: Final = (b'Content-Type', b'application/json')
 
@@ -61,7 +63,9 @@
     __slots__ = (
         '_closing',
         '_http',
+        '_last_ms',
         '_received',
+        '_shut',
         '_socket',
         '_state',
         'busy',
@@ -82,6 +86,9 @@
         )
         self._received = False
         self._closing = False
+        self._shut = False
+        # When it was opened or its last request ended.
+        self._last_ms = state.clock.now_ms()
         self.busy = False
 
     @property
@@ -106,10 +113,17 @@
             self._socket.close()
 
     def close_idle(self) -> None:
-        """Close the connection if no request is under way."""
+        """Close the connection if no request is under way or arriving.
+
+        A young connection gets the time to send its first request.
+        """
         self._closing = True
-        if self.busy or self._received:
+        age_ms = self._state.clock.now_ms() - self._last_ms
+        if self.busy or self._received or age_ms < _YOUNG_MS:
             return
+        if is_readable(self._socket):
+            return
+        self._shut = True
         try:
             self._socket.shutdown(socket.SHUT_RDWR)
         except OSError:  # The caller was first.
@@ -138,6 +152,7 @@
             return False
         self._answer(head, body, arrived_ms)
         self.busy = False
+        self._last_ms = self._state.clock.now_ms()
         return self._can_go_on()
 
     def _answer(self, head: CallHead, body: bytes, arrived_ms: int) -> None:
@@ -259,9 +274,11 @@
         started_ms = self._state.clock.now_ms()
         while True:
             event = self._http.next_event()
+            if self._shut:
+                return None
             if isinstance(event, h11.Request):
                 return event
-            if event is not h11.NEED_DATA or self._closing:
+            if event is not h11.NEED_DATA:
                 return None
             if not self._received:
                 self._wait_for_first_byte(started_ms)
--- a/wingfall/gateway/chooser.py
+++ b/wingfall/gateway/chooser.py
@@ -99,6 +99,7 @@
         cached_tokens=cached,
         kept_tokens=kept,
         tight=load.tight,
+        recent_reads=state.load.recent_reads(endpoint.name),
         failing=state.health.failing(endpoint.name),
     )
 
--- a/wingfall/gateway/dispatcher.py
+++ b/wingfall/gateway/dispatcher.py
@@ -20,6 +20,7 @@
     refuse_no_endpoint,
     refuse_not_run,
 )
+from wingfall.gateway.state import SentPrompt
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
@@ -115,9 +116,7 @@
     def _try(self, choice: Choice) -> AttemptOutcome:
         state = self._state
         entry = state.load.start(choice.endpoint.name, choice.load)
-        prompt = self._call.head.prompt
-        if prompt is not None:
-            state.caches.note_sent(choice.endpoint.name, prompt.shared)
+        self._note_read(choice)
         started_ms = state.clock.now_ms()
         outcome = AttemptOutcome(end=AttemptEnd.cut, reason='the caller left')
         try:
@@ -127,6 +126,15 @@
             self._log_attempt(choice, outcome, started_ms)
         return outcome
 
+    def _note_read(self, choice: Choice) -> None:
+        prompt = self._call.head.prompt
+        if prompt is None:
+            return
+        name, unread = choice.endpoint.name, choice.load.reading_tokens
+        self._state.load.note_read(name, unread)
+        sent = SentPrompt(endpoint=name, parts=prompt.shared, unread=unread)
+        self._state.caches.note_sent(sent)
+
     def _attempt(self, choice: Choice, entry: LoadEntry) -> Attempt:
         state = self._state
         return Attempt(
@@ -224,6 +232,8 @@
             running=known.running,
             reading=known.reading_tokens,
             cached=known.cached_tokens,
+            recent=int(known.recent_reads),
+            tight=round(known.tight, 1),
             failing=round(known.failing, 2),
         )
 
--- a/wingfall/gateway/endpoint_connection.py
+++ b/wingfall/gateway/endpoint_connection.py
@@ -9,7 +9,7 @@
 import h11
 
 from wingfall.clock import MS_PER_S
-from wingfall.http_server import peer_closed
+from wingfall.http_server import is_readable
 
 if TYPE_CHECKING:
     from gevent import Greenlet
@@ -81,7 +81,9 @@
     def fresh_enough(self) -> bool:
         """Whether the endpoint has surely kept the connection."""
         idle_ms = self._clock.now_ms() - self._idle_since_ms
-        return idle_ms < self._keep_ms * _KEEP_PART and not self._readable()
+        return idle_ms < self._keep_ms * _KEEP_PART and not is_readable(
+            self._socket
+        )
 
     def send(
         self,
@@ -135,7 +137,7 @@
         """
         written = self._writer is None or self._writer.ready()
         trailing, closed = self._http.trailing_data
-        if not written or trailing or closed or self._readable():
+        if not written or trailing or closed or is_readable(self._socket):
             return False
         if self._http.our_state is not h11.DONE:
             return False
@@ -203,16 +205,6 @@
         except h11.RemoteProtocolError as error:
             raise AnswerBrokenError(str(error)) from error
 
-    def _readable(self) -> bool:
-        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-        try:
-            self._socket._sock.recv(1, flags)  # noqa: SLF001, WPS437
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
-
 
 def connect(
     endpoint: PoolEndpoint,
--- a/wingfall/gateway/load.py
+++ b/wingfall/gateway/load.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, final
+from typing import TYPE_CHECKING, Final, final
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from wingfall.clock import Clock
+
+HALF_LIFE_MS: Final = 1000
+# Reads up to this length fit between the tokens of running streams.
+SHORT_READ_TOKENS: Final = 1024
+
 
 @final
 class EndpointLoad:
@@ -52,16 +58,50 @@
         self.tight += sign * other.tight
 
 
+@final
+class FadingSum:
+    """A sum in which each entry is halved again and again."""
+
+    __slots__ = ('_at_ms', '_sum')
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self._sum = 0.0
+        self._at_ms = 0
+
+    def at(self, now_ms: int) -> float:
+        """Read the sum.
+
+        :param now_ms: the time.
+        :returns: what is left of all entries.
+        """
+        return self._sum * 2 ** ((self._at_ms - now_ms) / HALF_LIFE_MS)
+
+    def add(self, amount: float, now_ms: int) -> None:
+        """Add an entry.
+
+        :param amount: its size.
+        :param now_ms: the time.
+        """
+        self._sum = self.at(now_ms) + amount
+        self._at_ms = now_ms
+
+
 @final
 class LoadTable:
     """Work at all endpoints."""
 
-    __slots__ = ('_own', '_peers', 'changes')
+    __slots__ = ('_clock', '_own', '_peers', '_reads', 'changes')
 
-    def __init__(self) -> None:
-        """Start without work."""
+    def __init__(self, *, clock: Clock) -> None:
+        """Start without work.
+
+        :param clock: the time, by which past reads fade.
+        """
+        self._clock = clock
         self._own: dict[str, EndpointLoad] = {}
         self._peers: dict[str, dict[str, EndpointLoad]] = {}
+        self._reads: dict[str, FadingSum] = {}
         self.changes = 0
 
     @property
@@ -69,6 +109,35 @@
         """Work that this gateway has sent, by endpoint."""
         return self._own
 
+    def recent_reads(self, endpoint: str) -> float:
+        """Tell how much was sent there to be read lately, by all gateways.
+
+        :param endpoint: its name.
+        :returns: tokens beyond what fits between those of running streams,
+            halved each second.
+        """
+        reads = self._reads.get(endpoint)
+        return reads.at(self._clock.now_ms()) if reads else 0
+
+    def note_read(self, endpoint: str, tokens: int) -> None:
+        """Count a prompt that is to be read.
+
+        :param endpoint: the endpoint.
+        :param tokens: its tokens that the endpoint doesn't keep.
+        """
+        beyond = tokens - SHORT_READ_TOKENS
+        if beyond > 0:
+            reads = self._reads.setdefault(endpoint, FadingSum())
+            reads.add(beyond, self._clock.now_ms())
+
+    def keep_only(self, names: set[str]) -> None:
+        """Forget the reads of endpoints that are not listed any more.
+
+        :param names: the endpoints that are listed.
+        """
+        for name in self._reads.keys() - names:
+            self._reads.pop(name)
+
     def total(self, endpoint: str) -> EndpointLoad:
         """Sum up the work at an endpoint.
 
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -27,7 +27,7 @@
     from collections.abc import Iterable
 
     from wingfall.gateway.replica import ObjectReplica
-    from wingfall.gateway.state import GatewayState
+    from wingfall.gateway.state import GatewayState, SentPrompt
     from wingfall.supervisor import Supervisor
     from wingfall.wire.message import Message
 
@@ -223,7 +223,8 @@
     def _hear(self, session: PeerSession, beat: GatewayBeat) -> None:
         session.leaving = beat.leaving
         self._state.load.hear(session.name, map(_read_load, beat.loads))
-        for endpoint, *parts in beat.sent:
+        for endpoint, unread, *parts in beat.sent:
+            self._state.load.note_read(endpoint, unread)
             cache = self._state.caches.find(endpoint)
             cache.note(
                 [
@@ -292,10 +293,7 @@
 
     def _tell(self, *, leaving: bool) -> None:
         self._told_changes = self._state.load.changes
-        news = [
-            [endpoint, *([part.part_id, part.tokens] for part in parts)]
-            for endpoint, parts in self._state.caches.take_news()
-        ]
+        news = [_write_sent(sent) for sent in self._state.caches.take_news()]
         beat = self._beat(news, leaving=leaving)
         for session in list(self._sessions.values()):
             session.connection.send(beat)
@@ -316,7 +314,7 @@
 
     def _recent_parts(self) -> list[list[Any]]:
         return [
-            [endpoint, *map(list, cache.recent(_RECENT_PARTS))]
+            [endpoint, 0, *map(list, cache.recent(_RECENT_PARTS))]
             for endpoint, cache in self._state.caches.items()
         ]
 
@@ -338,6 +336,11 @@
     ]
 
 
+def _write_sent(sent: SentPrompt) -> list[Any]:
+    parts = [[part.part_id, part.tokens] for part in sent.parts]
+    return [sent.endpoint, sent.unread, *parts]
+
+
 def _read_load(raw: list[Any]) -> tuple[str, EndpointLoad]:
     name, running, reading, memory, tight = raw
     return name, EndpointLoad(
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -20,6 +20,30 @@
     from wingfall.metrics import Metrics
 
 
+@final
+class SentPrompt:
+    """A prompt that a gateway sent to an engine."""
+
+    __slots__ = ('endpoint', 'parts', 'unread')
+
+    def __init__(
+        self,
+        *,
+        endpoint: str,
+        parts: tuple[PromptPart, ...],
+        unread: int,
+    ) -> None:
+        """Describe a sending.
+
+        :param endpoint: where it went.
+        :param parts: its shared parts.
+        :param unread: its tokens that the engine likely didn't keep.
+        """
+        self.endpoint = endpoint
+        self.parts = parts
+        self.unread = unread
+
+
 @final
 class PrefixCaches:
     """The models of all engines' memories."""
@@ -30,7 +54,7 @@
         """Start empty."""
         self._by_endpoint: dict[str, PrefixCache] = {}
         # Sendings that the peers have not heard of yet.
-        self.news: list[tuple[str, tuple[PromptPart, ...]]] = []
+        self.news: list[SentPrompt] = []
 
     def find(self, endpoint: str) -> PrefixCache:
         """Give the model of an engine.
@@ -49,20 +73,18 @@
         if endpoint not in self._by_endpoint and capacity:
             self._by_endpoint[endpoint] = PrefixCache(capacity=capacity)
 
-    def note_sent(self, endpoint: str, parts: tuple[PromptPart, ...]) -> None:
+    def note_sent(self, sent: SentPrompt) -> None:
         """Note a prompt that this gateway sent.
 
-        :param endpoint: where it went.
-        :param parts: its shared parts.
+        :param sent: the prompt and where it went.
         """
-        if parts:
-            self.find(endpoint).note(parts)
-            self.news.append((endpoint, parts))
+        self.find(sent.endpoint).note(sent.parts)
+        self.news.append(sent)
 
-    def take_news(self) -> list[tuple[str, tuple[PromptPart, ...]]]:
+    def take_news(self) -> list[SentPrompt]:
         """Take what the peers have not heard of.
 
-        :returns: endpoints and the shared parts sent there.
+        :returns: the prompts sent since the last call.
         """
         news, self.news = self.news, []
         return news
--- a/wingfall/http_server.py
+++ b/wingfall/http_server.py
@@ -119,6 +119,23 @@
         self._server.stop(timeout=0)
 
 
+def is_readable(sock: socket.socket) -> bool:
+    """Tell whether bytes or an end wait to be read, without taking them.
+
+    :param sock: a connected socket.
+    :returns: whether a read would not block.
+    """
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    plain = getattr(sock, '_sock', sock)
+    try:
+        plain.recv(1, flags)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 def peer_closed(sock: socket.socket) -> bool:
     """Tell whether the other side has closed, without taking bytes.
 
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -59,6 +59,6 @@
     ),
     limits=section(
         'Bounds of this process.',
-        drain_ms=number(7000, 0, 600_000, 'Longest planned stop.'),
+        stop_s=_real(8, 'When a planned stop has ended, in seconds.'),
     ),
 )
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -47,7 +47,8 @@
         :param loads: work of the sender by endpoint: name, running, reading
             tokens, memory, thousandths of tight streams.
         :param sent: prompts sent since the last beat: name of the endpoint,
-            then the shared parts, each as id and tokens.
+            tokens to read there, then the shared parts, each as id and
+            tokens.
         :param leaving: whether the sender is stopping.
         """
         self.revisions = revisions
