--- /dev/null
+++ b/standins/pool_server.py
@@ -0,0 +1,279 @@
+"""A stand-in for an endpoint of the users' platform, engine or plain.
+
+It speaks raw HTTP/1.1 so that it can break every rule of it. What it does is
+told by ``faults``, taken one a request, oldest first; without one it answers
+rightly. A streaming request (one with ``X-Token-Count``) gets ``events``
+events, ids from 1, or from the one after ``Last-Event-Id``.
+
+The faults: ``error`` (500), ``shed`` (503, not run), ``late_shed`` (the same
+after the body's first bytes), ``reset`` (no answer), ``torn`` (half of the
+body), ``extra`` (bytes after the answer), ``unframed`` (ends by closing),
+``unframed_reset``, ``foreign`` (421), ``stray`` (an answer to another
+request), ``garbage`` (no HTTP), ``encoded`` (a content encoding), ``hang``,
+``cut`` (a stream ends after two events and half of the third).
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+if __name__ == '__main__':
+    monkey.patch_all()
+
+import argparse
+import socket
+import struct
+from typing import Any, Final, final
+
+import gevent
+import h11
+from gevent.event import Event
+from gevent.server import StreamServer
+
+_READ_BYTES: Final = 65_536
+_MS: Final = 1000
+_RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+_CUT_AFTER: Final = 2
+
+
+@final
+class Run:
+    """One request that was run."""
+
+    def __init__(self, *, call_id: str, headers: dict[str, str]) -> None:
+        """Begin a run.
+
+        :param call_id: id of the request.
+        :param headers: its headers, names in lower case.
+        """
+        self.call_id = call_id
+        self.headers = headers
+        self.method = ''
+        self.target = ''
+        self.body = b''
+        self.whole = False
+        self.left = False
+
+
+@final
+class PoolServerStandIn:
+    """Answers requests and keeps a ledger of what it ran."""
+
+    def __init__(self, *, name: str, port: int = 0) -> None:
+        """Listen on loopback.
+
+        :param name: id of this incarnation.
+        :param port: port, 0 for a free one.
+        """
+        self.name = name
+        self.faults: list[str] = []
+        self.events = 3
+        self.event_ms = 0
+        self.delay_ms = 0
+        self.runs: list[Run] = []
+        self.turned_away = 0
+        self.connections = 0
+        self._server = StreamServer(('127.0.0.1', port), self._serve)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """``host:port`` where it listens."""
+        return f'127.0.0.1:{self._server.server_port}'
+
+    def stop(self) -> None:
+        """Refuse connections from now on."""
+        self._server.stop(timeout=0)
+
+    def run_ids(self) -> list[str]:
+        """List the requests that ran.
+
+        :returns: their ids in order.
+        """
+        return [run.call_id for run in self.runs]
+
+    def _serve(self, sock: socket.socket, _peer: Any) -> None:
+        self.connections += 1
+        http = h11.Connection(h11.SERVER)
+        try:
+            while self._serve_one(sock, http):
+                http.start_next_cycle()
+        except (OSError, h11.ProtocolError):
+            return
+        finally:
+            sock.close()
+
+    def _serve_one(self, sock: socket.socket, http: h11.Connection) -> bool:
+        run = self._read_request(sock, http)
+        if run is None:
+            return False
+        fault = self.faults.pop(0) if self.faults else ''
+        expected = run.headers.get('x-expect-instance', self.name)
+        if fault == 'foreign' or expected != self.name:
+            return self._turn_away(sock, http, 421)
+        if fault in {'shed', 'late_shed'}:
+            return self._turn_away(sock, http, 503)
+        self.runs.append(run)
+        if self.delay_ms:
+            self._work(sock, run)
+        if 'x-token-count' in run.headers:
+            return self._answer_stream(sock, http, run, fault)
+        return self._answer_whole(sock, http, run, fault)
+
+    def _read_request(
+        self,
+        sock: socket.socket,
+        http: h11.Connection,
+    ) -> Run | None:
+        run = None
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(sock.recv(_READ_BYTES))
+            elif isinstance(event, h11.Request):
+                headers = {
+                    name.decode(): text.decode('latin-1')
+                    for name, text in event.headers
+                }
+                run = Run(
+                    call_id=headers.get('x-attempt-id', ''),
+                    headers=headers,
+                )
+                run.method = event.method.decode()
+                run.target = event.target.decode()
+            elif isinstance(event, h11.Data) and run:
+                run.body += bytes(event.data)
+            else:
+                return run
+
+    def _work(self, sock: socket.socket, run: Run) -> None:
+        # An endpoint drops a request once its connection closes.
+        with gevent.Timeout(self.delay_ms / _MS, False):  # noqa: FBT003
+            if not sock.recv(1):
+                run.left = True
+                raise ConnectionError
+
+    def _turn_away(
+        self,
+        sock: socket.socket,
+        http: h11.Connection,
+        status: int,
+    ) -> bool:
+        self.turned_away += 1
+        headers = [('Content-Length', '0'), ('X-Not-Executed', '1')]
+        response = h11.Response(status_code=status, headers=headers)
+        sock.sendall(_encode(http, response, h11.EndOfMessage()))
+        return True
+
+    def _answer_whole(
+        self,
+        sock: socket.socket,
+        http: h11.Connection,
+        run: Run,
+        fault: str,
+    ) -> bool:
+        if fault == 'hang':
+            gevent.sleep(60)
+        if fault == 'reset':
+            _reset(sock)
+            return False
+        if fault == 'garbage':
+            sock.sendall(b'\x00\x01 nothing that is HTTP\r\n\r\n')
+            return False
+        body = f'{self.name} {run.call_id} {run.target}'.encode()
+        status = 500 if fault == 'error' else 200
+        encoded = _encode(
+            http,
+            h11.Response(
+                status_code=status,
+                headers=self._headers(run, fault, len(body)),
+            ),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+        if fault == 'torn':
+            sock.sendall(encoded[: -len(body) // 2])
+            return False
+        if fault == 'unframed_reset':
+            sock.sendall(encoded[: -len(body) // 2])
+            _reset(sock)
+            return False
+        run.whole = True
+        if fault == 'extra':
+            sock.sendall(encoded + encoded)
+            return False
+        sock.sendall(encoded)
+        return not fault.startswith('unframed')
+
+    def _headers(
+        self,
+        run: Run,
+        fault: str,
+        length: int,
+    ) -> list[tuple[str, str]]:
+        call_id = 'another' if fault == 'stray' else run.call_id
+        headers = [
+            ('X-Attempt-Id', call_id),
+            ('X-Response-Seal', f'seal.{self.name}'),
+            ('Keep-Alive', 'timeout=5'),
+        ]
+        if fault == 'encoded':
+            headers.append(('Content-Encoding', 'gzip'))
+        if fault.startswith('unframed'):
+            headers.append(('Connection', 'close'))
+        else:
+            headers.append(('Content-Length', str(length)))
+        return headers
+
+    def _answer_stream(
+        self,
+        sock: socket.socket,
+        http: h11.Connection,
+        run: Run,
+        fault: str,
+    ) -> bool:
+        if fault in {'error', 'reset', 'hang', 'garbage'}:
+            return self._answer_whole(sock, http, run, fault)
+        headers = [
+            ('X-Attempt-Id', run.call_id),
+            ('X-Response-Seal', f'seal.{self.name}'),
+            ('Content-Type', 'text/event-stream'),
+        ]
+        response = h11.Response(status_code=200, headers=headers)
+        sock.sendall(_encode(http, response))
+        first = int(run.headers.get('last-event-id', '0')) + 1
+        for number in range(first, self.events + 1):
+            gevent.sleep(self.event_ms / _MS)
+            event = f'id: {number}\ndata: {run.call_id} {number}\n\n'.encode()
+            if fault == 'cut' and number > _CUT_AFTER:
+                half = h11.Data(data=event[: len(event) // 2])
+                sock.sendall(_encode(http, half))
+                _reset(sock)
+                return False
+            sock.sendall(_encode(http, h11.Data(data=event)))
+        run.whole = True
+        sock.sendall(_encode(http, h11.EndOfMessage()))
+        return True
+
+
+def _encode(http: h11.Connection, *events: h11.Event) -> bytes:
+    return b''.join(filter(None, map(http.send, events)))
+
+
+def _reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    sock.close()
+
+
+def main() -> None:
+    """Run the stand-in until it is ended."""
+    parser = argparse.ArgumentParser(description='An endpoint stand-in.')
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--name', default='endpoint')
+    chosen = parser.parse_args()
+    PoolServerStandIn(name=chosen.name, port=chosen.port)
+    Event().wait()
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,7 @@
 import pytest
 from hypothesis import settings
 
+from tests.gateway_site import GatewaySite
 from tests.local_site import LocalSite
 from tests.relay import Relay
 from wingfall.clock import ManualClock
@@ -42,3 +43,11 @@
     running = Relay()
     yield running
     running.close()
+
+
+@pytest.fixture
+def gateway_site() -> Iterator[GatewaySite]:
+    """Give a store to which a test adds endpoints and gateways."""
+    running = GatewaySite()
+    yield running
+    running.close()
--- /dev/null
+++ b/tests/test_gateway_config.py
@@ -0,0 +1,139 @@
+"""Configuration and endpoints at a gateway: by the store and by peers."""
+
+from __future__ import annotations
+
+import gevent
+import orjson
+import urllib3
+
+from tests.gateway_site import HOST, GatewaySite, route
+from tests.local_site import wait_until
+
+
+def script(site: GatewaySite, **fields: int) -> None:
+    """Tell the store how to behave."""
+    site.store.script = dict(fields)
+
+
+def test_change_is_in_force(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    gateway_site.add_gateway()
+    assert gateway_site.ask('/fresh/x').status == 404
+    gateway_site.config['routes'].append(route('fresh', 'plain', kind='safe'))
+    gateway_site.write_config()
+    wait_until(lambda: gateway_site.ask('/fresh/x').status == 200)
+
+
+def test_older_version_is_never_applied(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    gateway = gateway_site.add_gateway()
+    version = gateway.status()['config']
+    older = {**gateway_site.config, 'version': version - 1, 'routes': []}
+    gateway_site.store.put('config', 'main', older)
+    gateway_site.add_server('two')
+    wait_until(lambda: len(gateway.status()['endpoints']) == 2)
+    gevent.sleep(0.1)
+    assert gateway.status()['config'] == version
+    assert gateway_site.ask('/safe/x').status == 200
+
+
+def test_configuration_that_cannot_be_read_changes_nothing(
+    gateway_site: GatewaySite,
+):
+    gateway_site.add_server('one')
+    gateway = gateway_site.add_gateway()
+    gateway_site.store.put('config', 'main', {'version': 'x', 'routes': 7})
+    gateway_site.store.put('servers', 'odd', {'address': None})
+    gateway_site.add_server('two')
+    wait_until(lambda: len(gateway.status()['endpoints']) == 2)
+    assert gateway_site.ask('/safe/x').status == 200
+
+
+def test_not_ready_before_a_configuration(gateway_site: GatewaySite):
+    script(gateway_site, status=503)
+    gateway = gateway_site.start_gateway()
+    assert gateway.not_ready() == 'no configuration'
+    assert gateway_site.ask('/safe/x').status == 503
+    gateway_site.add_server('one')
+    script(gateway_site)
+    wait_until(lambda: not gateway.not_ready())
+    assert gateway_site.ask('/safe/x').status == 200
+
+
+def test_ready_is_asked_by_the_balancer(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    gateway = gateway_site.add_gateway()
+    url = f'http://{HOST}:{gateway.ready_port}/wingfall/ready'
+    assert urllib3.request('GET', url).status == 200
+
+
+def test_forgotten_history_leads_to_a_new_list(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    gateway = gateway_site.add_gateway()
+    script(gateway_site, status=429)
+    gateway_site.store.objects['servers'].pop('one')
+    gateway_site.add_server('two')
+    gateway_site.store.oldest = gateway_site.store.revision + 1
+    gateway_site.store.revision += 5
+    gevent.sleep(0.1)
+    script(gateway_site)
+    wait_until(lambda: gateway.status()['endpoints'] == ['two'])
+
+
+def test_long_lists_come_in_pages(gateway_site: GatewaySite):
+    script(gateway_site, page=2)
+    for number in range(5):
+        gateway_site.add_server(f'server-{number}')
+    gateway = gateway_site.add_gateway()
+    wait_until(lambda: len(gateway.status()['endpoints']) == 5)
+
+
+def test_gateway_starts_from_a_peer_while_the_store_is_down(
+    gateway_site: GatewaySite,
+):
+    gateway_site.add_server('one')
+    gateway_site.add_gateway()
+    script(gateway_site, status=503)
+    second = gateway_site.add_gateway()
+    assert second.status()['config'] == gateway_site.config['version']
+    caller = gateway_site.caller(1)
+    caller.send('/safe/x')
+    assert caller.receive().status == 200
+
+
+def test_peers_give_what_the_store_does_not(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    first = gateway_site.add_gateway()
+    # The second one's own way to the store leads nowhere.
+    second = gateway_site.add_gateway(
+        store={'address': f'{HOST}:1', 'watch_ms': 500},
+    )
+    gateway_site.config['tenants'] = [{'name': 'other', 'api_keys': ['k']}]
+    gateway_site.write_config()
+    gateway_site.list_server('one', 'plain', state='draining')
+    gateway_site.add_server('two')
+    version = gateway_site.config['version']
+    wait_until(lambda: first.status()['config'] == version)
+    wait_until(lambda: second.status()['config'] == version)
+    wait_until(
+        lambda: [e.name for e in second.endpoints.usable('plain')] == ['two'],
+    )
+    caller = gateway_site.caller(1)
+    caller.send('/safe/x')
+    assert caller.receive().status == 401
+
+
+def test_lapsed_entries_still_serve_for_a_moment(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    gateway = gateway_site.add_gateway()
+    gateway_site.store.delete('servers', 'one')
+    wait_until(lambda: not gateway.status()['endpoints'])
+    assert gateway_site.ask('/safe/x').status == 200
+
+
+def test_status_is_json(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    gateway = gateway_site.add_gateway()
+    url = f'http://{HOST}:{gateway.admin_port}/status'
+    shown = orjson.loads(urllib3.request('GET', url).data)
+    assert shown['endpoints'] == ['one']
--- /dev/null
+++ b/tests/test_gateway_requests.py
@@ -0,0 +1,297 @@
+"""Plain requests through a gateway: what callers and endpoints see."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from tests.gateway_site import KEY, GatewaySite
+from tests.local_site import wait_until
+
+# What an endpoint may do so that the answer is of no use.
+BROKEN = (
+    'reset',
+    'torn',
+    'unframed_reset',
+    'stray',
+    'garbage',
+    'encoded',
+)
+
+
+@pytest.fixture
+def plain_site(gateway_site: GatewaySite) -> GatewaySite:
+    """Give a site of one gateway and two plain endpoints."""
+    gateway_site.add_server('one')
+    gateway_site.add_server('two')
+    gateway_site.add_gateway()
+    return gateway_site
+
+
+def runs(site: GatewaySite) -> list[str]:
+    """List the ids of all runs at all endpoints."""
+    return [
+        call_id
+        for server in site.servers.values()
+        for call_id in server.run_ids()
+    ]
+
+
+def break_all(site: GatewaySite, fault: str, times: int = 1) -> None:
+    """Make each endpoint break its next answers."""
+    for server in site.servers.values():
+        server.faults = [fault] * times
+
+
+def test_answer_is_the_endpoints(plain_site: GatewaySite):
+    answer = plain_site.ask('/safe/x?y=1', X_Attempt_Id='r1')
+    assert answer.status == 200
+    assert answer.whole
+    assert b' r1 /safe/x?y=1' in answer.body
+    assert answer.headers['x-response-seal'].startswith('seal.')
+    assert answer.headers['x-attempt-id'] == 'r1'
+
+
+def test_endpoint_sees_the_request_without_the_key(plain_site: GatewaySite):
+    plain_site.ask(
+        '/unsafe/x',
+        method='POST',
+        body=b'a body',
+        X_Attempt_Id='r1',
+        X_Own='kept',
+        X_Tenant='forged',
+        X_Deadline_Ms='1500',
+        Connection='keep-alive, X-Hop',
+        X_Hop='dropped',
+    )
+    (run,) = [run for s in plain_site.servers.values() for run in s.runs]
+    assert run.method == 'POST'
+    assert run.body == b'a body'
+    assert run.headers['x-own'] == 'kept'
+    assert run.headers['x-tenant'] == 'oslo'
+    assert run.headers['x-expect-instance'] in plain_site.servers
+    assert 0 < int(run.headers['x-deadline-ms']) <= 1500
+    assert 'authorization' not in run.headers
+    assert 'x-hop' not in run.headers
+
+
+def test_chunked_body_reaches_the_endpoint_whole(plain_site: GatewaySite):
+    caller = plain_site.caller()
+    caller.sock.sendall(
+        b'POST /unsafe/x HTTP/1.1\r\nHost: site.example\r\n'
+        b'Authorization: Token ' + KEY.encode() + b'\r\nX-Attempt-Id: r1\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n',
+    )
+    assert caller.sock.recv(100).startswith(b'HTTP/1.1 200')
+    (run,) = [run for s in plain_site.servers.values() for run in s.runs]
+    assert run.body == b'abcde'
+
+
+@pytest.mark.parametrize('fault', [*BROKEN, 'error', 'shed', 'foreign'])
+def test_repeatable_request_is_sent_again(plain_site: GatewaySite, fault: str):
+    plain_site.servers['one'].faults = [fault]
+    answers = [plain_site.ask('/safe/x', X_Attempt_Id=f'r{n}') for n in (1, 2)]
+    assert [answer.status for answer in answers] == [200, 200]
+    assert all(answer.whole for answer in answers)
+
+
+@pytest.mark.parametrize('fault', BROKEN)
+def test_unrepeatable_request_runs_once(plain_site: GatewaySite, fault: str):
+    break_all(plain_site, fault)
+    answer = plain_site.ask('/unsafe/x', method='POST', X_Attempt_Id='r1')
+    assert answer.status == 502
+    assert answer.whole
+    assert 'x-response-seal' not in answer.headers
+    assert runs(plain_site) == ['r1']
+
+
+def test_unrepeatable_failure_of_the_endpoint_is_passed_on(
+    plain_site: GatewaySite,
+):
+    break_all(plain_site, 'error')
+    answer = plain_site.ask('/unsafe/x', method='POST', X_Attempt_Id='r1')
+    assert answer.status == 500
+    assert answer.headers['x-response-seal'].startswith('seal.')
+    assert runs(plain_site) == ['r1']
+
+
+def test_refusal_tells_when_to_come_back(plain_site: GatewaySite):
+    break_all(plain_site, 'shed', times=2)
+    answer = plain_site.ask('/unsafe/x', method='POST', X_Deadline_Ms='900')
+    assert answer.status == 503
+    assert 0 < float(answer.headers['retry-after']) <= 0.3
+    assert not runs(plain_site)
+
+
+def test_no_more_endpoints_than_the_route_allows(plain_site: GatewaySite):
+    plain_site.add_server('three')
+    wait_until(lambda: len(plain_site.gateways[0].status()['endpoints']) == 3)
+    break_all(plain_site, 'error', times=3)
+    answer = plain_site.ask('/safe/x')
+    assert answer.status == 500
+    assert len(runs(plain_site)) == 2
+
+
+def test_endpoint_that_takes_no_connection_costs_no_attempt(
+    plain_site: GatewaySite,
+):
+    plain_site.servers['one'].stop()
+    for number in range(4):
+        answer = plain_site.ask(
+            '/unsafe/x', method='POST', X_Attempt_Id=f'r{number}'
+        )
+        assert answer.status == 200
+
+
+def test_no_endpoint_is_refused_as_not_run(plain_site: GatewaySite):
+    for server in plain_site.servers.values():
+        server.stop()
+    answer = plain_site.ask('/unsafe/x', method='POST')
+    assert answer.status == 503
+    assert 'retry-after' in answer.headers
+
+
+def test_bytes_after_an_answer_belong_to_no_request(plain_site: GatewaySite):
+    break_all(plain_site, 'extra', times=2)
+    for number in range(6):
+        answer = plain_site.ask('/safe/x', X_Attempt_Id=f'r{number}')
+        assert f' r{number} '.encode() in answer.body
+
+
+def test_unframed_answer_ends_with_its_connection(plain_site: GatewaySite):
+    break_all(plain_site, 'unframed')
+    answer = plain_site.ask('/safe/x', X_Attempt_Id='r1')
+    assert answer.status == 200
+    assert b' r1 ' in answer.body
+    assert answer.whole
+
+
+def test_time_over_is_answered_at_once(plain_site: GatewaySite):
+    break_all(plain_site, 'hang')
+    answer = plain_site.ask('/unsafe/x', method='POST', X_Deadline_Ms='300')
+    assert answer.status == 504
+    assert len(runs(plain_site)) == 1
+
+
+def test_caller_that_leaves_ends_the_work(plain_site: GatewaySite):
+    for server in plain_site.servers.values():
+        server.delay_ms = 10_000
+    caller = plain_site.caller()
+    caller.send('/safe/x')
+    wait_until(lambda: runs(plain_site))
+    caller.close()
+    wait_until(
+        lambda: any(
+            run.left for s in plain_site.servers.values() for run in s.runs
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ('target', 'key', 'status'),
+    [
+        ('/safe/x', 'unknown', 401),
+        ('/safe/x', '', 401),
+        ('/none/x', KEY, 404),
+        ('/saf', KEY, 404),
+    ],
+)
+def test_what_the_configuration_does_not_allow(
+    plain_site: GatewaySite,
+    target: str,
+    key: str,
+    status: int,
+):
+    authorization = f'Token {key}' if key else ''
+    answer = plain_site.ask(target, Authorization=authorization)
+    assert answer.status == status
+    assert not runs(plain_site)
+
+
+def test_body_over_the_limit_is_refused(plain_site: GatewaySite):
+    answer = plain_site.ask('/unsafe/x', method='POST', body=b'x' * 200_000)
+    assert answer.status == 413
+    assert not runs(plain_site)
+
+
+def test_head_over_the_limit_is_refused(plain_site: GatewaySite):
+    caller = plain_site.caller()
+    caller.sock.sendall(b'GET /safe/x HTTP/1.1\r\nX: ' + b'x' * 20_000)
+    assert b' 431 ' in caller.sock.recv(100)
+    assert plain_site.ask('/safe/x').status == 200
+
+
+@pytest.mark.parametrize('garbage', [b'\x16\x03\x01\x00', b'GET\r\n\r\n'])
+def test_garbage_is_refused_and_nothing_else_suffers(
+    plain_site: GatewaySite,
+    garbage: bytes,
+):
+    caller = plain_site.caller()
+    caller.sock.sendall(garbage + b'\r\n\r\n')
+    caller.sock.recv(1000)
+    gateway = plain_site.gateways[0]
+    for address in (gateway.peer_address, f'127.0.0.1:{gateway.ready_port}'):
+        host, _colon, port = address.rpartition(':')
+        with gevent.socket.create_connection((host, int(port))) as sock:
+            sock.sendall(garbage * 100)
+    assert plain_site.ask('/safe/x').status == 200
+
+
+def test_connection_is_kept_for_the_next_request(plain_site: GatewaySite):
+    caller = plain_site.caller()
+    for number in range(3):
+        caller.send('/safe/x', X_Attempt_Id=f'r{number}')
+        assert f' r{number} '.encode() in caller.receive().body
+
+
+def test_budget_bounds_second_sendings(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    gateway_site.add_server('two')
+    gateway_site.add_gateway(resend={'ratio': 0, 'slack': 2.5, 'window_s': 60})
+    break_all(gateway_site, 'error', times=100)
+    for number in range(6):
+        gateway_site.ask('/safe/x', X_Attempt_Id=f'r{number}')
+    assert len(runs(gateway_site)) == 6 + 2
+
+
+def test_draining_endpoint_gets_no_new_request(plain_site: GatewaySite):
+    plain_site.list_server('one', 'plain', state='draining')
+    table = plain_site.gateways[0].endpoints
+    wait_until(lambda: len(table.usable('plain')) == 1)
+    for number in range(4):
+        plain_site.ask('/safe/x', X_Attempt_Id=f'r{number}')
+    assert not plain_site.servers['one'].runs
+
+
+def test_planned_stop_finishes_what_runs(plain_site: GatewaySite):
+    for server in plain_site.servers.values():
+        server.delay_ms = 400
+    kept, fresh = plain_site.caller(), plain_site.caller()
+    kept.send('/safe/x', X_Attempt_Id='r1')
+    wait_until(lambda: runs(plain_site))
+    gateway = plain_site.gateways[0]
+    stopping = gevent.spawn(gateway.drain)
+    wait_until(gateway.not_ready)
+    first = kept.receive()
+    assert first.status == 200
+    assert first.headers['connection'] == 'close'
+    fresh.send('/safe/x', X_Attempt_Id='r2')
+    assert fresh.receive().status == 200
+    stopping.join()
+    assert not gateway.status()['calls']
+
+
+def test_planned_stop_serves_a_request_that_waits_unread(
+    plain_site: GatewaySite,
+):
+    gateway = plain_site.gateways[0]
+    idle, late = plain_site.caller(), plain_site.caller()
+    for caller in (idle, late):
+        caller.send('/safe/x')
+        caller.receive()
+    stopping = gevent.spawn(gateway.drain)
+    gevent.sleep(2.5)
+    late.send('/safe/x', X_Attempt_Id='r2')
+    assert late.receive().status == 200
+    assert idle.closed()
+    stopping.join()
--- /dev/null
+++ b/tests/test_gateway_streams.py
@@ -0,0 +1,139 @@
+"""Event streams through a gateway."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.gateway_site import GatewaySite
+from tests.local_site import wait_until
+
+PROMPT = {'X_Token_Count': '300,40', 'X_Prompt_Prefix': 'aa:200,bb:100'}
+
+
+@pytest.fixture
+def engine_site(gateway_site: GatewaySite) -> GatewaySite:
+    """Give a site of one gateway and two engines."""
+    gateway_site.add_server('one', 'engines')
+    gateway_site.add_server('two', 'engines')
+    gateway_site.add_gateway()
+    return gateway_site
+
+
+def event_ids(body: bytes) -> list[int]:
+    """List the ids of a stream's events."""
+    return [
+        int(line.removeprefix(b'id: '))
+        for line in body.split(b'\n')
+        if line.startswith(b'id: ')
+    ]
+
+
+def break_all(site: GatewaySite, fault: str) -> None:
+    """Make each engine break its next answer."""
+    for server in site.servers.values():
+        server.faults = [fault]
+
+
+def test_stream_is_passed_on_whole(engine_site: GatewaySite):
+    answer = engine_site.ask('/stream/x', method='POST', **PROMPT)
+    assert answer.status == 200
+    assert answer.whole
+    assert event_ids(answer.body) == [1, 2, 3]
+
+
+def test_events_pass_as_they_arrive(engine_site: GatewaySite):
+    for server in engine_site.servers.values():
+        server.event_ms = 150
+    caller = engine_site.caller()
+    caller.send('/stream/x', method='POST', **PROMPT)
+    received = b''
+    while b'id: 1\n' not in received:
+        received += caller.sock.recv(1000)
+    assert b'id: 3\n' not in received
+
+
+def test_engine_gets_the_tier_and_the_prompt(engine_site: GatewaySite):
+    engine_site.ask('/stream/x', method='POST', **PROMPT)
+    (run,) = [run for s in engine_site.servers.values() for run in s.runs]
+    assert run.headers['x-request-priority'] == '1'
+    assert run.headers['x-prompt-prefix'] == 'aa:200,bb:100'
+
+
+def test_stream_goes_on_at_another_engine(engine_site: GatewaySite):
+    cut_once = ['cut']
+    for server in engine_site.servers.values():
+        server.events = 6
+        server.faults = cut_once
+    answer = engine_site.ask(
+        '/stream/x', method='POST', X_Attempt_Id='r1', **PROMPT
+    )
+    assert answer.whole
+    assert event_ids(answer.body) == [1, 2, 3, 4, 5, 6]
+    first, second = sorted(
+        (run for s in engine_site.servers.values() for run in s.runs),
+        key=lambda run: run.whole,
+    )
+    assert 'last-event-id' not in first.headers
+    assert second.headers['last-event-id'] == '2'
+    assert answer.headers['x-response-seal'].removeprefix('seal.') in {
+        server.name
+        for server in engine_site.servers.values()
+        if first in server.runs
+    }
+
+
+def test_stream_that_may_not_be_resumed_is_cut(engine_site: GatewaySite):
+    break_all(engine_site, 'cut')
+    answer = engine_site.ask('/oneway/x', method='POST', **PROMPT)
+    assert answer.status == 200
+    assert not answer.whole
+    assert event_ids(answer.body) == [1, 2]
+    assert sum(len(s.runs) for s in engine_site.servers.values()) == 1
+
+
+def test_callers_resumption_reaches_the_engine(engine_site: GatewaySite):
+    answer = engine_site.ask(
+        '/stream/x', method='POST', Last_Event_Id='1', **PROMPT
+    )
+    assert event_ids(answer.body) == [2, 3]
+
+
+def test_prompts_that_share_a_part_meet_at_one_engine(
+    engine_site: GatewaySite,
+):
+    for number in range(6):
+        engine_site.ask(
+            '/stream/x',
+            method='POST',
+            X_Token_Count='5100,40',
+            X_Prompt_Prefix=f'aa:5000,own{number}:100',
+        )
+    counts = sorted(len(s.runs) for s in engine_site.servers.values())
+    assert counts == [0, 6]
+
+
+def test_gateways_agree_where_a_part_is(engine_site: GatewaySite):
+    engine_site.add_gateway()
+    second = engine_site.gateways[1]
+    wait_until(lambda: second.status()['peers'])
+    prompt = {
+        'X_Token_Count': '5100,40',
+        'X_Prompt_Prefix': 'aa:5000,own:100',
+    }
+    engine_site.ask('/stream/x', method='POST', **prompt)
+    (home,) = [s for s in engine_site.servers.values() if s.runs]
+    wait_until(lambda: second.keeps(home.name, 'aa'))
+    caller = engine_site.caller(1)
+    caller.send('/stream/x', method='POST', **prompt)
+    assert caller.receive().whole
+    assert len(home.runs) == 2
+
+
+def test_failure_before_the_first_event_is_not_seen(engine_site: GatewaySite):
+    engine_site.servers['one'].faults = ['reset']
+    engine_site.servers['two'].faults = []
+    for number in range(4):
+        answer = engine_site.ask(
+            '/stream/x', method='POST', X_Attempt_Id=f'r{number}', **PROMPT
+        )
+        assert answer.whole
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,91 @@
+"""The choice of an endpoint."""
+
+from __future__ import annotations
+
+from wingfall.decision.placement import (
+    Candidate,
+    Demand,
+    gap_tightness,
+    place_by_reading,
+    place_by_running,
+)
+
+
+def prompt(*, tokens: int = 6000, shared: int = 5000, gap_ms: int = 1000):
+    """Make the demand of a prompt."""
+    return Demand(
+        is_prompt=True,
+        tokens=tokens,
+        shared_tokens=shared,
+        output_tokens=100,
+        tightness=gap_tightness(gap_ms),
+        body_bytes=tokens,
+    )
+
+
+def engine(name: str, **known: object) -> Candidate:
+    """Make an engine with room."""
+    return Candidate(**{'name': name, 'slots': 64, **known})
+
+
+def chosen(demand: Demand, *candidates: Candidate) -> str:
+    """Choose among candidates."""
+    return place_by_reading(demand, candidates).name
+
+
+def test_prompt_goes_where_its_part_is_kept():
+    kept = engine('kept', cached_tokens=5000, running=5, reading_tokens=3000)
+    assert chosen(prompt(), engine('idle'), kept) == 'kept'
+
+
+def test_prompt_leaves_an_engine_that_is_far_behind():
+    kept = engine('kept', cached_tokens=5000, reading_tokens=90_000)
+    assert chosen(prompt(), engine('idle'), kept) == 'idle'
+
+
+def test_stream_of_short_pauses_avoids_long_reads():
+    tight = prompt(tokens=300, shared=100, gap_ms=300)
+    reads = engine('reads', recent_reads=20_000)
+    assert chosen(tight, reads, engine('busy', running=12)) == 'busy'
+
+
+def test_long_read_avoids_streams_of_short_pauses():
+    long_read = prompt(tokens=20_000, shared=0)
+    assert chosen(long_read, engine('tight', tight=4), engine('free')) == 'free'
+
+
+def test_engine_without_memory_is_the_last():
+    full = engine('full', memory_tokens=10_000, memory_used=9000)
+    busy = engine('busy', running=20)
+    assert chosen(prompt(shared=0), full, busy) == 'busy'
+
+
+def test_own_zone_goes_first_between_equals():
+    assert (
+        chosen(prompt(), engine('far', remote=True), engine('near')) == 'near'
+    )
+
+
+def test_plain_request_goes_where_least_runs():
+    demand = Demand()
+    busy = Candidate(name='busy', slots=6, running=3)
+    idle = Candidate(name='idle', slots=6, running=1, remote=True)
+    assert chosen(demand, busy, idle) == 'idle'
+
+
+def test_plain_request_avoids_an_endpoint_that_fails():
+    demand = Demand()
+    failing = Candidate(name='failing', slots=6, failing=0.5)
+    busy = Candidate(name='busy', slots=6, running=4)
+    assert chosen(demand, failing, busy) == 'busy'
+
+
+def test_baseline_counts_only_what_runs():
+    candidates = [engine('a', running=2), engine('b', running=1)]
+    assert place_by_running(prompt(), candidates).name == 'b'
+
+
+def test_tightness_falls_with_the_pause():
+    assert gap_tightness(None) == 0
+    assert gap_tightness(200) == 1
+    assert gap_tightness(600) == 0.25
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -15,6 +15,7 @@
 from wingfall.decision.placement import placements
 from wingfall.decision.resend_budget import ResendBudget
 from wingfall.gateway.binding import bindings
+from wingfall.gateway.call import PromptPart
 from wingfall.gateway.caller_connection import CallerConnection
 from wingfall.gateway.endpoint_connection import KeptConnections
 from wingfall.gateway.endpoints import EndpointTable
@@ -119,6 +120,21 @@
         """``host:port`` for peers."""
         return self._peers.address
 
+    @property
+    def endpoints(self) -> EndpointTable:
+        """The endpoints that this gateway knows."""
+        return self._state.endpoints
+
+    def keeps(self, endpoint: str, part_id: str) -> bool:
+        """Tell whether an engine is believed to keep a part of prompts.
+
+        :param endpoint: its name.
+        :param part_id: id of the part.
+        :returns: whether it is.
+        """
+        part = PromptPart(part_id=part_id, tokens=1)
+        return bool(self._state.caches.find(endpoint).cached_tokens([part]))
+
     def start(self) -> None:
         """Start serving and return."""
         super().start()
