An endpoint whose entry went and came within one reading stays listed

Ruled out: the store (its events were whole) and placement. Change: what is gone keeps its last revision and wins only against it; what a peer may lack is told by when it was learned. Where at least half of a pool goes at once, its endpoints serve 1.5 s longer.

--- a/wingfall/gateway/endpoints.py
+++ b/wingfall/gateway/endpoints.py
@@ -11,7 +11,7 @@
 
 # An entry that went without notice may only have lapsed in the store. Its
 # endpoint stays usable for this long, well within the time that a leaving
-# endpoint still serves, and is taken only when no other is left.
+# endpoint still serves, but only where at least half of a pool went at once.
 _LAPSE_MS: Final = 1500
 
 
@@ -135,12 +135,13 @@
         """List the endpoints of a pool that take new work.
 
         :param pool: name of the pool.
-        :returns: those listed and not draining; where there are none, those
-            whose entries went a moment ago.
+        :returns: those listed and not draining; where at least as many
+            entries went a moment ago, those as well.
         """
         listed = self._by_pool.get(pool, {}).values()
         ready = [endpoint for endpoint in listed if not endpoint.draining]
-        return ready or self._recently_listed(pool)
+        lapsed = self._recently_listed(pool)
+        return ready + lapsed if len(lapsed) >= len(ready) else ready
 
     def _recently_listed(self, pool: str) -> list[PoolEndpoint]:
         now_ms = self._clock.now_ms()
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -11,7 +11,7 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.errors import WireError
-from wingfall.gateway.binding import StoredObject
+from wingfall.gateway.binding import StoredObject, StoreReading
 from wingfall.gateway.call import PromptPart
 from wingfall.gateway.load import EndpointLoad
 from wingfall.log import log_event
@@ -260,18 +260,27 @@
             ]
             for each in replica.since(fetch.revision)
         ]
-        page = ObjectsPage(kind=fetch.kind, objects=objects)
+        page = ObjectsPage(
+            kind=fetch.kind,
+            revision=replica.revision,
+            objects=objects,
+        )
         session.connection.send(page)
 
     def _take_page(self, session: PeerSession, page: ObjectsPage) -> None:
         replica = self._replicas.get(page.kind)
         if replica is None:
             return
-        taken = 0
-        for name, revision, raw in page.objects:
-            spec = None if raw is None else orjson.loads(raw)
-            stored = StoredObject(name=name, revision=revision, spec=spec)
-            taken += replica.apply(stored)
+        objects = [
+            StoredObject(
+                name=name,
+                revision=revision,
+                spec=None if raw is None else orjson.loads(raw),
+            )
+            for name, revision, raw in page.objects
+        ]
+        reading = StoreReading(revision=page.revision, objects=objects)
+        taken = replica.catch_up(reading)
         log_event(
             'peers',
             'A peer gave objects.',
--- a/wingfall/gateway/replica.py
+++ b/wingfall/gateway/replica.py
@@ -20,11 +20,30 @@
 Listener = Callable[[str, 'dict[str, Any] | None'], None]
 
 
+@final
+class _Entry:
+    """An object and when this replica learned of its state."""
+
+    __slots__ = ('learned_at', 'stored')
+
+    def __init__(self, *, stored: StoredObject, learned_at: int) -> None:
+        """Keep an object.
+
+        :param stored: the object.
+        :param learned_at: revision that brought it, at least its own.
+        """
+        self.stored = stored
+        self.learned_at = learned_at
+
+
 @final
 class ObjectReplica:
-    """All objects of one kind and the last ones that are gone."""
+    """All objects of one kind and the last ones that are gone.
+
+    The revision of the replica is one up to which it is complete.
+    """
 
-    __slots__ = ('_gone', '_listener', '_objects', 'kind', 'revision')
+    __slots__ = ('_entries', '_gone', '_listener', 'kind', 'revision')
 
     def __init__(self, *, kind: str, listener: Listener) -> None:
         """Start empty.
@@ -36,8 +55,9 @@
         self.kind = kind
         self.revision = 0
         self._listener = listener
-        self._objects: dict[str, StoredObject] = {}
-        self._gone: dict[str, StoredObject] = {}
+        self._entries: dict[str, _Entry] = {}
+        # Names of the objects that are gone, the oldest first.
+        self._gone: dict[str, None] = {}
 
     def apply_list(self, reading: StoreReading) -> None:
         """Apply a complete list.
@@ -45,48 +65,37 @@
         :param reading: the list and its revision.
         """
         listed = {each.name for each in reading.objects}
-        for each in reading.objects:
-            self.apply(each)
-        for name, known in list(self._objects.items()):
+        self.apply_changes(reading)
+        for name, entry in list(self._entries.items()):
+            known = entry.stored
             if name not in listed and known.revision <= reading.revision:
                 gone = StoredObject(
                     name=name,
-                    revision=reading.revision,
+                    revision=known.revision,
                     spec=None,
                 )
-                self.apply(gone)
+                self._apply(gone, reading.revision)
 
-    def apply_changes(self, reading: StoreReading) -> None:
+    def apply_changes(self, reading: StoreReading) -> int:
         """Apply changes in their order.
 
-        :param reading: the changes and the revision they lead to.
+        :param reading: the changes and the revision that they lead to.
+        :returns: how many of them were new.
         """
-        for each in reading.objects:
-            if each.spec is None:
-                # The revision of an object that is gone may be its last.
-                each.revision = max(each.revision, reading.revision)
-            self.apply(each)
+        if reading.objects:
+            self.revision = max(self.revision, reading.revision)
+        return sum(
+            self._apply(each, reading.revision) for each in reading.objects
+        )
 
-    def apply(self, changed: StoredObject) -> bool:
-        """Apply one object if it is newer than what is known.
+    def catch_up(self, reading: StoreReading) -> int:
+        """Apply what a peer gave that is complete up to a revision.
 
-        :param changed: the object.
-        :returns: whether it was.
+        :param reading: what changed and the peer's revision.
+        :returns: how many changes were new.
         """
-        name = changed.name
-        known = self._objects.get(name) or self._gone.get(name)
-        if known is not None and known.revision >= changed.revision:
-            return False
-        self.revision = max(self.revision, changed.revision)
-        self._objects.pop(name, None)
-        self._gone.pop(name, None)
-        if changed.spec is None:
-            self._gone[name] = changed
-            self._trim_gone()
-        else:
-            self._objects[name] = changed
-        self._listener(name, changed.spec)
-        return True
+        self.revision = max(self.revision, reading.revision)
+        return self.apply_changes(reading)
 
     def since(self, revision: int) -> list[StoredObject]:
         """List what changed after a revision, for a peer.
@@ -95,14 +104,37 @@
         :returns: the objects, oldest first.
         """
         changed = [
-            each
-            for table in (self._objects, self._gone)
-            for each in table.values()
-            if each.revision > revision
+            entry.stored
+            for entry in self._entries.values()
+            if entry.learned_at > revision
         ]
         changed.sort(key=lambda each: each.revision)
         return changed
 
+    def _apply(self, changed: StoredObject, learned_at: int) -> bool:
+        known = self._entries.get(changed.name)
+        if known is not None and not _is_newer(changed, known.stored):
+            return False
+        self._entries[changed.name] = _Entry(
+            stored=changed,
+            learned_at=learned_at,
+        )
+        self._gone.pop(changed.name, None)
+        if changed.spec is None:
+            self._gone[changed.name] = None
+            self._trim_gone()
+        self._listener(changed.name, changed.spec)
+        return True
+
     def _trim_gone(self) -> None:
         while len(self._gone) > _MAX_GONE:
-            self._gone.pop(next(iter(self._gone)))
+            oldest = next(iter(self._gone))
+            self._gone.pop(oldest)
+            self._entries.pop(oldest)
+
+
+def _is_newer(changed: StoredObject, known: StoredObject) -> bool:
+    # What is gone may bear the revision of its last change.
+    if changed.revision == known.revision:
+        return changed.spec is None and known.spec is not None
+    return changed.revision > known.revision
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -75,17 +75,25 @@
 
 
 @final
-@message(51, str, list)
+@message(51, str, int, list)
 class ObjectsPage(Message):
     """Answers a fetch."""
 
-    __slots__ = ('kind', 'objects')
+    __slots__ = ('kind', 'revision', 'objects')  # noqa: WPS607
 
-    def __init__(self, *, kind: str, objects: list[list[Any]]) -> None:
+    def __init__(
+        self,
+        *,
+        kind: str,
+        revision: int,
+        objects: list[list[Any]],
+    ) -> None:
         """Answer.
 
         :param kind: kind of object.
+        :param revision: up to where the sender is complete.
         :param objects: name, revision and JSON of each, None once gone.
         """
         self.kind = kind
+        self.revision = revision
         self.objects = objects
