--- a/wingfall/decision/endpoint_health.py
+++ b/wingfall/decision/endpoint_health.py
@@ -22,7 +22,7 @@
 
     def __init__(self) -> None:
         """Start without a fault."""
-        self.failing = 0.0
+        self.failing: float = 0
         self.changed_ms = 0
         self.eject_ms = _MIN_EJECT_MS
         self.until_ms = 0
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING, Any, Final, final
 
 import bottle
@@ -30,7 +31,7 @@
 from wingfall.gateway.state import GatewayState
 from wingfall.http_server import HttpServer
 from wingfall.log import log_event
-from wingfall.platform import FjordgridBinding  # noqa: F401
+from wingfall.platform import binding as fjordgrid
 from wingfall.program import Program
 from wingfall.settings.loader import parse_address
 
@@ -38,9 +39,13 @@
     import socket
     from types import SimpleNamespace
 
+# A binding is known once its module is imported.
+PLATFORMS: Final = (fjordgrid,)
+
 _BACKLOG: Final = 1024
 _MAX_CALLERS: Final = 3000
 _HOUSEKEEPING_MS: Final = 1000
+_OK: Final = 200
 _UNAVAILABLE: Final = 503
 # The balancer notices after two questions, a second apart, that no new
 # connections shall come; idle ones are closed then.
@@ -139,11 +144,9 @@
         """Start serving and return."""
         super().start()
         log_event('gateway', 'Started.', name=self._settings.name)
-        for name, follower in zip(('routes', 'endpoints'), self._followers):
-            self._supervisor.start(
-                name,
-                lambda each=follower: each.follow(self._stop),
-            )
+        for follower in self._followers:
+            body = functools.partial(follower.follow, self._stop)
+            self._supervisor.start(follower.kind, body)
         self._supervisor.start('housekeeping', self._keep_house)
         self._peers.start()
         self._ready_server.start()
@@ -223,7 +226,7 @@
 
         def show_ready() -> bottle.HTTPResponse:
             reason = self.not_ready()
-            code = _UNAVAILABLE if reason else 200
+            code = _UNAVAILABLE if reason else _OK
             return bottle.HTTPResponse(f'{reason or "ready"}\n', code)
 
         app.get(self._state.binding.ready_path, callback=show_ready)
--- a/wingfall/gateway/binding.py
+++ b/wingfall/gateway/binding.py
@@ -7,12 +7,15 @@
 from wingfall.registry import Registry
 
 if TYPE_CHECKING:
+    from types import SimpleNamespace
+
     from returns.result import Result
 
     from wingfall.errors import PlatformError
     from wingfall.gateway.call import Call, CallHead, Headers
     from wingfall.gateway.endpoints import PoolEndpoint
     from wingfall.gateway.routes import Routes
+    from wingfall.metrics import Metrics
 
 
 @final
@@ -143,4 +146,20 @@
         """Give the store of the endpoints."""
 
 
-bindings: Final[Registry[Any]] = Registry(kind='binding')
+class BindingFactory(Protocol):
+    """How a binding is made."""
+
+    def __call__(
+        self,
+        *,
+        settings: SimpleNamespace,
+        metrics: Metrics,
+    ) -> Binding:
+        """Make the binding.
+
+        :param settings: section ``store`` of the gateway's settings.
+        :param metrics: where calls to the store are counted.
+        """
+
+
+bindings: Final[Registry[BindingFactory]] = Registry(kind='binding')
--- a/wingfall/gateway/caller_connection.py
+++ b/wingfall/gateway/caller_connection.py
@@ -9,16 +9,19 @@
 import h11
 import orjson
 from gevent.socket import wait_read
+from returns.result import Success
 
 from wingfall.clock import MS_PER_S
-from wingfall.gateway.call import Call
 from wingfall.gateway.dispatcher import Dispatch, ReplyCutError
+from wingfall.gateway.final_answer import (
+    JSON,
+    note_answer,
+    send_refusal,
+)
+from wingfall.gateway.intake import take_in
 from wingfall.gateway.refusals import (
     BAD_REQUEST,
-    NOT_FOUND,
     TOO_LARGE,
-    UNAUTHORIZED,
-    refuse_no_routes,
     refuse_request,
 )
 from wingfall.gateway.reply import Reply
@@ -31,8 +34,7 @@
     from gevent import Greenlet
 
     from wingfall.errors import Refusal
-    from wingfall.gateway.call import CallHead
-    from wingfall.gateway.routes import Routes
+    from wingfall.gateway.call import Call, CallHead
     from wingfall.gateway.state import GatewayState
 
 _READ_BYTES: Final = 65_536
@@ -41,11 +43,7 @@
 # than the bound is given, since their clocks and ways differ.
 _IDLE_PART: Final = 1.1
 _BODY_MS: Final = 30_000
-# Final answers leave a little before the caller stops waiting.
-_ANSWER_MS: Final = 10
 _YOUNG_MS: Final = 500
-_DEFAULT_TIMEOUT_MS: Final = 30_000
-_JSON: Final = (b'Content-Type', b'application/json')
 
 
 class CallerGoneError(Exception):
@@ -82,7 +80,7 @@
         self._state = state
         self._http = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=self._limits.head_bytes,
+            max_incomplete_event_size=self._limits().head_bytes,
         )
         self._received = False
         self._closing = False
@@ -91,11 +89,6 @@
         self._last_ms = state.clock.now_ms()
         self.busy = False
 
-    @property
-    def _limits(self) -> CallerLimits:
-        routes = self._state.routes
-        return CallerLimits() if routes is None else routes.limits
-
     def run(self) -> None:
         """Serve requests until either side closes."""
         try:
@@ -129,6 +122,10 @@
         except OSError:  # The caller was first.
             return
 
+    def _limits(self) -> CallerLimits:
+        routes = self._state.routes
+        return CallerLimits() if routes is None else routes.limits
+
     def _serve_next(self) -> bool:
         request = self._read_request()
         if request is None:
@@ -148,7 +145,7 @@
                 'The body is too large.',
             )
             self._closing = True
-            self._refuse(self._make_reply(), head, refusal)
+            send_refusal(self._state, self._make_reply(), head, refusal)
             return False
         self._answer(head, body, arrived_ms)
         self.busy = False
@@ -157,10 +154,15 @@
 
     def _answer(self, head: CallHead, body: bytes, arrived_ms: int) -> None:
         reply = self._make_reply()
-        call = self._accept(head, body, arrived_ms)
-        if not isinstance(call, Call):
-            self._refuse(reply, head, call)
-            return
+        taken = take_in(self._state.routes, head, body, arrived_ms)
+        if isinstance(taken, Success):
+            refusal = self._serve(taken.unwrap(), reply)
+        else:
+            refusal = taken.failure()
+        if refusal is not None:
+            send_refusal(self._state, reply, head, refusal)
+
+    def _serve(self, call: Call, reply: Reply) -> Refusal | None:
         watcher = gevent.spawn(self._watch, gevent.getcurrent())
         refusal = None
         try:
@@ -172,89 +174,8 @@
         finally:
             watcher.kill(block=False)
             if refusal is None:
-                self._log_answer(call, reply)
-        if refusal is not None:
-            self._refuse(reply, head, refusal)
-
-    def _accept(
-        self,
-        head: CallHead,
-        body: bytes,
-        arrived_ms: int,
-    ) -> Call | Refusal:
-        routes = self._state.routes
-        if routes is None:
-            return refuse_no_routes(head.time_left_ms or _DEFAULT_TIMEOUT_MS)
-        route = routes.find_route(head.host, head.path)
-        if route is None:
-            return refuse_request(NOT_FOUND, 'no_route', 'There is no route.')
-        customer = None
-        if routes.customers and not route.public:
-            customer = routes.find_customer(head.api_key or '')
-            if customer is None:
-                return _refuse_key()
-        left_ms = route.timeout_ms
-        if head.time_left_ms is not None:
-            left_ms = min(left_ms, head.time_left_ms)
-        return Call(
-            head=head,
-            body=body,
-            route=route,
-            customer=customer,
-            arrived_ms=arrived_ms,
-            deadline_ms=arrived_ms + left_ms - _ANSWER_MS,
-        )
-
-    def _refuse(self, reply: Reply, head: CallHead, refusal: Refusal) -> None:
-        headers = [_JSON, *self._state.binding.refusal_headers(head)]
-        if refusal.retry_after_ms is not None:
-            seconds = refusal.retry_after_ms / MS_PER_S
-            headers.append((b'Retry-After', b'%.3f' % seconds))
-        body = {
-            'error': {
-                'type': refusal.kind,
-                'code': refusal.code,
-                'message': refusal.message,
-                'run': refusal.run,
-            },
-        }
-        reply.send_whole(refusal.status, headers, orjson.dumps(body))
-        routes = self._state.routes
-        log_event(
-            'refusal',
-            'A call was refused.',
-            call=head.call_id,
-            status=refusal.status,
-            code=refusal.code,
-            run=refusal.run,
-            retry_ms=refusal.retry_after_ms,
-            config=routes.version if routes else None,
-            path=head.path,
-        )
-        self._state.metrics.answers.inc(
-            {'class': '', 'status': str(refusal.status), 'run': refusal.run},
-        )
-
-    def _log_answer(self, call: Call, reply: Reply) -> None:
-        now_ms = self._state.clock.now_ms()
-        log_event(
-            'answer',
-            'A call ended.',
-            call=call.call_id,
-            route=call.route.name,
-            customer=call.customer.name if call.customer else None,
-            status=reply.status,
-            whole=reply.finished,
-            ms=now_ms - call.arrived_ms,
-            first_ms=reply.first_byte_ms - call.arrived_ms,
-        )
-        self._state.metrics.answers.inc(
-            {
-                'class': call.route.name,
-                'status': str(reply.status),
-                'run': 'ran' if reply.finished else 'unknown',
-            },
-        )
+                note_answer(self._state, call, reply)
+        return refusal
 
     def _make_reply(self) -> Reply:
         return Reply(
@@ -283,13 +204,13 @@
             if not self._received:
                 self._wait_for_first_byte(started_ms)
                 started_ms = self._state.clock.now_ms()
-            elif not self._read(started_ms + self._limits.head_ms):
+            elif not self._read(started_ms + self._limits().head_ms):
                 return None
 
     def _wait_for_first_byte(self, started_ms: int) -> None:
         while not self._received:
             # The bound may have changed while the connection rested.
-            idle_ms = self._limits.idle_ms * _IDLE_PART
+            idle_ms = self._limits().idle_ms * _IDLE_PART
             self._read(started_ms + int(idle_ms))
 
     def _read(self, until_ms: int) -> bool:
@@ -320,7 +241,7 @@
             elif isinstance(event, h11.Data):
                 pieces.append(bytes(event.data))
                 size += len(event.data)
-                if size > self._limits.body_bytes:
+                if size > self._limits().body_bytes:
                     return None
             else:
                 return b''.join(pieces)
@@ -354,12 +275,8 @@
         try:
             self._make_reply().send_whole(
                 refusal.status,
-                [_JSON],
+                [JSON],
                 orjson.dumps({'error': {'message': refusal.message}}),
             )
         except (CallerGoneError, h11.LocalProtocolError):
             return
-
-
-def _refuse_key() -> Refusal:
-    return refuse_request(UNAUTHORIZED, 'unknown_key', 'The key is unknown.')
--- a/wingfall/gateway/endpoint_connection.py
+++ b/wingfall/gateway/endpoint_connection.py
@@ -121,14 +121,14 @@
         :raises AnswerLateError: if nothing came in time.
         """
         until_ms = self._clock.now_ms() + timeout_ms
-        while True:
-            event = self._next_event()
+        event = self._next_event()
+        while event is h11.NEED_DATA or _is_interim(event):
             if event is h11.NEED_DATA:
                 self._read(until_ms - self._clock.now_ms())
-            elif isinstance(event, h11.ConnectionClosed):
-                raise AnswerBrokenError('closed without an answer')
-            elif not isinstance(event, h11.InformationalResponse):
-                return event
+            event = self._next_event()
+        if isinstance(event, h11.ConnectionClosed):
+            raise AnswerBrokenError('closed without an answer')
+        return event
 
     def release(self) -> bool:
         """Make ready for another request after a whole answer.
@@ -193,17 +193,22 @@
             raise AnswerLateError
         self._socket.settimeout(timeout_ms / MS_PER_S)
         try:
-            received = self._socket.recv(_READ_BYTES)
-        except TimeoutError as error:
-            if error.errno:  # The kernel's: the machine is silent.
-                raise AnswerBrokenError(str(error)) from error
-            raise AnswerLateError from error
-        except OSError as error:
-            raise AnswerBrokenError(str(error)) from error
-        try:
-            self._http.receive_data(received)
-        except h11.RemoteProtocolError as error:
-            raise AnswerBrokenError(str(error)) from error
+            self._http.receive_data(self._socket.recv(_READ_BYTES))
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise _read_error(error) from error
+
+
+def _is_interim(event: h11.Event) -> bool:
+    return isinstance(event, h11.InformationalResponse)
+
+
+def _read_error(
+    error: OSError | h11.RemoteProtocolError,
+) -> AnswerBrokenError | AnswerLateError:
+    # A time-out with a number is the kernel's: the machine is silent.
+    if isinstance(error, TimeoutError) and not error.errno:
+        return AnswerLateError()
+    return AnswerBrokenError(str(error))
 
 
 def connect(
--- /dev/null
+++ b/wingfall/gateway/final_answer.py
@@ -0,0 +1,90 @@
+"""What a gateway writes and logs when a call has its final answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import orjson
+
+from wingfall.clock import MS_PER_S
+from wingfall.log import log_event
+
+if TYPE_CHECKING:
+    from wingfall.errors import Refusal
+    from wingfall.gateway.call import Call, CallHead
+    from wingfall.gateway.reply import Reply
+    from wingfall.gateway.state import GatewayState
+
+JSON: Final = (b'Content-Type', b'application/json')
+
+
+def send_refusal(
+    state: GatewayState,
+    reply: Reply,
+    head: CallHead,
+    refusal: Refusal,
+) -> None:
+    """Answer a call that no endpoint answered.
+
+    :param state: what the gateway knows.
+    :param reply: writes the answer.
+    :param head: head of the request.
+    :param refusal: why there is no endpoint's answer.
+    """
+    headers = [JSON, *state.binding.refusal_headers(head)]
+    if refusal.retry_after_ms is not None:
+        seconds = refusal.retry_after_ms / MS_PER_S
+        headers.append((b'Retry-After', b'%.3f' % seconds))
+    body = {
+        'error': {
+            'type': refusal.kind,
+            'code': refusal.code,
+            'message': refusal.message,
+            'run': refusal.run,
+        },
+    }
+    reply.send_whole(refusal.status, headers, orjson.dumps(body))
+    log_event(
+        'refusal',
+        'A call was refused.',
+        call=head.call_id,
+        status=refusal.status,
+        code=refusal.code,
+        run=refusal.run,
+        retry_ms=refusal.retry_after_ms,
+        config=state.routes.version if state.routes else None,
+        path=head.path,
+    )
+    state.metrics.answers.inc(
+        {'class': '', 'status': str(refusal.status), 'run': refusal.run},
+    )
+
+
+def note_answer(state: GatewayState, call: Call, reply: Reply) -> None:
+    """Log and count a call that ended without a refusal.
+
+    :param state: what the gateway knows.
+    :param call: the call.
+    :param reply: its answer, as far as it was written.
+    """
+    elapsed_ms = state.clock.now_ms() - call.arrived_ms
+    started = reply.started
+    log_event(
+        'answer',
+        'A call ended.',
+        call=call.call_id,
+        route=call.route.name,
+        customer=call.customer.name if call.customer else None,
+        status=reply.status,
+        whole=reply.finished,
+        ms=elapsed_ms,
+        first_ms=reply.first_byte_ms - call.arrived_ms if started else None,
+    )
+    state.metrics.answers.inc(
+        {
+            'class': call.route.name,
+            'status': str(reply.status),
+            'run': 'ran' if reply.finished else 'unknown',
+        },
+    )
+    state.metrics.answer_ms.observe({'class': call.route.name}, elapsed_ms)
--- a/wingfall/gateway/follower.py
+++ b/wingfall/gateway/follower.py
@@ -41,6 +41,11 @@
         self._lost = False
         self._backoff = Backoff(min_ms=_MIN_RETRY_MS, max_ms=_MAX_RETRY_MS)
 
+    @property
+    def kind(self) -> str:
+        """Kind of the objects that it follows."""
+        return self._replica.kind
+
     def follow(self, stop: Event) -> None:
         """Follow until told to stop.
 
--- /dev/null
+++ b/wingfall/gateway/intake.py
@@ -0,0 +1,82 @@
+"""Takes a request in: its route, its customer and its deadline."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure, Result, Success
+
+from wingfall.gateway.call import Call
+from wingfall.gateway.refusals import (
+    NOT_FOUND,
+    UNAUTHORIZED,
+    refuse_no_routes,
+    refuse_request,
+)
+
+if TYPE_CHECKING:
+    from wingfall.errors import Refusal
+    from wingfall.gateway.call import CallHead
+    from wingfall.gateway.routes import KeyHolder, Route, Routes
+
+DEFAULT_TIMEOUT_MS: Final = 30_000
+# Final answers leave a little before the caller stops waiting.
+_ANSWER_MS: Final = 10
+
+
+def take_in(
+    routes: Routes | None,
+    head: CallHead,
+    body: bytes,
+    arrived_ms: int,
+) -> Result[Call, Refusal]:
+    """Accept a request, or tell why not.
+
+    :param routes: the configuration in force, None if there is none yet.
+    :param head: head of the request.
+    :param body: its whole body.
+    :param arrived_ms: when its head was read.
+    :returns: the accepted call, or the refusal that answers it.
+    """
+    if routes is None:
+        left_ms = head.time_left_ms or DEFAULT_TIMEOUT_MS
+        return Failure(refuse_no_routes(left_ms))
+    route = routes.find_route(head.host, head.path)
+    if route is None:
+        refusal = refuse_request(NOT_FOUND, 'no_route', 'There is no route.')
+        return Failure(refusal)
+    customer = _find_customer(routes, route, head)
+    if customer is None and _needs_key(routes, route):
+        refusal = refuse_request(
+            UNAUTHORIZED,
+            'unknown_key',
+            'The key is unknown.',
+        )
+        return Failure(refusal)
+    left_ms = route.timeout_ms
+    if head.time_left_ms is not None:
+        left_ms = min(left_ms, head.time_left_ms)
+    return Success(
+        Call(
+            head=head,
+            body=body,
+            route=route,
+            customer=customer,
+            arrived_ms=arrived_ms,
+            deadline_ms=arrived_ms + left_ms - _ANSWER_MS,
+        ),
+    )
+
+
+def _needs_key(routes: Routes, route: Route) -> bool:
+    return bool(routes.customers) and not route.public
+
+
+def _find_customer(
+    routes: Routes,
+    route: Route,
+    head: CallHead,
+) -> KeyHolder | None:
+    if not _needs_key(routes, route) or head.api_key is None:
+        return None
+    return routes.find_customer(head.api_key)
--- a/wingfall/gateway/load.py
+++ b/wingfall/gateway/load.py
@@ -18,7 +18,13 @@
 class EndpointLoad:
     """Work at one endpoint."""
 
-    __slots__ = ('memory_used', 'reading_tokens', 'running', 'tight')
+    # In the order in which gateways tell each other.
+    __slots__ = (
+        'running',
+        'reading_tokens',
+        'memory_used',
+        'tight',
+    )
 
     def __init__(
         self,
@@ -66,7 +72,7 @@
 
     def __init__(self) -> None:
         """Start at zero."""
-        self._sum = 0.0
+        self._sum: float = 0
         self._at_ms = 0
 
     def at(self, now_ms: int) -> float:
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -324,7 +324,7 @@
     def _recent_parts(self) -> list[list[Any]]:
         return [
             [endpoint, 0, *map(list, cache.recent(_RECENT_PARTS))]
-            for endpoint, cache in self._state.caches.items()
+            for endpoint, cache in self._state.caches.models()
         ]
 
     def _hello(self) -> GatewayHello:
@@ -351,10 +351,9 @@
 
 
 def _read_load(raw: list[Any]) -> tuple[str, EndpointLoad]:
-    name, running, reading, memory, tight = raw
-    return name, EndpointLoad(
-        running=running,
-        reading_tokens=reading,
-        memory_used=memory,
-        tight=tight / _MILLI,
+    name, *work = raw
+    load = EndpointLoad(
+        **dict(zip(EndpointLoad.__slots__, work, strict=True)),
     )
+    load.tight /= _MILLI
+    return name, load
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -86,7 +86,8 @@
 
         :returns: the prompts sent since the last call.
         """
-        news, self.news = self.news, []
+        news = self.news
+        self.news = []
         return news
 
     def forget(self, names: set[str]) -> None:
@@ -97,7 +98,7 @@
         for name in self._by_endpoint.keys() - names:
             self._by_endpoint.pop(name)
 
-    def items(self) -> list[tuple[str, PrefixCache]]:
+    def models(self) -> list[tuple[str, PrefixCache]]:
         """List all models.
 
         :returns: endpoints and their models.
--- a/wingfall/log.py
+++ b/wingfall/log.py
@@ -71,9 +71,9 @@
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
     :returns: the handler, to flush what it still holds.
     """
-    handler = JsonLineHandler()
+    lines = JsonLineHandler()
     logger = absl_logging.get_absl_logger()
-    logger.handlers = [handler]
+    logger.handlers = [lines]
     logger.propagate = False
     absl_logging.set_verbosity(level)
-    return handler
+    return lines
--- a/wingfall/log_lines.py
+++ b/wingfall/log_lines.py
@@ -75,7 +75,7 @@
     def _tell_dropped(self) -> None:
         if self._dropped and self._is_writable():
             told = {'message': 'log: Lines were dropped.', 'n': self._dropped}
-            os.write(self._descriptor, orjson.dumps(told) + b'\n')
+            os.write(self._descriptor, _dump(told))
             self._dropped = 0
 
     def _is_writable(self) -> bool:
@@ -97,10 +97,18 @@
     }
     if record.exc_info:
         body['fault'] = logging.Formatter().formatException(record.exc_info)
-    line = orjson.dumps(body, default=str) + b'\n'
+    line = _dump(body)
     if len(line) <= _MAX_LINE_BYTES:
         return line
     cut = {'message': body['message'][: _MAX_LINE_BYTES // 4], 'cut': True}
     if 'fault' in body:
         cut['fault'] = body['fault'][-_MAX_LINE_BYTES // 4 :]
-    return orjson.dumps(cut)[: _MAX_LINE_BYTES - 1] + b'\n'
+    return _dump(cut)
+
+
+def _dump(body: dict[str, Any]) -> bytes:
+    return orjson.dumps(
+        body,
+        default=str,
+        option=orjson.OPT_APPEND_NEWLINE,
+    )
--- a/wingfall/metrics.py
+++ b/wingfall/metrics.py
@@ -14,6 +14,7 @@
     """All metrics that routers and agents count, on one registry."""
 
     __slots__ = (
+        'answer_ms',
         'answers',
         'config_faults',
         'config_version',
@@ -40,6 +41,12 @@
             'Answers to callers by class, status and run state.',
             registry=registry,
         )
+        self.answer_ms = Histogram(
+            'wingfall_answer_ms',
+            'Time from a request to the end of its answer, by class.',
+            registry=registry,
+            buckets=_WAIT_BUCKETS_MS,
+        )
         self.decisions = Counter(
             'wingfall_decisions_total',
             'Routing decisions by part and reason.',
--- a/wingfall/platform/binding.py
+++ b/wingfall/platform/binding.py
@@ -18,9 +18,15 @@
 if TYPE_CHECKING:
     from types import SimpleNamespace
 
+    from returns.result import Result
+
+    from wingfall.gateway.binding import AnswerHead
+    from wingfall.gateway.call import Call, CallHead, Headers
+    from wingfall.gateway.endpoints import PoolEndpoint
+    from wingfall.gateway.routes import Routes
     from wingfall.metrics import Metrics
 
-READY_PATH: Final = '/wingfall/ready'
+_READY_PATH: Final = '/wingfall/ready'
 _CONFIG_KIND: Final = 'config'
 _ENDPOINT_KIND: Final = 'servers'
 
@@ -32,15 +38,6 @@
 
     __slots__ = ('_metrics', '_settings')
 
-    ready_path = READY_PATH
-    read_call = staticmethod(read_call)
-    endpoint_headers = staticmethod(endpoint_headers)
-    read_answer = staticmethod(read_answer)
-    refusal_headers = staticmethod(refusal_headers)
-    caller_headers = staticmethod(caller_headers)
-    read_routes = staticmethod(read_routes)
-    read_endpoint = staticmethod(read_endpoint)
-
     def __init__(
         self,
         *,
@@ -55,6 +52,54 @@
         self._settings = settings
         self._metrics = metrics
 
+    @property
+    def ready_path(self) -> str:
+        """Path of the balancer's question."""
+        return _READY_PATH
+
+    def read_call(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+    ) -> CallHead:
+        """Read the head of a caller's request."""
+        return read_call(method, target, headers)
+
+    def endpoint_headers(
+        self,
+        call: Call,
+        endpoint: PoolEndpoint,
+        time_left_ms: int,
+        last_event_id: str | None,
+    ) -> Headers:
+        """Write the headers of a request to an endpoint."""
+        return endpoint_headers(call, endpoint, time_left_ms, last_event_id)
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerHead:
+        """Read the head of an endpoint's answer."""
+        return read_answer(status, headers)
+
+    def caller_headers(self, headers: Headers) -> Headers:
+        """Choose the headers of an answer that the caller shall see."""
+        return caller_headers(headers)
+
+    def refusal_headers(self, head: CallHead) -> Headers:
+        """Write the headers of an answer that is the gateway's own."""
+        return refusal_headers(head)
+
+    def read_routes(self, spec: dict[str, Any]) -> Result[Routes, str]:
+        """Read the configuration from its stored object."""
+        return read_routes(spec)
+
+    def read_endpoint(
+        self,
+        name: str,
+        spec: dict[str, Any],
+    ) -> Result[PoolEndpoint, str]:
+        """Read an endpoint from its stored object."""
+        return read_endpoint(name, spec)
+
     def routes_store(self) -> HttpObjectStore:
         """Give the store of the configuration."""
         return self._store(_CONFIG_KIND)
