Prompts that would start too late are refused at once

Ruled out: slots (64, a third in use) and memory. Change: a prompt whose estimated start is past its target gets 503 with the time to come back; the most urgent tier of a pool half of its time left. The rate of reading is learned from first events. An attempt waits three estimated starts before another is made.

--- /dev/null
+++ b/tests/test_early_refusal.py
@@ -0,0 +1,69 @@
+"""Which prompts are refused at once."""
+
+from __future__ import annotations
+
+import math
+
+from returns.result import Success
+
+from wingfall.decision.early_refusal import (
+    ReadRate,
+    StartEstimate,
+    admit_always,
+    admit_by_target,
+)
+
+
+def estimate(start_ms: float, **changes: int) -> StartEstimate:
+    """Make the estimate of a fresh prompt that isn't urgent."""
+    known = {
+        'target_ms': 2000,
+        'left_ms': 12_000,
+        'timeout_ms': 12_000,
+        'urgent': False,
+        **changes,
+    }
+    return StartEstimate(start_ms=start_ms, **known)
+
+
+def admitted(start_ms: float, **changes: int) -> bool:
+    """Tell whether a prompt is admitted."""
+    return isinstance(admit_by_target(estimate(start_ms, **changes)), Success)
+
+
+def test_prompt_that_meets_its_target_is_admitted():
+    assert admitted(2000)
+
+
+def test_prompt_that_would_be_late_may_come_back_in_time():
+    refused = admit_by_target(estimate(3500))
+    assert refused.failure() == 2500
+
+
+def test_nobody_is_told_to_wait_longer_than_callers_do():
+    refused = admit_by_target(estimate(60_000, left_ms=6000))
+    assert refused.failure() == 2000
+
+
+def test_most_urgent_tier_is_refused_last():
+    assert admitted(5000, urgent=True)
+    assert not admitted(7000, urgent=True)
+
+
+def test_caller_that_came_back_gets_more_room():
+    assert not admitted(3000)
+    assert admitted(3000, left_ms=9000)
+
+
+def test_baseline_refuses_nothing():
+    assert isinstance(admit_always(estimate(1_000_000)), Success)
+
+
+def test_rate_is_learned_from_long_reads_only():
+    rate = ReadRate()
+    first = rate.tokens_per_ms
+    rate.note(100, 1)
+    assert math.isclose(rate.tokens_per_ms, first)
+    for _read in range(60):
+        rate.note(40_000, 1000)
+    assert 39 < round(rate.tokens_per_ms) <= 40
--- a/tests/test_endpoint_health.py
+++ b/tests/test_endpoint_health.py
@@ -35,7 +35,7 @@
     for _failure in range(5):
         health.note_failure('one')
     failing = health.failing('one')
-    assert 0.6 < failing < 0.7
+    assert round(failing * 10) == 7
     clock.advance(5000)
     assert math.isclose(health.failing('one'), failing / 2)
     assert not health.failing('two')
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from wingfall.clock import MS_PER_S
+from wingfall.decision.early_refusal import admissions
 from wingfall.decision.endpoint_health import EndpointHealth
 from wingfall.decision.placement import placements
 from wingfall.decision.resend_budget import ResendBudget
@@ -209,6 +210,7 @@
             metrics=self._metrics,
             binding=binding(settings=settings.store, metrics=self._metrics),
             placement=placements.find(settings.policy.placement).unwrap(),
+            admission=admissions.find(settings.policy.admission).unwrap(),
             budget=ResendBudget(
                 clock=self._clock,
                 ratio=settings.resend.ratio,
--- a/wingfall/gateway/dispatcher.py
+++ b/wingfall/gateway/dispatcher.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from typing import TYPE_CHECKING, Final, final
 
+from returns.result import Success
+
+from wingfall.decision.early_refusal import StartEstimate
 from wingfall.errors import RunState
 from wingfall.gateway.attempt import (
     Attempt,
@@ -15,6 +19,7 @@
 )
 from wingfall.gateway.chooser import Choice, choose_endpoint
 from wingfall.gateway.refusals import (
+    refuse_early,
     refuse_late,
     refuse_lost,
     refuse_no_endpoint,
@@ -34,6 +39,8 @@
 # the first byte after this part of the time left, or this many targets.
 _WAIT_PART: Final = 0.4
 _WAIT_TARGETS: Final = 1.5
+# Nor before a prompt's turn has come, by a careful estimate.
+_WAIT_STARTS: Final = 3
 _MIN_LEFT_MS: Final = 5
 _MAX_CONNECTS: Final = 4
 
@@ -53,6 +60,7 @@
         '_pool',
         '_reply',
         '_sent',
+        '_started_ms',
         '_state',
         '_unreached',
     )
@@ -77,6 +85,7 @@
         self._sent: list[str] = []
         self._unreached: set[str] = set()
         self._may_have_run = False
+        self._started_ms = call.arrived_ms
         self._kept_answer: WholeAnswer | None = None
 
     def serve(self) -> Refusal | None:
@@ -92,6 +101,9 @@
             choice = self._choose()
             if choice is None:
                 return self._give_up(refuse_no_endpoint)
+            refusal = self._refuse_early(choice)
+            if refusal is not None:
+                return refusal
             outcome = self._try(choice)
             if outcome.end is AttemptEnd.answered:
                 self._finish(outcome)
@@ -113,17 +125,47 @@
             )
         return choice
 
+    def _refuse_early(self, choice: Choice) -> Refusal | None:
+        call, routes = self._call, self._state.routes
+        if call.head.prompt is None or self._sent or routes is None:
+            return None
+        estimate = StartEstimate(
+            start_ms=self._start_ms(choice),
+            target_ms=call.route.target_ms,
+            left_ms=self._left_ms(),
+            timeout_ms=call.route.timeout_ms,
+            urgent=call.tier <= routes.most_urgent(self._pool),
+        )
+        admitted = self._state.admission(estimate)
+        if isinstance(admitted, Success):
+            return None
+        log_event(
+            'admission',
+            'A prompt would start too late.',
+            call=call.call_id,
+            endpoint=choice.endpoint.name,
+            reading=choice.candidate.reading_tokens,
+            start_ms=int(estimate.start_ms),
+            target_ms=estimate.target_ms,
+            left_ms=estimate.left_ms,
+        )
+        return refuse_early(admitted.failure())
+
+    def _start_ms(self, choice: Choice) -> float:
+        waiting = choice.candidate.reading_tokens + choice.load.reading_tokens
+        return waiting / self._state.read_rate(self._pool).tokens_per_ms
+
     def _try(self, choice: Choice) -> AttemptOutcome:
         state = self._state
         entry = state.load.start(choice.endpoint.name, choice.load)
         self._note_read(choice)
-        started_ms = state.clock.now_ms()
+        self._started_ms = state.clock.now_ms()
         outcome = AttemptOutcome(end=AttemptEnd.cut, reason='the caller left')
         try:
-            outcome = self._attempt(choice, entry).run(self._limits())
+            outcome = self._attempt(choice, entry).run(self._limits(choice))
         finally:
             entry.end()
-            self._log_attempt(choice, outcome, started_ms)
+            self._log_attempt(choice, outcome)
         return outcome
 
     def _note_read(self, choice: Choice) -> None:
@@ -144,16 +186,25 @@
             binding=state.binding,
             connections=state.connections,
             now_ms=state.clock.now_ms,
-            on_output=entry.begin_output,
+            on_output=functools.partial(self._note_output, choice, entry),
         )
 
-    def _limits(self) -> AttemptLimits:
+    def _note_output(self, choice: Choice, entry: LoadEntry) -> None:
+        if entry.begin_output():
+            waiting = choice.candidate.reading_tokens
+            self._state.read_rate(self._pool).note(
+                waiting + choice.load.reading_tokens,
+                self._state.clock.now_ms() - self._started_ms,
+            )
+
+    def _limits(self, choice: Choice) -> AttemptLimits:
         call = self._call
         first_byte_ms = call.deadline_ms
         if call.idempotent and len(self._sent) + 1 < call.route.max_attempts:
             wait_ms = max(
                 self._left_ms() * _WAIT_PART,
                 call.route.target_ms * _WAIT_TARGETS,
+                self._start_ms(choice) * _WAIT_STARTS,
             )
             until_ms = self._state.clock.now_ms() + int(wait_ms)
             first_byte_ms = min(first_byte_ms, until_ms)
@@ -204,6 +255,11 @@
         run = RunState.unknown if self._may_have_run else RunState.not_run
         return refuse(run, self._left_ms())
 
+    def _first_ms(self) -> int | None:
+        if not self._reply.started:
+            return None
+        return self._reply.first_byte_ms - self._call.arrived_ms
+
     def _left_ms(self) -> int:
         return self._call.deadline_ms - self._state.clock.now_ms()
 
@@ -211,7 +267,6 @@
         self,
         choice: Choice,
         outcome: AttemptOutcome,
-        started_ms: int,
     ) -> None:
         if outcome.end is AttemptEnd.answered:
             self._state.health.note_success(choice.endpoint.name)
@@ -226,9 +281,9 @@
             endpoint=known.name,
             end=outcome.end,
             reason=outcome.reason,
-            ms=self._state.clock.now_ms() - started_ms,
+            ms=self._state.clock.now_ms() - self._started_ms,
             left_ms=self._left_ms(),
-            first_ms=self._reply.first_byte_ms - self._call.arrived_ms,
+            first_ms=self._first_ms(),
             running=known.running,
             reading=known.reading_tokens,
             cached=known.cached_tokens,
--- a/wingfall/gateway/load.py
+++ b/wingfall/gateway/load.py
@@ -203,7 +203,7 @@
 class LoadEntry:
     """One request's work, from its sending to its end."""
 
-    __slots__ = ('_endpoint', '_load', '_table')
+    __slots__ = ('_begun', '_endpoint', '_load', '_table')
 
     def __init__(
         self,
@@ -221,14 +221,21 @@
         self._table = table
         self._endpoint = endpoint
         self._load = load
+        self._begun = False
         table.change(endpoint, load, 1)
 
-    def begin_output(self) -> None:
-        """Note that the prompt has been read."""
+    def begin_output(self) -> bool:
+        """Note that the prompt has been read.
+
+        :returns: whether this was not known before.
+        """
+        if self._begun:
+            return False
+        self._begun = True
         read = EndpointLoad(reading_tokens=self._load.reading_tokens)
-        if read.reading_tokens:
-            self._load.reading_tokens = 0
-            self._table.change(self._endpoint, read, -1)
+        self._load.reading_tokens = 0
+        self._table.change(self._endpoint, read, -1)
+        return True
 
     def end(self) -> None:
         """Note that the request has ended; further calls do nothing."""
--- a/wingfall/gateway/refusals.py
+++ b/wingfall/gateway/refusals.py
@@ -84,6 +84,21 @@
     return _unavailable('no_capacity', 'The endpoints are full.', left_ms)
 
 
+def refuse_early(retry_after_ms: int) -> Refusal:
+    """Refuse a call that would start too late.
+
+    :param retry_after_ms: when its caller may come back.
+    :returns: the refusal.
+    """
+    return Refusal(
+        status=UNAVAILABLE,
+        kind='capacity',
+        code='too_late',
+        message='The endpoints are too far behind.',
+        retry_after_ms=retry_after_ms,
+    )
+
+
 def refuse_no_routes(left_ms: int) -> Refusal:
     """Refuse a call before there is a configuration.
 
--- a/wingfall/gateway/routes.py
+++ b/wingfall/gateway/routes.py
@@ -185,6 +185,7 @@
     __slots__ = (
         '_by_host',
         '_by_key',
+        '_urgent',
         'customers',
         'limits',
         'pools',
@@ -215,6 +216,7 @@
         self.customers = customers
         self.limits = limits
         self._by_host = _index_hosts(routes)
+        self._urgent = _index_tiers(routes)
         self._by_key = {
             key_hash: customer
             for customer in customers
@@ -233,6 +235,14 @@
                 return route
         return None
 
+    def most_urgent(self, pool: str) -> int:
+        """Tell the tier of a pool that goes before all others.
+
+        :param pool: its name.
+        :returns: the tier.
+        """
+        return self._urgent.get(pool, 0)
+
     def find_customer(self, key: str) -> KeyHolder | None:
         """Find who holds an API key.
 
@@ -251,5 +261,14 @@
     return by_host
 
 
+def _index_tiers(routes: tuple[Route, ...]) -> dict[str, int]:
+    urgent: dict[str, int] = {}
+    for route in routes:
+        for entry in route.pools:
+            known = urgent.get(entry.pool, route.tier)
+            urgent[entry.pool] = min(known, route.tier)
+    return urgent
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING, final
 
+from wingfall.decision.early_refusal import ReadRate
 from wingfall.decision.prefix_cache import PrefixCache
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
+    from wingfall.decision.early_refusal import Admission
     from wingfall.decision.endpoint_health import EndpointHealth
     from wingfall.decision.placement import Placement
     from wingfall.decision.resend_budget import ResendBudget
@@ -111,6 +113,7 @@
     """The configuration in force, the endpoints, and what runs there."""
 
     __slots__ = (
+        'admission',
         'binding',
         'budget',
         'caches',
@@ -122,6 +125,7 @@
         'load',
         'metrics',
         'placement',
+        'rates',
         'routes',
         'zone',
     )
@@ -134,6 +138,7 @@
         metrics: Metrics,
         binding: Binding,
         placement: Placement,
+        admission: Admission,
         budget: ResendBudget,
         health: EndpointHealth,
         endpoints: EndpointTable,
@@ -147,6 +152,7 @@
         :param metrics: counters.
         :param binding: the platform's words.
         :param placement: chooses endpoints.
+        :param admission: refuses prompts that would start too late.
         :param budget: bounds second sendings.
         :param health: failures of endpoints.
         :param endpoints: the endpoints.
@@ -158,11 +164,21 @@
         self.metrics = metrics
         self.binding = binding
         self.placement = placement
+        self.admission = admission
         self.budget = budget
         self.health = health
         self.endpoints = endpoints
         self.load = load
         self.connections = connections
         self.caches = PrefixCaches()
+        self.rates: dict[str, ReadRate] = {}
         self.routes: Routes | None = None
         self.draining = False
+
+    def read_rate(self, pool: str) -> ReadRate:
+        """Give what is known of a pool's engines.
+
+        :param pool: its name.
+        :returns: how fast they read.
+        """
+        return self.rates.setdefault(pool, ReadRate())
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -56,6 +56,7 @@
     policy=section(
         'The decisions.',
         placement=text('Which endpoint serves.', 'least_read'),
+        admission=text('Which prompts are refused early.', 'target'),
     ),
     limits=section(
         'Bounds of this process.',
