Gateway: listens before it loads; starts in less time; log lines never yield

Cause: after all gateways lost power, callers' connections were refused for about two seconds, 0.9 s of them imports (cyclopts 0.13 s, jsonschema 0.15 s, patching what is not used 0.17 s, each as CPU time of a process that does just that). Change: the gateway's own entry point listens first, patches sockets, select and time only, and loads the library that names all faults only for a file that has one (fastjsonschema checks first). The poll is the standard library's own now, with a test that failed first.

--- /dev/null
+++ b/tests/test_early_listener.py
@@ -0,0 +1,37 @@
+"""Connections that wait for a gateway that is still loading."""
+
+from __future__ import annotations
+
+import pathlib
+import socket
+
+import pytest
+
+from wingfall.gateway.early_listener import listen_early
+
+
+def test_connections_are_taken(tmp_path: pathlib.Path):
+    settings = tmp_path / 'settings.yaml'
+    settings.write_text('name: x\ncallers: "127.0.0.1:0"\n', 'utf-8')
+    listener = listen_early(['gateway', '--settings', str(settings)])
+    assert listener is not None
+    with listener, socket.create_connection(listener.getsockname()):
+        assert listener.getsockname()[1]
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['name: x\n', 'callers: {host: 127.0.0.1}\n', 'callers: "0.0.0.1:1"\n'],
+)
+def test_unclear_address_is_left_to_the_check(
+    tmp_path: pathlib.Path,
+    text: str,
+):
+    settings = tmp_path / 'settings.yaml'
+    settings.write_text(text, 'utf-8')
+    assert listen_early(['gateway', '--settings', str(settings)]) is None
+
+
+def test_missing_file_is_left_to_the_check():
+    assert listen_early(['gateway', '--settings', '/nonexistent']) is None
+    assert listen_early(['gateway', '--settings']) is None
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -5,6 +5,7 @@
 import logging
 import os
 
+import gevent
 import orjson
 
 from wingfall.log_lines import JsonLineHandler
@@ -48,3 +49,14 @@
     reader, writer = os.pipe()
     JsonLineHandler(descriptor=writer).emit(record('m', filler='x' * 9000))
     assert orjson.loads(os.read(reader, 10_000))['cut']
+
+
+def test_no_other_greenlet_runs_while_a_line_is_written():
+    _reader, writer = os.pipe()
+    lines_out = JsonLineHandler(descriptor=writer)
+    ran = []
+    other = gevent.spawn(ran.append, 1)
+    for number in range(3000):
+        lines_out.emit(record('part: Done.', filler='x' * 100, n=number))
+    assert not ran
+    other.join()
--- a/wingfall/cmd/application.py
+++ b/wingfall/cmd/application.py
@@ -8,8 +8,7 @@
 from cyclopts import App, CycloptsError
 
 from wingfall import __version__
-
-EXIT_USAGE: Final = 2
+from wingfall.cmd.faults import EXIT_USAGE
 
 _COMMANDS: Final = (
     ('router', 'Run the router of an entry VM.'),
--- a/wingfall/cmd/apply.py
+++ b/wingfall/cmd/apply.py
@@ -7,7 +7,7 @@
 from cyclopts import Parameter
 from returns.result import Success
 
-from wingfall.cmd.daemon import print_faults
+from wingfall.cmd.faults import print_faults
 from wingfall.cmd.operator import open_platform, refuse, report
 from wingfall.object_api.edit import apply_object
 from wingfall.objects.files import read_object_files
--- a/wingfall/cmd/check.py
+++ b/wingfall/cmd/check.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from wingfall.cmd.daemon import print_faults
+from wingfall.cmd.faults import print_faults
 from wingfall.objects.files import read_object_files
 
 
--- a/wingfall/cmd/daemon.py
+++ b/wingfall/cmd/daemon.py
@@ -4,19 +4,17 @@
 
 import pathlib
 import signal
-import sys
 from typing import TYPE_CHECKING, Any, Callable, Protocol
 
 import gevent
 from returns.result import Failure, Result, Success
 
-from wingfall.cmd.application import EXIT_USAGE
+from wingfall.cmd.faults import print_faults
 from wingfall.errors import FieldFault
 from wingfall.log import configure_logging, part_logger
 from wingfall.settings.loader import load_settings
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
     from types import SimpleNamespace
 
 _MIN_SECRET_BYTES = 16
@@ -78,17 +76,6 @@
     return 0
 
 
-def print_faults(faults: Iterable[FieldFault]) -> int:
-    """Print faults to standard error, a line each.
-
-    :param faults: the faults.
-    :returns: the exit code for an invalid file.
-    """
-    for fault in faults:
-        sys.stderr.write(f'{fault}\n')
-    return EXIT_USAGE
-
-
 def _read_secret(path: str, secret_path: str) -> Result[bytes, FieldFault]:
     try:
         secret = pathlib.Path(secret_path).read_bytes().strip()
--- a/wingfall/cmd/gateway.py
+++ b/wingfall/cmd/gateway.py
@@ -8,13 +8,14 @@
 import gevent
 from returns.result import Success
 
-from wingfall.cmd.daemon import print_faults
+from wingfall.cmd.faults import print_faults
 from wingfall.gateway.application import GatewayApplication
 from wingfall.log import configure_json_logging, log_event
 from wingfall.settings.gateway_schema import GATEWAY_SCHEMA
 from wingfall.settings.loader import load_settings
 
 if TYPE_CHECKING:
+    import socket
     from types import SimpleNamespace
 
 _EXIT_REFUSED = 1
@@ -26,19 +27,29 @@
     :param settings: the settings file.
     :returns: the exit code.
     """
-    loaded = load_settings(settings, GATEWAY_SCHEMA)
+    return run_gateway(settings, None)
+
+
+def run_gateway(path: str, listener: socket.socket | None) -> int:
+    """Run a gateway, on a socket that listens already if there is one.
+
+    :param path: the settings file.
+    :param listener: listens for callers, None to bind it here.
+    :returns: the exit code.
+    """
+    loaded = load_settings(path, GATEWAY_SCHEMA)
     if not isinstance(loaded, Success):
         return print_faults(loaded.failure())
     checked: SimpleNamespace = loaded.unwrap()
     configure_json_logging(checked.log_level)
     try:
-        gateway = GatewayApplication(settings=checked)
+        gateway = GatewayApplication(settings=checked, listener=listener)
     except OSError as error:
         log_event('gateway', 'Can not listen.', error=str(error))
         return _EXIT_REFUSED
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, gateway.stop)
-    gevent.signal_handler(signal.SIGHUP, lambda: _reload(settings))
+    gevent.signal_handler(signal.SIGHUP, lambda: _reload(path))
     gateway.run()
     return 0
 
--- a/wingfall/cmd/label.py
+++ b/wingfall/cmd/label.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from wingfall.cmd.application import EXIT_USAGE
+from wingfall.cmd.faults import EXIT_USAGE
 from wingfall.cmd.operator import open_platform, refuse, report
 from wingfall.object_api.edit import edit_object
 from wingfall.objects.selector import parse_labels
--- /dev/null
+++ b/wingfall/gateway/__main__.py
@@ -0,0 +1,48 @@
+"""The gateway's own entry point, which starts faster than the command line.
+
+``python3 -m wingfall.gateway --settings FILE`` does what ``wingfall gateway``
+does. It listens for callers first, patches only the parts of the standard
+library that are used, and leaves the library of the command line out: 0.4 s
+of a restart.
+"""
+
+from __future__ import annotations
+
+import socket
+import sys
+
+from wingfall.gateway.early_listener import listen_early
+
+
+def main() -> int:
+    """Run a gateway.
+
+    :returns: the exit code.
+    """
+    listener = listen_early(sys.argv)
+    _patch()
+    import argparse  # noqa: PLC0415, WPS433
+
+    from wingfall.cmd.gateway import run_gateway  # noqa: PLC0415, WPS433
+
+    if listener is not None:
+        listener = socket.socket(fileno=listener.detach())
+    parser = argparse.ArgumentParser(prog='wingfall.gateway')
+    parser.add_argument('--settings', required=True)
+    return run_gateway(parser.parse_args().settings, listener)
+
+
+def _patch() -> None:
+    import gevent  # noqa: PLC0415, WPS433
+    from gevent import monkey  # noqa: PLC0415, WPS433
+
+    # libuv may use io_uring, which the platform bars; libev on epoll doesn't.
+    gevent.config.loop = 'libev-cext'
+    gevent.config.libev_backend = 'epoll'
+    monkey.patch_time()
+    monkey.patch_socket()
+    monkey.patch_select()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -5,55 +5,45 @@
 import functools
 from typing import TYPE_CHECKING, Any, Final, final
 
-import bottle
 import gevent
 from gevent.pool import Pool as GreenletPool
 from gevent.server import StreamServer
-from returns.result import Success
 
 from wingfall.clock import MS_PER_S
-from wingfall.decision.early_refusal import admissions
-from wingfall.decision.endpoint_health import EndpointHealth
-from wingfall.decision.placement import placements
-from wingfall.decision.resend_budget import ResendBudget
-from wingfall.gateway.binding import bindings
+from wingfall.gateway.assembly import make_state
 from wingfall.gateway.call import PromptPart
 from wingfall.gateway.caller_connection import CallerConnection
-from wingfall.gateway.endpoint_connection import KeptConnections
-from wingfall.gateway.endpoints import EndpointTable
+from wingfall.gateway.early_listener import BACKLOG
 from wingfall.gateway.follower import StoreFollower
-from wingfall.gateway.load import LoadTable
+from wingfall.gateway.object_taker import ObjectTaker
 from wingfall.gateway.peers import GatewayPeers
+from wingfall.gateway.readiness import make_ready_app
 from wingfall.gateway.replica import (
     ENDPOINTS_KIND,
     ROUTES_KIND,
     ObjectReplica,
 )
-from wingfall.gateway.state import GatewayState
 from wingfall.http_server import HttpServer
 from wingfall.log import log_event
-from wingfall.platform import binding as fjordgrid
 from wingfall.program import Program
 from wingfall.settings.loader import parse_address
+from wingfall.wire.connection import tcp_listener
 
 if TYPE_CHECKING:
     import socket
     from types import SimpleNamespace
 
-# A binding is known once its module is imported.
-PLATFORMS: Final = (fjordgrid,)
+    from wingfall.gateway.endpoints import EndpointTable
 
-_BACKLOG: Final = 1024
+_FIRST_CONFIG_MS: Final = 500
 _MAX_CALLERS: Final = 3000
 _HOUSEKEEPING_MS: Final = 1000
-_OK: Final = 200
-_UNAVAILABLE: Final = 503
 # The balancer notices after two questions, a second apart, that no new
 # connections shall come; idle ones are closed then.
 _LAME_MS: Final = 2600
 # Kept of the time of a planned stop for ending the process.
 _EXIT_MS: Final = 700
-_POLL_MS: Final = 50
+_POLL_MS: Final = 20
 
 
 @final
@@ -63,7 +53,6 @@
     __slots__ = (
         '_callers',
         '_followers',
-        '_listed',
         '_open',
         '_peers',
         '_ready_server',
@@ -71,18 +60,24 @@
         '_state',
     )
 
-    def __init__(self, *, settings: SimpleNamespace) -> None:
+    def __init__(
+        self,
+        *,
+        settings: SimpleNamespace,
+        listener: socket.socket | None = None,
+    ) -> None:
         """Make the gateway and bind its ports.
 
         :param settings: the checked settings.
+        :param listener: listens for callers already, None to bind it here.
         """
         super().__init__(settings=settings, secret=b'')
-        self._state = self._make_state()
+        self._state = make_state(settings, self._clock, self._metrics)
         self._open: set[CallerConnection] = set()
-        self._listed = False
+        taker = ObjectTaker(state=self._state)
         self._replicas = (
-            ObjectReplica(kind=ROUTES_KIND, listener=self._take_routes),
-            ObjectReplica(kind=ENDPOINTS_KIND, listener=self._take_endpoint),
+            ObjectReplica(kind=ROUTES_KIND, listener=taker.take_routes),
+            ObjectReplica(kind=ENDPOINTS_KIND, listener=taker.take_endpoint),
         )
         routes, endpoints = self._replicas
         binding = self._state.binding
@@ -99,17 +94,17 @@
             supervisor=self._supervisor,
         )
         self._ready_server = HttpServer(
-            app=self._make_ready_app(),
+            app=make_ready_app(
+                path=self._state.binding.ready_path,
+                not_ready=self.not_ready,
+            ),
             address=parse_address(settings.readiness),
         )
-        callers = parse_address(settings.callers)
         self._callers = StreamServer(
-            (callers.host, callers.port),
+            listener or tcp_listener(settings.callers, BACKLOG),
             self._accept,
-            backlog=_BACKLOG,
             spawn=GreenletPool(_MAX_CALLERS),
         )
-        self._callers.init_socket()
 
     @property
     def caller_port(self) -> int:
@@ -151,7 +146,7 @@
         self._supervisor.start('housekeeping', self._keep_house)
         self._peers.start()
         self._ready_server.start()
-        self._callers.start()
+        self._supervisor.spawn(self._open_doors)
 
     def drain(self) -> None:
         """Take no new work, and wait until what there is has ended."""
@@ -201,39 +196,6 @@
             'calls': self._busy(),
         }
 
-    def _make_state(self) -> GatewayState:
-        settings = self._settings
-        binding = bindings.find(settings.binding).unwrap()
-        return GatewayState(
-            zone=settings.zone,
-            clock=self._clock,
-            metrics=self._metrics,
-            binding=binding(settings=settings.store, metrics=self._metrics),
-            placement=placements.find(settings.policy.placement).unwrap(),
-            admission=admissions.find(settings.policy.admission).unwrap(),
-            budget=ResendBudget(
-                clock=self._clock,
-                ratio=settings.resend.ratio,
-                slack=settings.resend.slack,
-                window_ms=int(settings.resend.window_s * MS_PER_S),
-            ),
-            health=EndpointHealth(clock=self._clock),
-            endpoints=EndpointTable(clock=self._clock),
-            load=LoadTable(clock=self._clock),
-            connections=KeptConnections(clock=self._clock),
-        )
-
-    def _make_ready_app(self) -> bottle.Bottle:
-        app = bottle.Bottle()
-
-        def show_ready() -> bottle.HTTPResponse:
-            reason = self.not_ready()
-            code = _UNAVAILABLE if reason else _OK
-            return bottle.HTTPResponse(f'{reason or "ready"}\n', code)
-
-        app.get(self._state.binding.ready_path, callback=show_ready)
-        return app
-
     def _accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         connection = CallerConnection(sock=sock, state=self._state)
         self._open.add(connection)
@@ -242,57 +204,19 @@
         finally:
             self._open.discard(connection)
 
+    def _open_doors(self) -> None:
+        # Connections wait unread for the configuration, but not for long.
+        until_ms = self._clock.now_ms() + _FIRST_CONFIG_MS
+        while self.not_ready() and self._clock.now_ms() < until_ms:
+            gevent.sleep(_POLL_MS / MS_PER_S)
+        self._callers.start()
+
     def _drain_ms(self) -> int:
         return int(self._settings.limits.stop_s * MS_PER_S) - _EXIT_MS
 
     def _busy(self) -> int:
         return sum(connection.busy for connection in self._open)
 
-    def _take_routes(self, name: str, spec: dict[str, Any] | None) -> None:
-        if spec is None:
-            return
-        read = self._state.binding.read_routes(spec)
-        if not isinstance(read, Success):
-            log_event('config', 'Refused.', name=name, reason=read.failure())
-            return
-        routes = read.unwrap()
-        in_force = self._state.routes
-        if in_force is not None and routes.version <= in_force.version:
-            return
-        self._state.routes = routes
-        self._metrics.config_version.set({}, routes.version)
-        log_event(
-            'config',
-            'In force.',
-            version=routes.version,
-            routes=len(routes.routes),
-            customers=len(routes.customers),
-        )
-
-    def _take_endpoint(self, name: str, spec: dict[str, Any] | None) -> None:
-        if spec is None:
-            self._state.endpoints.remove(name)
-            return
-        read = self._state.binding.read_endpoint(name, spec)
-        if isinstance(read, Success):
-            self._state.endpoints.put(read.unwrap())
-            self._set_cache_capacity(name)
-        else:
-            log_event(
-                'endpoints',
-                'Refused.',
-                endpoint=name,
-                reason=read.failure(),
-            )
-
-    def _set_cache_capacity(self, name: str) -> None:
-        endpoint = self._state.endpoints.find(name)
-        if endpoint is None or self._state.routes is None:
-            return
-        pool = self._state.routes.pools.get(endpoint.pool)
-        if pool is not None:
-            self._state.caches.set_capacity(name, pool.memory_tokens)
-
     def _keep_house(self) -> None:
         while not self._supervisor.stopped:
             gevent.sleep(_HOUSEKEEPING_MS / MS_PER_S)
--- /dev/null
+++ b/wingfall/gateway/assembly.py
@@ -0,0 +1,59 @@
+"""Makes the shared state of a gateway from its settings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from wingfall.clock import MS_PER_S
+from wingfall.decision.early_refusal import admissions
+from wingfall.decision.endpoint_health import EndpointHealth
+from wingfall.decision.placement import placements
+from wingfall.decision.resend_budget import ResendBudget
+from wingfall.gateway.binding import bindings
+from wingfall.gateway.endpoint_connection import KeptConnections
+from wingfall.gateway.endpoints import EndpointTable
+from wingfall.gateway.load import LoadTable
+from wingfall.gateway.state import GatewayState
+from wingfall.platform import binding as fjordgrid
+
+if TYPE_CHECKING:
+    from types import SimpleNamespace
+
+    from wingfall.clock import Clock
+    from wingfall.metrics import Metrics
+
+# A binding is known once its module is imported.
+PLATFORMS: Final = (fjordgrid,)
+
+
+def make_state(
+    settings: SimpleNamespace,
+    clock: Clock,
+    metrics: Metrics,
+) -> GatewayState:
+    """Make the state; there is no configuration yet.
+
+    :param settings: the checked settings.
+    :param clock: the time.
+    :param metrics: counters.
+    :returns: the state.
+    """
+    binding = bindings.find(settings.binding).unwrap()
+    return GatewayState(
+        zone=settings.zone,
+        clock=clock,
+        metrics=metrics,
+        binding=binding(settings=settings.store, metrics=metrics),
+        placement=placements.find(settings.policy.placement).unwrap(),
+        admission=admissions.find(settings.policy.admission).unwrap(),
+        budget=ResendBudget(
+            clock=clock,
+            ratio=settings.resend.ratio,
+            slack=settings.resend.slack,
+            window_ms=int(settings.resend.window_s * MS_PER_S),
+        ),
+        health=EndpointHealth(clock=clock),
+        endpoints=EndpointTable(clock=clock),
+        load=LoadTable(clock=clock),
+        connections=KeptConnections(clock=clock),
+    )
--- /dev/null
+++ b/wingfall/gateway/readiness.py
@@ -0,0 +1,32 @@
+"""Answers the balancer's question whether this gateway is ready."""
+
+from __future__ import annotations
+
+from typing import Callable, Final
+
+import bottle
+
+_OK: Final = 200
+_UNAVAILABLE: Final = 503
+
+
+def make_ready_app(
+    *,
+    path: str,
+    not_ready: Callable[[], str],
+) -> bottle.Bottle:
+    """Make the application of the readiness port.
+
+    :param path: the path that the balancer asks.
+    :param not_ready: gives why the gateway isn't ready, empty if it is.
+    :returns: the application.
+    """
+    app = bottle.Bottle()
+
+    def show_ready() -> bottle.HTTPResponse:
+        reason = not_ready()
+        code = _UNAVAILABLE if reason else _OK
+        return bottle.HTTPResponse(f'{reason or "ready"}\n', code)
+
+    app.get(path, callback=show_ready)
+    return app
--- a/wingfall/log_lines.py
+++ b/wingfall/log_lines.py
@@ -15,6 +15,7 @@
 from typing import Any, Final, final
 
 import orjson
+from gevent.monkey import get_original
 
 _MAX_WAITING: Final = 2000
 # A pipe that polls as writable takes this many bytes at once (PIPE_BUF).
@@ -35,7 +36,9 @@
         if descriptor is None:
             descriptor = sys.stdout.fileno()
         self._descriptor = descriptor
-        self._poll = select.poll()
+        # The standard library's own: gevent's lets other greenlets run, which
+        # would log in the middle of this line.
+        self._poll = get_original('select', 'poll')()
         self._poll.register(descriptor, select.POLLOUT)
         self._waiting: collections.deque[bytes] = collections.deque()
         self._dropped = 0
--- a/wingfall/settings/document.py
+++ b/wingfall/settings/document.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING, Any, TypeAlias, final
 
+import fastjsonschema
 import yaml
-from jsonschema import Draft202012Validator
 from returns.result import Failure, Result, Success
 
 from wingfall.errors import FieldFault
@@ -60,6 +60,13 @@
         :param schema: a JSON schema.
         :returns: all faults in the order of their lines.
         """
+        if _is_valid(schema, self.body):
+            return []
+        # The library that finds all faults takes long to load.
+        from jsonschema import (  # noqa: PLC0415, WPS433
+            Draft202012Validator,
+        )
+
         errors = Draft202012Validator(schema).iter_errors(self.body)
         faults: list[FieldFault] = []
         for error in errors:
@@ -118,6 +125,15 @@
     return Success(documents)
 
 
+def _is_valid(schema: dict[str, Any], body: Any) -> bool:
+    check = fastjsonschema.compile(schema, use_default=False)
+    try:
+        check(body)
+    except fastjsonschema.JsonSchemaValueException:
+        return False
+    return True
+
+
 def _by_line(fault: FieldFault) -> int:
     return fault.line
 
--- a/wingfall/wire/connection.py
+++ b/wingfall/wire/connection.py
@@ -31,6 +31,21 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def tcp_listener(address: str, backlog: int) -> socket.socket:
+    """Listen on an address.
+
+    :param address: ``host:port``, port 0 for a free one.
+    :param backlog: connections that may wait.
+    :returns: the listening socket.
+    """
+    host, _colon, port = address.rpartition(':')
+    return socket.create_server(
+        (host.strip('[]'), int(port)),
+        backlog=backlog,
+        family=socket.AF_INET6 if ':' in host else socket.AF_INET,
+    )
+
+
 @final
 class Connection:
     """Sends and receives messages; sending never blocks the sender.
