--- a/tests/test_gateway_config.py
+++ b/tests/test_gateway_config.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import pathlib
+
 import gevent
 import orjson
+import pytest
 import urllib3
 
 from tests.gateway_site import HOST, GatewaySite, route
 from tests.local_site import wait_until
+from wingfall.cmd.gateway import run_gateway
 
 
 def script(site: GatewaySite, **fields: int) -> None:
@@ -139,3 +143,33 @@
     url = f'http://{HOST}:{gateway.admin_port}/status'
     shown = orjson.loads(urllib3.request('GET', url).data)
     assert shown['endpoints'] == ['one']
+
+
+def test_unknown_policy_is_refused_with_the_names_there_are(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+):
+    settings = tmp_path / 'settings.yaml'
+    settings.write_text(
+        'name: a\nzone: z\ncallers: "127.0.0.1:0"\n'
+        'readiness: "127.0.0.1:0"\nadmin: {host: 127.0.0.1}\n'
+        'peers: {listen: "127.0.0.1:0"}\nstore: {address: "127.0.0.1:1"}\n'
+        'policy: {placement: nearest}\n',
+        'utf-8',
+    )
+    assert run_gateway(str(settings), None) == 2
+    told = capsys.readouterr().err
+    assert 'policy' in told
+    assert 'least_read' in told
+
+
+def test_all_faults_of_the_settings_are_told_with_their_lines(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+):
+    settings = tmp_path / 'settings.yaml'
+    settings.write_text('name: a\nzones: z\nstore: {watch_ms: x}\n', 'utf-8')
+    assert run_gateway(str(settings), None) == 2
+    told = capsys.readouterr().err
+    assert 'settings.yaml:2: zones: unknown field' in told
+    assert 'settings.yaml:3: store.watch_ms:' in told
--- /dev/null
+++ b/tests/test_log_trace.py
@@ -0,0 +1,55 @@
+"""The story of one call out of several logs."""
+
+from __future__ import annotations
+
+import pathlib
+
+import orjson
+import pytest
+
+from wingfall.cmd.trace import run
+from wingfall.log_trace import read_lines, trace_call
+
+
+def line(time: float, message: str, **fields: object) -> str:
+    """Make a line as a collector stores it."""
+    body = {'time': time, 'message': message, 'process': 'a', **fields}
+    return f'host-1 {orjson.dumps(body).decode()}'
+
+
+LINES = (
+    line(1, 'config: In force.', version=7),
+    line(2, 'config: In force.', version=8),
+    line(90, 'endpoints: An endpoint left the list.', endpoint='e1'),
+    line(91, 'endpoints: An endpoint left the list.', endpoint='e2'),
+    line(92, 'store: The store was lost.'),
+    line(93, 'store: The store was lost.', process='b'),
+    line(95, 'dispatch: An attempt ended.', call='c2', endpoint='e1'),
+    line(95, 'refusal: A call was refused.', call='c1', status=503),
+    line(94, 'dispatch: An attempt ended.', call='c1', endpoint='e1'),
+    'no JSON at all',
+    'half a line {"message": "x',
+)
+
+
+def test_story_has_the_call_and_what_was_believed():
+    story = trace_call('c1', read_lines(LINES))
+    assert [(each.time_s, each.message.split(':')[0]) for each in story] == [
+        (2, 'config'),
+        (90, 'endpoints'),
+        (92, 'store'),
+        (94, 'dispatch'),
+        (95, 'refusal'),
+    ]
+
+
+def test_command_prints_it(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+):
+    log = tmp_path / 'a.log'
+    log.write_text('\n'.join(LINES), 'utf-8')
+    assert run('c1', str(log)) == 0
+    assert 'refusal: A call was refused. status=503' in capsys.readouterr().out
+    assert run('c9', str(log)) == 1
+    assert run('c1', '/nonexistent') == 2
--- a/wingfall/cmd/application.py
+++ b/wingfall/cmd/application.py
@@ -20,6 +20,7 @@
     ('label', 'Set labels by key=value, take them away by key-.'),
     ('delete', 'Delete an object.'),
     ('status', 'Show the accepted version and where it is in force.'),
+    ('trace', 'Print what the logs of gateways tell of one call.'),
     ('explain', 'Show which endpoints a request may use, and why not.'),
 )
 
--- a/wingfall/cmd/gateway.py
+++ b/wingfall/cmd/gateway.py
@@ -9,7 +9,9 @@
 from returns.result import Success
 
 from wingfall.cmd.faults import print_faults
+from wingfall.errors import FieldFault
 from wingfall.gateway.application import GatewayApplication
+from wingfall.gateway.assembly import check_policy
 from wingfall.log import configure_json_logging, log_event
 from wingfall.settings.gateway_schema import GATEWAY_SCHEMA
 from wingfall.settings.loader import load_settings
@@ -41,7 +43,16 @@
     if not isinstance(loaded, Success):
         return print_faults(loaded.failure())
     checked: SimpleNamespace = loaded.unwrap()
-    configure_json_logging(checked.log_level)
+    policy = check_policy(checked)
+    if not isinstance(policy, Success):
+        fault = FieldFault(
+            source=path,
+            line=1,
+            field='policy',
+            reason=policy.failure(),
+        )
+        return print_faults([fault])
+    configure_json_logging(checked.log_level, checked.name)
     try:
         gateway = GatewayApplication(settings=checked, listener=listener)
     except OSError as error:
@@ -60,5 +71,6 @@
         faults = [str(fault) for fault in loaded.failure()]
         log_event('gateway', 'The reload was refused.', faults=faults)
         return
-    configure_json_logging(loaded.unwrap().log_level)
+    reloaded = loaded.unwrap()
+    configure_json_logging(reloaded.log_level, reloaded.name)
     log_event('gateway', 'Reloaded.', settings=path)
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from wingfall.clock import MS_PER_S
 from wingfall.decision.early_refusal import admissions
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from types import SimpleNamespace
 
+    from returns.result import Result
+
     from wingfall.clock import Clock
     from wingfall.metrics import Metrics
 
@@ -26,6 +28,20 @@
 PLATFORMS: Final = (fjordgrid,)
 
 
+def check_policy(settings: SimpleNamespace) -> Result[Any, str]:
+    """Check the names that the settings choose by.
+
+    :param settings: settings that met their schema.
+    :returns: what was found, or a sentence with the names there are.
+    """
+    policy = settings.policy
+    return (
+        bindings.find(settings.binding)
+        .bind(lambda _found: placements.find(policy.placement))
+        .bind(lambda _found: admissions.find(policy.admission))
+    )
+
+
 def make_state(
     settings: SimpleNamespace,
     clock: Clock,
--- a/wingfall/log.py
+++ b/wingfall/log.py
@@ -65,13 +65,14 @@
     absl_logging.set_stderrthreshold(level)
 
 
-def configure_json_logging(level: str) -> JsonLineHandler:
+def configure_json_logging(level: str, process: str) -> JsonLineHandler:
     """Send log lines to standard output as JSON, a line each.
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    :param process: name of this process, in each line.
     :returns: the handler, to flush what it still holds.
     """
-    lines = JsonLineHandler()
+    lines = JsonLineHandler(process=process)
     logger = absl_logging.get_absl_logger()
     logger.handlers = [lines]
     logger.propagate = False
--- a/wingfall/log_lines.py
+++ b/wingfall/log_lines.py
@@ -27,14 +27,21 @@
 class JsonLineHandler(logging.Handler):
     """Writes records as JSON without ever waiting for the reader."""
 
-    def __init__(self, *, descriptor: int | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        process: str = '',
+        descriptor: int | None = None,
+    ) -> None:
         """Write to a descriptor.
 
+        :param process: name of the process, in each line.
         :param descriptor: where to write, None for standard output.
         """
         super().__init__()
         if descriptor is None:
             descriptor = sys.stdout.fileno()
+        self._process = process
         self._descriptor = descriptor
         # The standard library's own: gevent's lets other greenlets run, which
         # would log in the middle of this line.
@@ -61,7 +68,7 @@
         if len(self._waiting) >= _MAX_WAITING:
             self._dropped += 1
         else:
-            self._waiting.append(format_line(record))
+            self._waiting.append(format_line(record, self._process))
         self.flush()
 
     def flush(self) -> None:
@@ -86,15 +93,17 @@
         return any(event & select.POLLOUT for _fd, event in events)
 
 
-def format_line(record: logging.LogRecord) -> bytes:
+def format_line(record: logging.LogRecord, process: str) -> bytes:
     """Format a record.
 
     :param record: the record; its ``fields`` go beside the message.
+    :param process: name of the process.
     :returns: one line of JSON, cut to a length that is written at once.
     """
     body: dict[str, Any] = {
         'time': round(record.created, _MS_DIGITS),
         'level': record.levelname,
+        'process': process,
         'message': record.getMessage(),
         **getattr(record, 'fields', {}),
     }
