--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -47,12 +47,25 @@
 def test_load_adds_up_over_peers(clock: ManualClock):
     table = LoadTable(clock=clock)
     table.start('one', EndpointLoad(running=1))
-    table.hear('peer', [('one', EndpointLoad(running=2))])
+    table.hear('peer', [('one', EndpointLoad(running=2))], whole=True)
     assert table.total('one').running == 3
+    table.hear('peer', [('two', EndpointLoad(running=1))], whole=False)
+    assert table.total('one').running == 3
+    table.hear('peer', [('two', EndpointLoad(running=1))], whole=True)
+    assert table.total('one').running == 1
     table.forget('peer')
     assert table.total('one').running == 1
 
 
+def test_peers_hear_what_changed_and_what_ended(clock: ManualClock):
+    table = LoadTable(clock=clock)
+    entry = table.start('one', EndpointLoad(running=1))
+    assert table.take_changed()['one'].running == 1
+    assert not table.has_changed
+    entry.end()
+    assert table.take_changed()['one'].running == 0
+
+
 def test_reads_fade(clock: ManualClock):
     table = LoadTable(clock=clock)
     table.note_read('one', 5024)
--- a/wingfall/gateway/load.py
+++ b/wingfall/gateway/load.py
@@ -97,7 +97,7 @@
 class LoadTable:
     """Work at all endpoints."""
 
-    __slots__ = ('_clock', '_own', '_peers', '_reads', 'changes')
+    __slots__ = ('_changed', '_clock', '_own', '_peers', '_reads')
 
     def __init__(self, *, clock: Clock) -> None:
         """Start without work.
@@ -108,13 +108,30 @@
         self._own: dict[str, EndpointLoad] = {}
         self._peers: dict[str, dict[str, EndpointLoad]] = {}
         self._reads: dict[str, FadingSum] = {}
-        self.changes = 0
+        # Endpoints whose own work the peers have not heard of.
+        self._changed: set[str] = set()
 
     @property
     def own(self) -> dict[str, EndpointLoad]:
         """Work that this gateway has sent, by endpoint."""
         return self._own
 
+    @property
+    def has_changed(self) -> bool:
+        """Whether there is work that the peers have not heard of."""
+        return bool(self._changed)
+
+    def take_changed(self) -> dict[str, EndpointLoad]:
+        """Take what the peers have not heard of.
+
+        :returns: own work by endpoint, idle where it has ended.
+        """
+        changed = {
+            name: self._own.get(name, EndpointLoad()) for name in self._changed
+        }
+        self._changed = set()
+        return changed
+
     def recent_reads(self, endpoint: str) -> float:
         """Tell how much was sent there to be read lately, by all gateways.
 
@@ -173,7 +190,7 @@
         :param load: the work.
         :param sign: 1 to add, -1 to take away.
         """
-        self.changes += 1
+        self._changed.add(endpoint)
         own = self._own.setdefault(endpoint, EndpointLoad())
         own.add(load, sign)
         if own.idle:
@@ -183,13 +200,17 @@
         self,
         peer: str,
         loads: Iterable[tuple[str, EndpointLoad]],
+        *,
+        whole: bool,
     ) -> None:
-        """Replace what a peer told.
+        """Take what a peer tells.
 
         :param peer: the peer.
-        :param loads: its work by endpoint.
+        :param loads: its work by endpoint, idle where it has ended.
+        :param whole: whether it has no work at other endpoints.
         """
-        self._peers[peer] = dict(loads)
+        known = {} if whole else self._peers.get(peer, {})
+        self._peers[peer] = {**known, **dict(loads)}
 
     def forget(self, peer: str) -> None:
         """Forget a peer that is gone.
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -32,7 +32,8 @@
     from wingfall.wire.message import Message
 
 _BEAT_MS: Final = 100
-_QUIET_BEATS: Final = 10
+# Each so many beats tell everything, whatever changed.
+_WHOLE_BEATS: Final = 10
 _SILENCE_MS: Final = 3000
 _CONNECT_S: Final = 1
 _DIAL_MS: Final = 1000
@@ -78,7 +79,6 @@
         '_sessions',
         '_state',
         '_supervisor',
-        '_told_changes',
     )
 
     def __init__(
@@ -106,7 +106,6 @@
         self._replicas = {replica.kind: replica for replica in replicas}
         self._supervisor = supervisor
         self._sessions: dict[str, PeerSession] = {}
-        self._told_changes = 0
         # Known addresses and the dials in a row that failed.
         self._addresses: dict[str, int] = {}
         host, _colon, port = address.rpartition(':')
@@ -133,7 +132,7 @@
 
     def leave(self) -> None:
         """Tell the peers that this gateway is stopping."""
-        self._tell(leaving=True)
+        self._tell(leaving=True, whole=True)
 
     def stop(self) -> None:
         """End all connections."""
@@ -198,7 +197,13 @@
         self._learn([message.address, *message.known])
         self._share_budget()
         log_event('peers', 'A peer is connected.', peer=session.name)
-        connection.send(self._beat(self._recent_parts(), leaving=False))
+        beat = self._beat(
+            self._state.load.own,
+            self._recent_parts(),
+            leaving=self._state.draining,
+            whole=True,
+        )
+        connection.send(beat)
         return session
 
     def _end(self, session: PeerSession | None) -> None:
@@ -222,7 +227,11 @@
 
     def _hear(self, session: PeerSession, beat: GatewayBeat) -> None:
         session.leaving = beat.leaving
-        self._state.load.hear(session.name, map(_read_load, beat.loads))
+        self._state.load.hear(
+            session.name,
+            map(_read_load, beat.loads),
+            whole=beat.whole,
+        )
         for endpoint, unread, *parts in beat.sent:
             self._state.load.note_read(endpoint, unread)
             cache = self._state.caches.find(endpoint)
@@ -291,34 +300,42 @@
         )
 
     def _beat_forever(self) -> None:
-        quiet = 0
+        beats = 0
         while not self._supervisor.stopped:
-            quiet += 1
-            changed = self._told_changes != self._state.load.changes
-            if changed or quiet >= _QUIET_BEATS:
-                quiet = 0
-                self._tell(leaving=self._state.draining)
+            beats += 1
+            whole = beats % _WHOLE_BEATS == 0
+            if whole or self._state.load.has_changed:
+                self._tell(leaving=self._state.draining, whole=whole)
             gevent.sleep(_BEAT_MS / MS_PER_S)
 
-    def _tell(self, *, leaving: bool) -> None:
-        self._told_changes = self._state.load.changes
-        news = [_write_sent(sent) for sent in self._state.caches.take_news()]
-        beat = self._beat(news, leaving=leaving)
+    def _tell(self, *, leaving: bool, whole: bool) -> None:
+        changed = self._state.load.take_changed()
+        beat = self._beat(
+            self._state.load.own if whole else changed,
+            [_write_sent(sent) for sent in self._state.caches.take_news()],
+            leaving=leaving,
+            whole=whole,
+        )
         for session in list(self._sessions.values()):
             session.connection.send(beat)
 
-    def _beat(self, news: list[list[Any]], *, leaving: bool) -> GatewayBeat:
+    def _beat(
+        self,
+        loads: dict[str, EndpointLoad],
+        sent: list[list[Any]],
+        *,
+        leaving: bool,
+        whole: bool,
+    ) -> GatewayBeat:
         return GatewayBeat(
             revisions={
                 kind: replica.revision
                 for kind, replica in self._replicas.items()
             },
-            loads=[
-                _write_load(name, load)
-                for name, load in self._state.load.own.items()
-            ],
-            sent=news,
+            loads=[_write_load(name, load) for name, load in loads.items()],
+            sent=sent,
             leaving=leaving,
+            whole=whole,
         )
 
     def _recent_parts(self) -> list[list[Any]]:
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -27,11 +27,11 @@
 
 
 @final
-@message(49, dict, list, list, bool)
+@message(49, dict, list, list, bool, bool)
 class GatewayBeat(Message):
     """What a gateway tells its peers some times a second."""
 
-    __slots__ = ('revisions', 'loads', 'sent', 'leaving')  # noqa: WPS607
+    __slots__ = ('revisions', 'loads', 'sent', 'leaving', 'whole')
 
     def __init__(
         self,
@@ -40,6 +40,7 @@
         loads: list[list[Any]],
         sent: list[list[Any]],
         leaving: bool,
+        whole: bool,
     ) -> None:
         """Tell the state.
 
@@ -50,11 +51,14 @@
             tokens to read there, then the shared parts, each as id and
             tokens.
         :param leaving: whether the sender is stopping.
+        :param whole: whether the loads are all that there are, not only
+            those that changed since the last beat.
         """
         self.revisions = revisions
         self.loads = loads
         self.sent = sent
         self.leaving = leaving
+        self.whole = whole
 
 
 @final
