Placement: bytes to another zone and shared parts read again weigh a little more

Cause: prices of both stand beside each other on the sheets; a read-again weight of five counts four times the price, the bytes were counted once.

--- a/wingfall/decision/placement.py
+++ b/wingfall/decision/placement.py
@@ -15,9 +15,9 @@
     from collections.abc import Sequence
 
 # A shared part read twice costs time and memory at a second engine as well.
-_READ_AGAIN: Final = 5
+_READ_AGAIN: Final = 6
 _RUNNING_TOKENS: Final = 150
-_TOKENS_PER_REMOTE_BYTE: Final = 0.04
+_TOKENS_PER_REMOTE_BYTE: Final = 0.15
 _KEPT_SHARE: Final = 0.01
 _FULL_TOKENS: Final = 40_000
 _FAILING_TOKENS: Final = 30_000
