Four gateways watch the store, the others learn from them

Change: the first four by rank that are heard watch, each with its beats saying whether the store answers it; one not heard for 1.3 s is replaced; the others ask a peer that is ahead. The exchange of objects and the session are modules of their own.

--- a/tests/test_gateway_config.py
+++ b/tests/test_gateway_config.py
@@ -19,6 +19,11 @@
     site.store.script = dict(fields)
 
 
+def watchers(site: GatewaySite) -> int:
+    """Count the gateways that watch the store."""
+    return sum(each.holds_watch for each in site.gateways)
+
+
 def test_change_is_in_force(gateway_site: GatewaySite):
     gateway_site.add_server('one')
     gateway_site.add_gateway()
@@ -75,6 +80,9 @@
     gateway_site.add_server('one')
     gateway = gateway_site.add_gateway()
     script(gateway_site, status=429)
+    # The watches that wait have ended once others are turned away.
+    calls = gateway_site.store.calls
+    wait_until(lambda: gateway_site.store.calls > calls + 4)
     gateway_site.store.objects['servers'].pop('one')
     gateway_site.add_server('two')
     gateway_site.store.oldest = gateway_site.store.revision + 1
@@ -129,6 +137,36 @@
     assert caller.receive().status == 401
 
 
+def test_some_gateways_watch_and_all_know(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    for _gateway in range(7):
+        gateway_site.add_gateway()
+    wait_until(
+        lambda: all(
+            len(each.status()['peers']) == 6 for each in gateway_site.gateways
+        ),
+    )
+    wait_until(lambda: watchers(gateway_site) == 4)
+    gateway_site.write_config()
+    version = gateway_site.config['version']
+    wait_until(
+        lambda: all(
+            each.status()['config'] == version for each in gateway_site.gateways
+        ),
+    )
+
+
+def test_watcher_that_stops_is_replaced(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    for _gateway in range(6):
+        gateway_site.add_gateway()
+    wait_until(lambda: watchers(gateway_site) == 4)
+    stopped = next(each for each in gateway_site.gateways if each.holds_watch)
+    gateway_site.gateways.remove(stopped)
+    stopped.close()
+    wait_until(lambda: watchers(gateway_site) == 4)
+
+
 def test_lapsed_entries_still_serve_for_a_moment(gateway_site: GatewaySite):
     gateway_site.add_server('one')
     gateway = gateway_site.add_gateway()
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -33,8 +33,10 @@
     import socket
     from types import SimpleNamespace
 
+    from wingfall.gateway.binding import ObjectStore
     from wingfall.gateway.endpoints import EndpointTable
 
+_WATCH_SLACK_MS: Final = 1000
 _FIRST_CONFIG_MS: Final = 500
 _MAX_CALLERS: Final = 3000
 _HOUSEKEEPING_MS: Final = 1000
@@ -82,8 +84,8 @@
         routes, endpoints = self._replicas
         binding = self._state.binding
         self._followers = (
-            StoreFollower(store=binding.routes_store(), replica=routes),
-            StoreFollower(store=binding.endpoints_store(), replica=endpoints),
+            self._make_follower(binding.routes_store(), routes),
+            self._make_follower(binding.endpoints_store(), endpoints),
         )
         self._peers = GatewayPeers(
             name=settings.name,
@@ -92,6 +94,7 @@
             state=self._state,
             replicas=self._replicas,
             supervisor=self._supervisor,
+            watches=self._watches,
         )
         self._ready_server = HttpServer(
             app=make_ready_app(
@@ -126,6 +129,11 @@
         """The endpoints that this gateway knows."""
         return self._state.endpoints
 
+    @property
+    def holds_watch(self) -> bool:
+        """Whether this gateway watches the store for others as well."""
+        return self._peers.holds_watch
+
     def keeps(self, endpoint: str, part_id: str) -> bool:
         """Tell whether an engine is believed to keep a part of prompts.
 
@@ -196,6 +204,18 @@
             'calls': self._busy(),
         }
 
+    def _make_follower(
+        self,
+        store: ObjectStore,
+        replica: ObjectReplica,
+    ) -> StoreFollower:
+        return StoreFollower(
+            store=store,
+            replica=replica,
+            clock=self._clock,
+            holds_watch=lambda: self._peers.holds_watch,
+        )
+
     def _accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         connection = CallerConnection(sock=sock, state=self._state)
         self._open.add(connection)
@@ -211,6 +231,10 @@
             gevent.sleep(_POLL_MS / MS_PER_S)
         self._callers.start()
 
+    def _watches(self) -> bool:
+        within_ms = self._settings.store.watch_ms + _WATCH_SLACK_MS
+        return all(each.has_heard(within_ms) for each in self._followers)
+
     def _drain_ms(self) -> int:
         return int(self._settings.limits.stop_s * MS_PER_S) - _EXIT_MS
 
--- a/wingfall/gateway/follower.py
+++ b/wingfall/gateway/follower.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING, Final, final
+from typing import TYPE_CHECKING, Callable, Final, final
 
 import gevent
 from returns.result import Success
@@ -15,28 +15,51 @@
 if TYPE_CHECKING:
     from gevent.event import Event
 
+    from wingfall.clock import Clock
     from wingfall.gateway.binding import ObjectStore
     from wingfall.gateway.replica import ObjectReplica
 
 _GONE: Final = 410
 _MIN_RETRY_MS: Final = 100
 _MAX_RETRY_MS: Final = 800
+_IDLE_MS: Final = 100
 
 
 @final
 class StoreFollower:
     """Keeps a replica up to date while the store can be reached."""
 
-    __slots__ = ('_backoff', '_lost', '_replica', '_revision', '_store')
-
-    def __init__(self, *, store: ObjectStore, replica: ObjectReplica) -> None:
+    __slots__ = (
+        '_backoff',
+        '_clock',
+        '_heard_ms',
+        '_holds_watch',
+        '_lost',
+        '_replica',
+        '_revision',
+        '_store',
+    )
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        replica: ObjectReplica,
+        clock: Clock,
+        holds_watch: Callable[[], bool],
+    ) -> None:
         """Set up a follower.
 
         :param store: the platform's store of the kind.
         :param replica: the copy to keep.
+        :param clock: the time.
+        :param holds_watch: whether to watch, or to leave it to the peers.
         """
         self._store = store
         self._replica = replica
+        self._clock = clock
+        self._holds_watch = holds_watch
+        self._heard_ms = 0
         self._revision: int | None = None
         self._lost = False
         self._backoff = Backoff(min_ms=_MIN_RETRY_MS, max_ms=_MAX_RETRY_MS)
@@ -46,13 +69,24 @@
         """Kind of the objects that it follows."""
         return self._replica.kind
 
+    def has_heard(self, within_ms: int) -> bool:
+        """Tell whether the store has answered lately.
+
+        :param within_ms: how long ago at most.
+        :returns: whether it has, and has not failed since.
+        """
+        age_ms = self._clock.now_ms() - self._heard_ms
+        return not self._lost and bool(self._heard_ms) and age_ms <= within_ms
+
     def follow(self, stop: Event) -> None:
         """Follow until told to stop.
 
         :param stop: set when the process ends.
         """
         while not stop.is_set():
-            if self._step():
+            if self._revision is not None and not self._holds_watch():
+                gevent.sleep(_IDLE_MS / MS_PER_S)
+            elif self._step():
                 self._backoff.reset()
                 continue
             delay_ms = self._backoff.take_ms()
@@ -61,6 +95,9 @@
 
     def _step(self) -> bool:
         revision = self._revision
+        if revision is not None:
+            # Peers may have told more than the store did.
+            revision = max(revision, self._replica.revision)
         if revision is None:
             read = self._store.list_all()
         else:
@@ -76,6 +113,7 @@
         else:
             self._replica.apply_changes(reading)
         self._revision = max(reading.revision, revision or 0)
+        self._heard_ms = self._clock.now_ms()
         self._note_regained()
         return True
 
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
+import hashlib
 import socket
-from typing import TYPE_CHECKING, Any, Final, final
+from typing import TYPE_CHECKING, Any, Callable, Final, final
 
 import gevent
-import orjson
 from gevent.server import StreamServer
 
 from wingfall.clock import MS_PER_S
 from wingfall.errors import WireError
-from wingfall.gateway.binding import StoredObject, StoreReading
 from wingfall.gateway.call import PromptPart
 from wingfall.gateway.load import EndpointLoad
+from wingfall.gateway.object_exchange import ObjectExchange
+from wingfall.gateway.peer_session import PeerSession
 from wingfall.log import log_event
 from wingfall.wire.connection import Connection
 from wingfall.wire.gateway_messages import (
@@ -35,36 +36,16 @@
 # Each so many beats tell everything, whatever changed.
 _WHOLE_BEATS: Final = 10
 _SILENCE_MS: Final = 3000
+_WATCHERS: Final = 4
+# Beats come each second at least.
+_WATCHER_SILENCE_MS: Final = 1300
 _CONNECT_S: Final = 1
 _DIAL_MS: Final = 1000
 _MISSED_DIALS: Final = 30
-# Peers that watch the store themselves learn a change this much later.
-_FETCH_AFTER_MS: Final = 200
-_FETCH_AGAIN_MS: Final = 1000
 _RECENT_PARTS: Final = 300
 _MILLI: Final = 1000
 
 
-@final
-class PeerSession:
-    """One connection to another gateway, whoever opened it."""
-
-    __slots__ = ('address', 'behind_since_ms', 'connection', 'leaving', 'name')
-
-    def __init__(self, *, hello: GatewayHello, connection: Connection) -> None:
-        """Take over a connection after the first message.
-
-        :param hello: the first message.
-        :param connection: the connection.
-        """
-        self.name = hello.name
-        self.address = hello.address
-        self.connection = connection
-        self.leaving = False
-        # Since when this gateway has been behind the peer, by kind.
-        self.behind_since_ms: dict[str, int] = {}
-
-
 @final
 class GatewayPeers:
     """All sessions with other gateways, and what they tell."""
@@ -72,13 +53,15 @@
     __slots__ = (
         '_address',
         '_addresses',
+        '_exchange',
         '_name',
-        '_replicas',
         '_seeds',
         '_server',
         '_sessions',
         '_state',
         '_supervisor',
+        '_told_revisions',
+        '_watches',
     )
 
     def __init__(
@@ -90,6 +73,7 @@
         state: GatewayState,
         replicas: Iterable[ObjectReplica],
         supervisor: Supervisor,
+        watches: Callable[[], bool],
     ) -> None:
         """Bind the address.
 
@@ -99,12 +83,18 @@
         :param state: what this gateway knows.
         :param replicas: the objects that gateways give each other.
         :param supervisor: keeps the connections.
+        :param watches: whether this gateway hears the store's changes.
         """
         self._name = name
         self._state = state
         self._seeds = set(seeds)
-        self._replicas = {replica.kind: replica for replica in replicas}
+        self._exchange = ObjectExchange(
+            replicas=replicas,
+            clock=state.clock,
+        )
         self._supervisor = supervisor
+        self._watches = watches
+        self._told_revisions: dict[str, int] = {}
         self._sessions: dict[str, PeerSession] = {}
         # Known addresses and the dials in a row that failed.
         self._addresses: dict[str, int] = {}
@@ -123,6 +113,25 @@
         """Names of the connected peers."""
         return sorted(self._sessions)
 
+    @property
+    def holds_watch(self) -> bool:
+        """Whether this gateway shall watch the store.
+
+        Some gateways watch, the same for all who hear each other; one that
+        isn't heard for a moment is replaced by the next.
+        """
+        oldest_ms = self._state.clock.now_ms() - _WATCHER_SILENCE_MS
+        own_rank = _rank(self._name)
+        before = [
+            session
+            for session in self._sessions.values()
+            if session.watching
+            and not session.leaving
+            and session.heard_ms >= oldest_ms
+            and _rank(session.name) < own_rank
+        ]
+        return len(before) < _WATCHERS
+
     def start(self) -> None:
         """Accept and connect from now on."""
         self._learn(self._seeds)
@@ -221,12 +230,14 @@
         if isinstance(message, GatewayBeat):
             self._hear(session, message)
         elif isinstance(message, ObjectsFetch):
-            self._answer_fetch(session, message)
+            self._exchange.answer(session, message)
         elif isinstance(message, ObjectsPage):
-            self._take_page(session, message)
+            self._exchange.take(session, message)
 
     def _hear(self, session: PeerSession, beat: GatewayBeat) -> None:
         session.leaving = beat.leaving
+        session.watching = beat.watching
+        session.heard_ms = self._state.clock.now_ms()
         self._state.load.hear(
             session.name,
             map(_read_load, beat.loads),
@@ -242,74 +253,26 @@
                 ],
             )
         for kind, revision in beat.revisions.items():
-            self._compare(session, kind, revision)
-
-    def _compare(self, session: PeerSession, kind: str, revision: int) -> None:
-        replica = self._replicas.get(kind)
-        if replica is None or replica.revision >= revision:
-            session.behind_since_ms.pop(kind, None)
-            return
-        now_ms = self._state.clock.now_ms()
-        since_ms = session.behind_since_ms.setdefault(kind, now_ms)
-        if replica.revision and now_ms - since_ms < _FETCH_AFTER_MS:
-            return
-        session.behind_since_ms[kind] = now_ms + _FETCH_AGAIN_MS
-        fetch = ObjectsFetch(kind=kind, revision=replica.revision)
-        session.connection.send(fetch)
-
-    def _answer_fetch(self, session: PeerSession, fetch: ObjectsFetch) -> None:
-        replica = self._replicas.get(fetch.kind)
-        if replica is None:
-            return
-        objects = [
-            [
-                each.name,
-                each.revision,
-                None if each.spec is None else orjson.dumps(each.spec),
-            ]
-            for each in replica.since(fetch.revision)
-        ]
-        page = ObjectsPage(
-            kind=fetch.kind,
-            revision=replica.revision,
-            objects=objects,
-        )
-        session.connection.send(page)
-
-    def _take_page(self, session: PeerSession, page: ObjectsPage) -> None:
-        replica = self._replicas.get(page.kind)
-        if replica is None:
-            return
-        objects = [
-            StoredObject(
-                name=name,
-                revision=revision,
-                spec=None if raw is None else orjson.loads(raw),
-            )
-            for name, revision, raw in page.objects
-        ]
-        reading = StoreReading(revision=page.revision, objects=objects)
-        taken = replica.catch_up(reading)
-        log_event(
-            'peers',
-            'A peer gave objects.',
-            peer=session.name,
-            kind=page.kind,
-            objects=taken,
-            revision=replica.revision,
-        )
+            self._exchange.compare(session, kind, revision)
 
     def _beat_forever(self) -> None:
         beats = 0
         while not self._supervisor.stopped:
             beats += 1
             whole = beats % _WHOLE_BEATS == 0
-            if whole or self._state.load.has_changed:
+            if whole or self._has_news():
                 self._tell(leaving=self._state.draining, whole=whole)
             gevent.sleep(_BEAT_MS / MS_PER_S)
 
+    def _has_news(self) -> bool:
+        return (
+            self._state.load.has_changed
+            or self._told_revisions != self._exchange.revisions
+        )
+
     def _tell(self, *, leaving: bool, whole: bool) -> None:
         changed = self._state.load.take_changed()
+        self._told_revisions = self._exchange.revisions
         beat = self._beat(
             self._state.load.own if whole else changed,
             [_write_sent(sent) for sent in self._state.caches.take_news()],
@@ -328,14 +291,12 @@
         whole: bool,
     ) -> GatewayBeat:
         return GatewayBeat(
-            revisions={
-                kind: replica.revision
-                for kind, replica in self._replicas.items()
-            },
+            revisions=self._exchange.revisions,
             loads=[_write_load(name, load) for name, load in loads.items()],
             sent=sent,
             leaving=leaving,
             whole=whole,
+            watching=self._watches(),
         )
 
     def _recent_parts(self) -> list[list[Any]]:
@@ -352,6 +313,10 @@
         )
 
 
+def _rank(name: str) -> bytes:
+    return hashlib.sha256(name.encode()).digest()
+
+
 def _write_load(name: str, load: EndpointLoad) -> list[Any]:
     return [
         name,
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -27,11 +27,18 @@
 
 
 @final
-@message(49, dict, list, list, bool, bool)
+@message(49, dict, list, list, bool, bool, bool)
 class GatewayBeat(Message):
     """What a gateway tells its peers some times a second."""
 
-    __slots__ = ('revisions', 'loads', 'sent', 'leaving', 'whole')
+    __slots__ = (
+        'revisions',
+        'loads',
+        'sent',
+        'leaving',
+        'whole',
+        'watching',
+    )
 
     def __init__(
         self,
@@ -41,6 +48,7 @@
         sent: list[list[Any]],
         leaving: bool,
         whole: bool,
+        watching: bool,
     ) -> None:
         """Tell the state.
 
@@ -53,12 +61,14 @@
         :param leaving: whether the sender is stopping.
         :param whole: whether the loads are all that there are, not only
             those that changed since the last beat.
+        :param watching: whether the sender hears the store's changes.
         """
         self.revisions = revisions
         self.loads = loads
         self.sent = sent
         self.leaving = leaving
         self.whole = whole
+        self.watching = watching
 
 
 @final
