A soak of gateway processes with random faults; two tests made stricter

Two tests did not fail with their mechanism switched off on a scratch copy (no second run of an unrepeatable request: its route allowed one attempt; the caller is watched: the attempt was given up anyway): both are stricter now.

--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,6 @@
 
 settings: $(VENV)/.installed
 	$(BIN)/python -m tools.settings_reference
+
+soak: $(VENV)/.installed
+	$(BIN)/python -m tools.soak $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--seconds $$(($(MINUTES) * 60)))
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -149,6 +149,7 @@
             'routes': [
                 route('safe', 'plain', kind='safe'),
                 route('unsafe', 'plain', kind='unsafe', max_attempts=1),
+                route('patient', 'plain', kind='unsafe', timeout_ms=60_000),
                 route('stream', 'engines', kind='stream', resumable=True),
                 route('oneway', 'engines', kind='stream', max_attempts=1),
             ],
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -98,10 +98,15 @@
     assert all(answer.whole for answer in answers)
 
 
+@pytest.mark.parametrize('path', ['/unsafe/x', '/patient/x'])
 @pytest.mark.parametrize('fault', BROKEN)
-def test_unrepeatable_request_runs_once(plain_site: GatewaySite, fault: str):
+def test_unrepeatable_request_runs_once(
+    plain_site: GatewaySite,
+    fault: str,
+    path: str,
+):
     break_all(plain_site, fault)
-    answer = plain_site.ask('/unsafe/x', method='POST', X_Attempt_Id='r1')
+    answer = plain_site.ask(path, method='POST', X_Attempt_Id='r1')
     assert answer.status == 502
     assert answer.whole
     assert 'x-response-seal' not in answer.headers
@@ -178,9 +183,9 @@
 
 def test_caller_that_leaves_ends_the_work(plain_site: GatewaySite):
     for server in plain_site.servers.values():
-        server.delay_ms = 10_000
+        server.delay_ms = 60_000
     caller = plain_site.caller()
-    caller.send('/safe/x')
+    caller.send('/patient/x', method='POST')
     wait_until(lambda: runs(plain_site))
     caller.close()
     wait_until(
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,34 @@
+"""A short soak of real processes, and the seeds that ever failed."""
+
+from __future__ import annotations
+
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+# Seeds that once broke a promise; their causes stand in docs/FINDINGS.md.
+SEEDS = (1,)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize('seed', SEEDS)
+def test_promises_hold(tmp_path: pathlib.Path, seed: int):
+    soak = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'tools.soak',
+            '--seed',
+            str(seed),
+            '--seconds',
+            '8',
+            '--keep',
+            str(tmp_path),
+        ],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert soak.returncode == 0, soak.stdout + soak.stderr
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,122 @@
+"""``make soak``: random faults on real gateway processes, by a seed."""
+
+from __future__ import annotations
+
+import gevent
+from gevent import monkey
+
+gevent.config.loop = 'libev-cext'
+gevent.config.libev_backend = 'epoll'
+monkey.patch_all()
+
+import argparse
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+from tools.fleet import wait_for
+from tools.soak.faults import faults
+from tools.soak.promises import promises
+from tools.soak.site import STEADY_KEY, SoakSite
+from tools.soak.traffic import KINDS, Traffic
+
+_CALLERS = 8
+_SETTLE_S = 4
+_RECOVER_S = 12
+_MOST_SHOWN = 5
+_MOST_FAULTS = 4
+
+
+def main() -> int:
+    """Run one soak.
+
+    :returns: 0 if all promises held, 1 if not.
+    """
+    parser = argparse.ArgumentParser(prog='soak')
+    parser.add_argument('--seed', type=int, default=None)
+    parser.add_argument('--seconds', type=float, default=20)
+    parser.add_argument('--gateways', type=int, default=4)
+    parser.add_argument('--keep', help='folder for logs that are kept')
+    chosen = parser.parse_args()
+    seed = chosen.seed
+    if seed is None:
+        seed = random.SystemRandom().randrange(10**6)
+    with tempfile.TemporaryDirectory(prefix='wingfall-soak-') as folder:
+        kept = pathlib.Path(chosen.keep or folder)
+        kept.mkdir(parents=True, exist_ok=True)
+        return _soak(seed, chosen.seconds, chosen.gateways, kept)
+
+
+def _soak(
+    seed: int, seconds: float, gateways: int, folder: pathlib.Path
+) -> int:
+    chance = random.Random(seed)
+    site = SoakSite(folder=folder, gateways=gateways, servers=3)
+    traffic = Traffic(site=site, seed=seed, callers=_CALLERS)
+    try:
+        struck = _strike(site, chance, seconds)
+        broken = _check_recovery(site, traffic)
+        traffic.stop()
+        broken.extend(
+            f'{name}: {told}'
+            for name in promises.names
+            for told in promises.find(name).unwrap()(site, traffic.outcomes)
+        )
+    finally:
+        site.close()
+    served = sum(each.status == 200 for each in traffic.outcomes)
+    print(
+        f'soak seed {seed}: {len(traffic.outcomes)} requests, {served} served,'
+        f' {len(struck)} faults, {len(broken)} broken',
+    )
+    for told in broken[:_MOST_SHOWN]:
+        print(f'  {told}')
+    return 1 if broken else 0
+
+
+def _strike(
+    site: SoakSite,
+    chance: random.Random,
+    seconds: float,
+) -> list[str]:
+    until_s = time.monotonic() + seconds
+    running: set[gevent.Greenlet] = set()
+    struck: list[str] = []
+    while time.monotonic() < until_s:
+        gevent.sleep(chance.uniform(0.1, 1.2))
+        if len(running) >= _MOST_FAULTS:
+            continue
+        name = chance.choice(faults.names)
+        struck.append(name)
+        fault = faults.find(name).unwrap()
+        each = gevent.spawn(fault, site, chance, chance.uniform(0.3, 4))
+        running.add(each)
+        each.rawlink(running.discard)
+    gevent.joinall(list(running), raise_error=True)
+    return struck
+
+
+def _check_recovery(site: SoakSite, traffic: Traffic) -> list[str]:
+    site.heal()
+    gevent.sleep(_SETTLE_S)
+    broken = []
+    for name, gateway in site.gateways.items():
+        if gateway.child.poll() is not None:
+            broken.append(f'{name} has ended by itself')
+            continue
+        for kind in KINDS:
+            try:
+                wait_for(
+                    lambda: traffic.ask(kind, name, STEADY_KEY).status == 200,
+                    'service',
+                    _RECOVER_S,
+                )
+            except TimeoutError:
+                broken.append(f'{name} does not serve {kind} again')
+    return broken
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tools/soak/promises.py
@@ -0,0 +1,174 @@
+"""What must hold in a soak, from what callers and endpoints saw."""
+
+from __future__ import annotations
+
+import collections
+import re
+from typing import TYPE_CHECKING, Callable, Final
+
+from tools.soak.site import EVENTS, STEADY_KEY
+from wingfall.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from standins.pool_server import Run
+    from tools.soak.site import SoakSite
+    from tools.soak.traffic import Outcome
+
+Promise = Callable[['SoakSite', 'list[Outcome]'], 'Iterator[str]']
+promises: Final[Registry[Promise]] = Registry(kind='promise')
+
+_OK: Final = 200
+_REFUSED: Final = frozenset((429, 503))
+_ONCE: Final = frozenset(('unsafe', 'oneway'))
+_STREAMS: Final = frozenset(('stream', 'oneway'))
+_IN_FORCE_S: Final = 2.5
+_CALM_S: Final = 5
+_DENIED: Final = frozenset((401, 403, 404))
+_EVENT_ID: Final = re.compile(rb'^id: (\d+)$', re.MULTILINE)
+
+
+def runs_by_call(site: SoakSite) -> dict[str, list[Run]]:
+    """Collect what all endpoints ran.
+
+    :param site: the site.
+    :returns: runs by the id of their call.
+    """
+    runs = collections.defaultdict(list)
+    for server in site.servers:
+        for run in server.standin.runs:
+            runs[run.call_id].append(run)
+    return runs
+
+
+@promises.register('own_whole_answers')
+def own_whole_answers(
+    site: SoakSite,
+    outcomes: list[Outcome],
+) -> Iterator[str]:
+    """A success is the endpoint's whole answer to this very request."""
+    for each in outcomes:
+        plain = each.kind not in _STREAMS
+        if plain and each.status == _OK and each.whole:
+            yield from _compare_plain(each)
+
+
+@promises.register('streams_in_order')
+def streams_in_order(
+    site: SoakSite,
+    outcomes: list[Outcome],
+) -> Iterator[str]:
+    """A stream has each event once, and all of them if it looks whole."""
+    for each in outcomes:
+        if each.status == _OK and each.kind in _STREAMS:
+            yield from _compare_stream(each)
+
+
+@promises.register('at_most_once')
+def at_most_once(site: SoakSite, outcomes: list[Outcome]) -> Iterator[str]:
+    """What may not be repeated runs once at most."""
+    runs = runs_by_call(site)
+    for each in outcomes:
+        if each.kind in _ONCE and len(runs[each.call_id]) > 1:
+            yield f'{each.call_id} ran {len(runs[each.call_id])} times'
+
+
+@promises.register('refused_never_runs')
+def refused_never_runs(
+    site: SoakSite,
+    outcomes: list[Outcome],
+) -> Iterator[str]:
+    """What was refused by 429 or 503 has not run and never does."""
+    runs = runs_by_call(site)
+    for each in outcomes:
+        refused = each.status in _REFUSED and each.kind in _ONCE
+        if refused and runs[each.call_id]:
+            yield f'{each.call_id} was refused by {each.status} and ran'
+
+
+@promises.register('leaving_gets_nothing')
+def leaving_gets_nothing(
+    site: SoakSite,
+    outcomes: list[Outcome],
+) -> Iterator[str]:
+    """An endpoint that leaves gets nothing new once that is in force."""
+    sent = {each.call_id: each for each in outcomes}
+    for server in site.servers:
+        since_s = server.draining_since_s
+        if since_s is None or _disturbed(site, since_s):
+            continue
+        late = [
+            run.call_id
+            for run in server.standin.runs
+            if sent[run.call_id].sent_s > since_s + _IN_FORCE_S
+            and not _gateway_disturbed(site, sent[run.call_id])
+        ]
+        for call_id in late:
+            yield f'{call_id} reached {server.name}, which left'
+
+
+@promises.register('revoked_keys_are_refused')
+def revoked_keys_are_refused(
+    site: SoakSite,
+    outcomes: list[Outcome],
+) -> Iterator[str]:
+    """A key that was taken away is of no use once that is in force."""
+    for each in outcomes:
+        since_s = site.revoked_s.get(each.key)
+        if since_s is None or _disturbed(site, since_s):
+            continue
+        if each.status == _OK and each.sent_s > since_s + _IN_FORCE_S:
+            yield f'{each.call_id} was served with a key taken away'
+
+
+@promises.register('steady_key_is_known')
+def steady_key_is_known(
+    site: SoakSite,
+    outcomes: list[Outcome],
+) -> Iterator[str]:
+    """A key that all configurations have is never refused."""
+    for each in outcomes:
+        if each.key == STEADY_KEY and each.status in _DENIED:
+            yield f'{each.call_id} was denied by {each.status}'
+
+
+@promises.register('planned_stop_answers')
+def planned_stop_answers(
+    site: SoakSite,
+    outcomes: list[Outcome],
+) -> Iterator[str]:
+    """A gateway that nothing else disturbs answers all that it has read."""
+    runs = runs_by_call(site)
+    for each in outcomes:
+        unanswered = each.sent_whole and not each.status and not each.left
+        passed_on = bool(runs[each.call_id])
+        if unanswered and passed_on and not _gateway_disturbed(site, each):
+            yield f'{each.call_id} ran and got no answer at {each.gateway}'
+
+
+def _compare_plain(outcome: Outcome) -> Iterator[str]:
+    words = outcome.body.split(b' ')
+    seal = outcome.headers.get('x-response-seal', '')
+    path = f'/{outcome.kind}/x'
+    if words[1:] != [outcome.call_id.encode(), path.encode()]:
+        yield f'{outcome.call_id} got {outcome.body!r}'
+    elif seal != f'seal.{words[0].decode()}':
+        yield f'{outcome.call_id} got the seal {seal}'
+
+
+def _compare_stream(outcome: Outcome) -> Iterator[str]:
+    ids = [int(number) for number in _EVENT_ID.findall(outcome.body)]
+    if ids != list(range(1, len(ids) + 1)):
+        yield f'{outcome.call_id} got events {ids}'
+    elif outcome.whole and len(ids) != EVENTS:
+        yield f'{outcome.call_id} looks whole with events {ids}'
+
+
+def _disturbed(site: SoakSite, since_s: float) -> bool:
+    return site.store_disturbed_s > since_s - _CALM_S
+
+
+def _gateway_disturbed(site: SoakSite, outcome: Outcome) -> bool:
+    disturbed_s = site.disturbed_s.get(outcome.gateway, float('-inf'))
+    return disturbed_s > outcome.sent_s - _CALM_S
--- /dev/null
+++ b/tools/soak/site.py
@@ -0,0 +1,228 @@
+"""The site of a soak: gateway processes, stand-ins, and links between them."""
+
+from __future__ import annotations
+
+import itertools
+import pathlib
+import sys
+import time
+from typing import Any, Final, final
+
+import yaml
+
+from standins.link import Link
+from standins.object_store import ObjectStoreStandIn
+from standins.pool_server import PoolServerStandIn
+from standins.serving import start_server
+from tools.fleet import HOST, Process, free_port
+
+STEADY_KEY: Final = 'key-that-stays'
+POOLS: Final = ('plain', 'engines')
+EVENTS: Final = 6
+_SLOTS: Final = 8
+_MEMORY_TOKENS: Final = 100_000
+
+
+@final
+class Server:
+    """An endpoint stand-in, its link and what was told of it."""
+
+    def __init__(self, *, name: str, pool: str) -> None:
+        """Start it.
+
+        :param name: its id, never used twice.
+        :param pool: its pool.
+        """
+        self.name = name
+        self.pool = pool
+        self.standin = PoolServerStandIn(name=name)
+        self.standin.events = EVENTS
+        self.standin.event_ms = 20
+        self.standin.delay_ms = 30
+        self.link = Link(target=self.standin.address)
+        self.draining_since_s: float | None = None
+        self.alive = True
+
+
+@final
+class SoakSite:
+    """All parts of one soak; it ends only what it started."""
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        gateways: int,
+        servers: int,
+    ) -> None:
+        """Start everything and wait until the gateways listen.
+
+        :param folder: for settings and logs.
+        :param gateways: how many gateway processes.
+        :param servers: how many endpoints in each pool.
+        """
+        self._folder = folder
+        self._numbers = itertools.count()
+        self.store = ObjectStoreStandIn()
+        self._store_server = start_server(self.store.app)
+        self.servers: list[Server] = []
+        self.keys = [STEADY_KEY]
+        self.revoked_s: dict[str, float] = {}
+        # When the store or the way to it last was disturbed, by the clock.
+        self.store_disturbed_s = float('-inf')
+        self.version = 0
+        self.write_config()
+        for pool in POOLS:
+            for _server in range(servers):
+                self.add_server(pool)
+        self.store_links: dict[str, Link] = {}
+        self.gateways: dict[str, Process] = {}
+        # When a gateway was last disturbed otherwise than by a planned stop.
+        self.disturbed_s: dict[str, float] = {}
+        self._peers = [f'{HOST}:{free_port()}' for _gateway in range(gateways)]
+        for number in range(gateways):
+            self._start_gateway(number)
+
+    def write_config(self) -> None:
+        """Write the configuration with the next version."""
+        self.version += 1
+        routes = [
+            _route('safe', 'plain', kind='safe'),
+            _route('unsafe', 'plain', kind='unsafe', max_attempts=1),
+            _route('stream', 'engines', kind='stream', resumable=True),
+            _route('oneway', 'engines', kind='stream', max_attempts=1),
+        ]
+        services = [
+            {'name': 'plain', 'health_path': '/health'},
+            {
+                'name': 'engines',
+                'health_path': '/health',
+                'engine': {
+                    'slots': _SLOTS,
+                    'kv_capacity_tokens': _MEMORY_TOKENS,
+                },
+            },
+        ]
+        spec = {
+            'version': self.version,
+            'routes': routes,
+            'services': services,
+            'limits': {},
+            'tenants': [{'name': 'oslo', 'api_keys': list(self.keys)}],
+        }
+        self.store.put('config', 'main', spec)
+
+    def add_server(self, pool: str) -> Server:
+        """Start an endpoint and list it.
+
+        :param pool: its pool.
+        :returns: the endpoint.
+        """
+        server = Server(name=f'server-{next(self._numbers)}', pool=pool)
+        self.servers.append(server)
+        self.list_server(server, 'ready')
+        return server
+
+    def list_server(self, server: Server, state: str) -> None:
+        """Write an endpoint's entry.
+
+        :param server: the endpoint.
+        :param state: ``ready`` or ``draining``.
+        """
+        spec = {
+            'service': server.pool,
+            'address': server.link.address,
+            'zone': 'a',
+            'version': 'v1',
+            'slots': _SLOTS,
+            'state': state,
+        }
+        self.store.put('servers', server.name, spec)
+
+    def listed(self, pool: str) -> list[Server]:
+        """List the endpoints of a pool that take new work.
+
+        :param pool: the pool.
+        :returns: the endpoints.
+        """
+        return [
+            server
+            for server in self.servers
+            if server.pool == pool
+            and server.alive
+            and server.draining_since_s is None
+        ]
+
+    def disturb(self, gateway: str) -> None:
+        """Note that a gateway was disturbed.
+
+        :param gateway: its name.
+        """
+        self.disturbed_s[gateway] = time.monotonic()
+
+    def heal(self) -> None:
+        """End all failures."""
+        self.store.script = {}
+        for link in self.store_links.values():
+            link.heal()
+        for server in self.servers:
+            server.link.heal()
+            server.standin.faults = []
+
+    def close(self) -> None:
+        """End everything that was started."""
+        for gateway in self.gateways.values():
+            if gateway.child.poll() is None:
+                gateway.kill()
+        for server in self.servers:
+            server.link.close()
+            server.standin.stop()
+        for link in self.store_links.values():
+            link.close()
+        self._store_server.stop()
+
+    def _start_gateway(self, number: int) -> None:
+        name = f'gateway-{number}'
+        store_address = f'{HOST}:{self._store_server.port}'
+        self.store_links[name] = Link(target=store_address)
+        port = free_port()
+        settings = {
+            'name': name,
+            'zone': 'a',
+            'callers': f'{HOST}:{port}',
+            'readiness': f'{HOST}:{free_port()}',
+            'admin': {'host': HOST, 'port': free_port()},
+            'peers': {'listen': self._peers[number], 'seeds': self._peers[:3]},
+            'store': {'address': self.store_links[name].address},
+            'resend': {'slack': 100},
+        }
+        path = self._folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(settings), 'utf-8')
+        self.gateways[name] = Process(
+            name=name,
+            log=self._folder / f'{name}.log',
+            command=(
+                sys.executable,
+                '-m',
+                'wingfall.gateway',
+                '--settings',
+                str(path),
+            ),
+            port=port,
+        )
+
+
+def _route(name: str, pool: str, **changes: Any) -> dict[str, Any]:
+    return {
+        'name': name,
+        'host': 'site.example',
+        'path_prefix': f'/{name}/',
+        'service': pool,
+        'timeout_ms': 4000,
+        'target_latency_ms': 500,
+        'priority': 2,
+        'max_attempts': 2,
+        'public': False,
+        'resumable': False,
+        **changes,
+    }
--- /dev/null
+++ b/tools/soak/traffic.py
@@ -0,0 +1,215 @@
+"""Callers of a soak: what they send and what they receive."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import socket
+import time
+from typing import TYPE_CHECKING, Final, final
+
+import gevent
+import h11
+
+from tools.fleet import HOST
+
+if TYPE_CHECKING:
+    from gevent import Greenlet
+
+    from tools.soak.site import SoakSite
+
+KINDS: Final = ('safe', 'unsafe', 'stream', 'oneway')
+_READ_BYTES: Final = 65_536
+_DEADLINE_MS: Final = 3000
+_PATIENCE_S: Final = 5
+_PAUSE_S: Final = 0.08
+_KEEP: Final = 0.8
+_LEAVE: Final = 0.03
+
+
+@final
+class Outcome:
+    """One request and what its caller saw."""
+
+    def __init__(
+        self,
+        *,
+        call_id: str,
+        kind: str,
+        gateway: str,
+        key: str,
+    ) -> None:
+        """Begin a request.
+
+        :param call_id: its id.
+        :param kind: its kind.
+        :param gateway: where it goes.
+        :param key: the API key.
+        """
+        self.call_id = call_id
+        self.kind = kind
+        self.gateway = gateway
+        self.key = key
+        self.sent_s = time.monotonic()
+        self.ended_s = self.sent_s
+        self.sent_whole = False
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b''
+        self.whole = False
+        self.left = False
+
+    def take(self, event: h11.Event) -> None:
+        """Take a piece of the answer.
+
+        :param event: the piece.
+        """
+        if isinstance(event, h11.Response):
+            self.status = event.status_code
+            self.headers = {
+                name.decode(): text.decode() for name, text in event.headers
+            }
+        elif isinstance(event, h11.Data):
+            self.body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            self.whole = True
+
+
+@final
+class Traffic:
+    """Callers that keep sending until they are stopped."""
+
+    def __init__(self, *, site: SoakSite, seed: int, callers: int) -> None:
+        """Start the callers.
+
+        :param site: the site.
+        :param seed: what they draw from.
+        :param callers: how many.
+        """
+        self.outcomes: list[Outcome] = []
+        self._site = site
+        self._numbers = itertools.count()
+        self._stopped = False
+        self._callers: list[Greenlet] = [
+            gevent.spawn(self._call_forever, random.Random(seed + number))
+            for number in range(callers)
+        ]
+
+    def stop(self) -> None:
+        """Let each caller end its request, and wait for them."""
+        self._stopped = True
+        gevent.joinall(self._callers)
+
+    def ask(self, kind: str, gateway: str, key: str) -> Outcome:
+        """Send one request on a new connection.
+
+        :param kind: its kind.
+        :param gateway: where it goes.
+        :param key: the API key.
+        :returns: what came back.
+        """
+        outcome = self._begin(kind, gateway, key)
+        try:
+            with self._connect(gateway) as sock:
+                self._exchange(sock, h11.Connection(h11.CLIENT), outcome)
+        except (OSError, h11.ProtocolError):
+            outcome.whole = False
+        outcome.ended_s = time.monotonic()
+        return outcome
+
+    def _call_forever(self, chance: random.Random) -> None:
+        while not self._stopped:
+            gateway = chance.choice(list(self._site.gateways))
+            try:
+                with self._connect(gateway) as sock:
+                    self._use(sock, gateway, chance)
+            except (OSError, h11.ProtocolError):
+                gevent.sleep(_PAUSE_S)
+
+    def _use(
+        self,
+        sock: socket.socket,
+        gateway: str,
+        chance: random.Random,
+    ) -> None:
+        http = h11.Connection(h11.CLIENT)
+        while not self._stopped:
+            key = chance.choice(self._site.keys)
+            outcome = self._begin(chance.choice(KINDS), gateway, key)
+            outcome.left = chance.random() < _LEAVE
+            try:
+                self._exchange(sock, http, outcome)
+            finally:
+                outcome.ended_s = time.monotonic()
+            ended = http.our_state is not h11.DONE
+            if ended or http.their_state is not h11.DONE:
+                return
+            if chance.random() > _KEEP:
+                return
+            http.start_next_cycle()
+            gevent.sleep(chance.random() * _PAUSE_S)
+
+    def _begin(self, kind: str, gateway: str, key: str) -> Outcome:
+        outcome = Outcome(
+            call_id=f'call-{next(self._numbers)}',
+            kind=kind,
+            gateway=gateway,
+            key=key,
+        )
+        self.outcomes.append(outcome)
+        return outcome
+
+    def _connect(self, gateway: str) -> socket.socket:
+        port = self._site.gateways[gateway].port
+        return socket.create_connection((HOST, port), _PATIENCE_S)
+
+    def _exchange(
+        self,
+        sock: socket.socket,
+        http: h11.Connection,
+        outcome: Outcome,
+    ) -> None:
+        sock.settimeout(_PATIENCE_S)
+        sock.sendall(_encode(http, outcome))
+        outcome.sent_whole = True
+        if outcome.left:
+            gevent.sleep(_PAUSE_S)
+            sock.close()
+            return
+        _receive(sock, http, outcome)
+
+
+def _receive(
+    sock: socket.socket,
+    http: h11.Connection,
+    outcome: Outcome,
+) -> None:
+    while not outcome.whole:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(sock.recv(_READ_BYTES))
+        elif isinstance(event, h11.ConnectionClosed):
+            return
+        else:
+            outcome.take(event)
+
+
+def _encode(http: h11.Connection, outcome: Outcome) -> bytes:
+    headers = [
+        ('Host', 'site.example'),
+        ('Authorization', f'Token {outcome.key}'),
+        ('X-Attempt-Id', outcome.call_id),
+        ('X-Deadline-Ms', str(_DEADLINE_MS)),
+    ]
+    if outcome.kind in {'stream', 'oneway'}:
+        headers.append(('X-Token-Count', '300,40'))
+        headers.append(('X-Prompt-Prefix', 'aa:200,bb:100'))
+    method = 'GET' if outcome.kind == 'safe' else 'POST'
+    if method == 'POST':
+        headers.append(('Content-Length', '0'))
+    request = h11.Request(
+        method=method,
+        target=f'/{outcome.kind}/x',
+        headers=headers,
+    )
+    return http.send(request) + http.send(h11.EndOfMessage())
