--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from types import SimpleNamespace
 from typing import Any, Final, final
 
 import h11
@@ -221,7 +222,20 @@
         :param changes: settings that differ.
         :returns: the gateway.
         """
-        settings = {
+        gateway = GatewayApplication(
+            settings=self.parse(self.settings(**changes)),
+        )
+        gateway.start()
+        self.gateways.append(gateway)
+        return gateway
+
+    def settings(self, **changes: Any) -> dict[str, Any]:
+        """Write the settings of the next gateway.
+
+        :param changes: sections that differ.
+        :returns: the settings.
+        """
+        return {
             'name': f'gateway-{len(self.gateways)}',
             'zone': 'osl-a',
             'callers': f'{HOST}:0',
@@ -234,12 +248,16 @@
             },
             **changes,
         }
+
+    def parse(self, settings: dict[str, Any]) -> SimpleNamespace:
+        """Check settings.
+
+        :param settings: the settings.
+        :returns: them with all defaults.
+        """
         parsed = parse_settings('test', yaml.dump(settings), GATEWAY_SCHEMA)
         assert isinstance(parsed, Success), list(map(str, parsed.failure()))
-        gateway = GatewayApplication(settings=parsed.unwrap())
-        gateway.start()
-        self.gateways.append(gateway)
-        return gateway
+        return parsed.unwrap()
 
     def seeds(self) -> list[str]:
         """List where gateways are found.
--- a/tests/test_gateway_config.py
+++ b/tests/test_gateway_config.py
@@ -201,6 +201,35 @@
     assert 'least_read' in told
 
 
+def test_reload_takes_what_can_change(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    first = gateway_site.add_gateway(peers={'listen': f'{HOST}:0'})
+    second = gateway_site.add_gateway(peers={'listen': f'{HOST}:0'})
+    assert not first.status()['peers']
+    changed = gateway_site.parse(
+        gateway_site.settings(
+            peers={
+                'listen': f'{HOST}:0',
+                'seeds': [
+                    second.peer_address,
+                ],
+            }
+        ),
+    )
+    first.reload(changed)
+    wait_until(lambda: first.status()['peers'])
+
+
+def test_address_that_is_none_is_a_fault(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+):
+    settings = tmp_path / 'settings.yaml'
+    settings.write_text('callers: nowhere\n', 'utf-8')
+    assert run_gateway(str(settings), None) == 2
+    assert 'settings.yaml:1: callers: ' in capsys.readouterr().err
+
+
 def test_all_faults_of_the_settings_are_told_with_their_lines(
     tmp_path: pathlib.Path,
     capsys: pytest.CaptureFixture[str],
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -6,12 +6,18 @@
 import sys
 from typing import TYPE_CHECKING, Any, Final
 
+from wingfall.settings.gateway_schema import GATEWAY_SCHEMA
 from wingfall.settings.schema import AGENT_SCHEMA, ROUTER_SCHEMA
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 PAGE: Final = pathlib.Path('docs/SETTINGS.md')
+_PROGRAMS: Final = (
+    ('Router', ROUTER_SCHEMA),
+    ('Agent', AGENT_SCHEMA),
+    ('Gateway', GATEWAY_SCHEMA),
+)
 
 
 def render() -> str:
@@ -22,9 +28,9 @@
     lines = [
         '# Settings',
         '',
-        'Made by `make settings` from `wingfall/settings/schema.py`.',
+        'Made by `make settings` from the schemas in `wingfall/settings/`.',
     ]
-    for title, schema in (('Router', ROUTER_SCHEMA), ('Agent', AGENT_SCHEMA)):
+    for title, schema in _PROGRAMS:
         lines.extend(
             (
                 '',
@@ -54,7 +60,7 @@
     if 'enum' in field:
         return ', '.join(field['enum'])
     if 'minimum' in field:
-        return f'{field["minimum"]} to {field["maximum"]}'
+        return f'{field["minimum"]} to {field.get("maximum", "any")}'
     return str(field['type'])
 
 
--- a/wingfall/cmd/gateway.py
+++ b/wingfall/cmd/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import signal
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,7 @@
 from wingfall.log import configure_json_logging, log_event
 from wingfall.settings.gateway_schema import GATEWAY_SCHEMA
 from wingfall.settings.loader import load_settings
+from wingfall.settings.watcher import SettingsWatcher
 
 if TYPE_CHECKING:
     import socket
@@ -60,17 +62,20 @@
         return _EXIT_REFUSED
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, gateway.stop)
-    gevent.signal_handler(signal.SIGHUP, lambda: _reload(path))
+    watcher = SettingsWatcher(
+        path=path,
+        schema=GATEWAY_SCHEMA,
+        take=functools.partial(_take_settings, gateway),
+    )
+    gevent.signal_handler(signal.SIGHUP, watcher.reload)
+    gevent.spawn(watcher.run)
     gateway.run()
     return 0
 
 
-def _reload(path: str) -> None:
-    loaded = load_settings(path, GATEWAY_SCHEMA)
-    if not isinstance(loaded, Success):
-        faults = [str(fault) for fault in loaded.failure()]
-        log_event('gateway', 'The reload was refused.', faults=faults)
-        return
-    reloaded = loaded.unwrap()
-    configure_json_logging(reloaded.log_level, reloaded.name)
-    log_event('gateway', 'Reloaded.', settings=path)
+def _take_settings(
+    gateway: GatewayApplication,
+    settings: SimpleNamespace,
+) -> None:
+    configure_json_logging(settings.log_level, settings.name)
+    gateway.reload(settings)
--- a/wingfall/decision/resend_budget.py
+++ b/wingfall/decision/resend_budget.py
@@ -49,6 +49,17 @@
         self._fresh: dict[str, collections.deque[int]] = {}
         self._resent: dict[str, collections.deque[int]] = {}
 
+    def set_bounds(self, ratio: float, slack: float, window_ms: int) -> None:
+        """Change the bounds; what was counted stays counted.
+
+        :param ratio: second sendings a fresh request, over all routers.
+        :param slack: second sendings a window beyond that.
+        :param window_ms: length of the window.
+        """
+        self._ratio = ratio
+        self._slack = slack
+        self._window_ms = window_ms
+
     def share_among(self, routers: int) -> None:
         """Tell how many routers share the slack.
 
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -144,6 +144,22 @@
         part = PromptPart(part_id=part_id, tokens=1)
         return bool(self._state.caches.find(endpoint).cached_tokens([part]))
 
+    def reload(self, settings: SimpleNamespace) -> None:
+        """Take changed settings, as far as they can change while running.
+
+        Seeds, the budget of second sendings and the time of a planned stop
+        take effect; addresses and policies stay till the next start.
+
+        :param settings: the checked settings.
+        """
+        self._settings.limits = settings.limits
+        self._peers.learn(settings.peers.seeds)
+        self._state.budget.set_bounds(
+            settings.resend.ratio,
+            settings.resend.slack,
+            int(settings.resend.window_s * MS_PER_S),
+        )
+
     def start(self) -> None:
         """Start serving and return."""
         super().start()
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -134,11 +134,20 @@
 
     def start(self) -> None:
         """Accept and connect from now on."""
-        self._learn(self._seeds)
+        self.learn(self._seeds)
         self._server.start()
         self._supervisor.start('beats', self._beat_forever)
         self._supervisor.start('dials', self._dial_forever)
 
+    def learn(self, addresses: Iterable[str]) -> None:
+        """Connect to further gateways.
+
+        :param addresses: where they may be found.
+        """
+        for address in addresses:
+            if address != self._address:
+                self._addresses.setdefault(address, 0)
+
     def leave(self) -> None:
         """Tell the peers that this gateway is stopping."""
         self._tell(leaving=True, whole=True)
@@ -149,11 +158,6 @@
         for session in list(self._sessions.values()):
             session.connection.close()
 
-    def _learn(self, addresses: Iterable[str]) -> None:
-        for address in addresses:
-            if address != self._address:
-                self._addresses.setdefault(address, 0)
-
     def _dial_forever(self) -> None:
         while not self._supervisor.stopped:
             connected = {each.address for each in self._sessions.values()}
@@ -203,7 +207,7 @@
             raise WireError('no hello')
         session = PeerSession(hello=message, connection=connection)
         self._sessions[session.name] = session
-        self._learn([message.address, *message.known])
+        self.learn([message.address, *message.known])
         self._share_budget()
         log_event('peers', 'A peer is connected.', peer=session.name)
         beat = self._beat(
--- a/wingfall/settings/fields.py
+++ b/wingfall/settings/fields.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 MAX_PORT: Final = 65535
+HOST_PORT: Final = r'^[0-9A-Fa-f.:\[\]]+:\d+$'
 
 LOG_LEVEL: Final = {
     'type': 'string',
@@ -86,3 +87,12 @@
         host=text('IP number to listen on.'),
         port=number(0, 0, MAX_PORT, 'Port; 0 takes a free one.'),
     )
+
+
+def host_port(about: str) -> dict[str, Any]:
+    """Describe an address in one text.
+
+    :param about: what it means, for the reference.
+    :returns: its schema.
+    """
+    return {**text(about), 'pattern': HOST_PORT}
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -5,8 +5,10 @@
 from typing import Any, Final
 
 from wingfall.settings.fields import (
+    HOST_PORT,
     LOG_LEVEL,
     address,
+    host_port,
     number,
     section,
     text,
@@ -26,24 +28,24 @@
     'Settings of a gateway.',
     name=text('Name of this process, unique in its site.'),
     zone=text('Availability zone of its VM.'),
-    callers=text('host:port for callers.'),
-    readiness=text('host:port of the question whether it is ready.'),
+    callers=host_port('host:port for callers.'),
+    readiness=host_port('host:port of the question whether it is ready.'),
     admin=address('Address for health, metrics and status.'),
     binding=text('The platform whose words are spoken.', 'fjordgrid'),
     log_level=LOG_LEVEL,
     peers=section(
         'Other gateways.',
-        listen=text('host:port for other gateways.'),
+        listen=host_port('host:port for other gateways.'),
         seeds={
             'type': 'array',
-            'items': {'type': 'string'},
+            'items': {'type': 'string', 'pattern': HOST_PORT},
             'default': [],
             'description': 'host:port where some gateways may be found.',
         },
     ),
     store=section(
         "The platform's store.",
-        address=text('host:port of the store.'),
+        address=host_port('host:port of the store.'),
         timeout_ms=number(1500, 10, 60_000, 'Bound of a short call.'),
         watch_ms=number(2500, 10, 30_000, 'Wait of one watch.'),
     ),
--- a/wingfall/settings/schema.py
+++ b/wingfall/settings/schema.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from wingfall.settings.fields import (
+    HOST_PORT,
     LOG_LEVEL,
     MAX_PORT,
     address,
@@ -38,7 +39,7 @@
         port=number(0, 0, MAX_PORT, 'Port for peers; 0 takes a free one.'),
         seeds={
             'type': 'array',
-            'items': {'type': 'string', 'pattern': r'^[0-9A-Fa-f.:\[\]]+:\d+$'},
+            'items': {'type': 'string', 'pattern': HOST_PORT},
             'default': [],
             'description': 'Addresses (host:port) of some other routers.',
         },
