A planned stop ends idle connections at once; three tests made stricter

Found by switching mechanisms off on a scratch copy: three tests did not fail (bytes after an answer, requests that wait unread, a stop that waits), and are stricter now; the new test of a connection that is being read failed first.

--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -191,7 +191,7 @@
         run.whole = True
         if fault == 'extra':
             sock.sendall(encoded + encoded)
-            return False
+            return True
         sock.sendall(encoded)
         return not fault.startswith('unframed')
 
--- /dev/null
+++ b/tests/test_caller_connection.py
@@ -0,0 +1,90 @@
+"""When a caller's connection is idle, and when it is not."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+import gevent
+import pytest
+
+from tests.gateway_site import GatewaySite
+from wingfall.clock import ManualClock
+from wingfall.gateway.assembly import make_state
+from wingfall.gateway.caller_connection import CallerConnection
+from wingfall.metrics import Metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+REQUEST = b'GET /safe/x HTTP/1.1\r\nHost: site.example\r\n\r\n'
+IDLE_MS = 1000
+
+
+@pytest.fixture
+def sockets() -> Iterator[tuple[socket.socket, socket.socket]]:
+    """Give both ends of a connection: the caller's and the gateway's."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        caller = socket.create_connection(listener.getsockname())
+        accepted, _address = listener.accept()
+    with caller, accepted:
+        yield caller, accepted
+
+
+@pytest.fixture
+def connection(
+    sockets: tuple[socket.socket, socket.socket],
+    clock: ManualClock,
+    gateway_site: GatewaySite,
+) -> CallerConnection:
+    """Give a connection of a gateway without a configuration."""
+    settings = gateway_site.parse(gateway_site.settings())
+    state = make_state(settings, clock, Metrics())
+    return CallerConnection(sock=sockets[1], state=state)
+
+
+def test_idle_connection_is_closed(
+    sockets: tuple[socket.socket, socket.socket],
+    connection: CallerConnection,
+    clock: ManualClock,
+):
+    clock.advance(IDLE_MS)
+    connection.close_idle()
+    connection.run()
+    assert sockets[0].recv(1) == b''
+
+
+def test_connection_that_is_being_read_ends_at_once(
+    sockets: tuple[socket.socket, socket.socket],
+    connection: CallerConnection,
+    clock: ManualClock,
+):
+    clock.advance(IDLE_MS)
+    served = gevent.spawn(connection.run)
+    gevent.sleep(0)
+    connection.close_idle()
+    # Far below the idle bound, after which it would end anyway.
+    served.join(timeout=10)
+    assert served.dead
+
+
+def test_request_that_waits_unread_is_answered(
+    sockets: tuple[socket.socket, socket.socket],
+    connection: CallerConnection,
+    clock: ManualClock,
+):
+    clock.advance(IDLE_MS)
+    sockets[0].sendall(REQUEST)
+    connection.close_idle()
+    connection.run()
+    assert b' 503 ' in sockets[0].recv(1000)
+
+
+def test_young_connection_may_still_send(
+    sockets: tuple[socket.socket, socket.socket],
+    connection: CallerConnection,
+):
+    connection.close_idle()
+    sockets[0].sendall(REQUEST)
+    connection.run()
+    assert b' 503 ' in sockets[0].recv(1000)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -164,6 +164,8 @@
     for number in range(6):
         answer = plain_site.ask('/safe/x', X_Attempt_Id=f'r{number}')
         assert f' r{number} '.encode() in answer.body
+    # None was sent into what the endpoint had sent too much of.
+    assert len(runs(plain_site)) == 6
 
 
 def test_unframed_answer_ends_with_its_connection(plain_site: GatewaySite):
@@ -291,6 +293,18 @@
     assert not gateway.status()['calls']
 
 
+def test_planned_stop_waits_for_a_long_run(plain_site: GatewaySite):
+    for server in plain_site.servers.values():
+        server.delay_ms = 3500
+    caller = plain_site.caller()
+    caller.send('/patient/x', method='POST')
+    wait_until(lambda: runs(plain_site))
+    gateway = plain_site.gateways[0]
+    gateway.drain()
+    gateway.close()
+    assert caller.receive().status == 200
+
+
 def test_planned_stop_serves_a_request_that_waits_unread(
     plain_site: GatewaySite,
 ):
--- a/wingfall/gateway/caller_connection.py
+++ b/wingfall/gateway/caller_connection.py
@@ -117,6 +117,11 @@
         if is_readable(self._socket):
             return
         self._shut = True
+        try:
+            # Wakes the greenlet that reads.
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:  # The caller was first.
+            return
         try:
             self._socket.shutdown(socket.SHUT_RDWR)
         except OSError:  # The caller was first.
