--- a/wingfall/gateway/caller_connection.py
+++ b/wingfall/gateway/caller_connection.py
@@ -122,10 +122,6 @@
             self._socket.shutdown(socket.SHUT_RDWR)
         except OSError:  # The caller was first.
             return
-        try:
-            self._socket.shutdown(socket.SHUT_RDWR)
-        except OSError:  # The caller was first.
-            return
 
     def _limits(self) -> CallerLimits:
         routes = self._state.routes
