--- a/tests/test_log_trace.py
+++ b/tests/test_log_trace.py
@@ -20,6 +20,7 @@
 LINES = (
     line(1, 'config: In force.', version=7),
     line(2, 'config: In force.', version=8),
+    line(80, 'config: In force.', version=9, process='b'),
     line(90, 'endpoints: An endpoint left the list.', endpoint='e1'),
     line(91, 'endpoints: An endpoint left the list.', endpoint='e2'),
     line(92, 'store: The store was lost.'),
--- a/wingfall/log_trace.py
+++ b/wingfall/log_trace.py
@@ -81,7 +81,9 @@
     last_config = [
         line
         for line in known
-        if line.message.startswith(_CONFIG) and line.time_s <= own[0].time_s
+        if line.message.startswith(_CONFIG)
+        and line.process == own[0].process
+        and line.time_s <= own[0].time_s
     ]
     chosen = {id(line): line for line in last_config[-1:] + own + beliefs}
     return sorted(chosen.values(), key=_by_time)
