Beats between gateways grow slower with their number

Cause: each gateway told each other one ten times a second, 3,000 messages a second each way at 300 gateways. Change: 10 ms a peer between two beats, at least 100 ms; a gateway that watches the store is heard each second and tells of a change at once, whatever the number; eight dials at a time.

--- /dev/null
+++ b/tests/test_beat_schedule.py
@@ -0,0 +1,51 @@
+"""When gateways tell each other."""
+
+from __future__ import annotations
+
+from wingfall.gateway.beat_schedule import (
+    BeatDue,
+    BeatSchedule,
+    interval_ms,
+    silence_ms,
+)
+
+
+def count(peers: int, *, watching: bool = False, news: bool = True) -> int:
+    """Count the beats of ten seconds in which loads always change."""
+    schedule = BeatSchedule()
+    schedule.set_peers(peers)
+    sent = 0
+    for now_ms in range(0, 10_000, 100):
+        due = schedule.due(
+            now_ms,
+            has_news=news,
+            watching=watching,
+            new_objects=news,
+        )
+        if due is not BeatDue.none:
+            schedule.note_sent(now_ms, due)
+            sent += 1
+    return sent
+
+
+def test_messages_stay_bounded_as_gateways_grow():
+    assert count(3) == 100
+    for peers in (10, 30, 100, 300):
+        assert count(peers) * peers <= 1400
+
+
+def test_changes_of_objects_do_not_wait():
+    assert count(300, watching=True) == 100
+
+
+def test_quiet_gateway_is_heard_each_second():
+    assert count(20, news=False) == 10
+
+
+def test_watcher_is_heard_each_second_however_many_there_are():
+    assert count(300, news=False, watching=True) == 10
+
+
+def test_silence_is_longer_than_some_beats():
+    for peers in (1, 30, 300, 1000):
+        assert silence_ms(peers) >= 3 * interval_ms(peers)
--- /dev/null
+++ b/wingfall/gateway/beat_schedule.py
@@ -0,0 +1,98 @@
+"""When a gateway tells its peers what it has sent and what it knows.
+
+The time between two beats grows with the number of peers, so that a gateway
+sends and receives about a hundred messages a second at most, however many
+gateways there are.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import Final, final
+
+TICK_MS: Final = 100
+_MS_PER_PEER: Final = 10
+# All loads, whatever changed; watchers of the store must be heard this often.
+_WHOLE_MS: Final = 1000
+_MIN_SILENCE_MS: Final = 3000
+_SILENT_BEATS: Final = 4
+
+
+class BeatDue(enum.StrEnum):
+    """What to tell now."""
+
+    none = 'none'
+    changes = 'changes'
+    whole = 'whole'
+
+
+def interval_ms(peers: int) -> int:
+    """Give the time between two beats.
+
+    :param peers: how many peers hear them.
+    :returns: milliseconds.
+    """
+    return max(TICK_MS, peers * _MS_PER_PEER)
+
+
+def silence_ms(peers: int) -> int:
+    """Give the time after which a silent peer counts as gone.
+
+    :param peers: how many peers it tells.
+    :returns: milliseconds.
+    """
+    return max(_MIN_SILENCE_MS, interval_ms(peers) * _SILENT_BEATS)
+
+
+@final
+class BeatSchedule:
+    """Decides when the next beat is due."""
+
+    __slots__ = ('_interval_ms', '_sent_ms', '_whole_ms')
+
+    def __init__(self) -> None:
+        """Start with nothing sent."""
+        self._interval_ms = TICK_MS
+        self._sent_ms: float = float('-inf')
+        self._whole_ms: float = float('-inf')
+
+    def set_peers(self, peers: int) -> None:
+        """Fit the time between beats to the number of peers.
+
+        :param peers: how many peers hear them.
+        """
+        self._interval_ms = interval_ms(peers)
+
+    def due(
+        self,
+        now_ms: int,
+        *,
+        has_news: bool,
+        watching: bool,
+        new_objects: bool,
+    ) -> BeatDue:
+        """Decide what to tell now.
+
+        :param now_ms: the time.
+        :param has_news: whether loads have changed.
+        :param watching: whether this gateway hears the store for others.
+        :param new_objects: whether it has heard of a change.
+        :returns: what is due.
+        """
+        whole_ms = max(_WHOLE_MS, 0 if watching else self._interval_ms)
+        if now_ms - self._whole_ms >= whole_ms:
+            return BeatDue.whole
+        rested = now_ms - self._sent_ms >= self._interval_ms
+        if (watching and new_objects) or (has_news and rested):
+            return BeatDue.changes
+        return BeatDue.none
+
+    def note_sent(self, now_ms: int, due: BeatDue) -> None:
+        """Note that a beat was sent.
+
+        :param now_ms: the time.
+        :param due: what it told.
+        """
+        self._sent_ms = now_ms
+        if due is BeatDue.whole:
+            self._whole_ms = now_ms
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import random
 import socket
 from typing import TYPE_CHECKING, Any, Callable, Final, final
 
@@ -11,6 +12,12 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.errors import WireError
+from wingfall.gateway.beat_schedule import (
+    TICK_MS,
+    BeatDue,
+    BeatSchedule,
+    silence_ms,
+)
 from wingfall.gateway.call import PromptPart
 from wingfall.gateway.load import EndpointLoad
 from wingfall.gateway.object_exchange import ObjectExchange
@@ -32,15 +39,13 @@
     from wingfall.supervisor import Supervisor
     from wingfall.wire.message import Message
 
-_BEAT_MS: Final = 100
-# Each so many beats tell everything, whatever changed.
-_WHOLE_BEATS: Final = 10
 _SILENCE_MS: Final = 3000
 _WATCHERS: Final = 4
 # Beats come each second at least.
 _WATCHER_SILENCE_MS: Final = 1300
 _CONNECT_S: Final = 1
-_DIAL_MS: Final = 1000
+_DIAL_MS: Final = 300
+_DIALS: Final = 8
 _MISSED_DIALS: Final = 30
 _RECENT_PARTS: Final = 300
 _MILLI: Final = 1000
@@ -161,7 +166,9 @@
     def _dial_forever(self) -> None:
         while not self._supervisor.stopped:
             connected = {each.address for each in self._sessions.values()}
-            for address in self._addresses.keys() - connected:
+            missing = sorted(self._addresses.keys() - connected)
+            # A few at a time, drawn, so that two rarely dial each other.
+            for address in random.sample(missing, min(_DIALS, len(missing))):
                 gevent.spawn(self._dial, address)
             gevent.sleep(_DIAL_MS / MS_PER_S)
 
@@ -187,7 +194,7 @@
     def _run(self, sock: socket.socket, *, greets: bool) -> None:
         connection = Connection(sock=sock)
         connection.allow_large()
-        connection.set_timeout(_SILENCE_MS)
+        connection.set_timeout(silence_ms(len(self._sessions)))
         connection.send(self._hello())
         session: PeerSession | None = None
         try:
@@ -260,19 +267,26 @@
             self._exchange.compare(session, kind, revision)
 
     def _beat_forever(self) -> None:
-        beats = 0
+        schedule = BeatSchedule()
         while not self._supervisor.stopped:
-            beats += 1
-            whole = beats % _WHOLE_BEATS == 0
-            if whole or self._has_news():
-                self._tell(leaving=self._state.draining, whole=whole)
-            gevent.sleep(_BEAT_MS / MS_PER_S)
-
-    def _has_news(self) -> bool:
-        return (
-            self._state.load.has_changed
-            or self._told_revisions != self._exchange.revisions
-        )
+            now_ms = self._state.clock.now_ms()
+            schedule.set_peers(len(self._sessions))
+            due = schedule.due(
+                now_ms,
+                has_news=self._state.load.has_changed,
+                watching=self._watches(),
+                new_objects=self._has_new_objects(),
+            )
+            if due is not BeatDue.none:
+                schedule.note_sent(now_ms, due)
+                self._tell(
+                    leaving=self._state.draining,
+                    whole=due is BeatDue.whole,
+                )
+            gevent.sleep(TICK_MS / MS_PER_S)
+
+    def _has_new_objects(self) -> bool:
+        return self._told_revisions != self._exchange.revisions
 
     def _tell(self, *, leaving: bool, whole: bool) -> None:
         changed = self._state.load.take_changed()
