Loads of peers are summed as they come; large pools are not considered whole

Cause: a look-up summed over all peers, and a choice looks up each endpoint: at 300 gateways and 300 engines 90,000 look-ups a request.

--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -57,6 +57,18 @@
     assert table.total('one').running == 1
 
 
+def test_work_that_a_peer_has_ended_is_gone(clock: ManualClock):
+    table = LoadTable(clock=clock)
+    for peer in ('a', 'b'):
+        table.hear(peer, [('one', EndpointLoad(running=2))], whole=True)
+    table.hear('a', [('one', EndpointLoad())], whole=False)
+    assert table.total('one').running == 2
+    table.hear('b', [('one', EndpointLoad(running=5))], whole=False)
+    assert table.total('one').running == 5
+    table.hear('b', [], whole=True)
+    assert table.total('one').running == 0
+
+
 def test_peers_hear_what_changed_and_what_ended(clock: ManualClock):
     table = LoadTable(clock=clock)
     entry = table.start('one', EndpointLoad(running=1))
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -137,3 +137,16 @@
             '/stream/x', method='POST', X_Attempt_Id=f'r{number}', **PROMPT
         )
         assert answer.whole
+
+
+def test_part_is_found_in_a_large_pool(engine_site: GatewaySite):
+    names = [f'server-{number}' for number in range(70)]
+    for name in names:
+        engine_site.add_server(name, 'engines')
+    gateway = engine_site.gateways[0]
+    wait_until(lambda: len(gateway.status()['endpoints']) == 72)
+    prompt = {'X_Token_Count': '5100,40', 'X_Prompt_Prefix': 'aa:5000,own:100'}
+    for _ask in range(3):
+        engine_site.ask('/stream/x', method='POST', **prompt)
+    counts = [len(each.runs) for each in engine_site.servers.values()]
+    assert sorted(counts)[-2:] == [0, 3]
--- /dev/null
+++ b/tools/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""What one more of each thing costs, measured."""
--- /dev/null
+++ b/tools/slopes/gateway.py
@@ -0,0 +1,111 @@
+"""What one more endpoint, peer or part costs a gateway."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from tools.slopes.figures import memory, note, time_us
+from wingfall.clock import ManualClock
+from wingfall.decision.placement import Candidate, Demand, place_by_reading
+from wingfall.decision.prefix_cache import PrefixCache
+from wingfall.gateway.binding import StoredObject, StoreReading
+from wingfall.gateway.call import PromptPart
+from wingfall.gateway.endpoints import EndpointTable, PoolEndpoint
+from wingfall.gateway.replica import ObjectReplica
+from wingfall.wire.codec import FrameDecoder, encode
+from wingfall.wire.gateway_messages import GatewayBeat
+
+_ENDPOINTS: Final = (10, 100, 1000)
+_PARTS: Final = 1000
+_BUSY: Final = (1, 10, 100)
+
+
+def measure_gateway() -> None:
+    """Measure beats, placement, endpoints and prompt parts."""
+    for busy in _BUSY:
+        beat = _beat(busy)
+        frame = encode(beat)
+        note(f'beat with {busy} endpoints changed', len(frame), 'bytes')
+        note(
+            f'beat with {busy} endpoints changed: encode',
+            time_us(lambda beat=beat: encode(beat), 500),
+            'us',
+        )
+        note(
+            f'beat with {busy} endpoints changed: decode',
+            time_us(lambda frame=frame: _decode(frame), 500),
+            'us',
+        )
+    for count in _ENDPOINTS:
+        candidates = [
+            Candidate(name=f'i-{number:010}', slots=64, running=number % 7)
+            for number in range(count)
+        ]
+        demand = Demand(is_prompt=True, tokens=17_000, shared_tokens=13_000)
+        cost = time_us(
+            lambda candidates=candidates: place_by_reading(demand, candidates),
+            max(1, 2000 // count),
+        )
+        note(f'placement among {count} endpoints', cost, 'us')
+    size, _made = memory(lambda: _table(1000))
+    note('endpoint at a gateway', size / 1000, 'bytes of memory')
+    size, _made = memory(_cache)
+    note('prompt part at a gateway', size / _PARTS, 'bytes of memory')
+
+
+def _beat(busy: int) -> GatewayBeat:
+    return GatewayBeat(
+        revisions={'routes': 1000, 'endpoints': 2000},
+        loads=[
+            [f'i-{number:010}', 5, 20_000, 40_000, 1500]
+            for number in range(busy)
+        ],
+        sent=[['i-0000000001', 3000, ['5c1e07a2', 13_300]]],
+        leaving=False,
+        whole=False,
+        watching=True,
+    )
+
+
+def _decode(frame: bytes) -> None:
+    decoder = FrameDecoder()
+    decoder.max_bytes = len(frame)
+    list(decoder.feed(frame))
+
+
+def _table(count: int) -> tuple[EndpointTable, ObjectReplica]:
+    table = EndpointTable(clock=ManualClock())
+    replica = ObjectReplica(kind='endpoints', listener=lambda name, spec: None)
+    objects = [
+        StoredObject(
+            name=f'i-{number:010}',
+            revision=number + 1,
+            spec={'service': 'p', 'address': f'10.0.0.1:{number}', 'slots': 64},
+        )
+        for number in range(count)
+    ]
+    replica.apply_list(StoreReading(revision=count, objects=objects))
+    for each in objects:
+        table.put(
+            PoolEndpoint(
+                name=each.name,
+                pool='p',
+                host='10.0.0.1',
+                port=each.revision,
+                zone='a',
+                slots=64,
+                draining=False,
+            ),
+        )
+    return table, replica
+
+
+def _cache() -> PrefixCache:
+    cache = PrefixCache(capacity=_PARTS * 100)
+    cache.note(
+        [
+            PromptPart(part_id=f'{number:08x}', tokens=100)
+            for number in range(_PARTS)
+        ],
+    )
+    return cache
--- a/wingfall/gateway/chooser.py
+++ b/wingfall/gateway/chooser.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, final
+import random
+from typing import TYPE_CHECKING, Final, final
 
 from wingfall.decision.placement import Candidate, Demand, gap_tightness
 from wingfall.gateway.load import EndpointLoad
@@ -12,6 +13,10 @@
     from wingfall.gateway.endpoints import PoolEndpoint
     from wingfall.gateway.state import GatewayState
 
+# Pools up to this size are considered whole.
+_MOST_CONSIDERED: Final = 64
+_DRAWN: Final = 24
+
 
 @final
 class Choice:
@@ -57,7 +62,8 @@
     listed = {each.name: each for each in known or fresh}
     if not listed:
         return None
-    candidates = [describe(state, call, each) for each in listed.values()]
+    considered = _narrow(state, call, list(listed.values()))
+    candidates = [describe(state, call, each) for each in considered]
     demand = _demand(call)
     chosen = state.placement(demand, candidates)
     return Choice(
@@ -67,6 +73,26 @@
     )
 
 
+def _narrow(
+    state: GatewayState,
+    call: Call,
+    endpoints: list[PoolEndpoint],
+) -> list[PoolEndpoint]:
+    # In a large pool: those that keep part of the prompt, and some drawn.
+    if len(endpoints) <= _MOST_CONSIDERED:
+        return endpoints
+    drawn = random.sample(endpoints, _DRAWN)
+    prompt = call.head.prompt
+    if prompt is None or not prompt.shared:
+        return drawn
+    keeping = [
+        each
+        for each in endpoints
+        if state.caches.find(each.name).cached_tokens(prompt.shared)
+    ]
+    return [*keeping[:_DRAWN], *drawn]
+
+
 def describe(
     state: GatewayState,
     call: Call,
--- a/wingfall/gateway/load.py
+++ b/wingfall/gateway/load.py
@@ -97,7 +97,7 @@
 class LoadTable:
     """Work at all endpoints."""
 
-    __slots__ = ('_changed', '_clock', '_own', '_peers', '_reads')
+    __slots__ = ('_changed', '_clock', '_heard', '_own', '_peers', '_reads')
 
     def __init__(self, *, clock: Clock) -> None:
         """Start without work.
@@ -107,6 +107,8 @@
         self._clock = clock
         self._own: dict[str, EndpointLoad] = {}
         self._peers: dict[str, dict[str, EndpointLoad]] = {}
+        # The sum over all peers, so that a look-up doesn't grow with them.
+        self._heard: dict[str, EndpointLoad] = {}
         self._reads: dict[str, FadingSum] = {}
         # Endpoints whose own work the peers have not heard of.
         self._changed: set[str] = set()
@@ -168,7 +170,7 @@
         :returns: the work of this gateway and its peers.
         """
         summed = EndpointLoad()
-        for table in (self._own, *self._peers.values()):
+        for table in (self._own, self._heard):
             load = table.get(endpoint)
             if load is not None:
                 summed.add(load)
@@ -209,15 +211,34 @@
         :param loads: its work by endpoint, idle where it has ended.
         :param whole: whether it has no work at other endpoints.
         """
-        known = {} if whole else self._peers.get(peer, {})
-        self._peers[peer] = {**known, **dict(loads)}
+        if whole:
+            self.forget(peer)
+        known = self._peers.setdefault(peer, {})
+        for name, load in loads:
+            self._replace(name, known.pop(name, None), load)
+            if not load.idle:
+                known[name] = load
 
     def forget(self, peer: str) -> None:
         """Forget a peer that is gone.
 
         :param peer: the peer.
         """
-        self._peers.pop(peer, None)
+        for name, load in self._peers.pop(peer, {}).items():
+            self._replace(name, load, EndpointLoad())
+
+    def _replace(
+        self,
+        endpoint: str,
+        known: EndpointLoad | None,
+        load: EndpointLoad,
+    ) -> None:
+        heard = self._heard.setdefault(endpoint, EndpointLoad())
+        if known is not None:
+            heard.add(known, -1)
+        heard.add(load)
+        if heard.idle:
+            self._heard.pop(endpoint)
 
 
 @final
