--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import signal
 import time
@@ -178,10 +179,10 @@
     for_s: float,
 ) -> None:
     """Stop a gateway by plan and start it again."""
-    gateway = site.gateways[_pick_gateway(site, chance)]
-    if gateway.child.poll() is None:
-        gateway.stop()
-        gateway.restart()
+    name = _pick_gateway(site, chance)
+    with site.held[name]:
+        site.gateways[name].stop()
+        site.gateways[name].restart()
 
 
 @faults.register('gateway_kill')
@@ -192,9 +193,10 @@
 ) -> None:
     """Kill a gateway and start it again."""
     name = _pick_gateway(site, chance)
-    site.disturb(name)
-    site.gateways[name].restart()
-    site.disturb(name)
+    with site.held[name]:
+        site.disturb(name)
+        site.gateways[name].restart()
+        site.disturb(name)
 
 
 @faults.register('gateways_killed')
@@ -204,12 +206,14 @@
     for_s: float,
 ) -> None:
     """Kill all gateways at once and start them again."""
-    for name, gateway in site.gateways.items():
-        site.disturb(name)
-        gateway.child.kill()
-    for name, gateway in site.gateways.items():
-        gateway.restart()
-        site.disturb(name)
+    with contextlib.ExitStack() as held:
+        for name, gateway in site.gateways.items():
+            held.enter_context(site.held[name])
+            site.disturb(name)
+            gateway.child.kill()
+        for name, gateway in site.gateways.items():
+            gateway.restart()
+            site.disturb(name)
 
 
 @faults.register('gateway_pause')
@@ -221,11 +225,12 @@
     """Freeze a gateway for a while."""
     name = _pick_gateway(site, chance)
     gateway = site.gateways[name]
-    site.disturb(name)
-    gateway.signal(signal.SIGSTOP)
-    gevent.sleep(for_s)
-    gateway.signal(signal.SIGCONT)
-    site.disturb(name)
+    with site.held[name]:
+        site.disturb(name)
+        gateway.signal(signal.SIGSTOP)
+        gevent.sleep(for_s)
+        gateway.signal(signal.SIGCONT)
+        site.disturb(name)
 
 
 @faults.register('gateway_reload')
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -9,6 +9,7 @@
 from typing import Any, Final, final
 
 import yaml
+from gevent.lock import RLock
 
 from standins.link import Link
 from standins.object_store import ObjectStoreStandIn
@@ -77,6 +78,8 @@
                 self.add_server(pool)
         self.store_links: dict[str, Link] = {}
         self.gateways: dict[str, Process] = {}
+        # One fault at a time starts or ends a gateway.
+        self.held: dict[str, RLock] = {}
         # When a gateway was last disturbed otherwise than by a planned stop.
         self.disturbed_s: dict[str, float] = {}
         self._peers = [f'{HOST}:{free_port()}' for _gateway in range(gateways)]
@@ -185,6 +188,7 @@
         name = f'gateway-{number}'
         store_address = f'{HOST}:{self._store_server.port}'
         self.store_links[name] = Link(target=store_address)
+        self.held[name] = RLock()
         port = free_port()
         settings = {
             'name': name,
--- a/wingfall/gateway/__main__.py
+++ b/wingfall/gateway/__main__.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 import sys
 
@@ -19,6 +20,8 @@
 
     :returns: the exit code.
     """
+    # A reload that comes before there is anything to reload.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     listener = listen_early(sys.argv)
     _patch()
     import argparse  # noqa: PLC0415, WPS433
