The budget counts gateways out of reach; attempts and refusals are counted

Cause, found by reading: a gateway cut off from its peers took the whole slack of second sendings while they took it too. It is shared with all gateways known now, whether they are in reach or not; the test failed first.

--- a/tests/test_gateway_config.py
+++ b/tests/test_gateway_config.py
@@ -240,3 +240,15 @@
     told = capsys.readouterr().err
     assert 'settings.yaml:2: zones: unknown field' in told
     assert 'settings.yaml:3: store.watch_ms:' in told
+
+
+def test_metrics_count_attempts_and_refusals(gateway_site: GatewaySite):
+    gateway_site.add_server('one')
+    gateway = gateway_site.add_gateway()
+    gateway_site.ask('/safe/x')
+    gateway_site.ask('/none/x')
+    url = f'http://{HOST}:{gateway.admin_port}/metrics'
+    text = urllib3.request('GET', url).data.decode()
+    assert 'part="dispatch",reason="answered"} 1' in text
+    assert 'part="refusal",reason="no_route"} 1' in text
+    assert 'wingfall_answer_ms_count{class="safe"} 1' in text
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -266,6 +266,24 @@
     assert len(runs(gateway_site)) == 6 + 2
 
 
+def test_budget_is_shared_with_gateways_out_of_reach(
+    gateway_site: GatewaySite,
+):
+    gateway_site.add_server('one')
+    gateway_site.add_server('two')
+    gateway_site.add_gateway(
+        resend={'ratio': 0, 'slack': 7.5, 'window_s': 60},
+        peers={
+            'listen': '127.0.0.1:0',
+            'seeds': ['127.0.0.1:1', '127.0.0.1:2'],
+        },
+    )
+    break_all(gateway_site, 'error', times=100)
+    for number in range(6):
+        gateway_site.ask('/safe/x', X_Attempt_Id=f'r{number}')
+    assert len(runs(gateway_site)) == 6 + 2
+
+
 def test_draining_endpoint_gets_no_new_request(plain_site: GatewaySite):
     plain_site.list_server('one', 'plain', state='draining')
     table = plain_site.gateways[0].endpoints
--- a/wingfall/gateway/dispatcher.py
+++ b/wingfall/gateway/dispatcher.py
@@ -271,6 +271,9 @@
         if outcome.end is AttemptEnd.answered:
             self._state.health.note_success(choice.endpoint.name)
         known = choice.candidate
+        self._state.metrics.decisions.inc(
+            {'part': 'dispatch', 'reason': outcome.end},
+        )
         log_event(
             'dispatch',
             'An attempt ended.',
--- a/wingfall/gateway/final_answer.py
+++ b/wingfall/gateway/final_answer.py
@@ -55,6 +55,7 @@
         config=state.routes.version if state.routes else None,
         path=head.path,
     )
+    state.metrics.decisions.inc({'part': 'refusal', 'reason': refusal.code})
     state.metrics.answers.inc(
         {'class': '', 'status': str(refusal.status), 'run': refusal.run},
     )
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -152,6 +152,7 @@
         for address in addresses:
             if address != self._address:
                 self._addresses.setdefault(address, 0)
+        self._share_budget()
 
     def leave(self) -> None:
         """Tell the peers that this gateway is stopping."""
@@ -187,6 +188,7 @@
         self._addresses[address] = missed
         if missed > _MISSED_DIALS and address not in self._seeds:
             self._addresses.pop(address)
+            self._share_budget()
 
     def _accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         self._run(sock, greets=False)
@@ -235,7 +237,10 @@
         log_event('peers', 'A peer is gone.', peer=session.name)
 
     def _share_budget(self) -> None:
-        self._state.budget.share_among(len(self._sessions) + 1)
+        # Those that can't be reached may still send, with the same slack.
+        self._state.metrics.links.set({}, len(self._sessions))
+        known = max(len(self._sessions), len(self._addresses))
+        self._state.budget.share_among(known + 1)
 
     def _receive(self, session: PeerSession, message: Message) -> None:
         if isinstance(message, GatewayBeat):
