--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -5,7 +5,7 @@
 from wingfall.clock import ManualClock
 from wingfall.gateway.binding import StoredObject, StoreReading
 from wingfall.gateway.endpoints import EndpointTable, PoolEndpoint
-from wingfall.gateway.event_stream import EventCutter
+from wingfall.gateway.event_stream import EventSplitter
 from wingfall.gateway.load import EndpointLoad, LoadTable
 from wingfall.gateway.replica import ObjectReplica
 
@@ -177,11 +177,11 @@
 
 
 def test_events_are_cut_at_their_ends():
-    cutter = EventCutter()
-    assert cutter.feed(b'id: 1\nda') == b''
-    assert cutter.torn
-    assert cutter.feed(b'ta: x\n\nid: 2') == b'id: 1\ndata: x\n\n'
-    assert cutter.last_event_id == '1'
-    assert cutter.feed(b'\ndata: y\n\n') == b'id: 2\ndata: y\n\n'
-    assert not cutter.torn
-    assert cutter.last_event_id == '2'
+    splitter = EventSplitter()
+    assert splitter.feed(b'id: 1\nda') == b''
+    assert splitter.torn
+    assert splitter.feed(b'ta: x\n\nid: 2') == b'id: 1\ndata: x\n\n'
+    assert splitter.last_event_id == '1'
+    assert splitter.feed(b'\ndata: y\n\n') == b'id: 2\ndata: y\n\n'
+    assert not splitter.torn
+    assert splitter.last_event_id == '2'
--- a/tests/test_beat_schedule.py
+++ b/tests/test_heartbeat_schedule.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-from wingfall.gateway.beat_schedule import (
-    BeatDue,
-    BeatSchedule,
+from wingfall.gateway.heartbeat_schedule import (
+    HeartbeatDue,
+    HeartbeatSchedule,
     interval_ms,
     silence_ms,
 )
 
 
 def count(peers: int, *, watching: bool = False, news: bool = True) -> int:
-    """Count the beats of ten seconds in which loads always change."""
-    schedule = BeatSchedule()
+    """Count the heartbeats of ten seconds in which loads always change."""
+    schedule = HeartbeatSchedule()
     schedule.set_peers(peers)
     sent = 0
     for now_ms in range(0, 10_000, 100):
@@ -22,7 +22,7 @@
             watching=watching,
             new_objects=news,
         )
-        if due is not BeatDue.none:
+        if due is not HeartbeatDue.none:
             schedule.note_sent(now_ms, due)
             sent += 1
     return sent
--- a/tools/slopes/gateway.py
+++ b/tools/slopes/gateway.py
@@ -13,7 +13,7 @@
 from wingfall.gateway.endpoints import EndpointTable, PoolEndpoint
 from wingfall.gateway.replica import ObjectReplica
 from wingfall.wire.codec import FrameDecoder, encode
-from wingfall.wire.gateway_messages import GatewayBeat
+from wingfall.wire.gateway_messages import GatewayHeartbeat
 
 _ENDPOINTS: Final = (10, 100, 1000)
 _PARTS: Final = 1000
@@ -21,18 +21,18 @@
 
 
 def measure_gateway() -> None:
-    """Measure beats, placement, endpoints and prompt parts."""
+    """Measure heartbeats, placement, endpoints and prompt parts."""
     for busy in _BUSY:
-        beat = _beat(busy)
-        frame = encode(beat)
-        note(f'beat with {busy} endpoints changed', len(frame), 'bytes')
+        heartbeat = _make_heartbeat(busy)
+        frame = encode(heartbeat)
+        note(f'heartbeat with {busy} endpoints changed', len(frame), 'bytes')
         note(
-            f'beat with {busy} endpoints changed: encode',
-            time_us(lambda beat=beat: encode(beat), 500),
+            f'heartbeat with {busy} endpoints changed: encode',
+            time_us(lambda heartbeat=heartbeat: encode(heartbeat), 500),
             'us',
         )
         note(
-            f'beat with {busy} endpoints changed: decode',
+            f'heartbeat with {busy} endpoints changed: decode',
             time_us(lambda frame=frame: _decode(frame), 500),
             'us',
         )
@@ -53,8 +53,8 @@
     note('prompt part at a gateway', size / _PARTS, 'bytes of memory')
 
 
-def _beat(busy: int) -> GatewayBeat:
-    return GatewayBeat(
+def _make_heartbeat(busy: int) -> GatewayHeartbeat:
+    return GatewayHeartbeat(
         revisions={'routes': 1000, 'endpoints': 2000},
         loads=[
             [f'i-{number:010}', 5, 20_000, 40_000, 1500]
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -15,7 +15,7 @@
 from wingfall.gateway.caller_connection import CallerConnection
 from wingfall.gateway.early_listener import BACKLOG
 from wingfall.gateway.follower import StoreFollower
-from wingfall.gateway.object_taker import ObjectTaker
+from wingfall.gateway.object_applier import ObjectApplier
 from wingfall.gateway.peers import GatewayPeers
 from wingfall.gateway.readiness import make_ready_app
 from wingfall.gateway.replica import (
@@ -39,7 +39,7 @@
 _WATCH_SLACK_MS: Final = 1000
 _FIRST_CONFIG_MS: Final = 500
 _MAX_CALLERS: Final = 3000
-_HOUSEKEEPING_MS: Final = 1000
+_FORGET_MS: Final = 1000
 # The balancer notices after two questions, a second apart, that no new
 # connections shall come; idle ones are closed then.
 _LAME_MS: Final = 2600
@@ -76,10 +76,10 @@
         super().__init__(settings=settings, secret=b'')
         self._state = make_state(settings, self._clock, self._metrics)
         self._open: set[CallerConnection] = set()
-        taker = ObjectTaker(state=self._state)
+        applier = ObjectApplier(state=self._state)
         self._replicas = (
-            ObjectReplica(kind=ROUTES_KIND, listener=taker.take_routes),
-            ObjectReplica(kind=ENDPOINTS_KIND, listener=taker.take_endpoint),
+            ObjectReplica(kind=ROUTES_KIND, listener=applier.apply_routes),
+            ObjectReplica(kind=ENDPOINTS_KIND, listener=applier.apply_endpoint),
         )
         routes, endpoints = self._replicas
         binding = self._state.binding
@@ -167,10 +167,10 @@
         for follower in self._followers:
             body = functools.partial(follower.follow, self._stop)
             self._supervisor.start(follower.kind, body)
-        self._supervisor.start('housekeeping', self._keep_house)
+        self._supervisor.start('forget_departed', self._forget_departed)
         self._peers.start()
         self._ready_server.start()
-        self._supervisor.spawn(self._open_doors)
+        self._supervisor.spawn(self._start_accepting)
 
     def drain(self) -> None:
         """Take no new work, and wait until what there is has ended."""
@@ -240,7 +240,7 @@
         finally:
             self._open.discard(connection)
 
-    def _open_doors(self) -> None:
+    def _start_accepting(self) -> None:
         # Connections wait unread for the configuration, but not for long.
         until_ms = self._clock.now_ms() + _FIRST_CONFIG_MS
         while self.not_ready() and self._clock.now_ms() < until_ms:
@@ -257,9 +257,9 @@
     def _busy(self) -> int:
         return sum(connection.busy for connection in self._open)
 
-    def _keep_house(self) -> None:
+    def _forget_departed(self) -> None:
         while not self._supervisor.stopped:
-            gevent.sleep(_HOUSEKEEPING_MS / MS_PER_S)
+            gevent.sleep(_FORGET_MS / MS_PER_S)
             names = self._state.endpoints.names
             self._state.connections.forget(names)
             self._state.health.forget(names)
--- a/wingfall/gateway/attempt.py
+++ b/wingfall/gateway/attempt.py
@@ -13,7 +13,7 @@
     AnswerLateError,
     NotConnectedError,
 )
-from wingfall.gateway.event_stream import EventCutter
+from wingfall.gateway.event_stream import EventSplitter
 
 if TYPE_CHECKING:
     from wingfall.gateway.binding import AnswerHead, Binding
@@ -239,15 +239,15 @@
         response: h11.Response,
         limits: AttemptLimits,
     ) -> AttemptOutcome:
-        cutter = EventCutter(last_event_id=self._reply.last_event_id)
+        splitter = EventSplitter(last_event_id=self._reply.last_event_id)
         while True:
             event = self._receive(limits)
             if isinstance(event, h11.EndOfMessage):
                 break
-            events = cutter.feed(bytes(event.data))
+            events = splitter.feed(bytes(event.data))
             if events:
-                self._pass_on(response, events, cutter.last_event_id)
-        if cutter.torn or not self._reply.started:
+                self._pass_on(response, events, splitter.last_event_id)
+        if splitter.torn or not self._reply.started:
             raise AnswerBrokenError('the stream ended inside an event')
         self._give_back()
         return AttemptOutcome(end=AttemptEnd.answered, reason='stream')
--- a/wingfall/gateway/call.py
+++ b/wingfall/gateway/call.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, final
 
 if TYPE_CHECKING:
-    from wingfall.gateway.routes import KeyHolder, Route
+    from wingfall.gateway.routes import GatewayCustomer, Route
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -140,7 +140,7 @@
         head: CallHead,
         body: bytes,
         route: Route,
-        customer: KeyHolder | None,
+        customer: GatewayCustomer | None,
         arrived_ms: int,
         deadline_ms: int,
     ) -> None:
--- a/wingfall/gateway/caller_connection.py
+++ b/wingfall/gateway/caller_connection.py
@@ -18,7 +18,7 @@
     note_answer,
     send_refusal,
 )
-from wingfall.gateway.intake import take_in
+from wingfall.gateway.intake import accept_call
 from wingfall.gateway.refusals import (
     BAD_REQUEST,
     TOO_LARGE,
@@ -155,7 +155,7 @@
 
     def _answer(self, head: CallHead, body: bytes, arrived_ms: int) -> None:
         reply = self._make_reply()
-        taken = take_in(self._state.routes, head, body, arrived_ms)
+        taken = accept_call(self._state.routes, head, body, arrived_ms)
         if isinstance(taken, Success):
             refusal = self._serve(taken.unwrap(), reply)
         else:
--- a/wingfall/gateway/event_stream.py
+++ b/wingfall/gateway/event_stream.py
@@ -9,7 +9,7 @@
 
 
 @final
-class EventCutter:
+class EventSplitter:
     """Holds back what isn't a whole event yet."""
 
     __slots__ = ('_buffer', 'last_event_id')
--- a/wingfall/gateway/beat_schedule.py
+++ b/wingfall/gateway/heartbeat_schedule.py
@@ -1,7 +1,7 @@
 """When a gateway tells its peers what it has sent and what it knows.
 
-The time between two beats grows with the number of peers, so that a gateway
-sends and receives about a hundred messages a second at most, however many
+The time between two heartbeats grows with the number of peers, so that a
+gateway sends and receives about a hundred messages a second at most, however many
 gateways there are.
 """
 
@@ -18,7 +18,7 @@
 _SILENT_BEATS: Final = 4
 
 
-class BeatDue(enum.StrEnum):
+class HeartbeatDue(enum.StrEnum):
     """What to tell now."""
 
     none = 'none'
@@ -27,7 +27,7 @@
 
 
 def interval_ms(peers: int) -> int:
-    """Give the time between two beats.
+    """Give the time between two heartbeats.
 
     :param peers: how many peers hear them.
     :returns: milliseconds.
@@ -45,8 +45,8 @@
 
 
 @final
-class BeatSchedule:
-    """Decides when the next beat is due."""
+class HeartbeatSchedule:
+    """Decides when the next heartbeat is due."""
 
     __slots__ = ('_interval_ms', '_sent_ms', '_whole_ms')
 
@@ -57,7 +57,7 @@
         self._whole_ms: float = float('-inf')
 
     def set_peers(self, peers: int) -> None:
-        """Fit the time between beats to the number of peers.
+        """Fit the time between heartbeats to the number of peers.
 
         :param peers: how many peers hear them.
         """
@@ -70,7 +70,7 @@
         has_news: bool,
         watching: bool,
         new_objects: bool,
-    ) -> BeatDue:
+    ) -> HeartbeatDue:
         """Decide what to tell now.
 
         :param now_ms: the time.
@@ -81,18 +81,18 @@
         """
         whole_ms = max(_WHOLE_MS, 0 if watching else self._interval_ms)
         if now_ms - self._whole_ms >= whole_ms:
-            return BeatDue.whole
+            return HeartbeatDue.whole
         rested = now_ms - self._sent_ms >= self._interval_ms
         if (watching and new_objects) or (has_news and rested):
-            return BeatDue.changes
-        return BeatDue.none
+            return HeartbeatDue.changes
+        return HeartbeatDue.none
 
-    def note_sent(self, now_ms: int, due: BeatDue) -> None:
-        """Note that a beat was sent.
+    def note_sent(self, now_ms: int, due: HeartbeatDue) -> None:
+        """Note that a heartbeat was sent.
 
         :param now_ms: the time.
         :param due: what it told.
         """
         self._sent_ms = now_ms
-        if due is BeatDue.whole:
+        if due is HeartbeatDue.whole:
             self._whole_ms = now_ms
--- a/wingfall/gateway/intake.py
+++ b/wingfall/gateway/intake.py
@@ -17,14 +17,14 @@
 if TYPE_CHECKING:
     from wingfall.errors import Refusal
     from wingfall.gateway.call import CallHead
-    from wingfall.gateway.routes import KeyHolder, Route, Routes
+    from wingfall.gateway.routes import GatewayCustomer, Route, Routes
 
 DEFAULT_TIMEOUT_MS: Final = 30_000
 # Final answers leave a little before the caller stops waiting.
 _ANSWER_MS: Final = 10
 
 
-def take_in(
+def accept_call(
     routes: Routes | None,
     head: CallHead,
     body: bytes,
@@ -76,7 +76,7 @@
     routes: Routes,
     route: Route,
     head: CallHead,
-) -> KeyHolder | None:
+) -> GatewayCustomer | None:
     if not _needs_key(routes, route) or head.api_key is None:
         return None
     return routes.find_customer(head.api_key)
--- a/wingfall/gateway/load.py
+++ b/wingfall/gateway/load.py
@@ -65,7 +65,7 @@
 
 
 @final
-class FadingSum:
+class DecayingSum:
     """A sum in which each entry is halved again and again."""
 
     __slots__ = ('_at_ms', '_sum')
@@ -109,7 +109,7 @@
         self._peers: dict[str, dict[str, EndpointLoad]] = {}
         # The sum over all peers, so that a look-up doesn't grow with them.
         self._heard: dict[str, EndpointLoad] = {}
-        self._reads: dict[str, FadingSum] = {}
+        self._reads: dict[str, DecayingSum] = {}
         # Endpoints whose own work the peers have not heard of.
         self._changed: set[str] = set()
 
@@ -152,7 +152,7 @@
         """
         beyond = tokens - SHORT_READ_TOKENS
         if beyond > 0:
-            reads = self._reads.setdefault(endpoint, FadingSum())
+            reads = self._reads.setdefault(endpoint, DecayingSum())
             reads.add(beyond, self._clock.now_ms())
 
     def keep_only(self, names: set[str]) -> None:
--- a/wingfall/gateway/object_taker.py
+++ b/wingfall/gateway/object_applier.py
@@ -13,7 +13,7 @@
 
 
 @final
-class ObjectTaker:
+class ObjectApplier:
     """Reads objects by the platform's binding; what is unreadable is left."""
 
     __slots__ = ('_state',)
@@ -25,7 +25,7 @@
         """
         self._state = state
 
-    def take_routes(self, name: str, spec: dict[str, Any] | None) -> None:
+    def apply_routes(self, name: str, spec: dict[str, Any] | None) -> None:
         """Put a configuration in force if its version is higher.
 
         :param name: name of the object.
@@ -51,7 +51,7 @@
             customers=len(routes.customers),
         )
 
-    def take_endpoint(self, name: str, spec: dict[str, Any] | None) -> None:
+    def apply_endpoint(self, name: str, spec: dict[str, Any] | None) -> None:
         """List an endpoint, or take it off the list.
 
         :param name: its name.
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -12,20 +12,20 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.errors import WireError
-from wingfall.gateway.beat_schedule import (
+from wingfall.gateway.call import PromptPart
+from wingfall.gateway.heartbeat_schedule import (
     TICK_MS,
-    BeatDue,
-    BeatSchedule,
+    HeartbeatDue,
+    HeartbeatSchedule,
     silence_ms,
 )
-from wingfall.gateway.call import PromptPart
 from wingfall.gateway.load import EndpointLoad
 from wingfall.gateway.object_exchange import ObjectExchange
 from wingfall.gateway.peer_session import PeerSession
 from wingfall.log import log_event
 from wingfall.wire.connection import Connection
 from wingfall.wire.gateway_messages import (
-    GatewayBeat,
+    GatewayHeartbeat,
     GatewayHello,
     ObjectsFetch,
     ObjectsPage,
@@ -41,7 +41,7 @@
 
 _SILENCE_MS: Final = 3000
 _WATCHERS: Final = 4
-# Beats come each second at least.
+# Heartbeats come each second at least.
 _WATCHER_SILENCE_MS: Final = 1300
 _CONNECT_S: Final = 1
 _DIAL_MS: Final = 300
@@ -141,7 +141,7 @@
         """Accept and connect from now on."""
         self.learn(self._seeds)
         self._server.start()
-        self._supervisor.start('beats', self._beat_forever)
+        self._supervisor.start('heartbeats', self._send_heartbeats)
         self._supervisor.start('dials', self._dial_forever)
 
     def learn(self, addresses: Iterable[str]) -> None:
@@ -219,13 +219,13 @@
         self.learn([message.address, *message.known])
         self._share_budget()
         log_event('peers', 'A peer is connected.', peer=session.name)
-        beat = self._beat(
+        heartbeat = self._make_heartbeat(
             self._state.load.own,
             self._recent_parts(),
             leaving=self._state.draining,
             whole=True,
         )
-        connection.send(beat)
+        connection.send(heartbeat)
         return session
 
     def _end(self, session: PeerSession | None) -> None:
@@ -243,23 +243,23 @@
         self._state.budget.share_among(known + 1)
 
     def _receive(self, session: PeerSession, message: Message) -> None:
-        if isinstance(message, GatewayBeat):
+        if isinstance(message, GatewayHeartbeat):
             self._hear(session, message)
         elif isinstance(message, ObjectsFetch):
             self._exchange.answer(session, message)
         elif isinstance(message, ObjectsPage):
             self._exchange.take(session, message)
 
-    def _hear(self, session: PeerSession, beat: GatewayBeat) -> None:
-        session.leaving = beat.leaving
-        session.watching = beat.watching
+    def _hear(self, session: PeerSession, heartbeat: GatewayHeartbeat) -> None:
+        session.leaving = heartbeat.leaving
+        session.watching = heartbeat.watching
         session.heard_ms = self._state.clock.now_ms()
         self._state.load.hear(
             session.name,
-            map(_read_load, beat.loads),
-            whole=beat.whole,
+            map(_read_load, heartbeat.loads),
+            whole=heartbeat.whole,
         )
-        for endpoint, unread, *parts in beat.sent:
+        for endpoint, unread, *parts in heartbeat.sent:
             self._state.load.note_read(endpoint, unread)
             cache = self._state.caches.find(endpoint)
             cache.note(
@@ -268,11 +268,11 @@
                     for part_id, tokens in parts
                 ],
             )
-        for kind, revision in beat.revisions.items():
+        for kind, revision in heartbeat.revisions.items():
             self._exchange.compare(session, kind, revision)
 
-    def _beat_forever(self) -> None:
-        schedule = BeatSchedule()
+    def _send_heartbeats(self) -> None:
+        schedule = HeartbeatSchedule()
         while not self._supervisor.stopped:
             now_ms = self._state.clock.now_ms()
             schedule.set_peers(len(self._sessions))
@@ -282,11 +282,11 @@
                 watching=self._watches(),
                 new_objects=self._has_new_objects(),
             )
-            if due is not BeatDue.none:
+            if due is not HeartbeatDue.none:
                 schedule.note_sent(now_ms, due)
                 self._tell(
                     leaving=self._state.draining,
-                    whole=due is BeatDue.whole,
+                    whole=due is HeartbeatDue.whole,
                 )
             gevent.sleep(TICK_MS / MS_PER_S)
 
@@ -296,24 +296,24 @@
     def _tell(self, *, leaving: bool, whole: bool) -> None:
         changed = self._state.load.take_changed()
         self._told_revisions = self._exchange.revisions
-        beat = self._beat(
+        heartbeat = self._make_heartbeat(
             self._state.load.own if whole else changed,
             [_write_sent(sent) for sent in self._state.caches.take_news()],
             leaving=leaving,
             whole=whole,
         )
         for session in list(self._sessions.values()):
-            session.connection.send(beat)
+            session.connection.send(heartbeat)
 
-    def _beat(
+    def _make_heartbeat(
         self,
         loads: dict[str, EndpointLoad],
         sent: list[list[Any]],
         *,
         leaving: bool,
         whole: bool,
-    ) -> GatewayBeat:
-        return GatewayBeat(
+    ) -> GatewayHeartbeat:
+        return GatewayHeartbeat(
             revisions=self._exchange.revisions,
             loads=[_write_load(name, load) for name, load in loads.items()],
             sent=sent,
--- a/wingfall/gateway/routes.py
+++ b/wingfall/gateway/routes.py
@@ -155,7 +155,7 @@
 
 
 @final
-class KeyHolder:
+class GatewayCustomer:
     """A customer as a gateway knows it."""
 
     __slots__ = ('key_hashes', 'name', 'tier')
@@ -199,7 +199,7 @@
         version: int,
         routes: tuple[Route, ...],
         pools: Iterable[Pool],
-        customers: tuple[KeyHolder, ...],
+        customers: tuple[GatewayCustomer, ...],
         limits: CallerLimits,
     ) -> None:
         """Index a configuration.
@@ -243,7 +243,7 @@
         """
         return self._urgent.get(pool, 0)
 
-    def find_customer(self, key: str) -> KeyHolder | None:
+    def find_customer(self, key: str) -> GatewayCustomer | None:
         """Find who holds an API key.
 
         :param key: the key as the caller sent it.
--- a/wingfall/platform/documents.py
+++ b/wingfall/platform/documents.py
@@ -10,7 +10,7 @@
 from wingfall.gateway.routes import (
     DEFAULT_TIER,
     CallerLimits,
-    KeyHolder,
+    GatewayCustomer,
     Pool,
     Route,
     Routes,
@@ -111,8 +111,8 @@
     )
 
 
-def _read_customer(raw: dict[str, Any]) -> KeyHolder:
-    return KeyHolder(
+def _read_customer(raw: dict[str, Any]) -> GatewayCustomer:
+    return GatewayCustomer(
         name=raw['name'],
         key_hashes=tuple(map(hash_key, raw.get('api_keys') or ())),
         tier=raw.get('priority'),
--- a/wingfall/router/dispatcher.py
+++ b/wingfall/router/dispatcher.py
@@ -136,7 +136,7 @@
 
         :param request: the request.
         :param gone: tells whether the caller has left.
-        :returns: the answer with its head, to be closed by the taker; or
+        :returns: the answer with its head, to be closed by the applier; or
             the refusal.
         """
         self._budget.note_fresh(request.request_class.name)
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -28,7 +28,7 @@
 
 @final
 @message(49, dict, list, list, bool, bool, bool)
-class GatewayBeat(Message):
+class GatewayHeartbeat(Message):
     """What a gateway tells its peers some times a second."""
 
     __slots__ = (
@@ -55,12 +55,12 @@
         :param revisions: newest revision of each kind of object.
         :param loads: work of the sender by endpoint: name, running, reading
             tokens, memory, thousandths of tight streams.
-        :param sent: prompts sent since the last beat: name of the endpoint,
-            tokens to read there, then the shared parts, each as id and
-            tokens.
+        :param sent: prompts sent since the last heartbeat: name of the
+            endpoint, tokens to read there, then the shared parts, each as id
+            and tokens.
         :param leaving: whether the sender is stopping.
         :param whole: whether the loads are all that there are, not only
-            those that changed since the last beat.
+            those that changed since the last heartbeat.
         :param watching: whether the sender hears the store's changes.
         """
         self.revisions = revisions
