--- a/wingfall/gateway/heartbeat_schedule.py
+++ b/wingfall/gateway/heartbeat_schedule.py
@@ -1,8 +1,8 @@
 """When a gateway tells its peers what it has sent and what it knows.
 
 The time between two heartbeats grows with the number of peers, so that a
-gateway sends and receives about a hundred messages a second at most, however many
-gateways there are.
+gateway sends and receives about a hundred messages a second at most, however
+many gateways there are.
 """
 
 from __future__ import annotations
