--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -31,11 +31,11 @@
     'stray',
     'garbage',
     'encoded',
-    'cut',
 )
+_STREAM_FAULTS: Final = ('error', 'shed', 'reset', 'garbage', 'cut', 'cut')
 _FEWEST: Final = 2
 _LAPSE_S: Final = 3
-_DRAIN_S: Final = 3
+_DRAIN_S: Final = 7
 _SLOW_MS: Final = 300
 
 
@@ -93,7 +93,8 @@
 ) -> None:
     """Have an endpoint break some of its next answers."""
     server = _pick_server(site, chance)
-    chosen = chance.choices([*_ANSWER_FAULTS, ''], k=chance.randrange(1, 9))
+    faulty = _ANSWER_FAULTS if server.pool == 'plain' else _STREAM_FAULTS
+    chosen = chance.choices([*faulty, ''], k=chance.randrange(1, 9))
     server.standin.faults = chosen
 
 
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -45,7 +45,7 @@
         self.pool = pool
         self.standin = PoolServerStandIn(name=name)
         self.standin.events = EVENTS
-        self.standin.event_ms = 20
+        self.standin.event_ms = 40
         self.standin.delay_ms = 30
         self.link = Link(target=self.standin.address)
         self.draining_since_s: float | None = None
@@ -101,9 +101,9 @@
         self.version += 1
         routes = [
             _route('safe', 'plain', kind='safe'),
-            _route('unsafe', 'plain', kind='unsafe', max_attempts=1),
+            _route('unsafe', 'plain', kind='unsafe'),
             _route('stream', 'engines', kind='stream', resumable=True),
-            _route('oneway', 'engines', kind='stream', max_attempts=1),
+            _route('oneway', 'engines', kind='stream'),
         ]
         services = [
             {'name': 'plain', 'health_path': '/health'},
