--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -261,6 +261,6 @@
 
 
 def _disturb_store(site: SoakSite, for_s: float) -> None:
-    site.store_disturbed_s = time.monotonic() + for_s
+    started_s = time.monotonic()
     gevent.sleep(for_s)
-    site.store_disturbed_s = max(site.store_disturbed_s, time.monotonic())
+    site.store_disturbed.append((started_s, time.monotonic()))
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -166,9 +166,14 @@
 
 
 def _disturbed(site: SoakSite, since_s: float) -> bool:
-    return site.store_disturbed_s > since_s - _CALM_S
+    return any(
+        started_s < since_s + _IN_FORCE_S and ended_s > since_s - _CALM_S
+        for started_s, ended_s in site.store_disturbed
+    )
 
 
 def _gateway_disturbed(site: SoakSite, outcome: Outcome) -> bool:
-    disturbed_s = site.disturbed_s.get(outcome.gateway, float('-inf'))
-    return disturbed_s > outcome.sent_s - _CALM_S
+    return any(
+        outcome.sent_s - _CALM_S < disturbed_s < outcome.sent_s + _CALM_S
+        for disturbed_s in site.disturbed.get(outcome.gateway, ())
+    )
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -77,8 +77,8 @@
         self.servers: list[Server] = []
         self.keys = [STEADY_KEY]
         self.revoked_s: dict[str, float] = {}
-        # When the store or the way to it last was disturbed, by the clock.
-        self.store_disturbed_s = float('-inf')
+        # From when to when the store or the way to it was disturbed.
+        self.store_disturbed: list[tuple[float, float]] = []
         self.version = 0
         self.write_config()
         for pool in POOLS:
@@ -88,8 +88,8 @@
         self.gateways: dict[str, Process] = {}
         # One fault at a time starts or ends a gateway.
         self.held: dict[str, RLock] = {}
-        # When a gateway was last disturbed otherwise than by a planned stop.
-        self.disturbed_s: dict[str, float] = {}
+        # When gateways were disturbed otherwise than by a planned stop.
+        self.disturbed: dict[str, list[float]] = {}
         self._peers = [
             f'{HOST}:{next(self._ports)}' for _gateway in range(gateways)
         ]
@@ -171,7 +171,7 @@
 
         :param gateway: its name.
         """
-        self.disturbed_s[gateway] = time.monotonic()
+        self.disturbed.setdefault(gateway, []).append(time.monotonic())
 
     def heal(self) -> None:
         """End all failures."""
