--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,6 @@
 
 soak: $(VENV)/.installed
 	$(BIN)/python -m tools.soak $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--seconds $$(($(MINUTES) * 60)))
+
+gateway-cost: $(VENV)/.installed
+	$(BIN)/python -m tools.gateway_cost
