Gateways of the soak lead sessions of their own

The shell that had started the run ended while the soak had a gateway stopped; the kernel sends a hangup to a process group that loses its parent while one of its members is stopped. Ruled out by reading: the soak's own SIGHUP goes to a child's id. Only tools and tests change.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -30,7 +30,15 @@
 class Process:
     """One child process and where it listens."""
 
-    __slots__ = ('admin_port', 'child', 'command', 'log', 'name', 'port')
+    __slots__ = (
+        '_own_session',
+        'admin_port',
+        'child',
+        'command',
+        'log',
+        'name',
+        'port',
+    )
 
     def __init__(
         self,
@@ -40,6 +48,7 @@
         command: tuple[str, ...],
         port: int,
         admin_port: int = 0,
+        own_session: bool = False,
     ) -> None:
         """Start a child.
 
@@ -48,12 +57,16 @@
         :param command: how it is started.
         :param port: its main port.
         :param admin_port: its admin port, if it has one.
+        :param own_session: whether it leads a session of its own; a child
+            that is going to be stopped must, since the kernel hangs up a
+            process group that loses its parent while a member is stopped.
         """
         self.name = name
         self.log = log
         self.command = command
         self.port = port
         self.admin_port = admin_port
+        self._own_session = own_session
         self.child = self._spawn()
         wait_for(lambda: _listens(port), f'{name} to listen')
 
@@ -110,6 +123,7 @@
                 stdin=subprocess.DEVNULL,
                 cwd=_ROOT,
                 env={**os.environ, 'PYTHONDONTWRITEBYTECODE': '1'},
+                start_new_session=self._own_session,
             )
 
 
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -223,6 +223,7 @@
                 str(path),
             ),
             port=port,
+            own_session=True,
         )
 
 
