Soak: SIGHUP only to gateways that listen; failed faults are told

The soak's reload took no hold of the gateway, so its SIGHUP could meet a start, and until our first line runs (measured: up to 40 ms) the signal's default action ends the interpreter.

Change: a reload holds its gateway as stops and kills do; a child that ends before it listens is told at once with code and log; RunningFaults keeps every fault and raises the first failure.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,11 +4,19 @@
 
 import os
 import pathlib
+import random
+import signal
 import subprocess
 import sys
+from typing import final
 
+import gevent
 import pytest
+from gevent.lock import RLock
 
+from tools.fleet import ChildEndedError, Process, free_port
+from tools.soak.faults import reload_gateway
+from tools.soak.running_faults import RunningFaults
 from tools.soak.site import SoakSite
 
 # Seeds that once broke a promise; their causes stand in docs/FINDINGS.md.
@@ -25,6 +33,62 @@
         site.close()
 
 
+@final
+class _Gateway:
+    """Stands for a gateway process and keeps the signals sent to it."""
+
+    def __init__(self) -> None:
+        self.signals: list[signal.Signals] = []
+
+    def signal(self, number: signal.Signals) -> None:
+        self.signals.append(number)
+
+
+@final
+class _Site:
+    """Has one gateway and what its faults hold."""
+
+    def __init__(self) -> None:
+        self.gateways = {'gateway-0': _Gateway()}
+        self.held = {'gateway-0': RLock()}
+
+
+def test_reload_waits_for_a_gateway_that_starts():
+    site = _Site()
+    with site.held['gateway-0']:
+        reload = gevent.spawn(reload_gateway, site, random.Random(1), 0)
+        gevent.sleep(0)
+        assert not site.gateways['gateway-0'].signals
+    reload.join(timeout=5)
+    assert site.gateways['gateway-0'].signals == [signal.SIGHUP]
+
+
+def test_fault_that_fails_fails_the_soak():
+    def fail(site: object, chance: random.Random, for_s: float) -> None:
+        raise ChildEndedError('gateway-0', -1, pathlib.Path(os.devnull))
+
+    running = RunningFaults(site=_Site(), chance=random.Random(1))
+    running.strike(fail)
+    gevent.sleep(0)
+    with pytest.raises(ChildEndedError):
+        running.join()
+
+
+@pytest.mark.processes
+def test_child_that_ends_is_told_at_once(tmp_path: pathlib.Path):
+    with pytest.raises(ChildEndedError, match=r'ended with 3[\s\S]*farewell'):
+        Process(
+            name='short',
+            log=tmp_path / 'short.log',
+            command=(
+                sys.executable,
+                '-c',
+                'import sys; print("farewell", flush=True); sys.exit(3)',
+            ),
+            port=free_port(),
+        )
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize('seed', SEEDS)
 def test_promises_hold(tmp_path: pathlib.Path, seed: int):
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -21,11 +21,28 @@
 _READY_S: Final = 30
 _POLL_S: Final = 0.05
 _STOP_S: Final = 20
+_LAST_LINES: Final = 10
 _FIRST_PORT: Final = 20_000
 _LAST_PORT: Final = 32_000
 _ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
 
 
+@final
+class ChildEndedError(Exception):
+    """A process that was started ended before it listened."""
+
+    def __init__(self, name: str, code: int, log: pathlib.Path) -> None:
+        """Tell what it left behind.
+
+        :param name: its name.
+        :param code: its exit code, below zero for a signal.
+        :param log: file of what it printed.
+        """
+        last = log.read_text('utf-8', 'replace').splitlines()[-_LAST_LINES:]
+        told = '\n'.join(last)
+        super().__init__(f'{name} ended with {code}; its log ends:\n{told}')
+
+
 @final
 class Process:
     """One child process and where it listens."""
@@ -68,7 +85,7 @@
         self.admin_port = admin_port
         self._own_session = own_session
         self.child = self._spawn()
-        wait_for(lambda: _listens(port), f'{name} to listen')
+        self._wait_until_it_listens()
 
     @property
     def url(self) -> str:
@@ -105,7 +122,7 @@
         if self.child.poll() is None:
             self.kill()
         self.child = self._spawn()
-        wait_for(lambda: _listens(self.port), f'{self.name} to listen')
+        self._wait_until_it_listens()
 
     def wait(self) -> int:
         """Wait for the process to end.
@@ -114,6 +131,15 @@
         """
         return self.child.wait(timeout=_STOP_S)
 
+    def _wait_until_it_listens(self) -> None:
+        wait_for(
+            lambda: self.child.poll() is not None or _listens(self.port),
+            f'{self.name} to listen',
+        )
+        code = self.child.poll()
+        if code is not None:
+            raise ChildEndedError(self.name, code, self.log)
+
     def _spawn(self) -> subprocess.Popen[bytes]:
         with self.log.open('ab') as log:
             return subprocess.Popen(  # noqa: S603
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -18,6 +18,7 @@
 
 from tools.fleet import wait_for
 from tools.soak.faults import faults
+from tools.soak.running_faults import RunningFaults
 from tools.soak.promises import promises
 from tools.soak.site import STEADY_KEY, SoakSite
 from tools.soak.traffic import KINDS, Traffic
@@ -82,7 +83,7 @@
     seconds: float,
 ) -> list[str]:
     until_s = time.monotonic() + seconds
-    running: set[gevent.Greenlet] = set()
+    running = RunningFaults(site=site, chance=chance)
     struck: list[str] = []
     while time.monotonic() < until_s:
         gevent.sleep(chance.uniform(0.1, 1.2))
@@ -90,11 +91,8 @@
             continue
         name = chance.choice(faults.names)
         struck.append(name)
-        fault = faults.find(name).unwrap()
-        each = gevent.spawn(fault, site, chance, chance.uniform(0.3, 4))
-        running.add(each)
-        each.rawlink(running.discard)
-    gevent.joinall(list(running), raise_error=True)
+        running.strike(faults.find(name).unwrap())
+    running.join()
     return struck
 
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -240,8 +240,10 @@
     chance: random.Random,
     for_s: float,
 ) -> None:
-    """Send SIGHUP to a gateway."""
-    site.gateways[_pick_gateway(site, chance)].signal(signal.SIGHUP)
+    """Send SIGHUP to a gateway that listens; one that only starts would end."""
+    name = _pick_gateway(site, chance)
+    with site.held[name]:
+        site.gateways[name].signal(signal.SIGHUP)
 
 
 @faults.register('config_changes')
