A gateway that starts asks engines what they keep

Cause: after kill_all no gateway knows what engines keep.

Ruled out: eviction (no engine was near its memory), crashes (both lay before second 12).

Change: MemorySurvey asks up to twelve engines of the first list once, four at a time, and tells peers what it heard. The connection is kept for the first prompt. Only platform/ knows the path and the form.

--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -27,6 +27,7 @@
 
 import gevent
 import h11
+import orjson
 from gevent.event import Event
 from gevent.server import StreamServer
 
@@ -37,6 +38,7 @@
 _MS: Final = 1000
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 _CUT_AFTER: Final = 2
+_HELD_PATH: Final = '/wingfall/kv-list'
 
 
 @final
@@ -76,6 +78,10 @@
         self.runs: list[Run] = []
         self.turned_away = 0
         self.connections = 0
+        # Parts of prompts that it says it keeps: ids and tokens.
+        self.held: list[tuple[str, int]] = []
+        # What goes wrong when it is asked for them; ``faults`` are for runs.
+        self.held_fault = ''
         self._server = StreamServer(('127.0.0.1', port), self._serve)
         self._server.start()
 
@@ -110,10 +116,13 @@
         run = self._read_request(sock, http)
         if run is None:
             return False
-        fault = self.faults.pop(0) if self.faults else ''
+        listing = run.target == _HELD_PATH
+        fault = self._next_fault(listing=listing)
         expected = run.headers.get('x-expect-instance', self.name)
         if fault == 'foreign' or expected != self.name:
             return self._turn_away(sock, http, 421)
+        if listing and not fault:
+            return self._list_held(sock, http)
         if fault in {'shed', 'late_shed'}:
             return self._turn_away(sock, http, 503)
         self.runs.append(run)
@@ -143,6 +152,26 @@
                 run.left = True
                 raise ConnectionError
 
+    def _next_fault(self, *, listing: bool) -> str:
+        if listing:
+            return self.held_fault
+        return self.faults.pop(0) if self.faults else ''
+
+    def _list_held(self, sock: socket.socket, http: h11.Connection) -> bool:
+        held = [['', part, tokens, 'm'] for part, tokens in self.held]
+        body = orjson.dumps({'epoch': 1, 'next_token': 1, 'held': held})
+        encoded = _encode(
+            http,
+            h11.Response(
+                status_code=200,
+                headers=[('Content-Length', str(len(body)))],
+            ),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+        sock.sendall(encoded)
+        return True
+
     def _turn_away(
         self,
         sock: socket.socket,
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -18,8 +18,8 @@
 
 from tools.fleet import wait_for
 from tools.soak.faults import faults
-from tools.soak.running_faults import RunningFaults
 from tools.soak.promises import promises
+from tools.soak.running_faults import RunningFaults
 from tools.soak.site import STEADY_KEY, SoakSite
 from tools.soak.traffic import KINDS, Traffic
 
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -15,6 +15,7 @@
 from wingfall.gateway.caller_connection import CallerConnection
 from wingfall.gateway.early_listener import BACKLOG
 from wingfall.gateway.follower import StoreFollower
+from wingfall.gateway.memory_survey import MemorySurvey
 from wingfall.gateway.object_applier import ObjectApplier
 from wingfall.gateway.peers import GatewayPeers
 from wingfall.gateway.readiness import make_ready_app
@@ -171,6 +172,8 @@
         self._peers.start()
         self._ready_server.start()
         self._supervisor.spawn(self._start_accepting)
+        survey = MemorySurvey(name=self._settings.name, state=self._state)
+        self._supervisor.spawn(survey.run)
 
     def drain(self) -> None:
         """Take no new work, and wait until what there is has ended."""
--- a/wingfall/gateway/binding.py
+++ b/wingfall/gateway/binding.py
@@ -12,7 +12,12 @@
     from returns.result import Result
 
     from wingfall.errors import PlatformError
-    from wingfall.gateway.call import Call, CallHead, Headers
+    from wingfall.gateway.call import (
+        Call,
+        CallHead,
+        Headers,
+        PromptPart,
+    )
     from wingfall.gateway.endpoints import PoolEndpoint
     from wingfall.gateway.routes import Routes
     from wingfall.metrics import Metrics
@@ -120,6 +125,12 @@
     ) -> Headers:
         """Write the headers of a request to an endpoint."""
 
+    def memory_request(self, endpoint: PoolEndpoint) -> tuple[bytes, Headers]:
+        """Give path and headers of the question what an engine keeps."""
+
+    def read_memory(self, body: bytes) -> Result[tuple[PromptPart, ...], str]:
+        """Read the parts of prompts that an engine says it keeps."""
+
     def read_answer(self, status: int, headers: Headers) -> AnswerHead:
         """Read the head of an endpoint's answer."""
 
--- /dev/null
+++ b/wingfall/gateway/memory_survey.py
@@ -0,0 +1,133 @@
+"""Asks engines what they keep, after a start that has forgotten it.
+
+A gateway that starts hears from its peers what each engine keeps. When all
+gateways end at once nobody knows any more, and parts of prompts would be read
+again at engines beside those that keep them.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Final, final
+
+import gevent
+import h11
+from gevent.pool import Pool as GreenletPool
+from returns.result import Failure, Result, Success
+
+from wingfall.clock import MS_PER_S
+from wingfall.gateway.endpoint_connection import (
+    AnswerBrokenError,
+    AnswerLateError,
+    NotConnectedError,
+)
+from wingfall.log import log_event
+
+if TYPE_CHECKING:
+    from wingfall.gateway.endpoint_connection import EndpointConnection
+    from wingfall.gateway.endpoints import PoolEndpoint
+    from wingfall.gateway.state import GatewayState
+
+# What is learned is told to peers, so that a few engines each are enough.
+_MOST_ASKED: Final = 12
+_AT_ONCE: Final = 4
+_ANSWER_MS: Final = 1000
+_FIRST_LIST_MS: Final = 3000
+_POLL_MS: Final = 20
+_MAX_BYTES: Final = 4_194_304
+_OK: Final = 200
+
+
+@final
+class MemorySurvey:
+    """Asks engines that ran before this gateway started."""
+
+    __slots__ = ('_name', '_state')
+
+    def __init__(self, *, name: str, state: GatewayState) -> None:
+        """Set up a survey.
+
+        :param name: name of this gateway, which decides the order.
+        :param state: where what is learned is kept.
+        """
+        self._name = name
+        self._state = state
+
+    def run(self) -> None:
+        """Ask the engines that the first list names, each once."""
+        engines = self._wait_for_engines()
+        asking = GreenletPool(_AT_ONCE)
+        for engine in sorted(engines, key=self._rank)[:_MOST_ASKED]:
+            asking.spawn(self._ask, engine)
+        asking.join()
+
+    def _wait_for_engines(self) -> list[PoolEndpoint]:
+        clock = self._state.clock
+        until_ms = clock.now_ms() + _FIRST_LIST_MS
+        while not self._engines() and clock.now_ms() < until_ms:
+            gevent.sleep(_POLL_MS / MS_PER_S)
+        return self._engines()
+
+    def _engines(self) -> list[PoolEndpoint]:
+        routes = self._state.routes
+        if routes is None:
+            return []
+        return [
+            endpoint
+            for pool in routes.pools.values()
+            if pool.memory_tokens
+            for endpoint in self._state.endpoints.usable(pool.name)
+        ]
+
+    def _rank(self, engine: PoolEndpoint) -> bytes:
+        return hashlib.sha256(f'{self._name} {engine.name}'.encode()).digest()
+
+    def _ask(self, engine: PoolEndpoint) -> None:
+        told = self._exchange(engine).bind(self._state.binding.read_memory)
+        if isinstance(told, Success):
+            self._state.caches.learn(engine.name, told.unwrap())
+        log_event(
+            'survey',
+            'An engine was asked what it keeps.',
+            endpoint=engine.name,
+            parts=len(told.value_or(())),
+            reason='' if isinstance(told, Success) else told.failure(),
+        )
+
+    def _exchange(self, engine: PoolEndpoint) -> Result[bytes, str]:
+        connections = self._state.connections
+        connection = None
+        try:
+            connection = connections.take(
+                engine,
+                timeout_ms=_ANSWER_MS,
+                kept=False,
+            )
+            answer = self._read(engine, connection)
+        except (NotConnectedError, AnswerBrokenError, AnswerLateError) as error:
+            if connection is not None:
+                connection.close()
+            return Failure(f'{type(error).__name__} {error}')
+        connections.give_back(engine, connection)
+        return answer
+
+    def _read(
+        self,
+        engine: PoolEndpoint,
+        connection: EndpointConnection,
+    ) -> Result[bytes, str]:
+        target, headers = self._state.binding.memory_request(engine)
+        connection.send(b'GET', target, headers, b'')
+        until_ms = self._state.clock.now_ms() + _ANSWER_MS
+        response = connection.receive(_ANSWER_MS)
+        body = b''
+        while True:
+            event = connection.receive(until_ms - self._state.clock.now_ms())
+            if isinstance(event, h11.EndOfMessage):
+                break
+            body += bytes(event.data)
+            if len(body) > _MAX_BYTES:
+                raise AnswerBrokenError('an answer beyond all bounds')
+        if response.status_code != _OK:
+            return Failure(f'status {response.status_code}')
+        return Success(body)
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -22,6 +22,7 @@
 from wingfall.gateway.load import EndpointLoad
 from wingfall.gateway.object_exchange import ObjectExchange
 from wingfall.gateway.peer_session import PeerSession
+from wingfall.gateway.state import RECENT_PARTS
 from wingfall.log import log_event
 from wingfall.wire.connection import Connection
 from wingfall.wire.gateway_messages import (
@@ -47,7 +48,6 @@
 _DIAL_MS: Final = 300
 _DIALS: Final = 8
 _MISSED_DIALS: Final = 30
-_RECENT_PARTS: Final = 300
 _MILLI: Final = 1000
 
 
@@ -324,7 +324,7 @@
 
     def _recent_parts(self) -> list[list[Any]]:
         return [
-            [endpoint, 0, *map(list, cache.recent(_RECENT_PARTS))]
+            [endpoint, 0, *map(list, cache.recent(RECENT_PARTS))]
             for endpoint, cache in self._state.caches.models()
         ]
 
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, final
+from typing import TYPE_CHECKING, Final, final
 
 from wingfall.decision.early_refusal import ReadRate
 from wingfall.decision.prefix_cache import PrefixCache
@@ -21,6 +21,9 @@
     from wingfall.gateway.routes import Routes
     from wingfall.metrics import Metrics
 
+# Parts of one engine that peers are told of at once.
+RECENT_PARTS: Final = 300
+
 
 @final
 class SentPrompt:
@@ -83,6 +86,16 @@
         self.find(sent.endpoint).note(sent.parts)
         self.news.append(sent)
 
+    def learn(self, endpoint: str, parts: tuple[PromptPart, ...]) -> None:
+        """Take what an engine itself says it keeps, and tell the peers.
+
+        :param endpoint: its name.
+        :param parts: the parts of prompts that it keeps.
+        """
+        self.find(endpoint).note(parts)
+        told = parts[-RECENT_PARTS:]
+        self.news.append(SentPrompt(endpoint=endpoint, parts=told, unread=0))
+
     def take_news(self) -> list[SentPrompt]:
         """Take what the peers have not heard of.
 
--- a/wingfall/platform/binding.py
+++ b/wingfall/platform/binding.py
@@ -5,10 +5,15 @@
 from typing import TYPE_CHECKING, Any, Final, final
 
 from wingfall.gateway.binding import bindings
-from wingfall.platform.documents import read_endpoint, read_routes
+from wingfall.platform.documents import (
+    read_endpoint,
+    read_memory,
+    read_routes,
+)
 from wingfall.platform.headers import (
     caller_headers,
     endpoint_headers,
+    memory_headers,
     read_answer,
     read_call,
     refusal_headers,
@@ -21,12 +26,18 @@
     from returns.result import Result
 
     from wingfall.gateway.binding import AnswerHead
-    from wingfall.gateway.call import Call, CallHead, Headers
+    from wingfall.gateway.call import (
+        Call,
+        CallHead,
+        Headers,
+        PromptPart,
+    )
     from wingfall.gateway.endpoints import PoolEndpoint
     from wingfall.gateway.routes import Routes
     from wingfall.metrics import Metrics
 
 _READY_PATH: Final = '/wingfall/ready'
+_MEMORY_PATH: Final = b'/wingfall/kv-list'
 _CONFIG_KIND: Final = 'config'
 _ENDPOINT_KIND: Final = 'servers'
 
@@ -76,6 +87,14 @@
         """Write the headers of a request to an endpoint."""
         return endpoint_headers(call, endpoint, time_left_ms, last_event_id)
 
+    def memory_request(self, endpoint: PoolEndpoint) -> tuple[bytes, Headers]:
+        """Give path and headers of the question what an engine keeps."""
+        return _MEMORY_PATH, memory_headers(endpoint)
+
+    def read_memory(self, body: bytes) -> Result[tuple[PromptPart, ...], str]:
+        """Read the parts of prompts that an engine says it keeps."""
+        return read_memory(body)
+
     def read_answer(self, status: int, headers: Headers) -> AnswerHead:
         """Read the head of an endpoint's answer."""
         return read_answer(status, headers)
--- a/wingfall/platform/documents.py
+++ b/wingfall/platform/documents.py
@@ -4,8 +4,10 @@
 
 from typing import Any
 
+import orjson
 from returns.result import Failure, Result, Success
 
+from wingfall.gateway.call import PromptPart
 from wingfall.gateway.endpoints import PoolEndpoint
 from wingfall.gateway.routes import (
     DEFAULT_TIER,
@@ -19,7 +21,7 @@
 from wingfall.objects.customer import hash_key
 from wingfall.objects.request_class import Target
 
-_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+_UNREADABLE = (LookupError, TypeError, ValueError, AttributeError)
 
 
 def read_routes(spec: dict[str, Any]) -> Result[Routes, str]:
@@ -70,6 +72,25 @@
         return Failure(f'not an endpoint: {error!r}')
 
 
+def read_memory(body: bytes) -> Result[tuple[PromptPart, ...], str]:
+    """Read what an engine says it keeps.
+
+    :param body: its answer, ``held`` with an entry for each part: a word
+        that is empty, the part's id, its tokens, the model.
+    :returns: the parts, or why they can't be read.
+    """
+    try:
+        held = orjson.loads(body)['held']
+        return Success(
+            tuple(
+                PromptPart(part_id=str(entry[1]), tokens=int(entry[2]))
+                for entry in held
+            ),
+        )
+    except _UNREADABLE as error:
+        return Failure(f'not a list of parts: {error!r}')
+
+
 def _read_route(raw: dict[str, Any]) -> Route:
     streaming = raw.get('kind') == 'stream'
     target_ms = int(raw.get('target_latency_ms') or 0)
--- a/wingfall/platform/headers.py
+++ b/wingfall/platform/headers.py
@@ -111,6 +111,18 @@
     return headers
 
 
+def memory_headers(endpoint: PoolEndpoint) -> Headers:
+    """Write the headers of the question what an engine keeps.
+
+    :param endpoint: the engine.
+    :returns: the headers.
+    """
+    return [
+        (b'Host', f'{endpoint.host}:{endpoint.port}'.encode()),
+        (_EXPECT, endpoint.name.encode()),
+    ]
+
+
 def read_answer(status: int, headers: Headers) -> AnswerHead:
     """Read the head of an endpoint's answer.
 
