Engines copy kept parts from each other instead of reading them again

Cause: a prompt that leaves the engine which keeps its shared part, since that one is far behind, has the part read again (price and time).

Change: cache_transfer.py, a pure decision with the baseline 'none' beside it in its registry (policy.cache_transfer), names the engine that keeps most; placement counts a copied part 5 times instead of 6; the request names the source; platform/ knows the header. Only where the link is four times as fast as reading, for 512 tokens or more, and not from an engine that fails.

--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -150,3 +150,27 @@
         engine_site.ask('/stream/x', method='POST', **prompt)
     counts = [len(each.runs) for each in engine_site.servers.values()]
     assert sorted(counts)[-2:] == [0, 3]
+
+
+def test_engine_copies_what_another_keeps(gateway_site: GatewaySite):
+    engine = gateway_site.config['services'][1]['engine']
+    engine.update(kv_token_bytes=18_432, link_mbps=180_000, moves=True)
+    gateway_site.write_config()
+    keeper = gateway_site.add_server('keeper', 'engines')
+    idle = gateway_site.add_server('idle', 'engines')
+    keeper.held = [('aa', 5000)]
+    keeper.delay_ms = 1500
+    gateway = gateway_site.add_gateway()
+    wait_until(lambda: gateway.keeps('keeper', 'aa'))
+    caller = gateway_site.caller()
+    caller.send('/stream/x', X_Prompt_Prefix='aa:5000,cc:35000')
+    wait_until(keeper.run_ids)
+    gateway_site.ask('/stream/x', X_Prompt_Prefix='aa:5000,bb:10')
+    (run,) = idle.runs
+    assert run.headers['kv-fetch'] == keeper.address
+
+
+def test_callers_cannot_name_an_engine_to_copy_from(engine_site: GatewaySite):
+    engine_site.ask('/stream/x', method='POST', Kv_Fetch='10.0.0.1:1', **PROMPT)
+    (run,) = [run for each in engine_site.servers.values() for run in each.runs]
+    assert 'kv-fetch' not in run.headers
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -45,6 +45,19 @@
     assert chosen(prompt(), engine('idle'), kept) == 'idle'
 
 
+def test_prompt_leaves_a_busy_engine_sooner_if_its_part_can_be_copied():
+    behind = engine('behind', cached_tokens=5000, reading_tokens=28_000)
+    assert chosen(prompt(), engine('reads'), behind) == 'behind'
+    copies = engine('copies', copied_tokens=5000)
+    assert chosen(prompt(), engine('reads'), behind, copies) == 'copies'
+
+
+def test_prompt_stays_where_its_part_is_kept_though_it_can_be_copied():
+    kept = engine('kept', cached_tokens=5000, reading_tokens=10_000)
+    copies = engine('copies', copied_tokens=5000)
+    assert chosen(prompt(), copies, kept) == 'kept'
+
+
 def test_stream_of_short_pauses_avoids_long_reads():
     tight = prompt(tokens=300, shared=100, gap_ms=300)
     reads = engine('reads', recent_reads=20_000)
--- a/wingfall/decision/placement.py
+++ b/wingfall/decision/placement.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+# A shared part copied from another engine takes memory twice.
+_COPY_AGAIN: Final = 5
 # A shared part read twice costs time and memory at a second engine as well.
 _READ_AGAIN: Final = 6
 _RUNNING_TOKENS: Final = 150
@@ -36,6 +38,7 @@
 
     __slots__ = (
         'cached_tokens',
+        'copied_tokens',
         'failing',
         'kept_tokens',
         'memory_tokens',
@@ -60,6 +63,7 @@
         memory_used: int = 0,
         memory_tokens: int = 0,
         cached_tokens: int = 0,
+        copied_tokens: int = 0,
         kept_tokens: int = 0,
         tight: float = 0,
         recent_reads: float = 0,
@@ -75,6 +79,8 @@
         :param memory_used: tokens that running requests hold there.
         :param memory_tokens: tokens it can hold, 0 if unknown.
         :param cached_tokens: tokens of this prompt that it keeps.
+        :param copied_tokens: tokens of this prompt that it would copy from
+            another engine.
         :param kept_tokens: tokens of all prompts that it keeps.
         :param tight: running streams there, weighed by how short a pause
             each of them bears.
@@ -89,6 +95,7 @@
         self.memory_used = memory_used
         self.memory_tokens = memory_tokens
         self.cached_tokens = cached_tokens
+        self.copied_tokens = copied_tokens
         self.kept_tokens = kept_tokens
         self.tight = tight
         self.recent_reads = recent_reads
@@ -159,10 +166,12 @@
     :param candidate: the engine.
     :returns: the cost in tokens read.
     """
-    unread_shared = demand.shared_tokens - candidate.cached_tokens
-    unread = demand.tokens - candidate.cached_tokens
+    at_hand = candidate.cached_tokens + candidate.copied_tokens
+    unread_shared = demand.shared_tokens - at_hand
+    unread = demand.tokens - at_hand
     long_read = max(0, unread - _SHORT_READ_TOKENS)
     cost = unread_shared * _READ_AGAIN
+    cost += candidate.copied_tokens * _COPY_AGAIN
     cost += candidate.reading_tokens
     cost += candidate.running * _RUNNING_TOKENS
     # A read holds up each stream beside it, now or later, for its length.
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from wingfall.clock import MS_PER_S
+from wingfall.decision.cache_transfer import cache_transfers
 from wingfall.decision.early_refusal import admissions
 from wingfall.decision.endpoint_health import EndpointHealth
 from wingfall.decision.placement import placements
@@ -39,6 +40,7 @@
         bindings.find(settings.binding)
         .bind(lambda _found: placements.find(policy.placement))
         .bind(lambda _found: admissions.find(policy.admission))
+        .bind(lambda _found: cache_transfers.find(policy.cache_transfer))
     )
 
 
@@ -62,6 +64,9 @@
         binding=binding(settings=settings.store, metrics=metrics),
         placement=placements.find(settings.policy.placement).unwrap(),
         admission=admissions.find(settings.policy.admission).unwrap(),
+        cache_transfer=cache_transfers.find(
+            settings.policy.cache_transfer,
+        ).unwrap(),
         budget=ResendBudget(
             clock=clock,
             ratio=settings.resend.ratio,
--- a/wingfall/gateway/attempt.py
+++ b/wingfall/gateway/attempt.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from wingfall.gateway.binding import Sending
 from wingfall.gateway.endpoint_connection import (
     AnswerBrokenError,
     AnswerLateError,
@@ -114,6 +115,7 @@
         '_now_ms',
         '_on_output',
         '_reply',
+        '_source',
     )
 
     def __init__(
@@ -121,6 +123,7 @@
         *,
         call: Call,
         endpoint: PoolEndpoint,
+        source: PoolEndpoint | None,
         reply: Reply,
         binding: Binding,
         connections: KeptConnections,
@@ -131,6 +134,7 @@
 
         :param call: the request.
         :param endpoint: where it goes.
+        :param source: the engine that it copies kept parts of the prompt from.
         :param reply: takes the events of a stream.
         :param binding: the platform's words.
         :param connections: connections to endpoints.
@@ -140,6 +144,7 @@
         self._call = call
         self._endpoint = endpoint
         self._reply = reply
+        self._source = source
         self._binding = binding
         self._connections = connections
         self._now_ms = now_ms
@@ -175,17 +180,21 @@
         connection.send(
             call.head.method,
             call.head.target,
-            self._binding.endpoint_headers(
-                call,
-                self._endpoint,
-                limits.deadline_ms - self._now_ms(),
-                self._reply.last_event_id or call.head.last_event_id,
-            ),
+            self._binding.endpoint_headers(call, self._sending(limits)),
             call.body,
         )
         response = connection.receive(limits.first_byte_ms - self._now_ms())
         return self._read_response(response, limits)
 
+    def _sending(self, limits: AttemptLimits) -> Sending:
+        last_event_id = self._reply.last_event_id
+        return Sending(
+            endpoint=self._endpoint,
+            time_left_ms=limits.deadline_ms - self._now_ms(),
+            last_event_id=last_event_id or self._call.head.last_event_id,
+            source=self._source,
+        )
+
     def _read_response(
         self,
         response: h11.Response,
--- a/wingfall/gateway/binding.py
+++ b/wingfall/gateway/binding.py
@@ -73,6 +73,34 @@
         """Wait a bounded time for changes after a revision."""
 
 
+@final
+class Sending:
+    """What an attempt adds to a caller's request."""
+
+    __slots__ = ('endpoint', 'last_event_id', 'source', 'time_left_ms')
+
+    def __init__(
+        self,
+        *,
+        endpoint: PoolEndpoint,
+        time_left_ms: int,
+        last_event_id: str | None = None,
+        source: PoolEndpoint | None = None,
+    ) -> None:
+        """Describe a sending.
+
+        :param endpoint: where the request goes.
+        :param time_left_ms: how long the caller still waits.
+        :param last_event_id: the event after which the stream shall go on.
+        :param source: the engine that the endpoint shall copy kept parts of
+            the prompt from.
+        """
+        self.endpoint = endpoint
+        self.time_left_ms = time_left_ms
+        self.last_event_id = last_event_id
+        self.source = source
+
+
 @final
 class AnswerHead:
     """What the head of an endpoint's answer means."""
@@ -116,13 +144,7 @@
     ) -> CallHead:
         """Read the head of a caller's request."""
 
-    def endpoint_headers(
-        self,
-        call: Call,
-        endpoint: PoolEndpoint,
-        time_left_ms: int,
-        last_event_id: str | None,
-    ) -> Headers:
+    def endpoint_headers(self, call: Call, sending: Sending) -> Headers:
         """Write the headers of a request to an endpoint."""
 
     def memory_request(self, endpoint: PoolEndpoint) -> tuple[bytes, Headers]:
--- a/wingfall/gateway/chooser.py
+++ b/wingfall/gateway/chooser.py
@@ -5,6 +5,7 @@
 import random
 from typing import TYPE_CHECKING, Final, final
 
+from wingfall.decision.cache_transfer import copied_tokens
 from wingfall.decision.placement import Candidate, Demand, gap_tightness
 from wingfall.gateway.load import EndpointLoad
 
@@ -22,7 +23,7 @@
 class Choice:
     """A chosen endpoint and what decided it."""
 
-    __slots__ = ('candidate', 'endpoint', 'load')
+    __slots__ = ('candidate', 'endpoint', 'load', 'source')
 
     def __init__(
         self,
@@ -30,16 +31,19 @@
         endpoint: PoolEndpoint,
         candidate: Candidate,
         load: EndpointLoad,
+        source: PoolEndpoint | None = None,
     ) -> None:
         """Keep a choice.
 
         :param endpoint: the endpoint.
         :param candidate: what was known of it.
         :param load: the work that the request brings there.
+        :param source: the engine that it copies parts of the prompt from.
         """
         self.endpoint = endpoint
         self.candidate = candidate
         self.load = load
+        self.source = source
 
 
 def choose_endpoint(
@@ -64,15 +68,33 @@
         return None
     considered = _narrow(state, call, list(listed.values()))
     candidates = [describe(state, call, each) for each in considered]
+    keeper = _offer_copies(state, call, pool, candidates)
     demand = _demand(call)
     chosen = state.placement(demand, candidates)
     return Choice(
         endpoint=listed[chosen.name],
         candidate=chosen,
         load=_brought(call.head.prompt, demand, chosen),
+        source=listed[keeper.name] if keeper and chosen.copied_tokens else None,
     )
 
 
+def _offer_copies(
+    state: GatewayState,
+    call: Call,
+    pool: str,
+    candidates: list[Candidate],
+) -> Candidate | None:
+    known = state.routes.pools.get(pool) if state.routes else None
+    if known is None or call.head.prompt is None:
+        return None
+    speed = known.copy_tokens_per_ms / state.read_rate(pool).tokens_per_ms
+    keeper = state.cache_transfer(candidates, speed)
+    for candidate in candidates:
+        candidate.copied_tokens = copied_tokens(candidate, keeper)
+    return keeper
+
+
 def _narrow(
     state: GatewayState,
     call: Call,
@@ -154,7 +176,7 @@
     unread = demand.tokens - candidate.cached_tokens
     return EndpointLoad(
         running=1,
-        reading_tokens=unread,
+        reading_tokens=unread - candidate.copied_tokens,
         memory_used=unread + demand.output_tokens,
         tight=demand.tightness,
     )
--- a/wingfall/gateway/dispatcher.py
+++ b/wingfall/gateway/dispatcher.py
@@ -182,6 +182,7 @@
         return Attempt(
             call=self._call,
             endpoint=choice.endpoint,
+            source=choice.source,
             reply=self._reply,
             binding=state.binding,
             connections=state.connections,
@@ -290,6 +291,8 @@
             running=known.running,
             reading=known.reading_tokens,
             cached=known.cached_tokens,
+            copied=known.copied_tokens,
+            source=choice.source.name if choice.source else None,
             recent=int(known.recent_reads),
             tight=round(known.tight, 1),
             failing=round(known.failing, 2),
--- a/wingfall/gateway/routes.py
+++ b/wingfall/gateway/routes.py
@@ -45,7 +45,13 @@
 class Pool:
     """Endpoints that serve the same thing."""
 
-    __slots__ = ('health_path', 'memory_tokens', 'name', 'slots')
+    __slots__ = (
+        'copy_tokens_per_ms',
+        'health_path',
+        'memory_tokens',
+        'name',
+        'slots',
+    )
 
     def __init__(
         self,
@@ -54,6 +60,7 @@
         health_path: str,
         memory_tokens: int = 0,
         slots: int = 0,
+        copy_tokens_per_ms: float = 0,
     ) -> None:
         """Describe a pool.
 
@@ -62,11 +69,14 @@
         :param memory_tokens: prompt tokens an engine of it can hold; 0 for
             plain services.
         :param slots: requests an engine of it runs at once, 0 if unknown.
+        :param copy_tokens_per_ms: kept tokens that engines copy from each
+            other in a millisecond, 0 if they don't.
         """
         self.name = name
         self.health_path = health_path
         self.memory_tokens = memory_tokens
         self.slots = slots
+        self.copy_tokens_per_ms = copy_tokens_per_ms
 
 
 @final
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
+    from wingfall.decision.cache_transfer import CacheTransfer
     from wingfall.decision.early_refusal import Admission
     from wingfall.decision.endpoint_health import EndpointHealth
     from wingfall.decision.placement import Placement
@@ -129,6 +130,7 @@
         'admission',
         'binding',
         'budget',
+        'cache_transfer',
         'caches',
         'clock',
         'connections',
@@ -152,6 +154,7 @@
         binding: Binding,
         placement: Placement,
         admission: Admission,
+        cache_transfer: CacheTransfer,
         budget: ResendBudget,
         health: EndpointHealth,
         endpoints: EndpointTable,
@@ -166,6 +169,7 @@
         :param binding: the platform's words.
         :param placement: chooses endpoints.
         :param admission: refuses prompts that would start too late.
+        :param cache_transfer: tells from where engines copy what is kept.
         :param budget: bounds second sendings.
         :param health: failures of endpoints.
         :param endpoints: the endpoints.
@@ -178,6 +182,7 @@
         self.binding = binding
         self.placement = placement
         self.admission = admission
+        self.cache_transfer = cache_transfer
         self.budget = budget
         self.health = health
         self.endpoints = endpoints
--- a/wingfall/platform/binding.py
+++ b/wingfall/platform/binding.py
@@ -25,7 +25,7 @@
 
     from returns.result import Result
 
-    from wingfall.gateway.binding import AnswerHead
+    from wingfall.gateway.binding import AnswerHead, Sending
     from wingfall.gateway.call import (
         Call,
         CallHead,
@@ -77,15 +77,9 @@
         """Read the head of a caller's request."""
         return read_call(method, target, headers)
 
-    def endpoint_headers(
-        self,
-        call: Call,
-        endpoint: PoolEndpoint,
-        time_left_ms: int,
-        last_event_id: str | None,
-    ) -> Headers:
+    def endpoint_headers(self, call: Call, sending: Sending) -> Headers:
         """Write the headers of a request to an endpoint."""
-        return endpoint_headers(call, endpoint, time_left_ms, last_event_id)
+        return endpoint_headers(call, sending)
 
     def memory_request(self, endpoint: PoolEndpoint) -> tuple[bytes, Headers]:
         """Give path and headers of the question what an engine keeps."""
--- a/wingfall/platform/documents.py
+++ b/wingfall/platform/documents.py
@@ -21,6 +21,8 @@
 from wingfall.objects.customer import hash_key
 from wingfall.objects.request_class import Target
 
+# A link of one megabit a second carries so many bytes in a millisecond.
+_BYTES_PER_MBIT_MS = 125
 _UNREADABLE = (LookupError, TypeError, ValueError, AttributeError)
 
 
@@ -129,9 +131,17 @@
         health_path=raw.get('health_path', '/'),
         memory_tokens=int(engine.get('kv_capacity_tokens', 0)),
         slots=int(engine.get('slots', 0)),
+        copy_tokens_per_ms=_read_copy_rate(engine),
     )
 
 
+def _read_copy_rate(engine: dict[str, Any]) -> float:
+    token_bytes = engine.get('kv_token_bytes')
+    if not token_bytes or not engine.get('moves'):
+        return 0
+    return engine.get('link_mbps', 0) * _BYTES_PER_MBIT_MS / token_bytes
+
+
 def _read_customer(raw: dict[str, Any]) -> GatewayCustomer:
     return GatewayCustomer(
         name=raw['name'],
--- a/wingfall/platform/headers.py
+++ b/wingfall/platform/headers.py
@@ -8,6 +8,7 @@
 from wingfall.gateway.call import CallHead, Prompt, PromptPart
 
 if TYPE_CHECKING:
+    from wingfall.gateway.binding import Sending
     from wingfall.gateway.call import Call, Headers
     from wingfall.gateway.endpoints import PoolEndpoint
 
@@ -83,31 +84,27 @@
     )
 
 
-def endpoint_headers(
-    call: Call,
-    endpoint: PoolEndpoint,
-    time_left_ms: int,
-    last_event_id: str | None,
-) -> Headers:
+def endpoint_headers(call: Call, sending: Sending) -> Headers:
     """Write the headers of a request to an endpoint.
 
     :param call: the request.
-    :param endpoint: where it goes.
-    :param time_left_ms: how long the caller still waits.
-    :param last_event_id: the event after which the stream shall go on.
+    :param sending: where it goes, and what the attempt adds.
     :returns: the headers without those that frame the body.
     """
     headers = [
         pair for pair in call.head.headers if pair[0].lower() != _LAST_EVENT
     ]
-    headers.append((b'X-Deadline-Ms', b'%d' % time_left_ms))
-    headers.append((_EXPECT, endpoint.name.encode()))
+    headers.append((b'X-Deadline-Ms', b'%d' % sending.time_left_ms))
+    headers.append((_EXPECT, sending.endpoint.name.encode()))
     if call.customer is not None:
         headers.append((_CUSTOMER, call.customer.name.encode()))
     if call.head.prompt is not None:
         headers.append((_TIER, b'%d' % min(call.tier, _MAX_TIER)))
-    if last_event_id is not None:
-        headers.append((b'Last-Event-Id', last_event_id.encode('latin-1')))
+    if sending.last_event_id is not None:
+        last_event_id = sending.last_event_id.encode('latin-1')
+        headers.append((b'Last-Event-Id', last_event_id))
+    if sending.source is not None:
+        headers.append((b'Kv-Fetch', _address(sending.source)))
     return headers
 
 
@@ -118,7 +115,7 @@
     :returns: the headers.
     """
     return [
-        (b'Host', f'{endpoint.host}:{endpoint.port}'.encode()),
+        (b'Host', _address(endpoint)),
         (_EXPECT, endpoint.name.encode()),
     ]
 
@@ -161,6 +158,10 @@
     return [(b'X-Attempt-Id', head.call_id.encode('latin-1'))]
 
 
+def _address(endpoint: PoolEndpoint) -> bytes:
+    return f'{endpoint.host}:{endpoint.port}'.encode()
+
+
 def _passed_on(headers: Headers, first: dict[bytes, bytes]) -> Headers:
     dropped = _CONNECTION_ONLY | _SYSTEM_ONLY | _named_in(headers)
     return _without(headers, dropped)
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -59,6 +59,10 @@
         'The decisions.',
         placement=text('Which endpoint serves.', 'least_read'),
         admission=text('Which prompts are refused early.', 'target'),
+        cache_transfer=text(
+            'From where engines copy kept parts of prompts.',
+            'most_kept',
+        ),
     ),
     limits=section(
         'Bounds of this process.',
