A prompt waits for a part that its engine is reading already

Ruled out: last parts that come back (none of 315 does), eviction, deliberate placing elsewhere (35,000, most of it copied).

What a failed attempt was to bring isn't believed to be kept any more.

--- a/tests/test_prefix_cache.py
+++ b/tests/test_prefix_cache.py
@@ -33,3 +33,30 @@
     cache = PrefixCache()
     cache.note(parts('a', 'b', 'c'))
     assert cache.recent(2) == [('b', 100), ('c', 100)]
+
+
+def test_part_is_being_read_until_it_is_read():
+    cache = PrefixCache()
+    cache.note(parts('a'))
+    cache.note(parts('a', 'b'), ready_ms=500)
+    pending = cache.being_read(parts('a', 'b', 'c'), now_ms=300)
+    assert (pending.tokens, pending.ready_in_ms) == (100, 200)
+    cache.note_read(parts('a', 'b'))
+    assert cache.being_read(parts('a', 'b'), now_ms=300).tokens == 0
+    assert cache.cached_tokens(parts('a', 'b')) == 200
+
+
+def test_part_of_a_prompt_that_failed_is_not_kept():
+    cache = PrefixCache()
+    cache.note(parts('a'))
+    cache.note(parts('a', 'b'), ready_ms=500)
+    cache.note_unread(parts('a', 'b'))
+    assert cache.cached_tokens(parts('a', 'b')) == 100
+    assert cache.tokens == 100
+
+
+def test_part_that_gave_way_is_not_waited_for():
+    cache = PrefixCache(capacity=150)
+    cache.note(parts('a'), ready_ms=500)
+    cache.note(parts('b'))
+    assert cache.being_read(parts('a'), now_ms=0).tokens == 0
--- a/wingfall/decision/prefix_cache.py
+++ b/wingfall/decision/prefix_cache.py
@@ -10,6 +10,8 @@
 import collections
 from typing import TYPE_CHECKING, Final, final
 
+from wingfall.decision.shared_read import PendingRead
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -22,7 +24,7 @@
 class PrefixCache:
     """A model of one engine's memory of prompt parts."""
 
-    __slots__ = ('_capacity', '_parts', '_tokens')
+    __slots__ = ('_capacity', '_parts', '_ready_ms', '_tokens')
 
     def __init__(self, *, capacity: int = DEFAULT_CAPACITY_TOKENS) -> None:
         """Start empty.
@@ -34,6 +36,8 @@
         self._parts: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        # When the parts that are still being read are likely read.
+        self._ready_ms: dict[str, int] = {}
 
     @property
     def tokens(self) -> int:
@@ -53,16 +57,55 @@
             total += part.tokens
         return total
 
-    def note(self, parts: Iterable[PromptPart]) -> None:
+    def being_read(
+        self,
+        parts: Iterable[PromptPart],
+        now_ms: int,
+    ) -> PendingRead:
+        """Tell how much of a prompt is being read for another one.
+
+        :param parts: the shared parts of the prompt in order.
+        :param now_ms: a reading of the clock.
+        :returns: the parts that are not read yet.
+        """
+        pending = [part for part in parts if part.part_id in self._ready_ms]
+        ready = [self._ready_ms[part.part_id] for part in pending]
+        return PendingRead(
+            tokens=sum(part.tokens for part in pending),
+            ready_in_ms=max(ready, default=now_ms) - now_ms,
+        )
+
+    def note_read(self, parts: Iterable[PromptPart]) -> None:
+        """Remember that a prompt has been read.
+
+        :param parts: its shared parts.
+        """
+        for part in parts:
+            self._ready_ms.pop(part.part_id, None)
+
+    def note_unread(self, parts: Iterable[PromptPart]) -> None:
+        """Forget what a prompt that has failed was to bring.
+
+        :param parts: its shared parts.
+        """
+        for part in parts:
+            if self._ready_ms.pop(part.part_id, None) is not None:
+                self._tokens -= self._parts.pop(part.part_id, 0)
+
+    def note(self, parts: Iterable[PromptPart], ready_ms: int = 0) -> None:
         """Remember that the engine reads a prompt.
 
         :param parts: the shared parts of the prompt in order.
+        :param ready_ms: when it is likely read, 0 if it is already.
         """
         for part in parts:
+            if ready_ms and part.part_id not in self._parts:
+                self._ready_ms[part.part_id] = ready_ms
             self._tokens += part.tokens - self._parts.pop(part.part_id, 0)
             self._parts[part.part_id] = part.tokens
         while self._tokens > self._capacity:
-            _part_id, tokens = self._parts.popitem(last=False)
+            part_id, tokens = self._parts.popitem(last=False)
+            self._ready_ms.pop(part_id, None)
             self._tokens -= tokens
 
     def recent(self, most: int) -> list[tuple[str, int]]:
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -10,6 +10,7 @@
 from wingfall.decision.endpoint_health import EndpointHealth
 from wingfall.decision.placement import placements
 from wingfall.decision.resend_budget import ResendBudget
+from wingfall.decision.shared_read import shared_reads
 from wingfall.gateway.binding import bindings
 from wingfall.gateway.endpoint_connection import KeptConnections
 from wingfall.gateway.endpoints import EndpointTable
@@ -41,6 +42,7 @@
         .bind(lambda _found: placements.find(policy.placement))
         .bind(lambda _found: admissions.find(policy.admission))
         .bind(lambda _found: cache_transfers.find(policy.cache_transfer))
+        .bind(lambda _found: shared_reads.find(policy.shared_read))
     )
 
 
@@ -67,6 +69,7 @@
         cache_transfer=cache_transfers.find(
             settings.policy.cache_transfer,
         ).unwrap(),
+        shared_read=shared_reads.find(settings.policy.shared_read).unwrap(),
         budget=ResendBudget(
             clock=clock,
             ratio=settings.resend.ratio,
--- a/wingfall/gateway/dispatcher.py
+++ b/wingfall/gateway/dispatcher.py
@@ -25,6 +25,7 @@
     refuse_no_endpoint,
     refuse_not_run,
 )
+from wingfall.gateway.shared_read_wait import await_shared_read
 from wingfall.gateway.state import SentPrompt
 from wingfall.log import log_event
 
@@ -43,6 +44,7 @@
 _WAIT_STARTS: Final = 3
 _MIN_LEFT_MS: Final = 5
 _MAX_CONNECTS: Final = 4
+_READ_SLACK: Final = 2
 
 
 class ReplyCutError(Exception):
@@ -63,6 +65,7 @@
         '_started_ms',
         '_state',
         '_unreached',
+        '_waited',
     )
 
     def __init__(
@@ -85,6 +88,7 @@
         self._sent: list[str] = []
         self._unreached: set[str] = set()
         self._may_have_run = False
+        self._waited = False
         self._started_ms = call.arrived_ms
         self._kept_answer: WholeAnswer | None = None
 
@@ -104,6 +108,7 @@
             refusal = self._refuse_early(choice)
             if refusal is not None:
                 return refusal
+            choice = self._settle(choice)
             outcome = self._try(choice)
             if outcome.end is AttemptEnd.answered:
                 self._finish(outcome)
@@ -151,6 +156,13 @@
         )
         return refuse_early(admitted.failure())
 
+    def _settle(self, choice: Choice) -> Choice:
+        # One wait a call; what was chosen before it is old after it.
+        if self._waited:
+            return choice
+        self._waited = await_shared_read(self._state, self._call, choice)
+        return (self._waited and self._choose()) or choice
+
     def _start_ms(self, choice: Choice) -> float:
         waiting = choice.candidate.reading_tokens + choice.load.reading_tokens
         return waiting / self._state.read_rate(self._pool).tokens_per_ms
@@ -165,7 +177,7 @@
             outcome = self._attempt(choice, entry).run(self._limits(choice))
         finally:
             entry.end()
-            self._log_attempt(choice, outcome)
+            self._note_end(choice, outcome)
         return outcome
 
     def _note_read(self, choice: Choice) -> None:
@@ -175,7 +187,10 @@
         name, unread = choice.endpoint.name, choice.load.reading_tokens
         self._state.load.note_read(name, unread)
         sent = SentPrompt(endpoint=name, parts=prompt.shared, unread=unread)
-        self._state.caches.note_sent(sent)
+        # The first event tells exactly; the estimate only bounds the wait.
+        start_ms = int(self._start_ms(choice) * _READ_SLACK)
+        ready_ms = self._state.clock.now_ms() + start_ms
+        self._state.caches.note_sent(sent, ready_ms)
 
     def _attempt(self, choice: Choice, entry: LoadEntry) -> Attempt:
         state = self._state
@@ -192,6 +207,7 @@
 
     def _note_output(self, choice: Choice, entry: LoadEntry) -> None:
         if entry.begin_output():
+            self._state.caches.note_read(choice.endpoint.name, self._call)
             waiting = choice.candidate.reading_tokens
             self._state.read_rate(self._pool).note(
                 waiting + choice.load.reading_tokens,
@@ -264,6 +280,10 @@
     def _left_ms(self) -> int:
         return self._call.deadline_ms - self._state.clock.now_ms()
 
+    def _note_end(self, choice: Choice, outcome: AttemptOutcome) -> None:
+        self._state.caches.note_unread(choice.endpoint.name, self._call)
+        self._log_attempt(choice, outcome)
+
     def _log_attempt(
         self,
         choice: Choice,
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -261,13 +261,12 @@
         )
         for endpoint, unread, *parts in heartbeat.sent:
             self._state.load.note_read(endpoint, unread)
-            cache = self._state.caches.find(endpoint)
-            cache.note(
-                [
-                    PromptPart(part_id=part_id, tokens=tokens)
-                    for part_id, tokens in parts
-                ],
-            )
+            read = [
+                PromptPart(part_id=part_id, tokens=tokens)
+                for part_id, tokens in parts
+            ]
+            ready_ms = self._state.ready_ms(endpoint) if unread else 0
+            self._state.caches.find(endpoint).note(read, ready_ms)
         for kind, revision in heartbeat.revisions.items():
             self._exchange.compare(session, kind, revision)
 
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -14,8 +14,9 @@
     from wingfall.decision.endpoint_health import EndpointHealth
     from wingfall.decision.placement import Placement
     from wingfall.decision.resend_budget import ResendBudget
+    from wingfall.decision.shared_read import SharedRead
     from wingfall.gateway.binding import Binding
-    from wingfall.gateway.call import PromptPart
+    from wingfall.gateway.call import Call, PromptPart
     from wingfall.gateway.endpoint_connection import KeptConnections
     from wingfall.gateway.endpoints import EndpointTable
     from wingfall.gateway.load import LoadTable
@@ -79,14 +80,33 @@
         if endpoint not in self._by_endpoint and capacity:
             self._by_endpoint[endpoint] = PrefixCache(capacity=capacity)
 
-    def note_sent(self, sent: SentPrompt) -> None:
+    def note_sent(self, sent: SentPrompt, ready_ms: int) -> None:
         """Note a prompt that this gateway sent.
 
         :param sent: the prompt and where it went.
+        :param ready_ms: when it is likely read.
         """
-        self.find(sent.endpoint).note(sent.parts)
+        self.find(sent.endpoint).note(sent.parts, ready_ms)
         self.news.append(sent)
 
+    def note_read(self, endpoint: str, call: Call) -> None:
+        """Note that an engine has read a prompt, since its answer began.
+
+        :param endpoint: its name.
+        :param call: the request.
+        """
+        if call.head.prompt is not None:
+            self.find(endpoint).note_read(call.head.prompt.shared)
+
+    def note_unread(self, endpoint: str, call: Call) -> None:
+        """Note that an attempt has ended; what it didn't read isn't kept.
+
+        :param endpoint: its name.
+        :param call: the request.
+        """
+        if call.head.prompt is not None:
+            self.find(endpoint).note_unread(call.head.prompt.shared)
+
     def learn(self, endpoint: str, parts: tuple[PromptPart, ...]) -> None:
         """Take what an engine itself says it keeps, and tell the peers.
 
@@ -142,6 +162,7 @@
         'placement',
         'rates',
         'routes',
+        'shared_read',
         'zone',
     )
 
@@ -155,6 +176,7 @@
         placement: Placement,
         admission: Admission,
         cache_transfer: CacheTransfer,
+        shared_read: SharedRead,
         budget: ResendBudget,
         health: EndpointHealth,
         endpoints: EndpointTable,
@@ -170,6 +192,7 @@
         :param placement: chooses endpoints.
         :param admission: refuses prompts that would start too late.
         :param cache_transfer: tells from where engines copy what is kept.
+        :param shared_read: tells how long prompts wait for a shared part.
         :param budget: bounds second sendings.
         :param health: failures of endpoints.
         :param endpoints: the endpoints.
@@ -183,6 +206,7 @@
         self.placement = placement
         self.admission = admission
         self.cache_transfer = cache_transfer
+        self.shared_read = shared_read
         self.budget = budget
         self.health = health
         self.endpoints = endpoints
@@ -193,6 +217,17 @@
         self.routes: Routes | None = None
         self.draining = False
 
+    def ready_ms(self, endpoint: str) -> int:
+        """Estimate when an engine will have read all that was sent to it.
+
+        :param endpoint: its name.
+        :returns: a reading of the clock.
+        """
+        known = self.endpoints.find(endpoint)
+        rate = self.read_rate(known.pool if known else '').tokens_per_ms
+        reading = self.load.total(endpoint).reading_tokens
+        return self.clock.now_ms() + int(reading / rate)
+
     def read_rate(self, pool: str) -> ReadRate:
         """Give what is known of a pool's engines.
 
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -63,6 +63,10 @@
             'From where engines copy kept parts of prompts.',
             'most_kept',
         ),
+        shared_read=text(
+            'Whether prompts wait for a part that is being read.',
+            'wait',
+        ),
     ),
     limits=section(
         'Bounds of this process.',
