A fault of the program still gets its caller a final answer

Change: logged with its trace, answered 502 with run unknown, or cut if a stream had begun; the connection goes on.

--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -10,6 +10,7 @@
 
 from tests.gateway_site import GatewaySite
 from wingfall.clock import ManualClock
+from wingfall.decision.placement import placements
 from wingfall.gateway.assembly import make_state
 from wingfall.gateway.caller_connection import CallerConnection
 from wingfall.metrics import Metrics
@@ -43,6 +44,24 @@
     return CallerConnection(sock=sockets[1], state=state)
 
 
+def _fail(demand: object, candidates: object) -> None:
+    raise ZeroDivisionError('a fault of the placement')
+
+
+def test_fault_of_the_program_still_gets_a_final_answer(
+    gateway_site: GatewaySite,
+    monkeypatch: pytest.MonkeyPatch,
+):
+    gateway_site.add_server('s1')
+    monkeypatch.setitem(placements._entries, 'least_read', _fail)
+    gateway_site.add_gateway()
+    caller = gateway_site.caller()
+    caller.send('/safe/x')
+    assert caller.receive().status == 502
+    caller.send('/nothing/x')
+    assert caller.receive().status == 404
+
+
 def test_idle_connection_is_closed(
     sockets: tuple[socket.socket, socket.socket],
     connection: CallerConnection,
--- a/wingfall/gateway/caller_connection.py
+++ b/wingfall/gateway/caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import traceback
 from typing import TYPE_CHECKING, Final, final
 
 import gevent
@@ -22,6 +23,7 @@
 from wingfall.gateway.refusals import (
     BAD_REQUEST,
     TOO_LARGE,
+    refuse_fault,
     refuse_request,
 )
 from wingfall.gateway.reply import Reply
@@ -172,12 +174,27 @@
                 call=call,
                 reply=reply,
             ).serve()
+        except (CallerGoneError, ReplyCutError, OSError):
+            raise
+        except Exception:  # A fault of ours; the caller still gets an answer.
+            refusal = self._note_fault(call, reply)
         finally:
             watcher.kill(block=False)
             if refusal is None:
                 note_answer(self._state, call, reply)
         return refusal
 
+    def _note_fault(self, call: Call, reply: Reply) -> Refusal:
+        log_event(
+            'gateway',
+            'A fault of the program ended a call.',
+            call=call.call_id,
+            trace=traceback.format_exc(),
+        )
+        if reply.started:
+            raise ReplyCutError
+        return refuse_fault()
+
     def _make_reply(self) -> Reply:
         return Reply(
             write=self._write,
--- a/wingfall/gateway/refusals.py
+++ b/wingfall/gateway/refusals.py
@@ -60,6 +60,20 @@
     )
 
 
+def refuse_fault() -> Refusal:
+    """Refuse a call that a fault of the program ended.
+
+    :returns: the refusal, which doesn't tell whether it has run.
+    """
+    return Refusal(
+        status=_BAD_GATEWAY,
+        kind='gateway',
+        code='internal_fault',
+        message='The gateway failed.',
+        run=RunState.unknown,
+    )
+
+
 def refuse_no_endpoint(run: RunState, left_ms: int) -> Refusal:
     """Refuse a call for which no endpoint is left.
 
