--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.gateway_site import GatewaySite
+from tests.gateway_site import GatewaySite, route
 from tests.local_site import wait_until
 
 PROMPT = {'X_Token_Count': '300,40', 'X_Prompt_Prefix': 'aa:200,bb:100'}
@@ -170,6 +170,24 @@
     assert run.headers['kv-fetch'] == keeper.address
 
 
+def test_urgent_route_is_spared_whatever_its_customers_priority(
+    gateway_site: GatewaySite,
+):
+    gateway_site.config['routes'] = [
+        route('urgent', 'engines', kind='stream', priority=0, timeout_ms=12000),
+        route('stream', 'engines', kind='stream', timeout_ms=12000),
+    ]
+    gateway_site.write_config()
+    engine = gateway_site.add_server('e1', 'engines')
+    engine.delay_ms = 1500
+    gateway_site.add_gateway()
+    caller = gateway_site.caller()
+    caller.send('/urgent/x', X_Prompt_Prefix='aa:60000')
+    wait_until(engine.run_ids)
+    assert gateway_site.ask('/stream/x', **PROMPT).status == 503
+    assert gateway_site.ask('/urgent/x', **PROMPT).status == 200
+
+
 def test_callers_cannot_name_an_engine_to_copy_from(engine_site: GatewaySite):
     engine_site.ask('/stream/x', method='POST', Kv_Fetch='10.0.0.1:1', **PROMPT)
     (run,) = [run for each in engine_site.servers.values() for run in each.runs]
--- a/wingfall/gateway/dispatcher.py
+++ b/wingfall/gateway/dispatcher.py
@@ -139,7 +139,7 @@
             target_ms=call.route.target_ms,
             left_ms=self._left_ms(),
             timeout_ms=call.route.timeout_ms,
-            urgent=call.tier <= routes.most_urgent(self._pool),
+            urgent=call.route.tier <= routes.most_urgent(self._pool),
         )
         admitted = self._state.admission(estimate)
         if isinstance(admitted, Success):
