wingfall check reads a gateway's filled settings

load_gateway_settings joins the schema and the policies' names for the program and the check. A test fills deploy/gateway.yaml as the platform does.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -74,6 +77,39 @@
     assert bad.stderr.startswith('tests/roots/objects-faults.yaml:5: ')
 
 
+def test_check_reads_a_gateways_filled_template(tmp_path):
+    filled = {
+        'callers': '127.0.0.1:1',
+        'readiness': '127.0.0.1:2',
+        'listen': '127.0.0.1:3',
+        'seeds': ['127.0.0.1:4'],
+        'address': '127.0.0.1:5',
+        'admin': {'host': '127.0.0.1', 'port': 9464},
+        'ratio': 0.2,
+        'slack': 10,
+        'window_s': 10,
+        'stop_s': 8,
+    }
+    template = pathlib.Path('deploy/gateway.yaml').read_text('utf-8')
+    lines = [_fill(line, filled) for line in template.splitlines()]
+    settings = tmp_path / 'gateway.yaml'
+    settings.write_text('\n'.join(lines), 'utf-8')
+    good = _run('check', '--gateway', str(settings))
+    assert good.stdout == f'{settings}: the settings are valid\n', good.stderr
+    lines.append('policy: {placement: nowhere}')
+    settings.write_text('\n'.join([*lines, 'zone: 7']), 'utf-8')
+    bad = _run('check', '--gateway', str(settings), 'examples/demo.yaml')
+    assert bad.returncode == 2
+    assert bad.stderr.startswith(f'{settings}:')
+
+
+def _fill(line, filled):
+    """Fill a line of the template, as the platform does."""
+    field = line.partition(':')[0].strip()
+    written = json.dumps(filled.get(field, 'a-name'))
+    return re.sub(r': \{.*\}$', f': {written}', line)
+
+
 def test_kill_and_planned_stops(fleet):
     site = Site(fleet=fleet)
     router = site.routers[0]
--- a/wingfall/cmd/application.py
+++ b/wingfall/cmd/application.py
@@ -14,7 +14,7 @@
     ('router', 'Run the router of an entry VM.'),
     ('gateway', 'Run a router for endpoints without agents.'),
     ('agent', 'Run the agent beside an endpoint.'),
-    ('check', 'Check object files.'),
+    ('check', 'Check object files and settings.'),
     ('apply', 'Create or replace the objects of files.'),
     ('get', 'Print objects as YAML.'),
     ('label', 'Set labels by key=value, take them away by key-.'),
--- a/wingfall/cmd/gateway.py
+++ b/wingfall/cmd/gateway.py
@@ -10,12 +10,10 @@
 from returns.result import Success
 
 from wingfall.cmd.faults import print_faults
-from wingfall.errors import FieldFault
+from wingfall.cmd.gateway_settings import load_gateway_settings
 from wingfall.gateway.application import GatewayApplication
-from wingfall.gateway.assembly import check_policy
 from wingfall.log import configure_json_logging, log_event
 from wingfall.settings.gateway_schema import GATEWAY_SCHEMA
-from wingfall.settings.loader import load_settings
 from wingfall.settings.watcher import SettingsWatcher
 
 if TYPE_CHECKING:
@@ -41,19 +39,10 @@
     :param listener: listens for callers, None to bind it here.
     :returns: the exit code.
     """
-    loaded = load_settings(path, GATEWAY_SCHEMA)
+    loaded = load_gateway_settings(path)
     if not isinstance(loaded, Success):
         return print_faults(loaded.failure())
-    checked: SimpleNamespace = loaded.unwrap()
-    policy = check_policy(checked)
-    if not isinstance(policy, Success):
-        fault = FieldFault(
-            source=path,
-            line=1,
-            field='policy',
-            reason=policy.failure(),
-        )
-        return print_faults([fault])
+    checked = loaded.unwrap()
     configure_json_logging(checked.log_level, checked.name)
     try:
         gateway = GatewayApplication(settings=checked, listener=listener)
