--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test faults lint format load slopes forward latency converge settings binary clean
+.PHONY: demo test faults lint format load slopes forward latency converge settings binary soak gateway-cost gateway-load clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -60,3 +60,6 @@
 
 gateway-cost: $(VENV)/.installed
 	$(BIN)/python -m tools.gateway_cost
+
+gateway-load: $(VENV)/.installed
+	$(BIN)/python -m tools.gateway_load $(LOAD)
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -25,6 +25,7 @@
 _PAUSE_S: Final = 0.08
 _KEEP: Final = 0.8
 _LEAVE: Final = 0.03
+_PARTS: Final = 'aa:200,bb:100'
 
 
 @final
@@ -56,6 +57,8 @@
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b''
+        self.parts = _PARTS
+        self.first_s: float = 0
         self.whole = False
         self.left = False
 
@@ -66,6 +69,7 @@
         """
         if isinstance(event, h11.Response):
             self.status = event.status_code
+            self.first_s = time.monotonic() - self.sent_s
             self.headers = {
                 name.decode(): text.decode() for name, text in event.headers
             }
@@ -100,15 +104,23 @@
         self._stopped = True
         gevent.joinall(self._callers)
 
-    def ask(self, kind: str, gateway: str, key: str) -> Outcome:
+    def ask(
+        self,
+        kind: str,
+        gateway: str,
+        key: str,
+        parts: str = _PARTS,
+    ) -> Outcome:
         """Send one request on a new connection.
 
         :param kind: its kind.
         :param gateway: where it goes.
         :param key: the API key.
+        :param parts: parts of the prompt, if there is one.
         :returns: what came back.
         """
         outcome = self._begin(kind, gateway, key)
+        outcome.parts = parts
         try:
             with self._connect(gateway) as sock:
                 self._exchange(sock, h11.Connection(h11.CLIENT), outcome)
@@ -203,7 +215,7 @@
     ]
     if outcome.kind in {'stream', 'oneway'}:
         headers.append(('X-Token-Count', '300,40'))
-        headers.append(('X-Prompt-Prefix', 'aa:200,bb:100'))
+        headers.append(('X-Prompt-Prefix', outcome.parts))
     method = 'GET' if outcome.kind == 'safe' else 'POST'
     if method == 'POST':
         headers.append(('Content-Length', '0'))
