--- a/tests/test_memory_survey.py
+++ b/tests/test_memory_survey.py
@@ -8,6 +8,8 @@
 from tests.gateway_site import GatewaySite
 from tests.local_site import wait_until
 from wingfall.gateway.application import GatewayApplication
+from wingfall.gateway.call import PromptPart
+from wingfall.gateway.state import RECENT_PARTS, PrefixCaches
 from wingfall.platform.documents import read_memory
 
 
@@ -37,6 +39,19 @@
     wait_until(lambda: knows(second))
 
 
+def test_what_an_engine_has_told_is_news_to_peers():
+    caches = PrefixCaches()
+    parts = tuple(
+        PromptPart(part_id=f'p{number}', tokens=1)
+        for number in range(RECENT_PARTS + 10)
+    )
+    caches.learn('e1', parts)
+    (told,) = caches.take_news()
+    assert told.endpoint == 'e1'
+    assert told.parts == parts[-RECENT_PARTS:]
+    assert caches.find('e1').cached_tokens(parts) == len(parts)
+
+
 def test_plain_endpoints_are_not_asked(gateway_site: GatewaySite):
     plain = gateway_site.add_server('s1', 'plain')
     engine = gateway_site.add_server('e1', 'engines')
--- a/tools/gateway_cost.py
+++ b/tools/gateway_cost.py
@@ -40,11 +40,17 @@
     """
     parser = argparse.ArgumentParser(prog='gateway_cost')
     parser.add_argument('--requests', type=int, default=_REQUESTS)
-    requests = parser.parse_args().requests
+    parser.add_argument('--log-level', default='info')
+    chosen = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix='wingfall-cost-') as folder:
-        site = SoakSite(folder=pathlib.Path(folder), gateways=1, servers=2)
+        site = SoakSite(
+            folder=pathlib.Path(folder),
+            gateways=1,
+            servers=2,
+            changes={'log_level': chosen.log_level},
+        )
         try:
-            _measure(site, requests)
+            _measure(site, chosen.requests)
         finally:
             site.close()
     return 0
@@ -85,11 +91,17 @@
     gateway = next(iter(site.gateways.values()))
     before_s = _processor_s(gateway.child.pid)
     for _request in range(requests):
-        if not _ask(traffic, kind).whole:
-            raise RuntimeError(f'a request of kind {kind} was not served')
+        outcome = _ask(traffic, kind)
+        if not outcome.whole:
+            raise RuntimeError(_tell(outcome))
     return (_processor_s(gateway.child.pid) - before_s) / requests * _US
 
 
+def _tell(outcome: Outcome) -> str:
+    took_s = outcome.ended_s - outcome.sent_s
+    return f'{outcome.kind}: status {outcome.status}, cut after {took_s:.2f} s'
+
+
 def _ask(traffic: Traffic, kind: str) -> Outcome:
     return traffic.ask(kind, 'gateway-0', STEADY_KEY)
 
--- a/tools/gateway_load.py
+++ b/tools/gateway_load.py
@@ -86,7 +86,7 @@
             folder=pathlib.Path(folder),
             gateways=_GATEWAYS,
             servers=_ENGINES,
-            policy=policy,
+            changes={'policy': policy},
         )
         models = _model_engines(site)
         traffic = Traffic(site=site, seed=1, callers=0)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -62,17 +62,17 @@
         folder: pathlib.Path,
         gateways: int,
         servers: int,
-        policy: dict[str, Any] | None = None,
+        changes: dict[str, Any] | None = None,
     ) -> None:
         """Start everything and wait until the gateways listen.
 
         :param folder: for settings and logs.
         :param gateways: how many gateway processes.
         :param servers: how many endpoints in each pool.
-        :param policy: section ``policy`` of the gateways' settings.
+        :param changes: settings of the gateways that differ.
         """
         self._folder = folder
-        self._policy = policy or {}
+        self._changes = changes or {}
         self._ports = _own_ports()
         self._numbers = itertools.count()
         self.store = ObjectStoreStandIn()
@@ -212,7 +212,7 @@
             'peers': {'listen': self._peers[number], 'seeds': self._peers[:3]},
             'store': {'address': self.store_links[name].address},
             'resend': {'slack': 100},
-            'policy': self._policy,
+            **self._changes,
         }
         path = self._folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(settings), 'utf-8')
