--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -12,6 +12,7 @@
 
 from standins.object_store import ObjectStoreStandIn
 from standins.pool_server import PoolServerStandIn
+from standins.received_answer import ReceivedAnswer
 from standins.serving import start_server
 from tests.local_site import wait_until
 from wingfall.gateway.application import GatewayApplication
@@ -24,33 +25,6 @@
 _TIMEOUT_S: Final = 15
 
 
-@final
-class Answer:
-    """What a caller received."""
-
-    def __init__(self) -> None:
-        """Start without an answer."""
-        self.status = 0
-        self.headers: dict[str, str] = {}
-        self.body = b''
-        self.whole = False
-
-    def take(self, event: h11.Event) -> None:
-        """Take a piece of the answer.
-
-        :param event: the piece.
-        """
-        if isinstance(event, h11.Response):
-            self.status = event.status_code
-            self.headers = {
-                name.decode(): text.decode() for name, text in event.headers
-            }
-        elif isinstance(event, h11.Data):
-            self.body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            self.whole = True
-
-
 @final
 class CallerStandIn:
     """One connection of a caller."""
@@ -98,12 +72,12 @@
         events = [request, h11.Data(data=body), h11.EndOfMessage()]
         self.sock.sendall(b''.join(map(self._http.send, events)))
 
-    def receive(self) -> Answer:
+    def receive(self) -> ReceivedAnswer:
         """Read an answer, as far as it comes.
 
         :returns: the answer; ``whole`` tells whether it has its end.
         """
-        answer = Answer()
+        answer = ReceivedAnswer()
         try:
             self._receive(answer)
         except (OSError, h11.RemoteProtocolError):
@@ -124,7 +98,7 @@
         """Leave."""
         self.sock.close()
 
-    def _receive(self, answer: Answer) -> None:
+    def _receive(self, answer: ReceivedAnswer) -> None:
         while not answer.whole:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
@@ -274,7 +248,7 @@
         """
         return CallerStandIn(port=self.gateways[number].caller_port)
 
-    def ask(self, target: str, **named: Any) -> Answer:
+    def ask(self, target: str, **named: Any) -> ReceivedAnswer:
         """Send one request on a new connection.
 
         :param target: its path.
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -11,6 +11,7 @@
 import gevent
 import h11
 
+from standins.received_answer import ReceivedAnswer
 from tools.fleet import HOST
 
 if TYPE_CHECKING:
@@ -29,7 +30,7 @@
 
 
 @final
-class Outcome:
+class Outcome(ReceivedAnswer):
     """One request and what its caller saw."""
 
     def __init__(
@@ -47,6 +48,7 @@
         :param gateway: where it goes.
         :param key: the API key.
         """
+        super().__init__()
         self.call_id = call_id
         self.kind = kind
         self.gateway = gateway
@@ -54,12 +56,8 @@
         self.sent_s = time.monotonic()
         self.ended_s = self.sent_s
         self.sent_whole = False
-        self.status = 0
-        self.headers: dict[str, str] = {}
-        self.body = b''
         self.parts = _PARTS
         self.first_s: float = 0
-        self.whole = False
         self.left = False
 
     def take(self, event: h11.Event) -> None:
@@ -67,16 +65,9 @@
 
         :param event: the piece.
         """
+        super().take(event)
         if isinstance(event, h11.Response):
-            self.status = event.status_code
             self.first_s = time.monotonic() - self.sent_s
-            self.headers = {
-                name.decode(): text.decode() for name, text in event.headers
-            }
-        elif isinstance(event, h11.Data):
-            self.body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            self.whole = True
 
 
 @final
