--- a/wingfall/gateway/dispatcher.py
+++ b/wingfall/gateway/dispatcher.py
@@ -108,7 +108,7 @@
             refusal = self._refuse_early(choice)
             if refusal is not None:
                 return refusal
-            choice = self._settle(choice)
+            choice = self._after_shared_read(choice)
             outcome = self._try(choice)
             if outcome.end is AttemptEnd.answered:
                 self._finish(outcome)
@@ -156,7 +156,7 @@
         )
         return refuse_early(admitted.failure())
 
-    def _settle(self, choice: Choice) -> Choice:
+    def _after_shared_read(self, choice: Choice) -> Choice:
         # One wait a call; what was chosen before it is old after it.
         if self._waited:
             return choice
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -265,6 +265,7 @@
                 PromptPart(part_id=part_id, tokens=tokens)
                 for part_id, tokens in parts
             ]
+            # The peer sees the first event, but doesn't tell: an estimate.
             ready_ms = self._state.ready_ms(endpoint) if unread else 0
             self._state.caches.find(endpoint).note(read, ready_ms)
         for kind, revision in heartbeat.revisions.items():
