Soak: what was not able to fail now is

Cause: with keys never forgotten, ids not compared, or torn unframed answers taken as whole (scratch copies), the soak and for the last one the focused test stayed green. The stand-in's 'unframed' answers were framed as chunks by h11; its stray answer had the body that was asked for; no caller asked with a key that was taken away, and the promise left out more time than it had to; the loopback proxy shut a connection orderly before it reset it, so that callers never saw a reset. Conclusion: three promises of the soak can fail now.

--- a/standins/link.py
+++ b/standins/link.py
@@ -126,9 +126,9 @@
 
 
 def _reset(sock: socket.socket) -> None:
+    # A shutdown before it would be an orderly end to the other side.
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        sock.shutdown(socket.SHUT_RDWR)
     except OSError:
         return
     finally:
--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -40,6 +40,7 @@
 _MS: Final = 1000
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 _CUT_AFTER: Final = 2
+_RESET_AFTER_S: Final = 0.05
 _HELD_PATH: Final = '/wingfall/kv-list'
 
 
@@ -213,7 +214,10 @@
         if fault == 'garbage':
             sock.sendall(b'\x00\x01 nothing that is HTTP\r\n\r\n')
             return False
-        body = f'{self.name} {run.call_id} {run.target}'.encode()
+        if fault.startswith('unframed'):
+            return self._answer_unframed(sock, run, fault)
+        call_id = _answered_id(run, fault)
+        body = f'{self.name} {call_id} {run.target}'.encode()
         status = 500 if fault == 'error' else 200
         encoded = _encode(
             http,
@@ -227,16 +231,37 @@
         if fault == 'torn':
             sock.sendall(encoded[: -len(body) // 2])
             return False
-        if fault == 'unframed_reset':
-            sock.sendall(encoded[: -len(body) // 2])
-            _reset(sock)
-            return False
         run.whole = True
         if fault == 'extra':
             sock.sendall(encoded + encoded)
             return True
         sock.sendall(encoded)
-        return not fault.startswith('unframed')
+        return True
+
+    def _answer_unframed(
+        self,
+        sock: socket.socket,
+        run: Run,
+        fault: str,
+    ) -> bool:
+        # By hand: h11 would frame an answer without a length as chunks.
+        head = (
+            'HTTP/1.1 200 OK\r\n'
+            f'X-Attempt-Id: {run.call_id}\r\n'
+            f'X-Response-Seal: seal.{self.name}\r\n'
+            'Connection: close\r\n\r\n'
+        )
+        body = f'{self.name} {run.call_id} {run.target}'
+        encoded = f'{head}{body}'.encode()
+        if fault == 'unframed_reset':
+            sock.sendall(encoded[: -len(body) // 2])
+            # What was sent must be read before the reset drops it.
+            gevent.sleep(_RESET_AFTER_S)
+            _reset(sock)
+        else:
+            sock.sendall(encoded)
+            run.whole = True
+        return False
 
     def _headers(
         self,
@@ -244,18 +269,14 @@
         fault: str,
         length: int,
     ) -> list[tuple[str, str]]:
-        call_id = 'another' if fault == 'stray' else run.call_id
         headers = [
-            ('X-Attempt-Id', call_id),
+            ('X-Attempt-Id', _answered_id(run, fault)),
             ('X-Response-Seal', f'seal.{self.name}'),
             ('Keep-Alive', 'timeout=5'),
         ]
         if fault == 'encoded':
             headers.append(('Content-Encoding', 'gzip'))
-        if fault.startswith('unframed'):
-            headers.append(('Connection', 'close'))
-        else:
-            headers.append(('Content-Length', str(length)))
+        headers.append(('Content-Length', str(length)))
         return headers
 
     def _read_prompt(self, run: Run) -> None:
@@ -326,6 +347,10 @@
     return run
 
 
+def _answered_id(run: Run, fault: str) -> str:
+    return 'another' if fault == 'stray' else run.call_id
+
+
 def _encode(http: h11.Connection, *events: h11.Event) -> bytes:
     return b''.join(filter(None, map(http.send, events)))
 
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -96,6 +96,8 @@
     ]
     assert [answer.status for answer in answers] == [200, 200]
     assert all(answer.whole for answer in answers)
+    for number, answer in enumerate(answers, 1):
+        assert answer.body.endswith(f' r{number} /safe/x'.encode())
 
 
 @pytest.mark.parametrize('path', ['/unsafe/x', '/patient/x'])
--- /dev/null
+++ b/tests/test_soak_promises.py
@@ -0,0 +1,65 @@
+"""The promises of a soak can be broken, and are not broken by chance."""
+
+from __future__ import annotations
+
+from typing import final
+
+import pytest
+
+from tools.soak.promises import in_force, revoked_keys_are_refused
+from tools.soak.traffic import Outcome
+
+REVOKED_S = 100.0
+KEY = 'key-1'
+
+
+@final
+class _Site:
+    """What a soak notes of its disturbances."""
+
+    def __init__(self, *store_disturbed: tuple[float, float]) -> None:
+        self.store_disturbed = list(store_disturbed)
+        self.disturbed: dict[str, list[float]] = {}
+        self.revoked_s = {KEY: REVOKED_S}
+
+
+def served(sent_s: float) -> Outcome:
+    """Make a request with the key that was served."""
+    outcome = Outcome(call_id='call', kind='safe', gateway='g', key=KEY)
+    outcome.sent_s = sent_s
+    outcome.status = 200
+    return outcome
+
+
+@pytest.mark.parametrize(
+    ('disturbed', 'sent_s', 'learned'),
+    [
+        ((), 102.0, False),
+        ((), 103.0, True),
+        (((90, 96),), 103.0, True),
+        (((90, 99),), 103.0, False),
+        (((90, 99),), 105.0, True),
+        (((101, 104),), 105.0, False),
+        (((101, 104),), 110.0, True),
+        (((103, 120),), 110.0, True),
+        (((101, 104), (106, 120)), 125.0, False),
+        (((101, 104), (106, 120)), 126.0, True),
+    ],
+)
+def test_change_is_in_force_after_a_calm_time(
+    disturbed: tuple[tuple[float, float], ...],
+    sent_s: float,
+    learned: bool,
+):
+    assert in_force(_Site(*disturbed), REVOKED_S, sent_s) is learned
+
+
+def test_key_that_is_never_forgotten_breaks_a_promise():
+    broken = revoked_keys_are_refused(_Site(), [served(101), served(104)])
+    assert list(broken) == ['call was served with a key taken away']
+
+
+def test_paused_gateway_may_not_know_yet():
+    site = _Site()
+    site.disturbed['g'] = [103.0]
+    assert not list(revoked_keys_are_refused(site, [served(104)]))
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -24,7 +24,7 @@
 from tools.soak.traffic import KINDS, Traffic
 
 _CALLERS = 8
-_SETTLE_S = 4
+_SETTLE_S = 6
 _RECOVER_S = 12
 _MOST_SHOWN = 5
 _MOST_FAULTS = 4
@@ -113,6 +113,9 @@
                 )
             except TimeoutError:
                 broken.append(f'{name} does not serve {kind} again')
+        # The promises look at what became of these.
+        for key in site.revoked_s:
+            traffic.ask(KINDS[0], name, key)
     return broken
 
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -33,6 +33,7 @@
     'encoded',
 )
 _STREAM_FAULTS: Final = ('error', 'shed', 'reset', 'garbage', 'cut', 'cut')
+_BROKEN_ANSWERS: Final = {'plain': _ANSWER_FAULTS, 'engines': _STREAM_FAULTS}
 _FEWEST: Final = 2
 _LAPSE_S: Final = 3
 _DRAIN_S: Final = 7
@@ -91,11 +92,11 @@
     chance: random.Random,
     for_s: float,
 ) -> None:
-    """Have an endpoint break some of its next answers."""
-    server = _pick_server(site, chance)
-    faulty = _ANSWER_FAULTS if server.pool == 'plain' else _STREAM_FAULTS
-    chosen = chance.choices([*faulty, ''], k=chance.randrange(1, 9))
-    server.standin.faults = chosen
+    """Have an endpoint of each pool break some of its next answers."""
+    for pool, faulty in _BROKEN_ANSWERS.items():
+        server = chance.choice(site.listed(pool))
+        chosen = chance.choices([*faulty, ''], k=chance.randrange(4, 17))
+        server.standin.faults = chosen
 
 
 @faults.register('server_crash')
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -23,7 +23,10 @@
 _REFUSED: Final = frozenset((429, 503))
 _ONCE: Final = frozenset(('unsafe', 'oneway'))
 _STREAMS: Final = frozenset(('stream', 'oneway'))
-_IN_FORCE_S: Final = 2.5
+# A gateway has learned of a change after so long, where the store could be
+# reached for some time before.
+_CONTACT_S: Final = 3
+_LEARNED_S: Final = _CONTACT_S + 2.5
 _CALM_S: Final = 5
 _DENIED: Final = frozenset((401, 403, 404))
 _EVENT_ID: Final = re.compile(rb'^id: (\d+)$', re.MULTILINE)
@@ -96,12 +99,12 @@
     sent = {each.call_id: each for each in outcomes}
     for server in site.servers:
         since_s = server.draining_since_s
-        if since_s is None or _disturbed(site, since_s):
+        if since_s is None:
             continue
         late = [
             run.call_id
             for run in server.standin.runs
-            if sent[run.call_id].sent_s > since_s + _IN_FORCE_S
+            if in_force(site, since_s, sent[run.call_id].sent_s)
             and not _gateway_disturbed(site, sent[run.call_id])
         ]
         for call_id in late:
@@ -116,9 +119,10 @@
     """A key that was taken away is of no use once that is in force."""
     for each in outcomes:
         since_s = site.revoked_s.get(each.key)
-        if since_s is None or _disturbed(site, since_s):
+        if since_s is None or each.status != _OK:
             continue
-        if each.status == _OK and each.sent_s > since_s + _IN_FORCE_S:
+        learned = in_force(site, since_s, each.sent_s)
+        if learned and not _gateway_disturbed(site, each):
             yield f'{each.call_id} was served with a key taken away'
 
 
@@ -165,11 +169,20 @@
         yield f'{outcome.call_id} looks whole with events {ids}'
 
 
-def _disturbed(site: SoakSite, since_s: float) -> bool:
-    return any(
-        started_s < since_s + _IN_FORCE_S and ended_s > since_s - _CALM_S
-        for started_s, ended_s in site.store_disturbed
-    )
+def in_force(site: SoakSite, since_s: float, sent_s: float) -> bool:
+    """Tell whether a change must be in force when a request is sent.
+
+    :param site: the site.
+    :param since_s: when the store took the change.
+    :param sent_s: when the request was sent.
+    :returns: whether the store could be reached for long enough.
+    """
+    calm_from_s = since_s - _CONTACT_S
+    for started_s, ended_s in sorted(site.store_disturbed):
+        if min(started_s, sent_s) - calm_from_s >= _LEARNED_S:
+            return True
+        calm_from_s = max(calm_from_s, ended_s)
+    return sent_s - calm_from_s >= _LEARNED_S
 
 
 def _gateway_disturbed(site: SoakSite, outcome: Outcome) -> bool:
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -26,6 +26,7 @@
 _PAUSE_S: Final = 0.08
 _KEEP: Final = 0.8
 _LEAVE: Final = 0.03
+_REVOKED: Final = 0.1
 _PARTS: Final = 'aa:200,bb:100'
 
 
@@ -137,7 +138,7 @@
     ) -> None:
         http = h11.Connection(h11.CLIENT)
         while not self._stopped:
-            key = chance.choice(self._site.keys)
+            key = self._pick_key(chance)
             outcome = self._begin(chance.choice(KINDS), gateway, key)
             outcome.left = chance.random() < _LEAVE
             try:
@@ -152,6 +153,12 @@
             http.start_next_cycle()
             gevent.sleep(chance.random() * _PAUSE_S)
 
+    def _pick_key(self, chance: random.Random) -> str:
+        revoked = list(self._site.revoked_s)
+        if revoked and chance.random() < _REVOKED:
+            return chance.choice(revoked)
+        return chance.choice(self._site.keys)
+
     def _begin(self, kind: str, gateway: str, key: str) -> Outcome:
         outcome = Outcome(
             call_id=f'call-{next(self._numbers)}',
