What engines keep is told once, on request, and asked of each engine by two

Cause: each new session between two gateways brought 300 parts of each engine, 90 KB with 23 engines, from each of 24 peers; a gateway that started asked all peers for all objects at once; and each gateway that started asked twelve engines itself and told all peers what it heard. Change: a gateway that starts, or that lost more than half of its peers, asks one peer that knows, of its own zone if there is one (parts_transfer.py); one fetch of objects is under way for each kind; engines are asked only where no peer knows, each by the two gateways that rank first for it.

--- /dev/null
+++ b/tests/test_parts_transfer.py
@@ -0,0 +1,143 @@
+"""Whom a gateway asks what engines keep, and when."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, final
+
+import pytest
+
+from wingfall.clock import ManualClock
+from wingfall.gateway.call import PromptPart
+from wingfall.gateway.memory_survey import choose_engines
+from wingfall.gateway.parts_transfer import PartsTransfer
+from wingfall.gateway.peer_session import PeerSession
+from wingfall.gateway.state import PrefixCaches
+from wingfall.wire.gateway_messages import GatewayHello, PartsFetch
+
+if TYPE_CHECKING:
+    from wingfall.wire.message import Message
+
+ZONE = 'osl-a'
+PARTS = [PromptPart(part_id='p1', tokens=500)]
+
+
+@final
+class _Connection:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[Message] = []
+
+    def send(self, message: Message) -> None:
+        self.sent.append(message)
+
+
+@final
+class _Gateway:
+    """What the transfer needs of a gateway."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.caches = PrefixCaches()
+        self.zone = ZONE
+        self.transfer = PartsTransfer(state=self)
+
+
+@pytest.fixture
+def gateway() -> _Gateway:
+    """Give a gateway that has just started."""
+    return _Gateway()
+
+
+def peer(name: str, zone: str = ZONE, *, informed: bool = True) -> PeerSession:
+    """Make a session with a peer."""
+    hello = GatewayHello(name=name, address=name, known=[], zone=zone)
+    session = PeerSession(hello=hello, connection=_Connection())
+    session.informed = informed
+    return session
+
+
+def asked(*peers: PeerSession) -> list[str]:
+    """Name the peers that were asked."""
+    return [each.name for each in peers if each.connection.sent]
+
+
+def test_one_peer_that_knows_is_asked(gateway: _Gateway):
+    peers = [peer('new', informed=False), peer('one'), peer('two')]
+    gateway.transfer.step(peers)
+    gateway.transfer.step(peers)
+    assert asked(*peers) == ['one']
+
+
+def test_peer_of_another_zone_is_asked_later(gateway: _Gateway):
+    far = peer('far', zone='osl-b')
+    gateway.transfer.step([far])
+    assert not asked(far)
+    gateway.clock.advance(300)
+    gateway.transfer.step([far])
+    assert asked(far)
+
+
+def test_another_peer_is_asked_when_the_first_is_silent(gateway: _Gateway):
+    peers = [peer('one'), peer('two')]
+    gateway.transfer.step(peers)
+    gateway.clock.advance(1000)
+    gateway.transfer.step(peers)
+    assert asked(*peers) == ['one', 'two']
+
+
+def test_gateway_is_informed_when_nobody_knows(gateway: _Gateway):
+    new = peer('new', informed=False)
+    gateway.clock.advance(2900)
+    gateway.transfer.step([new])
+    assert not gateway.transfer.informed
+    gateway.clock.advance(100)
+    gateway.transfer.step([])
+    assert not gateway.transfer.informed
+    gateway.transfer.step([new])
+    assert gateway.transfer.informed
+
+
+def test_what_a_peer_tells_is_known(gateway: _Gateway):
+    knowing, session = _Gateway(), peer('one')
+    knowing.caches.find('e1').note(PARTS)
+    knowing.transfer.answer(session, PartsFetch(most=10))
+    gateway.transfer.take(session, session.connection.sent[0])
+    assert gateway.transfer.informed
+    assert gateway.caches.find('e1').cached_tokens(PARTS) == 500
+
+
+def test_answer_is_bounded_over_all_engines(gateway: _Gateway):
+    session = peer('one')
+    for engine in ('e1', 'e2'):
+        gateway.caches.find(engine).note(
+            PromptPart(part_id=f'p{number}', tokens=1) for number in range(20)
+        )
+    gateway.transfer.answer(session, PartsFetch(most=10))
+    (page,) = session.connection.sent
+    assert [len(entry) for entry in page.parts] == [1 + 5, 1 + 5]
+
+
+def test_gateway_that_lost_most_peers_asks_again(gateway: _Gateway):
+    gateway.transfer.informed = True
+    gateway.transfer.note_sessions(connected=12, known=24)
+    assert gateway.transfer.informed
+    gateway.transfer.note_sessions(connected=11, known=24)
+    assert not gateway.transfer.informed
+
+
+def test_engines_are_shared_out_among_gateways():
+    names = [f'gateway-{number}' for number in range(9)]
+    engines = [SimpleNamespace(name=f'e{number}') for number in range(30)]
+    chosen = {name: choose_engines(name, names, engines) for name in names}
+    askers = [
+        sum(engine in own for own in chosen.values()) for engine in engines
+    ]
+    assert all(1 <= number <= 2 for number in askers)
+    assert sum(askers) >= 50
+
+
+def test_gateway_alone_asks_as_many_as_it_may():
+    engines = [SimpleNamespace(name=f'e{number}') for number in range(30)]
+    assert len(choose_engines('gateway-0', [], engines)) == 12
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -17,6 +17,7 @@
 from wingfall.gateway.follower import StoreFollower
 from wingfall.gateway.memory_survey import MemorySurvey
 from wingfall.gateway.object_applier import ObjectApplier
+from wingfall.gateway.parts_transfer import PartsTransfer
 from wingfall.gateway.peers import GatewayPeers
 from wingfall.gateway.readiness import make_ready_app
 from wingfall.gateway.replica import (
@@ -61,6 +62,7 @@
         '_ready_server',
         '_replicas',
         '_state',
+        '_transfer',
     )
 
     def __init__(
@@ -88,12 +90,14 @@
             self._make_follower(binding.routes_store(), routes),
             self._make_follower(binding.endpoints_store(), endpoints),
         )
+        self._transfer = PartsTransfer(state=self._state)
         self._peers = GatewayPeers(
             name=settings.name,
             address=settings.peers.listen,
             seeds=settings.peers.seeds,
             state=self._state,
             replicas=self._replicas,
+            transfer=self._transfer,
             supervisor=self._supervisor,
             watches=self._watches,
         )
@@ -172,7 +176,12 @@
         self._peers.start()
         self._ready_server.start()
         self._supervisor.spawn(self._start_accepting)
-        survey = MemorySurvey(name=self._settings.name, state=self._state)
+        survey = MemorySurvey(
+            name=self._settings.name,
+            state=self._state,
+            transfer=self._transfer,
+            peers=lambda: self._peers.names,
+        )
         self._supervisor.spawn(survey.run)
 
     def drain(self) -> None:
--- a/wingfall/gateway/memory_survey.py
+++ b/wingfall/gateway/memory_survey.py
@@ -1,8 +1,9 @@
 """Asks engines what they keep, after a start that has forgotten it.
 
-A gateway that starts hears from its peers what each engine keeps. When all
+A gateway that starts hears from a peer what each engine keeps. When all
 gateways end at once nobody knows any more, and parts of prompts would be read
-again at engines beside those that keep them.
+again at engines beside those that keep them. Then the gateways ask the
+engines, each of them some.
 """
 
 from __future__ import annotations
@@ -24,12 +25,18 @@
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
     from wingfall.gateway.endpoint_connection import EndpointConnection
     from wingfall.gateway.endpoints import PoolEndpoint
+    from wingfall.gateway.parts_transfer import PartsTransfer
     from wingfall.gateway.state import GatewayState
 
-# What is learned is told to peers, so that a few engines each are enough.
+# What is learned is told to peers: so many gateways ask the same engine.
+_ASKED_BY: Final = 2
 _MOST_ASKED: Final = 12
+# A peer that knows would have been heard by then.
+_PEERS_MS: Final = 400
 _AT_ONCE: Final = 4
 _ANSWER_MS: Final = 1000
 _FIRST_LIST_MS: Final = 3000
@@ -42,22 +49,35 @@
 class MemorySurvey:
     """Asks engines that ran before this gateway started."""
 
-    __slots__ = ('_name', '_state')
+    __slots__ = ('_name', '_peers', '_state', '_transfer')
 
-    def __init__(self, *, name: str, state: GatewayState) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        state: GatewayState,
+        transfer: PartsTransfer,
+        peers: Callable[[], Iterable[str]],
+    ) -> None:
         """Set up a survey.
 
-        :param name: name of this gateway, which decides the order.
+        :param name: name of this gateway.
         :param state: where what is learned is kept.
+        :param transfer: what a peer tells makes the survey needless.
+        :param peers: names of the connected peers.
         """
         self._name = name
         self._state = state
+        self._transfer = transfer
+        self._peers = peers
 
     def run(self) -> None:
-        """Ask the engines that the first list names, each once."""
+        """Ask this gateway's share of the engines, each once."""
+        if self._transfer.wait(_PEERS_MS):
+            return
         engines = self._wait_for_engines()
         asking = GreenletPool(_AT_ONCE)
-        for engine in sorted(engines, key=self._rank)[:_MOST_ASKED]:
+        for engine in choose_engines(self._name, self._peers(), engines):
             asking.spawn(self._ask, engine)
         asking.join()
 
@@ -79,9 +99,6 @@
             for endpoint in self._state.endpoints.usable(pool.name)
         ]
 
-    def _rank(self, engine: PoolEndpoint) -> bytes:
-        return hashlib.sha256(f'{self._name} {engine.name}'.encode()).digest()
-
     def _ask(self, engine: PoolEndpoint) -> None:
         told = self._exchange(engine).bind(self._state.binding.read_memory)
         if isinstance(told, Success):
@@ -131,3 +148,32 @@
         if response.status_code != _OK:
             return Failure(f'status {response.status_code}')
         return Success(body)
+
+
+def choose_engines(
+    name: str,
+    peers: Iterable[str],
+    engines: Iterable[PoolEndpoint],
+) -> list[PoolEndpoint]:
+    """Share the engines out among the gateways, without a word.
+
+    :param name: name of this gateway.
+    :param peers: names of the gateways that it hears.
+    :param engines: the engines.
+    :returns: those that this gateway asks, the most its own first.
+    """
+    peers = list(peers)
+    ranked = [
+        (
+            sum(_rank(peer, engine) < _rank(name, engine) for peer in peers),
+            engine,
+        )
+        for engine in engines
+    ]
+    ranked.sort(key=lambda pair: (pair[0], _rank(name, pair[1])))
+    own = [engine for before, engine in ranked if before < _ASKED_BY]
+    return own[:_MOST_ASKED]
+
+
+def _rank(name: str, engine: PoolEndpoint) -> bytes:
+    return hashlib.sha256(f'{name} {engine.name}'.encode()).digest()
--- a/wingfall/gateway/object_exchange.py
+++ b/wingfall/gateway/object_exchange.py
@@ -17,33 +17,51 @@
     from wingfall.gateway.peer_session import PeerSession
     from wingfall.gateway.replica import ObjectReplica
 
-# Gateways that watch the store themselves learn a change this much later.
-_FETCH_AFTER_MS: Final = 200
-_FETCH_AGAIN_MS: Final = 1000
+# Gateways that watch the store themselves learn a change this much later;
+# others ask a peer of their availability zone before one of another.
+_NEAR_AFTER_MS: Final = 200
+_FAR_AFTER_MS: Final = 300
+_ANSWER_MS: Final = 600
+
+
+@final
+class _Fetch:
+    """A fetch that is under way."""
+
+    __slots__ = ('session', 'until_ms')
+
+    def __init__(self, *, session: PeerSession, until_ms: int) -> None:
+        self.session = session
+        self.until_ms = until_ms
 
 
 @final
 class ObjectExchange:
     """Compares revisions with peers, asks for what is newer, and answers.
 
-    One fetch is under way for each peer and kind, off the path of requests.
+    One fetch is under way for each kind, off the path of requests: when many
+    peers are ahead, each of them would send the same objects.
     """
 
-    __slots__ = ('_clock', '_replicas')
+    __slots__ = ('_clock', '_fetches', '_replicas', '_zone')
 
     def __init__(
         self,
         *,
         replicas: Iterable[ObjectReplica],
         clock: Clock,
+        zone: str,
     ) -> None:
         """Exchange some kinds of object.
 
         :param replicas: the copies of this gateway.
         :param clock: the time.
+        :param zone: availability zone of this gateway.
         """
         self._replicas = {replica.kind: replica for replica in replicas}
         self._clock = clock
+        self._zone = zone
+        self._fetches: dict[str, _Fetch] = {}
 
     @property
     def revisions(self) -> dict[str, int]:
@@ -65,12 +83,29 @@
             return
         now_ms = self._clock.now_ms()
         since_ms = session.behind_since_ms.setdefault(kind, now_ms)
-        if replica.revision and now_ms - since_ms < _FETCH_AFTER_MS:
+        if replica.revision and now_ms - since_ms < self._wait_ms(session):
+            return
+        under_way = self._fetches.get(kind)
+        if under_way is not None and under_way.until_ms > now_ms:
             return
-        session.behind_since_ms[kind] = now_ms + _FETCH_AGAIN_MS
+        self._fetches[kind] = _Fetch(
+            session=session,
+            until_ms=now_ms + _ANSWER_MS,
+        )
         fetch = ObjectsFetch(kind=kind, revision=replica.revision)
         session.connection.send(fetch)
 
+    def forget(self, session: PeerSession) -> None:
+        """Wait no longer for a peer that is gone.
+
+        :param session: the peer.
+        """
+        self._fetches = {
+            kind: fetch
+            for kind, fetch in self._fetches.items()
+            if fetch.session is not session
+        }
+
     def answer(self, session: PeerSession, fetch: ObjectsFetch) -> None:
         """Answer a peer that asks.
 
@@ -104,6 +139,7 @@
         replica = self._replicas.get(page.kind)
         if replica is None:
             return
+        self._fetches.pop(page.kind, None)
         objects = [
             StoredObject(
                 name=name,
@@ -122,3 +158,7 @@
             objects=taken,
             revision=replica.revision,
         )
+
+    def _wait_ms(self, session: PeerSession) -> int:
+        near = session.zone == self._zone
+        return _NEAR_AFTER_MS if near else _FAR_AFTER_MS
--- /dev/null
+++ b/wingfall/gateway/parts_transfer.py
@@ -0,0 +1,155 @@
+"""A gateway that has missed news asks one peer what engines keep.
+
+What a peer knows is large, so it is given once, on request: to a gateway that
+starts, or that was cut off from most of the others.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final, final
+
+import gevent
+
+from wingfall.clock import MS_PER_S
+from wingfall.gateway.call import PromptPart
+from wingfall.log import log_event
+from wingfall.wire.gateway_messages import PartsFetch, PartsPage
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from wingfall.gateway.peer_session import PeerSession
+    from wingfall.gateway.state import GatewayState
+
+_TICK_MS: Final = 50
+# For so long only peers of the own availability zone are asked.
+_NEAR_ONLY_MS: Final = 300
+_ANSWER_MS: Final = 1000
+# When no peer has known more for so long, nobody does.
+_NOBODY_KNOWS_MS: Final = 3000
+_MOST_PARTS: Final = 20_000
+_MOST_PARTS_EACH: Final = 300
+
+
+@final
+class PartsTransfer:
+    """Learns what engines keep from one peer that knows."""
+
+    __slots__ = (
+        '_asked',
+        '_asked_until_ms',
+        '_behind_since_ms',
+        '_state',
+        'informed',
+    )
+
+    def __init__(self, *, state: GatewayState) -> None:
+        """Start without knowledge.
+
+        :param state: where what is learned is kept.
+        """
+        self._state = state
+        # Whether this gateway knows as much as any other.
+        self.informed = False
+        self._behind_since_ms = state.clock.now_ms()
+        self._asked: PeerSession | None = None
+        self._asked_until_ms = 0
+
+    def note_sessions(self, connected: int, known: int) -> None:
+        """Note how many peers are left after one has gone.
+
+        :param connected: peers that are connected.
+        :param known: peers that are known.
+        """
+        if self.informed and connected * 2 < known:
+            self.informed = False
+            self._behind_since_ms = self._state.clock.now_ms()
+
+    def step(self, sessions: Collection[PeerSession]) -> None:
+        """Ask a peer if that is due.
+
+        :param sessions: the connected peers.
+        """
+        now_ms = self._state.clock.now_ms()
+        if self.informed or now_ms < self._asked_until_ms:
+            return
+        behind_ms = now_ms - self._behind_since_ms
+        session = self._choose(sessions, near_only=behind_ms < _NEAR_ONLY_MS)
+        if session is not None:
+            self._asked = session
+            self._asked_until_ms = now_ms + _ANSWER_MS
+            session.connection.send(PartsFetch(most=_MOST_PARTS))
+        elif sessions and behind_ms >= _NOBODY_KNOWS_MS:
+            self.informed = True
+
+    def answer(self, session: PeerSession, fetch: PartsFetch) -> None:
+        """Give a peer what this gateway knows.
+
+        :param session: the peer.
+        :param fetch: what it asks for.
+        """
+        models = self._state.caches.models()
+        most = fetch.most // max(1, len(models))
+        parts = [
+            [name, *map(list, cache.recent(min(most, _MOST_PARTS_EACH)))]
+            for name, cache in models
+        ]
+        session.connection.send(PartsPage(parts=parts))
+
+    def take(self, session: PeerSession, page: PartsPage) -> None:
+        """Take what a peer gives.
+
+        :param session: the peer.
+        :param page: its answer.
+        """
+        for endpoint, *parts in page.parts:
+            self._state.caches.find(endpoint).note(read_parts(parts))
+        self.informed = True
+        log_event(
+            'peers',
+            'A peer told what engines keep.',
+            peer=session.name,
+            engines=len(page.parts),
+            parts=sum(len(entry) - 1 for entry in page.parts),
+        )
+
+    def wait(self, timeout_ms: int) -> bool:
+        """Wait until a peer has told.
+
+        :param timeout_ms: for how long, unless a peer was asked meanwhile.
+        :returns: whether one has.
+        """
+        clock = self._state.clock
+        until_ms = clock.now_ms() + timeout_ms
+        while not self.informed:
+            if clock.now_ms() >= max(until_ms, self._asked_until_ms):
+                return False
+            gevent.sleep(_TICK_MS / MS_PER_S)
+        return True
+
+    def _choose(
+        self,
+        sessions: Iterable[PeerSession],
+        *,
+        near_only: bool,
+    ) -> PeerSession | None:
+        knowing = [session for session in sessions if session.informed]
+        near = [each for each in knowing if each.zone == self._state.zone]
+        far = [] if near_only else knowing
+        # Another one than last time, if there is one.
+        return min(
+            near or far,
+            key=lambda each: each is self._asked,
+            default=None,
+        )
+
+
+def read_parts(raw: Iterable[list[Any]]) -> list[PromptPart]:
+    """Read parts of prompts as they are on the wire.
+
+    :param raw: ids and tokens.
+    :returns: the parts.
+    """
+    return [
+        PromptPart(part_id=part_id, tokens=tokens) for part_id, tokens in raw
+    ]
--- a/wingfall/gateway/peer_session.py
+++ b/wingfall/gateway/peer_session.py
@@ -18,9 +18,11 @@
         'behind_since_ms',
         'connection',
         'heard_ms',
+        'informed',
         'leaving',
         'name',
         'watching',
+        'zone',
     )
 
     def __init__(self, *, hello: GatewayHello, connection: Connection) -> None:
@@ -31,9 +33,12 @@
         """
         self.name = hello.name
         self.address = hello.address
+        self.zone = hello.zone
         self.connection = connection
         self.leaving = False
         self.watching = False
+        # Whether the peer knows what engines keep.
+        self.informed = False
         self.heard_ms = 0
         # Since when this gateway has been behind the peer, by kind.
         self.behind_since_ms: dict[str, int] = {}
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -12,7 +12,6 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.errors import WireError
-from wingfall.gateway.call import PromptPart
 from wingfall.gateway.heartbeat_schedule import (
     TICK_MS,
     HeartbeatDue,
@@ -21,8 +20,8 @@
 )
 from wingfall.gateway.load import EndpointLoad
 from wingfall.gateway.object_exchange import ObjectExchange
+from wingfall.gateway.parts_transfer import read_parts
 from wingfall.gateway.peer_session import PeerSession
-from wingfall.gateway.state import RECENT_PARTS
 from wingfall.log import log_event
 from wingfall.wire.connection import Connection
 from wingfall.wire.gateway_messages import (
@@ -30,11 +29,14 @@
     GatewayHello,
     ObjectsFetch,
     ObjectsPage,
+    PartsFetch,
+    PartsPage,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from wingfall.gateway.parts_transfer import PartsTransfer
     from wingfall.gateway.replica import ObjectReplica
     from wingfall.gateway.state import GatewayState, SentPrompt
     from wingfall.supervisor import Supervisor
@@ -59,6 +61,7 @@
         '_address',
         '_addresses',
         '_exchange',
+        '_handlers',
         '_name',
         '_seeds',
         '_server',
@@ -66,6 +69,7 @@
         '_state',
         '_supervisor',
         '_told_revisions',
+        '_transfer',
         '_watches',
     )
 
@@ -77,6 +81,7 @@
         seeds: Iterable[str],
         state: GatewayState,
         replicas: Iterable[ObjectReplica],
+        transfer: PartsTransfer,
         supervisor: Supervisor,
         watches: Callable[[], bool],
     ) -> None:
@@ -87,6 +92,7 @@
         :param seeds: addresses that some gateways may be found at.
         :param state: what this gateway knows.
         :param replicas: the objects that gateways give each other.
+        :param transfer: learns what engines keep from a peer.
         :param supervisor: keeps the connections.
         :param watches: whether this gateway hears the store's changes.
         """
@@ -96,7 +102,16 @@
         self._exchange = ObjectExchange(
             replicas=replicas,
             clock=state.clock,
+            zone=state.zone,
         )
+        self._transfer = transfer
+        self._handlers: dict[type[Message], Callable[..., None]] = {
+            GatewayHeartbeat: self._hear,
+            ObjectsFetch: self._exchange.answer,
+            ObjectsPage: self._exchange.take,
+            PartsFetch: transfer.answer,
+            PartsPage: transfer.take,
+        }
         self._supervisor = supervisor
         self._watches = watches
         self._told_revisions: dict[str, int] = {}
@@ -221,7 +236,7 @@
         log_event('peers', 'A peer is connected.', peer=session.name)
         heartbeat = self._make_heartbeat(
             self._state.load.own,
-            self._recent_parts(),
+            [],
             leaving=self._state.draining,
             whole=True,
         )
@@ -232,7 +247,9 @@
         if session is None or self._sessions.get(session.name) is not session:
             return
         self._sessions.pop(session.name)
+        self._exchange.forget(session)
         self._state.load.forget(session.name)
+        self._transfer.note_sessions(len(self._sessions), len(self._addresses))
         self._share_budget()
         log_event('peers', 'A peer is gone.', peer=session.name)
 
@@ -243,16 +260,14 @@
         self._state.budget.share_among(known + 1)
 
     def _receive(self, session: PeerSession, message: Message) -> None:
-        if isinstance(message, GatewayHeartbeat):
-            self._hear(session, message)
-        elif isinstance(message, ObjectsFetch):
-            self._exchange.answer(session, message)
-        elif isinstance(message, ObjectsPage):
-            self._exchange.take(session, message)
+        receive = self._handlers.get(type(message))
+        if receive is not None:
+            receive(session, message)
 
     def _hear(self, session: PeerSession, heartbeat: GatewayHeartbeat) -> None:
         session.leaving = heartbeat.leaving
         session.watching = heartbeat.watching
+        session.informed = heartbeat.informed
         session.heard_ms = self._state.clock.now_ms()
         self._state.load.hear(
             session.name,
@@ -261,13 +276,9 @@
         )
         for endpoint, unread, *parts in heartbeat.sent:
             self._state.load.note_read(endpoint, unread)
-            read = [
-                PromptPart(part_id=part_id, tokens=tokens)
-                for part_id, tokens in parts
-            ]
             # The peer sees the first event, but doesn't tell: an estimate.
             ready_ms = self._state.ready_ms(endpoint) if unread else 0
-            self._state.caches.find(endpoint).note(read, ready_ms)
+            self._state.caches.find(endpoint).note(read_parts(parts), ready_ms)
         for kind, revision in heartbeat.revisions.items():
             self._exchange.compare(session, kind, revision)
 
@@ -275,6 +286,7 @@
         schedule = HeartbeatSchedule()
         while not self._supervisor.stopped:
             now_ms = self._state.clock.now_ms()
+            self._transfer.step(self._sessions.values())
             schedule.set_peers(len(self._sessions))
             due = schedule.due(
                 now_ms,
@@ -320,19 +332,15 @@
             leaving=leaving,
             whole=whole,
             watching=self._watches(),
+            informed=self._transfer.informed,
         )
 
-    def _recent_parts(self) -> list[list[Any]]:
-        return [
-            [endpoint, 0, *map(list, cache.recent(RECENT_PARTS))]
-            for endpoint, cache in self._state.caches.models()
-        ]
-
     def _hello(self) -> GatewayHello:
         return GatewayHello(
             name=self._name,
             address=self._address,
             known=sorted(self._addresses),
+            zone=self._state.zone,
         )
 
 
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -8,26 +8,35 @@
 
 
 @final
-@message(48, str, str, list)
+@message(48, str, str, list, str)
 class GatewayHello(Message):
     """First message of both sides."""
 
-    __slots__ = ('name', 'address', 'known')  # noqa: WPS607
+    __slots__ = ('name', 'address', 'known', 'zone')  # noqa: WPS607
 
-    def __init__(self, *, name: str, address: str, known: list[str]) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        known: list[str],
+        zone: str = '',
+    ) -> None:
         """Introduce the sender.
 
         :param name: its name.
         :param address: ``host:port`` where it takes connections.
         :param known: addresses of the gateways that it knows.
+        :param zone: its availability zone.
         """
         self.name = name
         self.address = address
         self.known = known
+        self.zone = zone
 
 
 @final
-@message(49, dict, list, list, bool, bool, bool)
+@message(49, dict, list, list, bool, bool, bool, bool)
 class GatewayHeartbeat(Message):
     """What a gateway tells its peers some times a second."""
 
@@ -38,6 +47,7 @@
         'leaving',
         'whole',
         'watching',
+        'informed',
     )
 
     def __init__(
@@ -49,6 +59,7 @@
         leaving: bool,
         whole: bool,
         watching: bool,
+        informed: bool = False,
     ) -> None:
         """Tell the state.
 
@@ -62,6 +73,7 @@
         :param whole: whether the loads are all that there are, not only
             those that changed since the last heartbeat.
         :param watching: whether the sender hears the store's changes.
+        :param informed: whether the sender knows what engines keep.
         """
         self.revisions = revisions
         self.loads = loads
@@ -69,6 +81,7 @@
         self.leaving = leaving
         self.whole = whole
         self.watching = watching
+        self.informed = informed
 
 
 @final
@@ -111,3 +124,34 @@
         self.kind = kind
         self.revision = revision
         self.objects = objects
+
+
+@final
+@message(52, int)
+class PartsFetch(Message):
+    """Asks for what engines keep of prompts."""
+
+    __slots__ = ('most',)
+
+    def __init__(self, *, most: int) -> None:
+        """Ask.
+
+        :param most: how many parts the answer may have.
+        """
+        self.most = most
+
+
+@final
+@message(53, list)
+class PartsPage(Message):
+    """Tells what engines keep of prompts."""
+
+    __slots__ = ('parts',)
+
+    def __init__(self, *, parts: list[list[Any]]) -> None:
+        """Answer.
+
+        :param parts: name of each engine, then the parts it keeps, each as
+            id and tokens, the one used last at the end.
+        """
+        self.parts = parts
