Relays between zones; a lost store is asked by a few; watches of five seconds

Ruled out: fewer heartbeats within a zone (they decide what is known of loads). Change: load_exchange.py: gateways tell loads and prompts within their zone; the first by rank sums the zone up and tells the first of each other zone, which passes it on. Other zones' gateways get only revisions and whether the sender leaves, watches and is informed, each second. follower.py: a lost store is asked soon by the four first gateways, by the others after up to 4 s; what a peer gave is not listed again unless history is forgotten. A heartbeat is encoded once for all who get it. store.watch_ms is 5000.

--- /dev/null
+++ b/tests/test_gateway_follower.py
@@ -0,0 +1,137 @@
+"""How often a gateway calls the store, and what it need not ask."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+import gevent
+import pytest
+from gevent.event import Event
+from returns.result import Failure, Result, Success
+
+from tests.local_site import wait_until
+from wingfall.clock import WallClock
+from wingfall.errors import PlatformError
+from wingfall.gateway.binding import StoredObject, StoreReading
+from wingfall.gateway.follower import StoreFollower, retry_ms
+from wingfall.gateway.replica import ROUTES_KIND, ObjectReplica
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+GONE = 410
+DOWN = 503
+
+
+@final
+class _Store:
+    """Answers what a test tells, and keeps the calls."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+        self.status = 0
+
+    def list_all(self) -> Result[StoreReading, PlatformError]:
+        return self._answer('list')
+
+    def watch(self, revision: int) -> Result[StoreReading, PlatformError]:
+        answer = self._answer(f'watch {revision}')
+        if self.status == GONE:
+            self.status = 0
+        return answer
+
+    def _answer(self, call: str) -> Result[StoreReading, PlatformError]:
+        self.calls.append(call)
+        gevent.sleep(0.02)
+        if self.status:
+            return Failure(PlatformError(status=self.status, message=''))
+        return Success(reading(7))
+
+
+def reading(revision: int) -> StoreReading:
+    """Make what the store says at a revision."""
+    main = StoredObject(name='main', revision=revision, spec={})
+    return StoreReading(revision=revision, objects=[main])
+
+
+@final
+class _Followed:
+    """A follower with its store and its replica."""
+
+    def __init__(self) -> None:
+        self.store = _Store()
+        self.replica = ObjectReplica(
+            kind=ROUTES_KIND,
+            listener=lambda name, spec: None,
+        )
+        self.holds_watch = True
+        self.leads = True
+        self.follower = StoreFollower(
+            store=self.store,
+            replica=self.replica,
+            clock=WallClock(),
+            holds_watch=lambda: self.holds_watch,
+            leads=lambda: self.leads,
+        )
+        self._stop = Event()
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self.running = gevent.spawn(self.follower.follow, self._stop)
+
+    def stop(self) -> None:
+        """End."""
+        self.running.kill()
+
+
+@pytest.fixture
+def followed() -> Iterator[_Followed]:
+    """Give a follower that a test starts."""
+    followed = _Followed()
+    yield followed
+    followed.stop()
+
+
+def test_list_comes_first(followed: _Followed):
+    followed.start()
+    wait_until(lambda: len(followed.store.calls) >= 2)
+    assert followed.store.calls[:2] == ['list', 'watch 7']
+
+
+def test_what_a_peer_gave_need_not_be_listed(followed: _Followed):
+    followed.replica.catch_up(reading(5))
+    followed.start()
+    wait_until(lambda: followed.store.calls)
+    assert followed.store.calls[0] == 'watch 5'
+
+
+def test_gateway_that_need_not_watch_makes_no_call(followed: _Followed):
+    followed.holds_watch = False
+    followed.replica.catch_up(reading(5))
+    followed.start()
+    gevent.sleep(0.3)
+    assert not followed.store.calls
+
+
+def test_forgotten_history_is_listed_though_a_peer_gave(followed: _Followed):
+    followed.replica.catch_up(reading(5))
+    followed.store.status = GONE
+    followed.start()
+    wait_until(lambda: 'list' in followed.store.calls)
+    assert followed.store.calls[:2] == ['watch 5', 'list']
+
+
+def test_lost_store_is_asked_often_by_those_that_lead_only():
+    assert retry_ms(200, leads=True) == 200
+    assert retry_ms(200, leads=False) == 200
+    assert retry_ms(4000, leads=True) == 800
+    assert retry_ms(4000, leads=False) == 4000
+
+
+def test_store_that_was_lost_is_found_again(followed: _Followed):
+    followed.store.status = DOWN
+    followed.start()
+    wait_until(lambda: len(followed.store.calls) > 2)
+    assert not followed.follower.has_heard(within_ms=60_000)
+    followed.store.status = 0
+    wait_until(lambda: followed.replica.revision)
--- a/tests/test_heartbeat_schedule.py
+++ b/tests/test_heartbeat_schedule.py
@@ -13,7 +13,7 @@
 def count(peers: int, *, watching: bool = False, news: bool = True) -> int:
     """Count the heartbeats of ten seconds in which loads always change."""
     schedule = HeartbeatSchedule()
-    schedule.set_peers(peers)
+    schedule.set_peers(near=peers, peers=peers)
     sent = 0
     for now_ms in range(0, 10_000, 100):
         due = schedule.due(
@@ -49,3 +49,15 @@
 def test_silence_is_longer_than_some_beats():
     for peers in (1, 30, 300, 1000):
         assert silence_ms(peers) >= 3 * interval_ms(peers)
+
+
+def test_peers_of_other_zones_do_not_slow_changes():
+    schedule = HeartbeatSchedule()
+    schedule.set_peers(near=8, peers=300)
+    schedule.note_sent(0, HeartbeatDue.whole)
+    due = schedule.due(100, has_news=True, watching=False, new_objects=False)
+    assert due is HeartbeatDue.changes
+    due = schedule.due(2900, has_news=True, watching=False, new_objects=False)
+    assert due is HeartbeatDue.changes
+    due = schedule.due(3000, has_news=True, watching=False, new_objects=False)
+    assert due is HeartbeatDue.whole
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -242,6 +242,7 @@
             replica=replica,
             clock=self._clock,
             holds_watch=lambda: self._peers.holds_watch,
+            leads=lambda: self._peers.leads,
         )
 
     def _accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
--- a/wingfall/gateway/follower.py
+++ b/wingfall/gateway/follower.py
@@ -21,7 +21,9 @@
 
 _GONE: Final = 410
 _MIN_RETRY_MS: Final = 100
+# A store that is lost is asked by a few gateways; the others wait for them.
 _MAX_RETRY_MS: Final = 800
+_MAX_RETRY_BEHIND_MS: Final = 4000
 _IDLE_MS: Final = 100
 
 
@@ -34,7 +36,9 @@
         '_clock',
         '_heard_ms',
         '_holds_watch',
+        '_leads',
         '_lost',
+        '_must_list',
         '_replica',
         '_revision',
         '_store',
@@ -47,6 +51,7 @@
         replica: ObjectReplica,
         clock: Clock,
         holds_watch: Callable[[], bool],
+        leads: Callable[[], bool],
     ) -> None:
         """Set up a follower.
 
@@ -54,15 +59,22 @@
         :param replica: the copy to keep.
         :param clock: the time.
         :param holds_watch: whether to watch, or to leave it to the peers.
+        :param leads: whether to be among the first to ask a lost store.
         """
         self._store = store
         self._replica = replica
         self._clock = clock
         self._holds_watch = holds_watch
+        self._leads = leads
         self._heard_ms = 0
         self._revision: int | None = None
+        # The store has forgotten the history up to the revision.
+        self._must_list = False
         self._lost = False
-        self._backoff = Backoff(min_ms=_MIN_RETRY_MS, max_ms=_MAX_RETRY_MS)
+        self._backoff = Backoff(
+            min_ms=_MIN_RETRY_MS,
+            max_ms=_MAX_RETRY_BEHIND_MS,
+        )
 
     @property
     def kind(self) -> str:
@@ -84,14 +96,29 @@
         :param stop: set when the process ends.
         """
         while not stop.is_set():
+            self._take_peers_revision()
             if self._revision is not None and not self._holds_watch():
                 gevent.sleep(_IDLE_MS / MS_PER_S)
             elif self._step():
                 self._backoff.reset()
-                continue
-            delay_ms = self._backoff.take_ms()
-            jitter = random.uniform(0.5, 1)  # noqa: S311, WPS432
-            gevent.sleep(delay_ms * jitter / MS_PER_S)
+            else:
+                self._rest()
+
+    def _take_peers_revision(self) -> None:
+        # What a peer gave is complete, so that no list is needed.
+        if self._revision is None and not self._must_list:
+            self._revision = self._replica.revision or None
+
+    def _rest(self) -> None:
+        jitter = random.uniform(0.5, 1)  # noqa: S311, WPS432
+        failed_ms = self._clock.now_ms()
+        backoff_ms = self._backoff.take_ms()
+        # The gateways that lead may end meanwhile.
+        while True:
+            rest_ms = retry_ms(backoff_ms, leads=self._leads()) * jitter
+            if self._clock.now_ms() - failed_ms >= rest_ms:
+                return
+            gevent.sleep(_IDLE_MS / MS_PER_S)
 
     def _step(self) -> bool:
         revision = self._revision
@@ -106,6 +133,7 @@
             self._note_lost(str(read.failure()))
             if read.failure().status == _GONE:
                 self._revision = None
+                self._must_list = True
             return False
         reading = read.unwrap()
         if revision is None:
@@ -113,6 +141,7 @@
         else:
             self._replica.apply_changes(reading)
         self._revision = max(reading.revision, revision or 0)
+        self._must_list = False
         self._heard_ms = self._clock.now_ms()
         self._note_regained()
         return True
@@ -137,3 +166,13 @@
                 kind=self._replica.kind,
                 revision=self._revision,
             )
+
+
+def retry_ms(backoff_ms: int, *, leads: bool) -> int:
+    """Tell when a lost store is asked again.
+
+    :param backoff_ms: delay that has doubled with each failure.
+    :param leads: whether this gateway is among the first to ask.
+    :returns: milliseconds after the last failure.
+    """
+    return min(backoff_ms, _MAX_RETRY_MS) if leads else backoff_ms
--- a/wingfall/gateway/heartbeat_schedule.py
+++ b/wingfall/gateway/heartbeat_schedule.py
@@ -16,6 +16,8 @@
 _WHOLE_MS: Final = 1000
 _MIN_SILENCE_MS: Final = 3000
 _SILENT_BEATS: Final = 4
+# A heartbeat may come this much later than it is due.
+_LATE: Final = 1.3
 
 
 class HeartbeatDue(enum.StrEnum):
@@ -44,24 +46,36 @@
     return max(_MIN_SILENCE_MS, interval_ms(peers) * _SILENT_BEATS)
 
 
+def heard_within_ms(peers: int) -> int:
+    """Give the time in which a peer that is well is heard.
+
+    :param peers: how many peers it tells.
+    :returns: milliseconds.
+    """
+    return int(max(_WHOLE_MS, interval_ms(peers)) * _LATE)
+
+
 @final
 class HeartbeatSchedule:
     """Decides when the next heartbeat is due."""
 
-    __slots__ = ('_interval_ms', '_sent_ms', '_whole_ms')
+    __slots__ = ('_interval_ms', '_sent_ms', '_whole_every_ms', '_whole_ms')
 
     def __init__(self) -> None:
         """Start with nothing sent."""
         self._interval_ms = TICK_MS
+        self._whole_every_ms = _WHOLE_MS
         self._sent_ms: float = float('-inf')
         self._whole_ms: float = float('-inf')
 
-    def set_peers(self, peers: int) -> None:
+    def set_peers(self, *, near: int, peers: int) -> None:
         """Fit the time between heartbeats to the number of peers.
 
-        :param peers: how many peers hear them.
+        :param near: how many peers hear of each change.
+        :param peers: how many hear heartbeats at all.
         """
-        self._interval_ms = interval_ms(peers)
+        self._interval_ms = interval_ms(near)
+        self._whole_every_ms = max(_WHOLE_MS, interval_ms(peers))
 
     def due(
         self,
@@ -79,7 +93,7 @@
         :param new_objects: whether it has heard of a change.
         :returns: what is due.
         """
-        whole_ms = max(_WHOLE_MS, 0 if watching else self._interval_ms)
+        whole_ms = _WHOLE_MS if watching else self._whole_every_ms
         if now_ms - self._whole_ms >= whole_ms:
             return HeartbeatDue.whole
         rested = now_ms - self._sent_ms >= self._interval_ms
--- a/wingfall/gateway/load.py
+++ b/wingfall/gateway/load.py
@@ -176,6 +176,21 @@
                 summed.add(load)
         return summed
 
+    def sum_with(self, peers: Iterable[str]) -> dict[str, EndpointLoad]:
+        """Sum up the own work and that of some peers.
+
+        :param peers: their names.
+        :returns: the work by endpoint.
+        """
+        summed: dict[str, EndpointLoad] = {}
+        for known in (
+            self._own,
+            *(self._peers.get(peer, {}) for peer in peers),
+        ):
+            for name, load in known.items():
+                summed.setdefault(name, EndpointLoad()).add(load)
+        return summed
+
     def start(self, endpoint: str, load: EndpointLoad) -> LoadEntry:
         """Count a request that is sent.
 
--- /dev/null
+++ b/wingfall/gateway/load_exchange.py
@@ -0,0 +1,287 @@
+"""What gateways tell each other of the work that they have sent.
+
+Gateways of one availability zone tell each other directly. For other zones
+one gateway of each, its relay, sums up the work of its zone and sends it to
+the relays there, which pass it on: bytes between zones grow with the number
+of zones, not with that of gateways.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Any, Final, final
+
+from wingfall.gateway.heartbeat_schedule import heard_within_ms, interval_ms
+from wingfall.gateway.load import EndpointLoad
+from wingfall.gateway.parts_transfer import read_parts
+from wingfall.wire.gateway_messages import ZoneLoads
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from wingfall.gateway.peer_session import PeerSession
+    from wingfall.gateway.state import GatewayState, SentPrompt
+
+_ZONE_SILENCE_MS: Final = 3000
+_MILLI: Final = 1000
+
+
+def rank(name: str) -> bytes:
+    """Order gateways the same way everywhere.
+
+    :param name: name of a gateway.
+    :returns: what it is sorted by.
+    """
+    return hashlib.sha256(name.encode()).digest()
+
+
+def find_relay(
+    sessions: Iterable[PeerSession],
+    heard_since_ms: int,
+) -> PeerSession | None:
+    """Find the relay among the gateways of a zone.
+
+    :param sessions: sessions with gateways of that zone.
+    :param heard_since_ms: since when a gateway must have been heard.
+    :returns: the first by rank that is heard and stays, None without one.
+    """
+    heard = [
+        session
+        for session in sessions
+        if not session.leaving and session.heard_ms >= heard_since_ms
+    ]
+    return min(heard, key=lambda each: rank(each.name), default=None)
+
+
+@final
+class LoadExchange:
+    """Keeps the work that other gateways have sent, and tells of the own."""
+
+    __slots__ = (
+        '_name',
+        '_news',
+        '_relayed_ms',
+        '_state',
+        '_told',
+        '_zones_heard_ms',
+    )
+
+    def __init__(self, *, name: str, state: GatewayState) -> None:
+        """Start without work.
+
+        :param name: name of this gateway.
+        :param state: where work is counted.
+        """
+        self._name = name
+        self._state = state
+        # Prompts sent in this zone that other zones have not heard of.
+        self._news: list[list[Any]] = []
+        # Work that other zones were told of, None if they know of none.
+        self._told: dict[str, tuple[int, ...]] | None = None
+        self._relayed_ms: float = float('-inf')
+        self._zones_heard_ms: dict[str, int] = {}
+
+    def near(self, sessions: Iterable[PeerSession]) -> list[PeerSession]:
+        """List the peers of the own availability zone.
+
+        :param sessions: the connected peers.
+        :returns: those that are told directly.
+        """
+        return [each for each in sessions if each.zone == self._state.zone]
+
+    def own_loads(self) -> list[list[Any]]:
+        """Write all work that this gateway has sent.
+
+        :returns: the entries of a heartbeat.
+        """
+        return _write_loads(self._state.load.own)
+
+    def take_loads(self, *, whole: bool) -> list[list[Any]]:
+        """Write the work that peers have not heard of.
+
+        :param whole: whether to write all there is.
+        :returns: the entries of a heartbeat.
+        """
+        changed = self._state.load.take_changed()
+        return self.own_loads() if whole else _write_loads(changed)
+
+    def take_sent(self) -> list[list[Any]]:
+        """Write the prompts that peers have not heard of.
+
+        :returns: the entries of a heartbeat.
+        """
+        sent = [_write_sent(each) for each in self._state.caches.take_news()]
+        self._news.extend(sent)
+        return sent
+
+    def hear(
+        self,
+        session: PeerSession,
+        loads: list[list[Any]],
+        sent: list[list[Any]],
+        *,
+        whole: bool,
+    ) -> None:
+        """Take what a peer of the own zone tells of its work.
+
+        :param session: the peer.
+        :param loads: its work by endpoint.
+        :param sent: prompts that it has sent.
+        :param whole: whether it has no work at other endpoints.
+        """
+        self._state.load.hear(session.name, _read_loads(loads), whole=whole)
+        self._hear_sent(sent)
+        if session.zone == self._state.zone:
+            self._news.extend(sent)
+
+    def hear_zone(
+        self,
+        session: PeerSession,
+        told: ZoneLoads,
+        sessions: Iterable[PeerSession],
+    ) -> None:
+        """Take what a relay tells of its zone, and pass it on in this one.
+
+        :param session: the relay, or the gateway that passed it on.
+        :param told: the work of a zone.
+        :param sessions: the connected peers.
+        """
+        if told.zone == self._state.zone:
+            return
+        self._zones_heard_ms[told.zone] = self._state.clock.now_ms()
+        source = _source(told.zone)
+        self._state.load.hear(
+            source,
+            _read_loads(told.loads),
+            whole=told.whole,
+        )
+        self._hear_sent(told.sent)
+        if session.zone == told.zone:
+            for near in self.near(sessions):
+                near.connection.send(told)
+
+    def relay(
+        self,
+        sessions: Collection[PeerSession],
+        *,
+        whole: bool,
+    ) -> None:
+        """Tell other zones of this one's work, if that is this gateway's part.
+
+        :param sessions: the connected peers.
+        :param whole: whether to tell of all work, not only of changes.
+        """
+        now_ms = self._state.clock.now_ms()
+        self._forget_silent_zones(now_ms)
+        near = self.near(sessions)
+        heard_since_ms = now_ms - heard_within_ms(len(sessions))
+        first = find_relay(near, heard_since_ms)
+        if first is not None and rank(first.name) < rank(self._name):
+            self._told = None
+            self._news.clear()
+            return
+        rested = now_ms - self._relayed_ms >= interval_ms(len(near))
+        if not (rested or whole):
+            return
+        self._relayed_ms = now_ms
+        told = self._take_zone(near, whole=whole)
+        if told is not None:
+            self._send_to_relays(told, sessions, heard_since_ms)
+
+    def _send_to_relays(
+        self,
+        told: ZoneLoads,
+        sessions: Collection[PeerSession],
+        heard_since_ms: int,
+    ) -> None:
+        zones = {each.zone for each in sessions} - {self._state.zone}
+        for zone in zones:
+            there = [each for each in sessions if each.zone == zone]
+            relay = find_relay(there, heard_since_ms)
+            if relay is not None:
+                relay.connection.send(told)
+
+    def _take_zone(
+        self,
+        near: Iterable[PeerSession],
+        *,
+        whole: bool,
+    ) -> ZoneLoads | None:
+        summed = self._state.load.sum_with(each.name for each in near)
+        work = {name: _write_work(load) for name, load in summed.items()}
+        whole = whole or self._told is None
+        loads = work if whole else _changes(self._told or {}, work)
+        self._told = work
+        sent = self._news
+        self._news = []
+        if not (whole or loads or sent):
+            return None
+        return ZoneLoads(
+            zone=self._state.zone,
+            loads=[[name, *each] for name, each in loads.items()],
+            sent=sent,
+            whole=whole,
+        )
+
+    def _hear_sent(self, sent: Iterable[list[Any]]) -> None:
+        for endpoint, unread, *parts in sent:
+            self._state.load.note_read(endpoint, unread)
+            # The peer sees the first event, but doesn't tell: an estimate.
+            ready_ms = self._state.ready_ms(endpoint) if unread else 0
+            self._state.caches.find(endpoint).note(read_parts(parts), ready_ms)
+
+    def _forget_silent_zones(self, now_ms: int) -> None:
+        for zone, heard_ms in list(self._zones_heard_ms.items()):
+            if now_ms - heard_ms > _ZONE_SILENCE_MS:
+                self._zones_heard_ms.pop(zone)
+                self._state.load.forget(_source(zone))
+
+
+def _changes(
+    known: dict[str, tuple[int, ...]],
+    work: dict[str, tuple[int, ...]],
+) -> dict[str, tuple[int, ...]]:
+    ended = dict.fromkeys(known.keys() - work.keys(), _IDLE)
+    return {
+        name: each
+        for name, each in {**work, **ended}.items()
+        if known.get(name) != each
+    }
+
+
+def _source(zone: str) -> str:
+    # No gateway has a name like this one.
+    return f'zone/{zone}'
+
+
+def _write_work(load: EndpointLoad) -> tuple[int, ...]:
+    return (
+        load.running,
+        load.reading_tokens,
+        load.memory_used,
+        int(load.tight * _MILLI),
+    )
+
+
+_IDLE: Final = _write_work(EndpointLoad())
+
+
+def _write_loads(loads: dict[str, EndpointLoad]) -> list[list[Any]]:
+    return [[name, *_write_work(load)] for name, load in loads.items()]
+
+
+def _write_sent(sent: SentPrompt) -> list[Any]:
+    parts = [[part.part_id, part.tokens] for part in sent.parts]
+    return [sent.endpoint, sent.unread, *parts]
+
+
+def _read_loads(raw: Iterable[list[Any]]) -> list[tuple[str, EndpointLoad]]:
+    return [_read_load(*entry) for entry in raw]
+
+
+def _read_load(name: str, *work: int) -> tuple[str, EndpointLoad]:
+    load = EndpointLoad(
+        **dict(zip(EndpointLoad.__slots__, work, strict=True)),
+    )
+    load.tight /= _MILLI
+    return name, load
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 import socket
 from typing import TYPE_CHECKING, Any, Callable, Final, final
@@ -16,13 +15,14 @@
     TICK_MS,
     HeartbeatDue,
     HeartbeatSchedule,
+    heard_within_ms,
     silence_ms,
 )
-from wingfall.gateway.load import EndpointLoad
+from wingfall.gateway.load_exchange import LoadExchange, rank
 from wingfall.gateway.object_exchange import ObjectExchange
-from wingfall.gateway.parts_transfer import read_parts
 from wingfall.gateway.peer_session import PeerSession
 from wingfall.log import log_event
+from wingfall.wire.codec import encode
 from wingfall.wire.connection import Connection
 from wingfall.wire.gateway_messages import (
     GatewayHeartbeat,
@@ -31,6 +31,7 @@
     ObjectsPage,
     PartsFetch,
     PartsPage,
+    ZoneLoads,
 )
 
 if TYPE_CHECKING:
@@ -38,19 +39,16 @@
 
     from wingfall.gateway.parts_transfer import PartsTransfer
     from wingfall.gateway.replica import ObjectReplica
-    from wingfall.gateway.state import GatewayState, SentPrompt
+    from wingfall.gateway.state import GatewayState
     from wingfall.supervisor import Supervisor
     from wingfall.wire.message import Message
 
 _SILENCE_MS: Final = 3000
 _WATCHERS: Final = 4
-# Heartbeats come each second at least.
-_WATCHER_SILENCE_MS: Final = 1300
 _CONNECT_S: Final = 1
 _DIAL_MS: Final = 300
 _DIALS: Final = 8
 _MISSED_DIALS: Final = 30
-_MILLI: Final = 1000
 
 
 @final
@@ -62,6 +60,7 @@
         '_addresses',
         '_exchange',
         '_handlers',
+        '_loads',
         '_name',
         '_seeds',
         '_server',
@@ -105,8 +104,10 @@
             zone=state.zone,
         )
         self._transfer = transfer
+        self._loads = LoadExchange(name=name, state=state)
         self._handlers: dict[type[Message], Callable[..., None]] = {
             GatewayHeartbeat: self._hear,
+            ZoneLoads: self._hear_zone,
             ObjectsFetch: self._exchange.answer,
             ObjectsPage: self._exchange.take,
             PartsFetch: transfer.answer,
@@ -140,17 +141,16 @@
         Some gateways watch, the same for all who hear each other; one that
         isn't heard for a moment is replaced by the next.
         """
-        oldest_ms = self._state.clock.now_ms() - _WATCHER_SILENCE_MS
-        own_rank = _rank(self._name)
-        before = [
-            session
-            for session in self._sessions.values()
-            if session.watching
-            and not session.leaving
-            and session.heard_ms >= oldest_ms
-            and _rank(session.name) < own_rank
-        ]
-        return len(before) < _WATCHERS
+        # Who watches is heard each second, however many gateways there are.
+        before = self._before(heard_within_ms(1))
+        watching = [each for each in before if each.watching]
+        return len(watching) < _WATCHERS
+
+    @property
+    def leads(self) -> bool:
+        """Whether this gateway shall be among the first to ask a lost store."""
+        within_ms = heard_within_ms(len(self._sessions))
+        return len(self._before(within_ms)) < _WATCHERS
 
     def start(self) -> None:
         """Accept and connect from now on."""
@@ -179,6 +179,18 @@
         for session in list(self._sessions.values()):
             session.connection.close()
 
+    def _before(self, within_ms: int) -> list[PeerSession]:
+        # Peers that are heard and stand before this gateway, by their names.
+        oldest_ms = self._state.clock.now_ms() - within_ms
+        own_rank = rank(self._name)
+        return [
+            session
+            for session in self._sessions.values()
+            if not session.leaving
+            and session.heard_ms >= oldest_ms
+            and rank(session.name) < own_rank
+        ]
+
     def _dial_forever(self) -> None:
         while not self._supervisor.stopped:
             connected = {each.address for each in self._sessions.values()}
@@ -234,10 +246,11 @@
         self.learn([message.address, *message.known])
         self._share_budget()
         log_event('peers', 'A peer is connected.', peer=session.name)
+        near = self._loads.near([session])
         heartbeat = self._make_heartbeat(
-            self._state.load.own,
+            self._loads.own_loads() if near else [],
             [],
-            leaving=self._state.draining,
+            self._state.draining,
             whole=True,
         )
         connection.send(heartbeat)
@@ -269,25 +282,26 @@
         session.watching = heartbeat.watching
         session.informed = heartbeat.informed
         session.heard_ms = self._state.clock.now_ms()
-        self._state.load.hear(
-            session.name,
-            map(_read_load, heartbeat.loads),
+        self._loads.hear(
+            session,
+            heartbeat.loads,
+            heartbeat.sent,
             whole=heartbeat.whole,
         )
-        for endpoint, unread, *parts in heartbeat.sent:
-            self._state.load.note_read(endpoint, unread)
-            # The peer sees the first event, but doesn't tell: an estimate.
-            ready_ms = self._state.ready_ms(endpoint) if unread else 0
-            self._state.caches.find(endpoint).note(read_parts(parts), ready_ms)
         for kind, revision in heartbeat.revisions.items():
             self._exchange.compare(session, kind, revision)
 
+    def _hear_zone(self, session: PeerSession, told: ZoneLoads) -> None:
+        self._loads.hear_zone(session, told, self._sessions.values())
+
     def _send_heartbeats(self) -> None:
         schedule = HeartbeatSchedule()
         while not self._supervisor.stopped:
             now_ms = self._state.clock.now_ms()
-            self._transfer.step(self._sessions.values())
-            schedule.set_peers(len(self._sessions))
+            sessions = list(self._sessions.values())
+            self._transfer.step(sessions)
+            near = len(self._loads.near(sessions))
+            schedule.set_peers(near=near, peers=len(sessions))
             due = schedule.due(
                 now_ms,
                 has_news=self._state.load.has_changed,
@@ -300,34 +314,39 @@
                     leaving=self._state.draining,
                     whole=due is HeartbeatDue.whole,
                 )
+            self._loads.relay(sessions, whole=due is HeartbeatDue.whole)
             gevent.sleep(TICK_MS / MS_PER_S)
 
     def _has_new_objects(self) -> bool:
         return self._told_revisions != self._exchange.revisions
 
     def _tell(self, *, leaving: bool, whole: bool) -> None:
-        changed = self._state.load.take_changed()
-        self._told_revisions = self._exchange.revisions
+        sessions = list(self._sessions.values())
+        near = self._loads.near(sessions)
+        if whole or leaving or self._has_new_objects():
+            zone = self._state.zone
+            far = [each for each in sessions if each.zone != zone]
+            _send_to_all(far, self._make_heartbeat([], [], leaving, whole=True))
         heartbeat = self._make_heartbeat(
-            self._state.load.own if whole else changed,
-            [_write_sent(sent) for sent in self._state.caches.take_news()],
-            leaving=leaving,
+            self._loads.take_loads(whole=whole),
+            self._loads.take_sent(),
+            leaving,
             whole=whole,
         )
-        for session in list(self._sessions.values()):
-            session.connection.send(heartbeat)
+        _send_to_all(near, heartbeat)
+        self._told_revisions = self._exchange.revisions
 
     def _make_heartbeat(
         self,
-        loads: dict[str, EndpointLoad],
+        loads: list[list[Any]],
         sent: list[list[Any]],
-        *,
         leaving: bool,
+        *,
         whole: bool,
     ) -> GatewayHeartbeat:
         return GatewayHeartbeat(
             revisions=self._exchange.revisions,
-            loads=[_write_load(name, load) for name, load in loads.items()],
+            loads=loads,
             sent=sent,
             leaving=leaving,
             whole=whole,
@@ -344,29 +363,7 @@
         )
 
 
-def _rank(name: str) -> bytes:
-    return hashlib.sha256(name.encode()).digest()
-
-
-def _write_load(name: str, load: EndpointLoad) -> list[Any]:
-    return [
-        name,
-        load.running,
-        load.reading_tokens,
-        load.memory_used,
-        int(load.tight * _MILLI),
-    ]
-
-
-def _write_sent(sent: SentPrompt) -> list[Any]:
-    parts = [[part.part_id, part.tokens] for part in sent.parts]
-    return [sent.endpoint, sent.unread, *parts]
-
-
-def _read_load(raw: list[Any]) -> tuple[str, EndpointLoad]:
-    name, *work = raw
-    load = EndpointLoad(
-        **dict(zip(EndpointLoad.__slots__, work, strict=True)),
-    )
-    load.tight /= _MILLI
-    return name, load
+def _send_to_all(sessions: Iterable[PeerSession], message: Message) -> None:
+    frame = encode(message)
+    for session in sessions:
+        session.connection.send_frame(frame)
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -47,7 +47,7 @@
         "The platform's store.",
         address=host_port('host:port of the store.'),
         timeout_ms=number(1500, 10, 60_000, 'Bound of a short call.'),
-        watch_ms=number(2500, 10, 30_000, 'Wait of one watch.'),
+        watch_ms=number(5000, 10, 30_000, 'Wait of one watch.'),
     ),
     resend=section(
         'How often requests may be sent a second time.',
--- a/wingfall/wire/connection.py
+++ b/wingfall/wire/connection.py
@@ -106,9 +106,16 @@
 
         :param message: the message.
         """
+        if not self._closed:
+            self.send_frame(encode(message))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Queue an encoded message, which may go to many at once.
+
+        :param frame: what :func:`wingfall.wire.codec.encode` made.
+        """
         if self._closed:
             return
-        frame = encode(message)
         self._queued.append(frame)
         self._queued_bytes += len(frame)
         if self._queued_bytes > _MAX_QUEUED_BYTES:
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -155,3 +155,31 @@
             id and tokens, the one used last at the end.
         """
         self.parts = parts
+
+
+@final
+@message(54, str, list, list, bool)
+class ZoneLoads(Message):
+    """The work of all gateways of an availability zone."""
+
+    __slots__ = ('zone', 'loads', 'sent', 'whole')  # noqa: WPS607
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        loads: list[list[Any]],
+        sent: list[list[Any]],
+        whole: bool,
+    ) -> None:
+        """Tell the work.
+
+        :param zone: the availability zone.
+        :param loads: its work by endpoint, as in a heartbeat.
+        :param sent: prompts that it has sent, as in a heartbeat.
+        :param whole: whether the zone has no work at other endpoints.
+        """
+        self.zone = zone
+        self.loads = loads
+        self.sent = sent
+        self.whole = whole
