No module of the package imports itself, not even for its types

Cause: agent/admission.py named the session's type and agent/session.py the admission's, the one circle left. Change: admission states what it needs of a session as a protocol.

--- a/wingfall/agent/admission.py
+++ b/wingfall/agent/admission.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, final
+from typing import TYPE_CHECKING, Protocol, final
 
 from wingfall.log import part_logger
 from wingfall.wire.offer_messages import Grant, Refused
@@ -11,16 +11,22 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from wingfall.agent.session import Session
     from wingfall.clock import Clock
     from wingfall.decision.estimate import RunEstimates
     from wingfall.decision.gate import Gate, Verdict
     from wingfall.decision.ticket import Ticket
     from wingfall.metrics import Metrics
+    from wingfall.wire.connection import Connection
 
 logger = part_logger('agent.admission')
 
 
+class OpenSession(Protocol):
+    """A router's session, as far as verdicts are sent there."""
+
+    connection: Connection
+
+
 @final
 class Admission:
     """The one place that changes the gate."""
@@ -32,7 +38,7 @@
         *,
         clock: Clock,
         gate: Gate,
-        sessions: Mapping[str, Session],
+        sessions: Mapping[str, OpenSession],
         metrics: Metrics,
     ) -> None:
         """Set up admission.
