Failures are told to all gateways; readings of the store rest; three watchers

Change: heartbeats and relays carry how requests ended, for endpoints that have failed; a peer's word counts half of the own. After a reading with changes a watch rests 150 ms, so that what follows is read with one call. The soak spreads its gateways over two zones.

--- a/tests/test_endpoint_health.py
+++ b/tests/test_endpoint_health.py
@@ -5,7 +5,7 @@
 import math
 
 from wingfall.clock import ManualClock
-from wingfall.decision.endpoint_health import EndpointHealth
+from wingfall.decision.endpoint_health import EndpointHealth, Outcomes
 
 
 def test_unreachable_endpoint_is_out_for_a_time_that_doubles(
@@ -46,3 +46,42 @@
     health.note_unreachable('one')
     health.forget(set())
     assert not health.is_out('one')
+
+
+def test_success_long_after_does_not_revive_failures(clock: ManualClock):
+    health = EndpointHealth(clock=clock)
+    for _failure in range(5):
+        health.note_failure('one')
+    clock.advance(60_000)
+    health.note_success('one')
+    assert not round(health.failing('one') * 100)
+
+
+def test_peers_tell_of_failures(clock: ManualClock):
+    told, hearing = (EndpointHealth(clock=clock) for _router in range(2))
+    told.note_success('one')
+    for _failure in range(6):
+        told.note_failure('one')
+    told.note_success('one')
+    news = told.take_news()
+    assert (news['one'].failed, news['one'].served) == (6, 1)
+    assert not told.take_news()
+    hearing.hear('one', news['one'])
+    assert told.failing('one') > hearing.failing('one')
+    assert round(hearing.failing('one') * 10) == 4
+
+
+def test_what_peers_are_served_ends_failures(clock: ManualClock):
+    health = EndpointHealth(clock=clock)
+    health.hear('one', Outcomes(failed=10))
+    failing = health.failing('one')
+    health.hear('one', Outcomes(served=10))
+    assert health.failing('one') < failing / 2
+    health.hear('two', Outcomes(served=10))
+    assert not health.failing('two')
+
+
+def test_what_is_heard_is_not_told_again(clock: ManualClock):
+    health = EndpointHealth(clock=clock)
+    health.hear('one', Outcomes(failed=3))
+    assert not health.take_news()
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, final
 
 import gevent
@@ -10,10 +11,10 @@
 from returns.result import Failure, Result, Success
 
 from tests.local_site import wait_until
-from wingfall.clock import WallClock
+from wingfall.clock import MS_PER_S, WallClock
 from wingfall.errors import PlatformError
 from wingfall.gateway.binding import StoredObject, StoreReading
-from wingfall.gateway.follower import StoreFollower, retry_ms
+from wingfall.gateway.follower import REST_MS, StoreFollower, retry_ms
 from wingfall.gateway.replica import ROUTES_KIND, ObjectReplica
 
 if TYPE_CHECKING:
@@ -135,3 +136,13 @@
     assert not followed.follower.has_heard(within_ms=60_000)
     followed.store.status = 0
     wait_until(lambda: followed.replica.revision)
+
+
+def test_changes_in_quick_succession_are_read_together(followed: _Followed):
+    followed.start()
+    wait_until(lambda: len(followed.store.calls) >= 3)
+    # The stand-in has a change at each watch: without a rest, hundreds.
+    before, started_s = len(followed.store.calls), time.monotonic()
+    gevent.sleep(0.5)
+    rests = (time.monotonic() - started_s) * MS_PER_S / REST_MS
+    assert len(followed.store.calls) - before <= rests + 2
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -22,6 +22,8 @@
     from collections.abc import Iterator
 
 STEADY_KEY: Final = 'key-that-stays'
+# Gateways are spread over them, so that some speak by relays.
+ZONES: Final = ('a', 'b')
 POOLS: Final = ('plain', 'engines')
 EVENTS: Final = 6
 _SLOTS: Final = 8
@@ -148,7 +150,7 @@
         spec = {
             'service': server.pool,
             'address': server.link.address,
-            'zone': 'a',
+            'zone': ZONES[self.servers.index(server) % len(ZONES)],
             'version': 'v1',
             'slots': _SLOTS,
             'state': state,
@@ -205,7 +207,7 @@
         port = next(self._ports)
         settings = {
             'name': name,
-            'zone': 'a',
+            'zone': ZONES[number % len(ZONES)],
             'callers': f'{HOST}:{port}',
             'readiness': f'{HOST}:{next(self._ports)}',
             'admin': {'host': HOST, 'port': next(self._ports)},
--- a/wingfall/decision/endpoint_health.py
+++ b/wingfall/decision/endpoint_health.py
@@ -8,6 +8,8 @@
     from wingfall.clock import Clock
 
 _WEIGHT: Final = 0.2
+# What a peer tells counts less: its own line may be at fault.
+_PEER_WEIGHT: Final = 0.1
 _MIN_EJECT_MS: Final = 500
 _MAX_EJECT_MS: Final = 4000
 _UNREACHABLE_IN_A_ROW: Final = 1
@@ -28,16 +30,41 @@
         self.until_ms = 0
 
 
+@final
+class Outcomes:
+    """How some requests to an endpoint ended."""
+
+    __slots__ = ('failed', 'served')
+
+    def __init__(self, *, failed: int = 0, served: int = 0) -> None:
+        """Count requests.
+
+        :param failed: requests without an answer of use.
+        :param served: requests with one.
+        """
+        self.failed = failed
+        self.served = served
+
+    def add(self, other: Outcomes) -> None:
+        """Add further requests.
+
+        :param other: how they ended.
+        """
+        self.failed += other.failed
+        self.served += other.served
+
+
 @final
 class EndpointHealth:
     """Failures of each endpoint, fading with time.
 
     An endpoint that can't be reached is left out for a time that doubles;
     then requests try it again. One that fails part of its requests gets a
-    share of failures that placement weighs.
+    share of failures that placement weighs; routers tell each other of them,
+    so that each needn't meet the failures by itself.
     """
 
-    __slots__ = ('_clock', '_records')
+    __slots__ = ('_clock', '_news', '_records')
 
     def __init__(self, *, clock: Clock) -> None:
         """Start without a fault.
@@ -46,6 +73,8 @@
         """
         self._clock = clock
         self._records: dict[str, _Record] = {}
+        # Outcomes that peers have not heard of.
+        self._news: dict[str, Outcomes] = {}
 
     def note_success(self, name: str) -> None:
         """Count an answer.
@@ -54,7 +83,8 @@
         """
         record = self._records.get(name)
         if record is not None:
-            self._mix(record, 0)
+            self._mix(record, 0, _WEIGHT)
+            self._tell(name, Outcomes(served=1))
             record.eject_ms = _MIN_EJECT_MS
             record.until_ms = 0
 
@@ -63,7 +93,8 @@
 
         :param name: the endpoint.
         """
-        self._mix(self._records.setdefault(name, _Record()), 1)
+        self._mix(self._records.setdefault(name, _Record()), 1, _WEIGHT)
+        self._tell(name, Outcomes(failed=1))
 
     def note_unreachable(self, name: str) -> None:
         """Leave an endpoint out that took no connection.
@@ -71,10 +102,32 @@
         :param name: the endpoint.
         """
         record = self._records.setdefault(name, _Record())
-        self._mix(record, 1)
+        self._mix(record, 1, _WEIGHT)
         record.until_ms = self._clock.now_ms() + record.eject_ms
         record.eject_ms = min(_MAX_EJECT_MS, record.eject_ms * 2)
 
+    def take_news(self) -> dict[str, Outcomes]:
+        """Take what the peers have not heard of.
+
+        :returns: outcomes since the last call, by endpoint.
+        """
+        news = self._news
+        self._news = {}
+        return news
+
+    def hear(self, name: str, outcomes: Outcomes) -> None:
+        """Take what a peer tells.
+
+        :param name: the endpoint.
+        :param outcomes: how the peer's requests ended there.
+        """
+        count = outcomes.failed + outcomes.served
+        if name not in self._records and not outcomes.failed:
+            return
+        record = self._records.setdefault(name, _Record())
+        share = outcomes.failed / max(1, count)
+        self._mix(record, share, 1 - (1 - _PEER_WEIGHT) ** count)
+
     def is_out(self, name: str) -> bool:
         """Tell whether an endpoint is left out for now.
 
@@ -92,10 +145,7 @@
             without a request.
         """
         record = self._records.get(name)
-        if record is None:
-            return 0
-        age_ms = self._clock.now_ms() - record.changed_ms
-        return record.failing * 2 ** (-age_ms / _FADE_MS)
+        return 0 if record is None else self._faded(record)
 
     def forget(self, names: set[str]) -> None:
         """Keep only the endpoints that are listed.
@@ -104,7 +154,17 @@
         """
         for name in self._records.keys() - names:
             self._records.pop(name)
+        for name in self._news.keys() - names:
+            self._news.pop(name)
+
+    def _tell(self, name: str, outcomes: Outcomes) -> None:
+        self._news.setdefault(name, Outcomes()).add(outcomes)
+
+    def _faded(self, record: _Record) -> float:
+        age_ms = self._clock.now_ms() - record.changed_ms
+        return record.failing * 2 ** (-age_ms / _FADE_MS)
 
-    def _mix(self, record: _Record, failed: int) -> None:
-        record.failing += (failed - record.failing) * _WEIGHT
+    def _mix(self, record: _Record, share: float, weight: float) -> None:
+        known = self._faded(record)
+        record.failing = known + (share - known) * weight
         record.changed_ms = self._clock.now_ms()
--- a/wingfall/gateway/follower.py
+++ b/wingfall/gateway/follower.py
@@ -25,6 +25,8 @@
 _MAX_RETRY_MS: Final = 800
 _MAX_RETRY_BEHIND_MS: Final = 4000
 _IDLE_MS: Final = 100
+# Changes that follow a change within this time are read with one call.
+REST_MS: Final = 150
 
 
 @final
@@ -144,6 +146,8 @@
         self._must_list = False
         self._heard_ms = self._clock.now_ms()
         self._note_regained()
+        if reading.objects:
+            gevent.sleep(REST_MS / MS_PER_S)
         return True
 
     def _note_lost(self, reason: str) -> None:
--- a/wingfall/gateway/load_exchange.py
+++ b/wingfall/gateway/load_exchange.py
@@ -1,5 +1,7 @@
 """What gateways tell each other of the work that they have sent.
 
+That is what runs where, which prompts were sent, and how requests ended.
+
 Gateways of one availability zone tell each other directly. For other zones
 one gateway of each, its relay, sums up the work of its zone and sends it to
 the relays there, which pass it on: bytes between zones grow with the number
@@ -11,6 +13,7 @@
 import hashlib
 from typing import TYPE_CHECKING, Any, Final, final
 
+from wingfall.decision.endpoint_health import Outcomes
 from wingfall.gateway.heartbeat_schedule import heard_within_ms, interval_ms
 from wingfall.gateway.load import EndpointLoad
 from wingfall.gateway.parts_transfer import read_parts
@@ -53,6 +56,40 @@
     return min(heard, key=lambda each: rank(each.name), default=None)
 
 
+@final
+class News:
+    """What has happened since it was last told, as it is on the wire."""
+
+    __slots__ = ('outcomes', 'sent')
+
+    def __init__(
+        self,
+        *,
+        sent: list[list[Any]] | None = None,
+        outcomes: list[list[Any]] | None = None,
+    ) -> None:
+        """Keep news.
+
+        :param sent: prompts that were sent, as in a heartbeat.
+        :param outcomes: how requests ended, as in a heartbeat.
+        """
+        self.sent = sent or []
+        self.outcomes = outcomes or []
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing has happened."""
+        return not (self.sent or self.outcomes)
+
+    def add(self, other: News) -> None:
+        """Add further news.
+
+        :param other: the news.
+        """
+        self.sent.extend(other.sent)
+        self.outcomes.extend(other.outcomes)
+
+
 @final
 class LoadExchange:
     """Keeps the work that other gateways have sent, and tells of the own."""
@@ -74,8 +111,8 @@
         """
         self._name = name
         self._state = state
-        # Prompts sent in this zone that other zones have not heard of.
-        self._news: list[list[Any]] = []
+        # What other zones have not heard of.
+        self._news = News()
         # Work that other zones were told of, None if they know of none.
         self._told: dict[str, tuple[int, ...]] | None = None
         self._relayed_ms: float = float('-inf')
@@ -105,20 +142,28 @@
         changed = self._state.load.take_changed()
         return self.own_loads() if whole else _write_loads(changed)
 
-    def take_sent(self) -> list[list[Any]]:
-        """Write the prompts that peers have not heard of.
+    def take_news(self) -> News:
+        """Write what has happened and peers have not heard of.
 
         :returns: the entries of a heartbeat.
         """
-        sent = [_write_sent(each) for each in self._state.caches.take_news()]
-        self._news.extend(sent)
-        return sent
+        sent = self._state.caches.take_news()
+        outcomes = self._state.health.take_news()
+        news = News(
+            sent=[_write_sent(each) for each in sent],
+            outcomes=[
+                [name, each.failed, each.served]
+                for name, each in outcomes.items()
+            ],
+        )
+        self._news.add(news)
+        return news
 
     def hear(
         self,
         session: PeerSession,
         loads: list[list[Any]],
-        sent: list[list[Any]],
+        news: News,
         *,
         whole: bool,
     ) -> None:
@@ -126,13 +171,13 @@
 
         :param session: the peer.
         :param loads: its work by endpoint.
-        :param sent: prompts that it has sent.
+        :param news: what has happened there.
         :param whole: whether it has no work at other endpoints.
         """
         self._state.load.hear(session.name, _read_loads(loads), whole=whole)
-        self._hear_sent(sent)
+        self._hear_news(news)
         if session.zone == self._state.zone:
-            self._news.extend(sent)
+            self._news.add(news)
 
     def hear_zone(
         self,
@@ -155,7 +200,7 @@
             _read_loads(told.loads),
             whole=told.whole,
         )
-        self._hear_sent(told.sent)
+        self._hear_news(News(sent=told.sent, outcomes=told.outcomes))
         if session.zone == told.zone:
             for near in self.near(sessions):
                 near.connection.send(told)
@@ -178,7 +223,7 @@
         first = find_relay(near, heard_since_ms)
         if first is not None and rank(first.name) < rank(self._name):
             self._told = None
-            self._news.clear()
+            self._news = News()
             return
         rested = now_ms - self._relayed_ms >= interval_ms(len(near))
         if not (rested or whole):
@@ -212,19 +257,23 @@
         whole = whole or self._told is None
         loads = work if whole else _changes(self._told or {}, work)
         self._told = work
-        sent = self._news
-        self._news = []
-        if not (whole or loads or sent):
+        news = self._news
+        self._news = News()
+        if not (whole or loads) and news.empty:
             return None
         return ZoneLoads(
             zone=self._state.zone,
             loads=[[name, *each] for name, each in loads.items()],
-            sent=sent,
+            sent=news.sent,
             whole=whole,
+            outcomes=news.outcomes,
         )
 
-    def _hear_sent(self, sent: Iterable[list[Any]]) -> None:
-        for endpoint, unread, *parts in sent:
+    def _hear_news(self, news: News) -> None:
+        for name, failed, served in news.outcomes:
+            outcomes = Outcomes(failed=failed, served=served)
+            self._state.health.hear(name, outcomes)
+        for endpoint, unread, *parts in news.sent:
             self._state.load.note_read(endpoint, unread)
             # The peer sees the first event, but doesn't tell: an estimate.
             ready_ms = self._state.ready_ms(endpoint) if unread else 0
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -18,7 +18,7 @@
     heard_within_ms,
     silence_ms,
 )
-from wingfall.gateway.load_exchange import LoadExchange, rank
+from wingfall.gateway.load_exchange import LoadExchange, News, rank
 from wingfall.gateway.object_exchange import ObjectExchange
 from wingfall.gateway.peer_session import PeerSession
 from wingfall.log import log_event
@@ -44,7 +44,7 @@
     from wingfall.wire.message import Message
 
 _SILENCE_MS: Final = 3000
-_WATCHERS: Final = 4
+_WATCHERS: Final = 3
 _CONNECT_S: Final = 1
 _DIAL_MS: Final = 300
 _DIALS: Final = 8
@@ -249,7 +249,7 @@
         near = self._loads.near([session])
         heartbeat = self._make_heartbeat(
             self._loads.own_loads() if near else [],
-            [],
+            News(),
             self._state.draining,
             whole=True,
         )
@@ -285,7 +285,7 @@
         self._loads.hear(
             session,
             heartbeat.loads,
-            heartbeat.sent,
+            News(sent=heartbeat.sent, outcomes=heartbeat.outcomes),
             whole=heartbeat.whole,
         )
         for kind, revision in heartbeat.revisions.items():
@@ -326,10 +326,12 @@
         if whole or leaving or self._has_new_objects():
             zone = self._state.zone
             far = [each for each in sessions if each.zone != zone]
-            _send_to_all(far, self._make_heartbeat([], [], leaving, whole=True))
+            _send_to_all(
+                far, self._make_heartbeat([], News(), leaving, whole=True)
+            )
         heartbeat = self._make_heartbeat(
             self._loads.take_loads(whole=whole),
-            self._loads.take_sent(),
+            self._loads.take_news(),
             leaving,
             whole=whole,
         )
@@ -339,7 +341,7 @@
     def _make_heartbeat(
         self,
         loads: list[list[Any]],
-        sent: list[list[Any]],
+        news: News,
         leaving: bool,
         *,
         whole: bool,
@@ -347,7 +349,8 @@
         return GatewayHeartbeat(
             revisions=self._exchange.revisions,
             loads=loads,
-            sent=sent,
+            sent=news.sent,
+            outcomes=news.outcomes,
             leaving=leaving,
             whole=whole,
             watching=self._watches(),
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -36,7 +36,7 @@
 
 
 @final
-@message(49, dict, list, list, bool, bool, bool, bool)
+@message(49, dict, list, list, bool, bool, bool, bool, list)
 class GatewayHeartbeat(Message):
     """What a gateway tells its peers some times a second."""
 
@@ -48,6 +48,7 @@
         'whole',
         'watching',
         'informed',
+        'outcomes',
     )
 
     def __init__(
@@ -60,6 +61,7 @@
         whole: bool,
         watching: bool,
         informed: bool = False,
+        outcomes: list[list[Any]] | None = None,
     ) -> None:
         """Tell the state.
 
@@ -74,6 +76,8 @@
             those that changed since the last heartbeat.
         :param watching: whether the sender hears the store's changes.
         :param informed: whether the sender knows what engines keep.
+        :param outcomes: how requests ended since the last heartbeat: name of
+            the endpoint, how many failed, how many were served.
         """
         self.revisions = revisions
         self.loads = loads
@@ -82,6 +86,7 @@
         self.whole = whole
         self.watching = watching
         self.informed = informed
+        self.outcomes = outcomes or []
 
 
 @final
@@ -158,11 +163,11 @@
 
 
 @final
-@message(54, str, list, list, bool)
+@message(54, str, list, list, bool, list)
 class ZoneLoads(Message):
     """The work of all gateways of an availability zone."""
 
-    __slots__ = ('zone', 'loads', 'sent', 'whole')  # noqa: WPS607
+    __slots__ = ('zone', 'loads', 'sent', 'whole', 'outcomes')  # noqa: WPS607
 
     def __init__(
         self,
@@ -171,6 +176,7 @@
         loads: list[list[Any]],
         sent: list[list[Any]],
         whole: bool,
+        outcomes: list[list[Any]] | None = None,
     ) -> None:
         """Tell the work.
 
@@ -178,8 +184,10 @@
         :param loads: its work by endpoint, as in a heartbeat.
         :param sent: prompts that it has sent, as in a heartbeat.
         :param whole: whether the zone has no work at other endpoints.
+        :param outcomes: how its requests ended, as in a heartbeat.
         """
         self.zone = zone
         self.loads = loads
         self.sent = sent
         self.whole = whole
+        self.outcomes = outcomes or []
