An index from prompt parts to engines; the list of usable endpoints is kept

Ruled out: the cost of weighing candidates, which are 48 at most there. Change: PartIndex names the engines that keep a part; the list of usable endpoints is made again only when an entry changes; those to avoid are looked for among the candidates only, among all if none is left. The index agrees with the models over random steps (hypothesis).

--- a/tests/test_prefix_cache.py
+++ b/tests/test_prefix_cache.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from wingfall.decision.prefix_cache import PrefixCache
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wingfall.decision.prefix_cache import PartIndex, PrefixCache
 from wingfall.gateway.call import PromptPart
 
 
@@ -60,3 +63,36 @@
     cache.note(parts('a'), ready_ms=500)
     cache.note(parts('b'))
     assert cache.being_read(parts('a'), now_ms=0).tokens == 0
+
+
+NAMES = st.lists(st.sampled_from('abcdefgh'), max_size=4)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(['note', 'unread', 'clear']), NAMES),
+    max_size=30,
+)
+
+
+@given(steps=STEPS)
+def test_index_names_the_engines_that_keep_a_part(
+    steps: list[tuple[str, list[str]]],
+):
+    index = PartIndex()
+    caches = {
+        engine: PrefixCache(engine=engine, index=index, capacity=350)
+        for engine in ('one', 'two')
+    }
+    for number, (step, names) in enumerate(steps):
+        cache = caches['one' if number % 2 else 'two']
+        if step == 'note':
+            cache.note(parts(*names), ready_ms=number % 3)
+        elif step == 'unread':
+            cache.note_unread(parts(*names))
+        else:
+            cache.clear()
+    for part in parts(*'abcdefgh'):
+        keeping = {
+            engine
+            for engine, cache in caches.items()
+            if cache.cached_tokens([part])
+        }
+        assert index.engines(part.part_id) == keeping
--- a/tools/slopes/gateway.py
+++ b/tools/slopes/gateway.py
@@ -2,20 +2,27 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import Final
 
 from tools.slopes.figures import memory, note, time_us
 from wingfall.clock import ManualClock
+from wingfall.decision.endpoint_health import EndpointHealth
 from wingfall.decision.placement import Candidate, Demand, place_by_reading
 from wingfall.decision.prefix_cache import PrefixCache
 from wingfall.gateway.binding import StoredObject, StoreReading
-from wingfall.gateway.call import PromptPart
+from wingfall.gateway.call import Prompt, PromptPart
+from wingfall.gateway.chooser import choose_endpoint
 from wingfall.gateway.endpoints import EndpointTable, PoolEndpoint
+from wingfall.gateway.load import LoadTable
 from wingfall.gateway.replica import ObjectReplica
+from wingfall.gateway.state import PrefixCaches
 from wingfall.wire.codec import FrameDecoder, encode
 from wingfall.wire.gateway_messages import GatewayHeartbeat
 
 _ENDPOINTS: Final = (10, 100, 1000)
+_POOLS: Final = (1000, 12_000)
+_KEEPERS: Final = 5
 _PARTS: Final = 1000
 _BUSY: Final = (1, 10, 100)
 
@@ -47,6 +54,18 @@
             max(1, 2000 // count),
         )
         note(f'placement among {count} endpoints', cost, 'us')
+    for count in (64, *_POOLS):
+        state, call = _busy_state(count)
+        cost = time_us(
+            lambda state=state, call=call: choose_endpoint(
+                state,
+                call,
+                'p',
+                set(),
+            ),
+            100,
+        )
+        note(f'choice in a pool of {count} endpoints', cost, 'us')
     size, _made = memory(lambda: _table(1000))
     note('endpoint at a gateway', size / 1000, 'bytes of memory')
     size, _made = memory(_cache)
@@ -100,6 +119,38 @@
     return table, replica
 
 
+def _busy_state(count: int) -> tuple[SimpleNamespace, SimpleNamespace]:
+    # As much of a gateway and a call as a choice looks at.
+    clock = ManualClock()
+    table, _replica = _table(count)
+    state = SimpleNamespace(
+        endpoints=table,
+        health=EndpointHealth(clock=clock),
+        caches=PrefixCaches(),
+        load=LoadTable(clock=clock),
+        routes=None,
+        zone='a',
+        placement=place_by_reading,
+    )
+    prompt = Prompt(
+        parts=(
+            PromptPart(part_id='a', tokens=13_000),
+            PromptPart(part_id='own', tokens=4000),
+        ),
+        output_tokens=100,
+    )
+    for number in range(count):
+        cache = state.caches.find(f'i-{number:010}')
+        kept = 'a' if number < _KEEPERS else f'b{number}'
+        cache.note([PromptPart(part_id=kept, tokens=13_000)])
+    call = SimpleNamespace(
+        head=SimpleNamespace(prompt=prompt),
+        body=b'',
+        route=SimpleNamespace(target=SimpleNamespace(token_gap_ms=500)),
+    )
+    return state, call
+
+
 def _cache() -> PrefixCache:
     cache = PrefixCache(capacity=_PARTS * 100)
     cache.note(
--- a/wingfall/decision/prefix_cache.py
+++ b/wingfall/decision/prefix_cache.py
@@ -20,17 +20,72 @@
 DEFAULT_CAPACITY_TOKENS: Final = 400_000
 
 
+@final
+class PartIndex:
+    """Which engines are likely to keep a part, without asking each."""
+
+    __slots__ = ('_engines',)
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._engines: dict[str, set[str]] = {}
+
+    def engines(self, part_id: str) -> set[str]:
+        """Name the engines that keep a part.
+
+        :param part_id: id of the part.
+        :returns: names of the engines.
+        """
+        return self._engines.get(part_id, set())
+
+    def add(self, part_id: str, engine: str) -> None:
+        """Note that an engine keeps a part.
+
+        :param part_id: id of the part.
+        :param engine: name of the engine.
+        """
+        self._engines.setdefault(part_id, set()).add(engine)
+
+    def discard(self, part_id: str, engine: str) -> None:
+        """Note that an engine keeps a part no longer.
+
+        :param part_id: id of the part.
+        :param engine: name of the engine.
+        """
+        engines = self._engines.get(part_id, set())
+        engines.discard(engine)
+        if not engines:
+            self._engines.pop(part_id, None)
+
+
 @final
 class PrefixCache:
     """A model of one engine's memory of prompt parts."""
 
-    __slots__ = ('_capacity', '_parts', '_ready_ms', '_tokens')
+    __slots__ = (
+        '_capacity',
+        '_engine',
+        '_index',
+        '_parts',
+        '_ready_ms',
+        '_tokens',
+    )
 
-    def __init__(self, *, capacity: int = DEFAULT_CAPACITY_TOKENS) -> None:
+    def __init__(
+        self,
+        *,
+        engine: str = '',
+        index: PartIndex | None = None,
+        capacity: int = DEFAULT_CAPACITY_TOKENS,
+    ) -> None:
         """Start empty.
 
+        :param engine: name of the engine.
+        :param index: where it is noted what the engine keeps.
         :param capacity: tokens that the engine can keep.
         """
+        self._engine = engine
+        self._index = index or PartIndex()
         self._capacity = capacity
         self._tokens = 0
         self._parts: collections.OrderedDict[str, int] = (
@@ -90,7 +145,7 @@
         """
         for part in parts:
             if self._ready_ms.pop(part.part_id, None) is not None:
-                self._tokens -= self._parts.pop(part.part_id, 0)
+                self._drop(part.part_id)
 
     def note(self, parts: Iterable[PromptPart], ready_ms: int = 0) -> None:
         """Remember that the engine reads a prompt.
@@ -103,10 +158,17 @@
                 self._ready_ms[part.part_id] = ready_ms
             self._tokens += part.tokens - self._parts.pop(part.part_id, 0)
             self._parts[part.part_id] = part.tokens
+            self._index.add(part.part_id, self._engine)
         while self._tokens > self._capacity:
-            part_id, tokens = self._parts.popitem(last=False)
-            self._ready_ms.pop(part_id, None)
-            self._tokens -= tokens
+            oldest = next(iter(self._parts))
+            self._ready_ms.pop(oldest, None)
+            self._drop(oldest)
+
+    def clear(self) -> None:
+        """Forget all parts, as when the engine is gone."""
+        for part_id in list(self._parts):
+            self._drop(part_id)
+        self._ready_ms.clear()
 
     def recent(self, most: int) -> list[tuple[str, int]]:
         """List the parts used last, to tell a peer.
@@ -115,3 +177,7 @@
         :returns: ids and tokens, the latest last.
         """
         return list(self._parts.items())[-most:]
+
+    def _drop(self, part_id: str) -> None:
+        self._tokens -= self._parts.pop(part_id, 0)
+        self._index.discard(part_id, self._engine)
--- a/wingfall/gateway/chooser.py
+++ b/wingfall/gateway/chooser.py
@@ -61,12 +61,13 @@
     :returns: the choice, None if the pool has no endpoint left.
     """
     usable = state.endpoints.usable(pool)
-    fresh = [each for each in usable if each.name not in avoided]
-    known = [each for each in fresh if not state.health.is_out(each.name)]
-    listed = {each.name: each for each in known or fresh}
-    if not listed:
+    narrowed = _narrow(state, call, usable)
+    considered = _acceptable(state, narrowed, avoided)
+    if not considered and len(narrowed) < len(usable):
+        considered = _acceptable(state, usable, avoided)
+    if not considered:
         return None
-    considered = _narrow(state, call, list(listed.values()))
+    listed = {each.name: each for each in considered}
     candidates = [describe(state, call, each) for each in considered]
     keeper = _offer_copies(state, call, pool, candidates)
     demand = _demand(call)
@@ -95,6 +96,16 @@
     return keeper
 
 
+def _acceptable(
+    state: GatewayState,
+    endpoints: list[PoolEndpoint],
+    avoided: set[str],
+) -> list[PoolEndpoint]:
+    fresh = [each for each in endpoints if each.name not in avoided]
+    known = [each for each in fresh if not state.health.is_out(each.name)]
+    return known or fresh
+
+
 def _narrow(
     state: GatewayState,
     call: Call,
@@ -105,14 +116,18 @@
         return endpoints
     drawn = random.sample(endpoints, _DRAWN)
     prompt = call.head.prompt
-    if prompt is None or not prompt.shared:
+    if prompt is None:
         return drawn
     keeping = [
-        each
-        for each in endpoints
-        if state.caches.find(each.name).cached_tokens(prompt.shared)
+        endpoint
+        for endpoint in map(state.endpoints.find, state.caches.keepers(prompt))
+        if endpoint is not None
+        and endpoint.pool == endpoints[0].pool
+        and not endpoint.draining
     ]
-    return [*keeping[:_DRAWN], *drawn]
+    if len(keeping) > _DRAWN:
+        keeping = random.sample(keeping, _DRAWN)
+    return list({each.name: each for each in (*keeping, *drawn)}.values())
 
 
 def describe(
--- a/wingfall/gateway/endpoints.py
+++ b/wingfall/gateway/endpoints.py
@@ -67,7 +67,7 @@
 class EndpointTable:
     """All endpoints by name, with those that went a moment ago."""
 
-    __slots__ = ('_by_name', '_by_pool', '_clock', '_lapsed')
+    __slots__ = ('_by_name', '_by_pool', '_clock', '_lapsed', '_ready')
 
     def __init__(self, *, clock: Clock) -> None:
         """Start empty.
@@ -78,6 +78,8 @@
         self._by_name: dict[str, PoolEndpoint] = {}
         self._by_pool: dict[str, dict[str, PoolEndpoint]] = {}
         self._lapsed: dict[str, tuple[PoolEndpoint, int]] = {}
+        # Those that take new work, by pool, until something changes.
+        self._ready: dict[str, list[PoolEndpoint]] = {}
 
     @property
     def names(self) -> set[str]:
@@ -99,6 +101,7 @@
         """
         known = self._by_name.get(endpoint.name)
         self._lapsed.pop(endpoint.name, None)
+        self._ready.clear()
         self._by_name[endpoint.name] = endpoint
         self._by_pool.setdefault(endpoint.pool, {})[endpoint.name] = endpoint
         if known is None or known.draining != endpoint.draining:
@@ -119,6 +122,7 @@
         endpoint = self._by_name.pop(name, None)
         if endpoint is None:
             return
+        self._ready.clear()
         self._by_pool.get(endpoint.pool, {}).pop(name, None)
         if not endpoint.draining:
             until_ms = self._clock.now_ms() + _LAPSE_MS
@@ -138,11 +142,20 @@
         :returns: those listed and not draining; where at least as many
             entries went a moment ago, those as well.
         """
-        listed = self._by_pool.get(pool, {}).values()
-        ready = [endpoint for endpoint in listed if not endpoint.draining]
+        ready = self._list_ready(pool)
+        if not self._lapsed:
+            return ready
         lapsed = self._recently_listed(pool)
         return ready + lapsed if len(lapsed) >= len(ready) else ready
 
+    def _list_ready(self, pool: str) -> list[PoolEndpoint]:
+        ready = self._ready.get(pool)
+        if ready is None:
+            listed = self._by_pool.get(pool, {}).values()
+            ready = [each for each in listed if not each.draining]
+            self._ready[pool] = ready
+        return ready
+
     def _recently_listed(self, pool: str) -> list[PoolEndpoint]:
         now_ms = self._clock.now_ms()
         self._lapsed = {
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final, final
 
 from wingfall.decision.early_refusal import ReadRate
-from wingfall.decision.prefix_cache import PrefixCache
+from wingfall.decision.prefix_cache import PartIndex, PrefixCache
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
@@ -16,7 +16,7 @@
     from wingfall.decision.resend_budget import ResendBudget
     from wingfall.decision.shared_read import SharedRead
     from wingfall.gateway.binding import Binding
-    from wingfall.gateway.call import Call, PromptPart
+    from wingfall.gateway.call import Call, Prompt, PromptPart
     from wingfall.gateway.endpoint_connection import KeptConnections
     from wingfall.gateway.endpoints import EndpointTable
     from wingfall.gateway.load import LoadTable
@@ -55,11 +55,12 @@
 class PrefixCaches:
     """The models of all engines' memories."""
 
-    __slots__ = ('_by_endpoint', 'news')
+    __slots__ = ('_by_endpoint', '_index', 'news')
 
     def __init__(self) -> None:
         """Start empty."""
         self._by_endpoint: dict[str, PrefixCache] = {}
+        self._index = PartIndex()
         # Sendings that the peers have not heard of yet.
         self.news: list[SentPrompt] = []
 
@@ -69,7 +70,21 @@
         :param endpoint: its name.
         :returns: the model.
         """
-        return self._by_endpoint.setdefault(endpoint, PrefixCache())
+        known = self._by_endpoint.get(endpoint)
+        if known is None:
+            known = PrefixCache(engine=endpoint, index=self._index)
+            self._by_endpoint[endpoint] = known
+        return known
+
+    def keepers(self, prompt: Prompt) -> set[str]:
+        """Name the engines that keep the beginning of a prompt.
+
+        :param prompt: the prompt.
+        :returns: names of the engines.
+        """
+        if not prompt.shared:
+            return set()
+        return self._index.engines(prompt.shared[0].part_id)
 
     def set_capacity(self, endpoint: str, capacity: int) -> None:
         """Start the model of an engine whose memory is known.
@@ -78,7 +93,11 @@
         :param capacity: tokens that it can hold.
         """
         if endpoint not in self._by_endpoint and capacity:
-            self._by_endpoint[endpoint] = PrefixCache(capacity=capacity)
+            self._by_endpoint[endpoint] = PrefixCache(
+                engine=endpoint,
+                index=self._index,
+                capacity=capacity,
+            )
 
     def note_sent(self, sent: SentPrompt, ready_ms: int) -> None:
         """Note a prompt that this gateway sent.
@@ -132,7 +151,7 @@
         :param names: their names.
         """
         for name in self._by_endpoint.keys() - names:
-            self._by_endpoint.pop(name)
+            self._by_endpoint.pop(name).clear()
 
     def models(self) -> list[tuple[str, PrefixCache]]:
         """List all models.
