Logs tell who speaks for a zone, and of a zone that has fallen silent

Cause: both change what a gateway believes of the load elsewhere, and were not told. Change: one line each, when it changes.

--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -228,6 +228,26 @@
     assert min(round(each * 10) for each in failing) >= 6
 
 
+def test_change_of_the_relay_is_told(
+    site: _Site,
+    monkeypatch: pytest.MonkeyPatch,
+):
+    told: list[tuple[str, str]] = []
+    monkeypatch.setattr(
+        'wingfall.gateway.load_exchange.log_event',
+        lambda part, sentence, **fields: told.append(
+            (sentence, fields.get('relay') or fields['zone']),
+        ),
+    )
+    site.tick()
+    site.kill(site.relay('a'))
+    site.tick(whole=True)
+    site.tick(whole=True)
+    assert told == [
+        ('The relay of this zone has changed.', site.relay('a').name),
+    ]
+
+
 def test_gateway_that_leaves_is_no_relay(site: _Site):
     first = site.relay('a')
     for each in site.gateways:
--- a/wingfall/gateway/load_exchange.py
+++ b/wingfall/gateway/load_exchange.py
@@ -17,6 +17,7 @@
 from wingfall.gateway.heartbeat_schedule import heard_within_ms, interval_ms
 from wingfall.gateway.load import EndpointLoad
 from wingfall.gateway.parts_transfer import read_parts
+from wingfall.log import log_event
 from wingfall.wire.gateway_messages import ZoneLoads
 
 if TYPE_CHECKING:
@@ -98,6 +99,7 @@
         '_name',
         '_news',
         '_relayed_ms',
+        '_relays',
         '_state',
         '_told',
         '_zones_heard_ms',
@@ -115,6 +117,8 @@
         self._news = News()
         # Work that other zones were told of, None if they know of none.
         self._told: dict[str, tuple[int, ...]] | None = None
+        # Whether this gateway speaks for its zone, None until it has peers.
+        self._relays: bool | None = None
         self._relayed_ms: float = float('-inf')
         self._zones_heard_ms: dict[str, int] = {}
 
@@ -221,7 +225,8 @@
         near = self.near(sessions)
         heard_since_ms = now_ms - heard_within_ms(len(sessions))
         first = find_relay(near, heard_since_ms)
-        if first is not None and rank(first.name) < rank(self._name):
+        self._note_relay(first)
+        if not self._relays:
             self._told = None
             self._news = News()
             return
@@ -233,6 +238,17 @@
         if told is not None:
             self._send_to_relays(told, sessions, heard_since_ms)
 
+    def _note_relay(self, first: PeerSession | None) -> None:
+        relays = first is None or rank(self._name) < rank(first.name)
+        if relays is not self._relays:
+            self._relays = relays
+            log_event(
+                'peers',
+                'The relay of this zone has changed.',
+                zone=self._state.zone,
+                relay=self._name if relays or first is None else first.name,
+            )
+
     def _send_to_relays(
         self,
         told: ZoneLoads,
@@ -284,6 +300,12 @@
             if now_ms - heard_ms > _ZONE_SILENCE_MS:
                 self._zones_heard_ms.pop(zone)
                 self._state.load.forget(_source(zone))
+                log_event(
+                    'peers',
+                    'A zone has fallen silent; its work is forgotten.',
+                    zone=zone,
+                    silent_ms=now_ms - heard_ms,
+                )
 
 
 def _changes(
