A relay that does not hear other zones is replaced

Cause: by rank alone, a gateway that is cut off from other zones but not from its own stayed its zone's relay, and the others knew nothing of that zone's work. Ruled out: that silence alone ends it (its own zone hears it). Change: heartbeats tell how many other zones the sender hears; of those that hear the most, the first by rank is the relay. The test failed before.

--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -105,6 +105,13 @@
             each.sessions.pop(gateway.name, None)
             each.load.forget(gateway.name)
 
+    def cut_off(self, gateway: _Gateway) -> None:
+        """Cut a gateway off from all other zones."""
+        for each in self.gateways:
+            if each.zone != gateway.zone:
+                each.sessions.pop(gateway.name, None)
+                gateway.sessions.pop(each.name, None)
+
     def relay(self, zone: str) -> _Gateway:
         """Find the relay of a zone."""
         sessions = {
@@ -126,6 +133,7 @@
             (other,) = [each for each in self.gateways if each.name == name]
             session = other.sessions[one.name]
             session.heard_ms = self.clock.now_ms()
+            session.reach = one.exchange.reach(one.sessions.values())
             if other.zone == one.zone:
                 other.exchange.hear(session, loads, news, whole=whole)
 
@@ -193,6 +201,17 @@
     assert known(site) == {11}
 
 
+def test_relay_that_other_zones_do_not_reach_is_replaced(site: _Site):
+    for gateway in site.gateways:
+        send(gateway)
+    cut_off = site.relay('a')
+    site.cut_off(cut_off)
+    for _second in range(3):
+        site.tick(whole=True)
+    assert site.relay('a') is not cut_off
+    assert known(site) == {12}
+
+
 def test_zone_that_is_silent_is_forgotten(site: _Site):
     for gateway in site.gateways:
         send(gateway)
--- a/wingfall/gateway/load_exchange.py
+++ b/wingfall/gateway/load_exchange.py
@@ -47,14 +47,24 @@
 
     :param sessions: sessions with gateways of that zone.
     :param heard_since_ms: since when a gateway must have been heard.
-    :returns: the first by rank that is heard and stays, None without one.
+    :returns: of those that are heard and stay, and that hear the most other
+        zones, the first by rank; None without one.
     """
     heard = [
         session
         for session in sessions
         if not session.leaving and session.heard_ms >= heard_since_ms
     ]
-    return min(heard, key=lambda each: rank(each.name), default=None)
+    return min(
+        heard,
+        key=lambda each: _relay_rank(each.name, each.reach),
+        default=None,
+    )
+
+
+def _relay_rank(name: str, reach: int) -> tuple[int, bytes]:
+    # One that is cut off from other zones can't speak for its own.
+    return (-reach, rank(name))
 
 
 @final
@@ -130,6 +140,17 @@
         """
         return [each for each in sessions if each.zone == self._state.zone]
 
+    def reach(self, sessions: Collection[PeerSession]) -> int:
+        """Count the other zones that this gateway hears.
+
+        :param sessions: the connected peers.
+        :returns: how many.
+        """
+        within_ms = heard_within_ms(len(sessions))
+        oldest_ms = self._state.clock.now_ms() - within_ms
+        heard = {each.zone for each in sessions if each.heard_ms >= oldest_ms}
+        return len(heard - {self._state.zone})
+
     def own_loads(self) -> list[list[Any]]:
         """Write all work that this gateway has sent.
 
@@ -224,8 +245,10 @@
         self._forget_silent_zones(now_ms)
         near = self.near(sessions)
         heard_since_ms = now_ms - heard_within_ms(len(sessions))
-        first = find_relay(near, heard_since_ms)
-        self._note_relay(first)
+        self._note_relay(
+            find_relay(near, heard_since_ms),
+            self.reach(sessions),
+        )
         if not self._relays:
             self._told = None
             self._news = News()
@@ -238,8 +261,9 @@
         if told is not None:
             self._send_to_relays(told, sessions, heard_since_ms)
 
-    def _note_relay(self, first: PeerSession | None) -> None:
-        relays = first is None or rank(self._name) < rank(first.name)
+    def _note_relay(self, first: PeerSession | None, reach: int) -> None:
+        own = _relay_rank(self._name, reach)
+        relays = first is None or own < _relay_rank(first.name, first.reach)
         if relays is not self._relays:
             self._relays = relays
             log_event(
--- a/wingfall/gateway/peer_session.py
+++ b/wingfall/gateway/peer_session.py
@@ -21,6 +21,7 @@
         'informed',
         'leaving',
         'name',
+        'reach',
         'watching',
         'zone',
     )
@@ -40,5 +41,7 @@
         # Whether the peer knows what engines keep.
         self.informed = False
         self.heard_ms = 0
+        # How many other zones the peer hears.
+        self.reach = 0
         # Since when this gateway has been behind the peer, by kind.
         self.behind_since_ms: dict[str, int] = {}
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -281,6 +281,7 @@
         session.leaving = heartbeat.leaving
         session.watching = heartbeat.watching
         session.informed = heartbeat.informed
+        session.reach = heartbeat.reach
         session.heard_ms = self._state.clock.now_ms()
         self._loads.hear(
             session,
@@ -355,6 +356,7 @@
             whole=whole,
             watching=self._watches(),
             informed=self._transfer.informed,
+            reach=self._loads.reach(self._sessions.values()),
         )
 
     def _hello(self) -> GatewayHello:
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -36,7 +36,7 @@
 
 
 @final
-@message(49, dict, list, list, bool, bool, bool, bool, list)
+@message(49, dict, list, list, bool, bool, bool, bool, list, int)
 class GatewayHeartbeat(Message):
     """What a gateway tells its peers some times a second."""
 
@@ -49,6 +49,7 @@
         'watching',
         'informed',
         'outcomes',
+        'reach',
     )
 
     def __init__(
@@ -62,6 +63,7 @@
         watching: bool,
         informed: bool = False,
         outcomes: list[list[Any]] | None = None,
+        reach: int = 0,
     ) -> None:
         """Tell the state.
 
@@ -78,6 +80,7 @@
         :param informed: whether the sender knows what engines keep.
         :param outcomes: how requests ended since the last heartbeat: name of
             the endpoint, how many failed, how many were served.
+        :param reach: how many other availability zones the sender hears.
         """
         self.revisions = revisions
         self.loads = loads
@@ -87,6 +90,7 @@
         self.watching = watching
         self.informed = informed
         self.outcomes = outcomes or []
+        self.reach = reach
 
 
 @final
