Hellos name 24 gateways; connections, heartbeats and relays in modules of their own

Change: a hello names 24 drawn ones; all are found after some hellos. The test failed before (60 named).

--- a/tests/test_gateway_config.py
+++ b/tests/test_gateway_config.py
@@ -12,7 +12,7 @@
 from tests.gateway_site import HOST, GatewaySite, route
 from tests.local_site import wait_until
 from wingfall.cmd.gateway import run_gateway
-
+from wingfall.wire.connection import Connection
 
 # Gateways that watch the store, of those that hear each other.
 WATCHERS = 3
@@ -256,3 +256,29 @@
     assert 'part="dispatch",reason="answered"} 1' in text
     assert 'part="refusal",reason="no_route"} 1' in text
     assert 'wingfall_answer_ms_count{class="safe"} 1' in text
+
+
+def test_hello_names_a_bounded_number_of_gateways(gateway_site: GatewaySite):
+    seeds = [f'{HOST}:{port}' for port in range(1, 61)]
+    gateway = gateway_site.start_gateway(
+        peers={'listen': f'{HOST}:0', 'seeds': seeds},
+    )
+    host, _colon, port = gateway.peer_address.rpartition(':')
+    with gevent.socket.create_connection((host, int(port))) as sock:
+        hello = next(Connection(sock=sock).receive())
+    assert len(hello.known) == 24
+    assert set(hello.known) <= set(seeds)
+
+
+def test_all_gateways_find_each_other_by_bounded_hellos(
+    gateway_site: GatewaySite,
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr('wingfall.gateway.peers._MOST_KNOWN', 2)
+    for _gateway in range(8):
+        gateway_site.start_gateway()
+    wait_until(
+        lambda: all(
+            len(each.status()['peers']) == 7 for each in gateway_site.gateways
+        ),
+    )
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -12,8 +12,9 @@
 from wingfall.gateway.call import PromptPart
 from wingfall.gateway.endpoints import EndpointTable
 from wingfall.gateway.load import EndpointLoad, LoadTable
-from wingfall.gateway.load_exchange import LoadExchange, find_relay
+from wingfall.gateway.load_exchange import LoadExchange
 from wingfall.gateway.peer_session import PeerSession
+from wingfall.gateway.relay_choice import find_relay
 from wingfall.gateway.state import PrefixCaches, SentPrompt
 from wingfall.wire.gateway_messages import GatewayHello, ZoneLoads
 
--- /dev/null
+++ b/wingfall/gateway/heartbeats.py
@@ -0,0 +1,203 @@
+"""What a gateway tells its peers some times a second, and hears of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Callable, final
+
+from wingfall.gateway.heartbeat_schedule import HeartbeatDue, HeartbeatSchedule
+from wingfall.gateway.load_entries import News
+from wingfall.gateway.load_exchange import LoadExchange
+from wingfall.wire.codec import encode
+from wingfall.wire.gateway_messages import (
+    GatewayHeartbeat,
+    ObjectsFetch,
+    ObjectsPage,
+    PartsFetch,
+    PartsPage,
+    ZoneLoads,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wingfall.gateway.object_exchange import ObjectExchange
+    from wingfall.gateway.parts_transfer import PartsTransfer
+    from wingfall.gateway.peer_session import PeerSession
+    from wingfall.gateway.state import GatewayState
+    from wingfall.wire.message import Message
+
+
+@final
+class Heartbeats:
+    """Sends heartbeats and takes all messages of the sessions."""
+
+    __slots__ = (
+        '_exchange',
+        '_handlers',
+        '_loads',
+        '_schedule',
+        '_sessions',
+        '_state',
+        '_told_revisions',
+        '_transfer',
+        '_watches',
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        state: GatewayState,
+        sessions: dict[str, PeerSession],
+        exchange: ObjectExchange,
+        transfer: PartsTransfer,
+        watches: Callable[[], bool],
+    ) -> None:
+        """Start with nothing told.
+
+        :param name: name of this gateway.
+        :param state: what it knows.
+        :param sessions: the connected peers by name, kept by their owner.
+        :param exchange: gives and takes objects.
+        :param transfer: gives and takes what engines keep.
+        :param watches: whether this gateway hears the store's changes.
+        """
+        self._state = state
+        self._sessions = sessions
+        self._exchange = exchange
+        self._transfer = transfer
+        self._watches = watches
+        self._loads = LoadExchange(name=name, state=state)
+        self._schedule = HeartbeatSchedule()
+        self._told_revisions: dict[str, int] = {}
+        self._handlers: dict[type[Message], Callable[..., None]] = {
+            GatewayHeartbeat: self._hear,
+            ZoneLoads: self._hear_zone,
+            ObjectsFetch: exchange.answer,
+            ObjectsPage: exchange.take,
+            PartsFetch: transfer.answer,
+            PartsPage: transfer.take,
+        }
+
+    def greet(self, session: PeerSession) -> None:
+        """Tell a new peer where this gateway stands.
+
+        :param session: the session with it.
+        """
+        near = self._loads.near([session])
+        heartbeat = self._make_heartbeat(
+            self._loads.own_loads() if near else [],
+            News(),
+            self._state.draining,
+            whole=True,
+        )
+        session.connection.send(heartbeat)
+
+    def forget(self, session: PeerSession) -> None:
+        """Forget what a peer that is gone has told.
+
+        :param session: the session that ended.
+        """
+        self._exchange.forget(session)
+        self._state.load.forget(session.name)
+
+    def receive(self, session: PeerSession, message: Message) -> None:
+        """Take a message.
+
+        :param session: where it came from.
+        :param message: the message; an unknown one is passed over.
+        """
+        take = self._handlers.get(type(message))
+        if take is not None:
+            take(session, message)
+
+    def step(self) -> None:
+        """Tell what is due; called at each tick of the schedule."""
+        now_ms = self._state.clock.now_ms()
+        sessions = list(self._sessions.values())
+        self._transfer.step(sessions)
+        near = len(self._loads.near(sessions))
+        self._schedule.set_peers(near=near, peers=len(sessions))
+        due = self._schedule.due(
+            now_ms,
+            has_news=self._state.load.has_changed,
+            watching=self._watches(),
+            new_objects=self._has_new_objects(),
+        )
+        if due is not HeartbeatDue.none:
+            self._schedule.note_sent(now_ms, due)
+            self.tell(
+                leaving=self._state.draining,
+                whole=due is HeartbeatDue.whole,
+            )
+        self._loads.relay(sessions, whole=due is HeartbeatDue.whole)
+
+    def tell(self, *, leaving: bool, whole: bool) -> None:
+        """Tell all peers: loads to the near ones, the rest to all.
+
+        :param leaving: whether this gateway is stopping.
+        :param whole: whether to tell of all work, not only of changes.
+        """
+        sessions = list(self._sessions.values())
+        near = self._loads.near(sessions)
+        if whole or leaving or self._has_new_objects():
+            zone = self._state.zone
+            far = [each for each in sessions if each.zone != zone]
+            _send_to_all(
+                far, self._make_heartbeat([], News(), leaving, whole=True)
+            )
+        heartbeat = self._make_heartbeat(
+            self._loads.take_loads(whole=whole),
+            self._loads.take_news(),
+            leaving,
+            whole=whole,
+        )
+        _send_to_all(near, heartbeat)
+        self._told_revisions = self._exchange.revisions
+
+    def _hear(self, session: PeerSession, heartbeat: GatewayHeartbeat) -> None:
+        session.leaving = heartbeat.leaving
+        session.watching = heartbeat.watching
+        session.informed = heartbeat.informed
+        session.reach = heartbeat.reach
+        session.heard_ms = self._state.clock.now_ms()
+        self._loads.hear(
+            session,
+            heartbeat.loads,
+            News(sent=heartbeat.sent, outcomes=heartbeat.outcomes),
+            whole=heartbeat.whole,
+        )
+        for kind, revision in heartbeat.revisions.items():
+            self._exchange.compare(session, kind, revision)
+
+    def _hear_zone(self, session: PeerSession, told: ZoneLoads) -> None:
+        self._loads.hear_zone(session, told, self._sessions.values())
+
+    def _has_new_objects(self) -> bool:
+        return self._told_revisions != self._exchange.revisions
+
+    def _make_heartbeat(
+        self,
+        loads: list[list[Any]],
+        news: News,
+        leaving: bool,
+        *,
+        whole: bool,
+    ) -> GatewayHeartbeat:
+        return GatewayHeartbeat(
+            revisions=self._exchange.revisions,
+            loads=loads,
+            sent=news.sent,
+            outcomes=news.outcomes,
+            leaving=leaving,
+            whole=whole,
+            watching=self._watches(),
+            informed=self._transfer.informed,
+            reach=self._loads.reach(self._sessions.values()),
+        )
+
+
+def _send_to_all(sessions: Iterable[PeerSession], message: Message) -> None:
+    frame = encode(message)
+    for session in sessions:
+        session.connection.send_frame(frame)
--- /dev/null
+++ b/wingfall/gateway/load_entries.py
@@ -0,0 +1,114 @@
+"""Work at endpoints as it stands in messages between gateways."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final, TypeAlias, final
+
+from wingfall.gateway.load import EndpointLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wingfall.decision.endpoint_health import Outcomes
+    from wingfall.gateway.state import SentPrompt
+
+_MILLI: Final = 1000
+
+Work: TypeAlias = tuple[int, ...]
+
+
+@final
+class News:
+    """What has happened since it was last told, as it is on the wire."""
+
+    __slots__ = ('outcomes', 'sent')
+
+    def __init__(
+        self,
+        *,
+        sent: list[list[Any]] | None = None,
+        outcomes: list[list[Any]] | None = None,
+    ) -> None:
+        """Keep news.
+
+        :param sent: prompts that were sent, as in a heartbeat.
+        :param outcomes: how requests ended, as in a heartbeat.
+        """
+        self.sent = sent or []
+        self.outcomes = outcomes or []
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing has happened."""
+        return not (self.sent or self.outcomes)
+
+    def add(self, other: News) -> None:
+        """Add further news.
+
+        :param other: the news.
+        """
+        self.sent.extend(other.sent)
+        self.outcomes.extend(other.outcomes)
+
+
+def write_work(load: EndpointLoad) -> Work:
+    """Write the work at an endpoint.
+
+    :param load: the work.
+    :returns: running, reading tokens, memory, thousandths of tight streams.
+    """
+    return (
+        load.running,
+        load.reading_tokens,
+        load.memory_used,
+        int(load.tight * _MILLI),
+    )
+
+
+IDLE: Final = write_work(EndpointLoad())
+
+
+def write_loads(loads: dict[str, EndpointLoad]) -> list[list[Any]]:
+    """Write work by endpoint.
+
+    :param loads: the work.
+    :returns: an entry for each endpoint, its name first.
+    """
+    return [[name, *write_work(load)] for name, load in loads.items()]
+
+
+def write_sent(sent: SentPrompt) -> list[Any]:
+    """Write a prompt that was sent.
+
+    :param sent: the prompt and where it went.
+    :returns: the endpoint, tokens to read there, then id and tokens of the
+        shared parts.
+    """
+    parts = [[part.part_id, part.tokens] for part in sent.parts]
+    return [sent.endpoint, sent.unread, *parts]
+
+
+def write_outcomes(outcomes: dict[str, Outcomes]) -> list[list[Any]]:
+    """Write how requests ended.
+
+    :param outcomes: counts by endpoint.
+    :returns: for each endpoint its name, how many failed, how many not.
+    """
+    return [[name, each.failed, each.served] for name, each in outcomes.items()]
+
+
+def read_loads(raw: Iterable[list[Any]]) -> list[tuple[str, EndpointLoad]]:
+    """Read work by endpoint.
+
+    :param raw: the entries of a message.
+    :returns: names of endpoints and their work.
+    """
+    return [_read_load(*entry) for entry in raw]
+
+
+def _read_load(name: str, *work: int) -> tuple[str, EndpointLoad]:
+    load = EndpointLoad(
+        **dict(zip(EndpointLoad.__slots__, work, strict=True)),
+    )
+    load.tight /= _MILLI
+    return name, load
--- a/wingfall/gateway/load_exchange.py
+++ b/wingfall/gateway/load_exchange.py
@@ -1,7 +1,6 @@
 """What gateways tell each other of the work that they have sent.
 
 That is what runs where, which prompts were sent, and how requests ended.
-
 Gateways of one availability zone tell each other directly. For other zones
 one gateway of each, its relay, sums up the work of its zone and sends it to
 the relays there, which pass it on: bytes between zones grow with the number
@@ -10,13 +9,22 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import TYPE_CHECKING, Any, Final, final
 
 from wingfall.decision.endpoint_health import Outcomes
 from wingfall.gateway.heartbeat_schedule import heard_within_ms, interval_ms
-from wingfall.gateway.load import EndpointLoad
+from wingfall.gateway.load_entries import (
+    IDLE,
+    News,
+    Work,
+    read_loads,
+    write_loads,
+    write_outcomes,
+    write_sent,
+    write_work,
+)
 from wingfall.gateway.parts_transfer import read_parts
+from wingfall.gateway.relay_choice import find_relay, relay_rank
 from wingfall.log import log_event
 from wingfall.wire.gateway_messages import ZoneLoads
 
@@ -24,81 +32,9 @@
     from collections.abc import Collection, Iterable
 
     from wingfall.gateway.peer_session import PeerSession
-    from wingfall.gateway.state import GatewayState, SentPrompt
+    from wingfall.gateway.state import GatewayState
 
 _ZONE_SILENCE_MS: Final = 3000
-_MILLI: Final = 1000
-
-
-def rank(name: str) -> bytes:
-    """Order gateways the same way everywhere.
-
-    :param name: name of a gateway.
-    :returns: what it is sorted by.
-    """
-    return hashlib.sha256(name.encode()).digest()
-
-
-def find_relay(
-    sessions: Iterable[PeerSession],
-    heard_since_ms: int,
-) -> PeerSession | None:
-    """Find the relay among the gateways of a zone.
-
-    :param sessions: sessions with gateways of that zone.
-    :param heard_since_ms: since when a gateway must have been heard.
-    :returns: of those that are heard and stay, and that hear the most other
-        zones, the first by rank; None without one.
-    """
-    heard = [
-        session
-        for session in sessions
-        if not session.leaving and session.heard_ms >= heard_since_ms
-    ]
-    return min(
-        heard,
-        key=lambda each: _relay_rank(each.name, each.reach),
-        default=None,
-    )
-
-
-def _relay_rank(name: str, reach: int) -> tuple[int, bytes]:
-    # One that is cut off from other zones can't speak for its own.
-    return (-reach, rank(name))
-
-
-@final
-class News:
-    """What has happened since it was last told, as it is on the wire."""
-
-    __slots__ = ('outcomes', 'sent')
-
-    def __init__(
-        self,
-        *,
-        sent: list[list[Any]] | None = None,
-        outcomes: list[list[Any]] | None = None,
-    ) -> None:
-        """Keep news.
-
-        :param sent: prompts that were sent, as in a heartbeat.
-        :param outcomes: how requests ended, as in a heartbeat.
-        """
-        self.sent = sent or []
-        self.outcomes = outcomes or []
-
-    @property
-    def empty(self) -> bool:
-        """Whether nothing has happened."""
-        return not (self.sent or self.outcomes)
-
-    def add(self, other: News) -> None:
-        """Add further news.
-
-        :param other: the news.
-        """
-        self.sent.extend(other.sent)
-        self.outcomes.extend(other.outcomes)
 
 
 @final
@@ -126,7 +62,7 @@
         # What other zones have not heard of.
         self._news = News()
         # Work that other zones were told of, None if they know of none.
-        self._told: dict[str, tuple[int, ...]] | None = None
+        self._told: dict[str, Work] | None = None
         # Whether this gateway speaks for its zone, None until it has peers.
         self._relays: bool | None = None
         self._relayed_ms: float = float('-inf')
@@ -156,7 +92,7 @@
 
         :returns: the entries of a heartbeat.
         """
-        return _write_loads(self._state.load.own)
+        return write_loads(self._state.load.own)
 
     def take_loads(self, *, whole: bool) -> list[list[Any]]:
         """Write the work that peers have not heard of.
@@ -165,7 +101,7 @@
         :returns: the entries of a heartbeat.
         """
         changed = self._state.load.take_changed()
-        return self.own_loads() if whole else _write_loads(changed)
+        return self.own_loads() if whole else write_loads(changed)
 
     def take_news(self) -> News:
         """Write what has happened and peers have not heard of.
@@ -175,11 +111,8 @@
         sent = self._state.caches.take_news()
         outcomes = self._state.health.take_news()
         news = News(
-            sent=[_write_sent(each) for each in sent],
-            outcomes=[
-                [name, each.failed, each.served]
-                for name, each in outcomes.items()
-            ],
+            sent=[write_sent(each) for each in sent],
+            outcomes=write_outcomes(outcomes),
         )
         self._news.add(news)
         return news
@@ -199,7 +132,7 @@
         :param news: what has happened there.
         :param whole: whether it has no work at other endpoints.
         """
-        self._state.load.hear(session.name, _read_loads(loads), whole=whole)
+        self._state.load.hear(session.name, read_loads(loads), whole=whole)
         self._hear_news(news)
         if session.zone == self._state.zone:
             self._news.add(news)
@@ -222,7 +155,7 @@
         source = _source(told.zone)
         self._state.load.hear(
             source,
-            _read_loads(told.loads),
+            read_loads(told.loads),
             whole=told.whole,
         )
         self._hear_news(News(sent=told.sent, outcomes=told.outcomes))
@@ -262,8 +195,8 @@
             self._send_to_relays(told, sessions, heard_since_ms)
 
     def _note_relay(self, first: PeerSession | None, reach: int) -> None:
-        own = _relay_rank(self._name, reach)
-        relays = first is None or own < _relay_rank(first.name, first.reach)
+        own = relay_rank(self._name, reach)
+        relays = first is None or own < relay_rank(first.name, first.reach)
         if relays is not self._relays:
             self._relays = relays
             log_event(
@@ -293,7 +226,7 @@
         whole: bool,
     ) -> ZoneLoads | None:
         summed = self._state.load.sum_with(each.name for each in near)
-        work = {name: _write_work(load) for name, load in summed.items()}
+        work = {name: write_work(load) for name, load in summed.items()}
         whole = whole or self._told is None
         loads = work if whole else _changes(self._told or {}, work)
         self._told = work
@@ -333,10 +266,10 @@
 
 
 def _changes(
-    known: dict[str, tuple[int, ...]],
-    work: dict[str, tuple[int, ...]],
-) -> dict[str, tuple[int, ...]]:
-    ended = dict.fromkeys(known.keys() - work.keys(), _IDLE)
+    known: dict[str, Work],
+    work: dict[str, Work],
+) -> dict[str, Work]:
+    ended = dict.fromkeys(known.keys() - work.keys(), IDLE)
     return {
         name: each
         for name, each in {**work, **ended}.items()
@@ -347,36 +280,3 @@
 def _source(zone: str) -> str:
     # No gateway has a name like this one.
     return f'zone/{zone}'
-
-
-def _write_work(load: EndpointLoad) -> tuple[int, ...]:
-    return (
-        load.running,
-        load.reading_tokens,
-        load.memory_used,
-        int(load.tight * _MILLI),
-    )
-
-
-_IDLE: Final = _write_work(EndpointLoad())
-
-
-def _write_loads(loads: dict[str, EndpointLoad]) -> list[list[Any]]:
-    return [[name, *_write_work(load)] for name, load in loads.items()]
-
-
-def _write_sent(sent: SentPrompt) -> list[Any]:
-    parts = [[part.part_id, part.tokens] for part in sent.parts]
-    return [sent.endpoint, sent.unread, *parts]
-
-
-def _read_loads(raw: Iterable[list[Any]]) -> list[tuple[str, EndpointLoad]]:
-    return [_read_load(*entry) for entry in raw]
-
-
-def _read_load(name: str, *work: int) -> tuple[str, EndpointLoad]:
-    load = EndpointLoad(
-        **dict(zip(EndpointLoad.__slots__, work, strict=True)),
-    )
-    load.tight /= _MILLI
-    return name, load
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -1,10 +1,10 @@
-"""Gateways tell each other what they have sent where and what they know."""
+"""Connections between gateways: who knows whom, and who watches the store."""
 
 from __future__ import annotations
 
 import random
 import socket
-from typing import TYPE_CHECKING, Any, Callable, Final, final
+from typing import TYPE_CHECKING, Callable, Final, final
 
 import gevent
 from gevent.server import StreamServer
@@ -13,26 +13,16 @@
 from wingfall.errors import WireError
 from wingfall.gateway.heartbeat_schedule import (
     TICK_MS,
-    HeartbeatDue,
-    HeartbeatSchedule,
     heard_within_ms,
     silence_ms,
 )
-from wingfall.gateway.load_exchange import LoadExchange, News, rank
+from wingfall.gateway.heartbeats import Heartbeats
 from wingfall.gateway.object_exchange import ObjectExchange
 from wingfall.gateway.peer_session import PeerSession
+from wingfall.gateway.relay_choice import rank
 from wingfall.log import log_event
-from wingfall.wire.codec import encode
 from wingfall.wire.connection import Connection
-from wingfall.wire.gateway_messages import (
-    GatewayHeartbeat,
-    GatewayHello,
-    ObjectsFetch,
-    ObjectsPage,
-    PartsFetch,
-    PartsPage,
-    ZoneLoads,
-)
+from wingfall.wire.gateway_messages import GatewayHello
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -43,33 +33,30 @@
     from wingfall.supervisor import Supervisor
     from wingfall.wire.message import Message
 
-_SILENCE_MS: Final = 3000
 _WATCHERS: Final = 3
 _CONNECT_S: Final = 1
 _DIAL_MS: Final = 300
 _DIALS: Final = 8
 _MISSED_DIALS: Final = 30
+# Each hello names so many gateways; all are known after some of them.
+_MOST_KNOWN: Final = 24
 
 
 @final
 class GatewayPeers:
-    """All sessions with other gateways, and what they tell."""
+    """All sessions with other gateways."""
 
     __slots__ = (
         '_address',
         '_addresses',
-        '_exchange',
-        '_handlers',
-        '_loads',
+        '_heartbeats',
         '_name',
         '_seeds',
         '_server',
         '_sessions',
         '_state',
         '_supervisor',
-        '_told_revisions',
         '_transfer',
-        '_watches',
     )
 
     def __init__(
@@ -98,25 +85,21 @@
         self._name = name
         self._state = state
         self._seeds = set(seeds)
-        self._exchange = ObjectExchange(
-            replicas=replicas,
-            clock=state.clock,
-            zone=state.zone,
-        )
         self._transfer = transfer
-        self._loads = LoadExchange(name=name, state=state)
-        self._handlers: dict[type[Message], Callable[..., None]] = {
-            GatewayHeartbeat: self._hear,
-            ZoneLoads: self._hear_zone,
-            ObjectsFetch: self._exchange.answer,
-            ObjectsPage: self._exchange.take,
-            PartsFetch: transfer.answer,
-            PartsPage: transfer.take,
-        }
         self._supervisor = supervisor
-        self._watches = watches
-        self._told_revisions: dict[str, int] = {}
         self._sessions: dict[str, PeerSession] = {}
+        self._heartbeats = Heartbeats(
+            name=name,
+            state=state,
+            sessions=self._sessions,
+            exchange=ObjectExchange(
+                replicas=replicas,
+                clock=state.clock,
+                zone=state.zone,
+            ),
+            transfer=transfer,
+            watches=watches,
+        )
         # Known addresses and the dials in a row that failed.
         self._addresses: dict[str, int] = {}
         host, _colon, port = address.rpartition(':')
@@ -171,7 +154,7 @@
 
     def leave(self) -> None:
         """Tell the peers that this gateway is stopping."""
-        self._tell(leaving=True, whole=True)
+        self._heartbeats.tell(leaving=True, whole=True)
 
     def stop(self) -> None:
         """End all connections."""
@@ -231,7 +214,7 @@
                 if session is None:
                     session = self._begin(message, connection)
                 else:
-                    self._receive(session, message)
+                    self._heartbeats.receive(session, message)
         except WireError as error:
             log_event('peers', 'A peer was cut off.', reason=str(error))
         finally:
@@ -246,22 +229,14 @@
         self.learn([message.address, *message.known])
         self._share_budget()
         log_event('peers', 'A peer is connected.', peer=session.name)
-        near = self._loads.near([session])
-        heartbeat = self._make_heartbeat(
-            self._loads.own_loads() if near else [],
-            News(),
-            self._state.draining,
-            whole=True,
-        )
-        connection.send(heartbeat)
+        self._heartbeats.greet(session)
         return session
 
     def _end(self, session: PeerSession | None) -> None:
         if session is None or self._sessions.get(session.name) is not session:
             return
         self._sessions.pop(session.name)
-        self._exchange.forget(session)
-        self._state.load.forget(session.name)
+        self._heartbeats.forget(session)
         self._transfer.note_sessions(len(self._sessions), len(self._addresses))
         self._share_budget()
         log_event('peers', 'A peer is gone.', peer=session.name)
@@ -272,103 +247,16 @@
         known = max(len(self._sessions), len(self._addresses))
         self._state.budget.share_among(known + 1)
 
-    def _receive(self, session: PeerSession, message: Message) -> None:
-        receive = self._handlers.get(type(message))
-        if receive is not None:
-            receive(session, message)
-
-    def _hear(self, session: PeerSession, heartbeat: GatewayHeartbeat) -> None:
-        session.leaving = heartbeat.leaving
-        session.watching = heartbeat.watching
-        session.informed = heartbeat.informed
-        session.reach = heartbeat.reach
-        session.heard_ms = self._state.clock.now_ms()
-        self._loads.hear(
-            session,
-            heartbeat.loads,
-            News(sent=heartbeat.sent, outcomes=heartbeat.outcomes),
-            whole=heartbeat.whole,
-        )
-        for kind, revision in heartbeat.revisions.items():
-            self._exchange.compare(session, kind, revision)
-
-    def _hear_zone(self, session: PeerSession, told: ZoneLoads) -> None:
-        self._loads.hear_zone(session, told, self._sessions.values())
-
     def _send_heartbeats(self) -> None:
-        schedule = HeartbeatSchedule()
         while not self._supervisor.stopped:
-            now_ms = self._state.clock.now_ms()
-            sessions = list(self._sessions.values())
-            self._transfer.step(sessions)
-            near = len(self._loads.near(sessions))
-            schedule.set_peers(near=near, peers=len(sessions))
-            due = schedule.due(
-                now_ms,
-                has_news=self._state.load.has_changed,
-                watching=self._watches(),
-                new_objects=self._has_new_objects(),
-            )
-            if due is not HeartbeatDue.none:
-                schedule.note_sent(now_ms, due)
-                self._tell(
-                    leaving=self._state.draining,
-                    whole=due is HeartbeatDue.whole,
-                )
-            self._loads.relay(sessions, whole=due is HeartbeatDue.whole)
+            self._heartbeats.step()
             gevent.sleep(TICK_MS / MS_PER_S)
 
-    def _has_new_objects(self) -> bool:
-        return self._told_revisions != self._exchange.revisions
-
-    def _tell(self, *, leaving: bool, whole: bool) -> None:
-        sessions = list(self._sessions.values())
-        near = self._loads.near(sessions)
-        if whole or leaving or self._has_new_objects():
-            zone = self._state.zone
-            far = [each for each in sessions if each.zone != zone]
-            _send_to_all(
-                far, self._make_heartbeat([], News(), leaving, whole=True)
-            )
-        heartbeat = self._make_heartbeat(
-            self._loads.take_loads(whole=whole),
-            self._loads.take_news(),
-            leaving,
-            whole=whole,
-        )
-        _send_to_all(near, heartbeat)
-        self._told_revisions = self._exchange.revisions
-
-    def _make_heartbeat(
-        self,
-        loads: list[list[Any]],
-        news: News,
-        leaving: bool,
-        *,
-        whole: bool,
-    ) -> GatewayHeartbeat:
-        return GatewayHeartbeat(
-            revisions=self._exchange.revisions,
-            loads=loads,
-            sent=news.sent,
-            outcomes=news.outcomes,
-            leaving=leaving,
-            whole=whole,
-            watching=self._watches(),
-            informed=self._transfer.informed,
-            reach=self._loads.reach(self._sessions.values()),
-        )
-
     def _hello(self) -> GatewayHello:
+        known = list(self._addresses)
         return GatewayHello(
             name=self._name,
             address=self._address,
-            known=sorted(self._addresses),
+            known=random.sample(known, min(_MOST_KNOWN, len(known))),
             zone=self._state.zone,
         )
-
-
-def _send_to_all(sessions: Iterable[PeerSession], message: Message) -> None:
-    frame = encode(message)
-    for session in sessions:
-        session.connection.send_frame(frame)
