Two gateways keep the same connection when they dial each other at once

Cause: each side took the session that came last; when both dialled at once they kept different connections, sent each on its own, and counted the other as unheard until silence ended it after three seconds. Change: a hello carries a number drawn at the start; of two sessions with the same start both sides keep the one that the first by rank opened; a new start replaces an older one. Tests failed before; with any session kept, and with the first one kept, they turn red.

--- /dev/null
+++ b/tests/test_peer_sessions.py
@@ -0,0 +1,117 @@
+"""One connection between two gateways, whoever opens one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+import gevent
+import pytest
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from tests.gateway_site import HOST, GatewaySite
+from tests.local_site import wait_until
+from wingfall.gateway.ranking import rank
+from wingfall.wire.connection import Connection
+from wingfall.wire.gateway_messages import GatewayHello
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from wingfall.gateway.application import GatewayApplication
+
+GATEWAY = 'gateway-0'
+NAMES = [f'peer-{number}' for number in range(500)]
+BEFORE = next(name for name in NAMES if rank(name) < rank(GATEWAY))
+AFTER = next(name for name in NAMES if rank(name) > rank(GATEWAY))
+
+
+@final
+class _Peer:
+    """A gateway that connects both ways and says nothing but hello."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.incarnation = 1
+        self.closed: dict[str, Event] = {
+            'dialed': Event(),
+            'accepted': Event(),
+        }
+        self._server = StreamServer((HOST, 0), self._accept)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Where gateways connect to it."""
+        return f'{HOST}:{self._server.server_port}'
+
+    def dial(self, gateway: GatewayApplication) -> None:
+        """Connect to a gateway."""
+        host, _colon, port = gateway.peer_address.rpartition(':')
+        sock = gevent.socket.create_connection((host, int(port)))
+        gevent.spawn(self._keep, Connection(sock=sock), 'dialed')
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        self._server.stop(timeout=0)
+
+    def _accept(self, sock: gevent.socket.socket, _peer: object) -> None:
+        self._keep(Connection(sock=sock), 'accepted')
+
+    def _keep(self, connection: Connection, way: str) -> None:
+        connection.send(
+            GatewayHello(
+                name=self.name,
+                address=self.address,
+                known=[],
+                incarnation=self.incarnation,
+            ),
+        )
+        for _message in connection.receive():
+            gevent.sleep(0)
+        self.closed[way].set()
+
+
+def both_ways(site: GatewaySite, name: str) -> Iterator[_Peer]:
+    """Connect a peer and a gateway to each other at the same time."""
+    peer = _Peer(name)
+    gateway = site.start_gateway(
+        peers={'listen': f'{HOST}:0', 'seeds': [peer.address]},
+    )
+    peer.dial(gateway)
+    yield peer
+    peer.stop()
+
+
+@pytest.mark.parametrize(
+    ('name', 'kept'),
+    [(BEFORE, 'dialed'), (AFTER, 'accepted')],
+)
+def test_both_sides_keep_the_same_connection(
+    gateway_site: GatewaySite,
+    name: str,
+    kept: str,
+):
+    connected = both_ways(gateway_site, name)
+    peer = next(connected)
+    (ended,) = {'dialed', 'accepted'} - {kept}
+    # A connection that is not kept ends long before silence would end it.
+    assert peer.closed[ended].wait(timeout=2)
+    assert not peer.closed[kept].is_set()
+    assert gateway_site.gateways[0].status()['peers'] == [name]
+    connected.close()
+
+
+def test_peer_that_was_started_again_replaces_the_one_before(
+    gateway_site: GatewaySite,
+):
+    peer = _Peer(AFTER)
+    gateway = gateway_site.start_gateway(
+        peers={'listen': f'{HOST}:0', 'seeds': [peer.address]},
+    )
+    wait_until(lambda: gateway.status()['peers'] == [AFTER])
+    peer.incarnation = 2
+    peer.dial(gateway)
+    wait_until(peer.closed['accepted'].is_set)
+    assert gateway.status()['peers'] == [AFTER]
+    peer.stop()
--- a/wingfall/gateway/peer_session.py
+++ b/wingfall/gateway/peer_session.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, final
 
+from wingfall.gateway.ranking import rank
+
 if TYPE_CHECKING:
     from wingfall.wire.connection import Connection
     from wingfall.wire.gateway_messages import GatewayHello
@@ -17,7 +19,9 @@
         'address',
         'behind_since_ms',
         'connection',
+        'dialed',
         'heard_ms',
+        'incarnation',
         'informed',
         'leaving',
         'name',
@@ -26,15 +30,24 @@
         'zone',
     )
 
-    def __init__(self, *, hello: GatewayHello, connection: Connection) -> None:
+    def __init__(
+        self,
+        *,
+        hello: GatewayHello,
+        connection: Connection,
+        dialed: bool = False,
+    ) -> None:
         """Take over a connection after the first message.
 
         :param hello: the first message.
         :param connection: the connection.
+        :param dialed: whether this side opened it.
         """
         self.name = hello.name
         self.address = hello.address
         self.zone = hello.zone
+        self.incarnation = hello.incarnation
+        self.dialed = dialed
         self.connection = connection
         self.leaving = False
         self.watching = False
@@ -45,3 +58,19 @@
         self.reach = 0
         # Since when this gateway has been behind the peer, by kind.
         self.behind_since_ms: dict[str, int] = {}
+
+    def replaces(self, known: PeerSession, own_name: str) -> bool:
+        """Tell whether this session is kept, and not one that there is.
+
+        When two gateways connect to each other at the same time, both keep
+        the connection that the first by rank opened.
+
+        :param known: a session with the same peer.
+        :param own_name: name of this gateway.
+        :returns: whether this one is kept.
+        """
+        if known.incarnation != self.incarnation:
+            return True
+        if known.dialed is self.dialed:
+            return True
+        return self.dialed is (rank(own_name) < rank(self.name))
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -19,7 +19,7 @@
 from wingfall.gateway.heartbeats import Heartbeats
 from wingfall.gateway.object_exchange import ObjectExchange
 from wingfall.gateway.peer_session import PeerSession
-from wingfall.gateway.relay_choice import rank
+from wingfall.gateway.ranking import rank
 from wingfall.log import log_event
 from wingfall.wire.connection import Connection
 from wingfall.wire.gateway_messages import GatewayHello
@@ -38,6 +38,7 @@
 _DIAL_MS: Final = 300
 _DIALS: Final = 8
 _MISSED_DIALS: Final = 30
+_INCARNATION_BITS: Final = 48
 # Each hello names so many gateways; all are known after some of them.
 _MOST_KNOWN: Final = 24
 
@@ -50,6 +51,7 @@
         '_address',
         '_addresses',
         '_heartbeats',
+        '_incarnation',
         '_name',
         '_seeds',
         '_server',
@@ -83,6 +85,7 @@
         :param watches: whether this gateway hears the store's changes.
         """
         self._name = name
+        self._incarnation = random.getrandbits(_INCARNATION_BITS)
         self._state = state
         self._seeds = set(seeds)
         self._transfer = transfer
@@ -191,7 +194,7 @@
             self._note_missed(address)
             return
         self._addresses[address] = 0
-        self._run(sock, greets=True)
+        self._run(sock, dialed=True)
 
     def _note_missed(self, address: str) -> None:
         missed = self._addresses.get(address, 0) + 1
@@ -201,9 +204,9 @@
             self._share_budget()
 
     def _accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
-        self._run(sock, greets=False)
+        self._run(sock, dialed=False)
 
-    def _run(self, sock: socket.socket, *, greets: bool) -> None:
+    def _run(self, sock: socket.socket, *, dialed: bool) -> None:
         connection = Connection(sock=sock)
         connection.allow_large()
         connection.set_timeout(silence_ms(len(self._sessions)))
@@ -211,22 +214,39 @@
         session: PeerSession | None = None
         try:
             for message in connection.receive():
-                if session is None:
-                    session = self._begin(message, connection)
-                else:
+                if session is not None:
                     self._heartbeats.receive(session, message)
+                    continue
+                session = self._begin(message, connection, dialed=dialed)
+                if session is None:
+                    break
         except WireError as error:
             log_event('peers', 'A peer was cut off.', reason=str(error))
         finally:
             connection.close()
             self._end(session)
 
-    def _begin(self, message: Message, connection: Connection) -> PeerSession:
+    def _begin(
+        self,
+        message: Message,
+        connection: Connection,
+        *,
+        dialed: bool,
+    ) -> PeerSession | None:
         if not isinstance(message, GatewayHello):
             raise WireError('no hello')
-        session = PeerSession(hello=message, connection=connection)
-        self._sessions[session.name] = session
+        session = PeerSession(
+            hello=message,
+            connection=connection,
+            dialed=dialed,
+        )
         self.learn([message.address, *message.known])
+        known = self._sessions.get(session.name)
+        if known is not None and not session.replaces(known, self._name):
+            return None
+        self._sessions[session.name] = session
+        if known is not None:
+            known.connection.close()
         self._share_budget()
         log_event('peers', 'A peer is connected.', peer=session.name)
         self._heartbeats.greet(session)
@@ -259,4 +279,5 @@
             address=self._address,
             known=random.sample(known, min(_MOST_KNOWN, len(known))),
             zone=self._state.zone,
+            incarnation=self._incarnation,
         )
--- a/wingfall/gateway/relay_choice.py
+++ b/wingfall/gateway/relay_choice.py
@@ -2,24 +2,16 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import TYPE_CHECKING
 
+from wingfall.gateway.ranking import rank
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from wingfall.gateway.peer_session import PeerSession
 
 
-def rank(name: str) -> bytes:
-    """Order gateways the same way everywhere.
-
-    :param name: name of a gateway.
-    :returns: what it is sorted by.
-    """
-    return hashlib.sha256(name.encode()).digest()
-
-
 def find_relay(
     sessions: Iterable[PeerSession],
     heard_since_ms: int,
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -8,11 +8,17 @@
 
 
 @final
-@message(48, str, str, list, str)
+@message(48, str, str, list, str, int)
 class GatewayHello(Message):
     """First message of both sides."""
 
-    __slots__ = ('name', 'address', 'known', 'zone')  # noqa: WPS607
+    __slots__ = (  # noqa: WPS607
+        'name',
+        'address',
+        'known',
+        'zone',
+        'incarnation',
+    )
 
     def __init__(
         self,
@@ -21,6 +27,7 @@
         address: str,
         known: list[str],
         zone: str = '',
+        incarnation: int = 0,
     ) -> None:
         """Introduce the sender.
 
@@ -28,11 +35,13 @@
         :param address: ``host:port`` where it takes connections.
         :param known: addresses of the gateways that it knows.
         :param zone: its availability zone.
+        :param incarnation: a number drawn at its start.
         """
         self.name = name
         self.address = address
         self.known = known
         self.zone = zone
+        self.incarnation = incarnation
 
 
 @final
