--- a/tests/test_parts_transfer.py
+++ b/tests/test_parts_transfer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, final
 
@@ -141,3 +142,22 @@
 def test_gateway_alone_asks_as_many_as_it_may():
     engines = [SimpleNamespace(name=f'e{number}') for number in range(30)]
     assert len(choose_engines('gateway-0', [], engines)) == 12
+
+
+def test_sharing_out_does_not_grow_with_gateways_times_engines(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    hashed: list[bytes] = []
+
+    def count(text: bytes) -> object:
+        hashed.append(text)
+        return hashlib.sha256(text)
+
+    names = [f'gateway-{number}' for number in range(100)]
+    engines = [SimpleNamespace(name=f'e{number}') for number in range(2000)]
+    monkeypatch.setattr(
+        'wingfall.gateway.memory_survey.hashlib',
+        SimpleNamespace(sha256=count),
+    )
+    assert choose_engines(names[0], names, engines)
+    assert len(hashed) < 100 * 2000 / 5
--- a/wingfall/gateway/memory_survey.py
+++ b/wingfall/gateway/memory_survey.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import hashlib
+import heapq
 from typing import TYPE_CHECKING, Final, final
 
 import gevent
@@ -35,6 +36,9 @@
 # What is learned is told to peers: so many gateways ask the same engine.
 _ASKED_BY: Final = 2
 _MOST_ASKED: Final = 12
+# Engines are shared out by the bucket that their name falls into, so that the
+# work doesn't grow with gateways times engines.
+_BUCKETS: Final = 128
 # A peer that knows would have been heard by then.
 _PEERS_MS: Final = 400
 _AT_ONCE: Final = 4
@@ -160,20 +164,29 @@
     :param name: name of this gateway.
     :param peers: names of the gateways that it hears.
     :param engines: the engines.
-    :returns: those that this gateway asks, the most its own first.
+    :returns: those that this gateway asks.
     """
-    peers = list(peers)
-    ranked = [
-        (
-            sum(_rank(peer, engine) < _rank(name, engine) for peer in peers),
-            engine,
-        )
-        for engine in engines
-    ]
-    ranked.sort(key=lambda pair: (pair[0], _rank(name, pair[1])))
-    own = [engine for before, engine in ranked if before < _ASKED_BY]
-    return own[:_MOST_ASKED]
+    names = {name, *peers}
+    own = {
+        bucket for bucket in range(_BUCKETS) if name in _askers(bucket, names)
+    }
+    asked = [engine for engine in engines if _bucket(engine) in own]
+    # Gateways that share a bucket begin at different engines of it.
+    asked.sort(key=lambda engine: _digest(name, engine.name))
+    return asked[:_MOST_ASKED]
+
+
+def _askers(bucket: int, names: set[str]) -> list[str]:
+    return heapq.nsmallest(
+        _ASKED_BY,
+        names,
+        key=lambda name: _digest(name, bucket),
+    )
+
+
+def _bucket(engine: PoolEndpoint) -> int:
+    return int.from_bytes(_digest(engine.name)[:2]) % _BUCKETS
 
 
-def _rank(name: str, engine: PoolEndpoint) -> bytes:
-    return hashlib.sha256(f'{name} {engine.name}'.encode()).digest()
+def _digest(*words: object) -> bytes:
+    return hashlib.sha256(repr(words).encode()).digest()
