--- a/tests/test_object_exchange.py
+++ b/tests/test_object_exchange.py
@@ -6,30 +6,19 @@
 
 import pytest
 
+from tests.fake_connection import make_peer
 from wingfall.clock import ManualClock
 from wingfall.gateway.binding import StoredObject, StoreReading
 from wingfall.gateway.object_exchange import ObjectExchange
-from wingfall.gateway.peer_session import PeerSession
 from wingfall.gateway.replica import ROUTES_KIND, ObjectReplica
-from wingfall.wire.gateway_messages import GatewayHello, ObjectsFetch
+from wingfall.wire.gateway_messages import ObjectsFetch
 
 if TYPE_CHECKING:
-    from wingfall.wire.message import Message
+    from wingfall.gateway.peer_session import PeerSession
 
 ZONE = 'osl-a'
 
 
-@final
-class _Connection:
-    """Keeps what is sent."""
-
-    def __init__(self) -> None:
-        self.sent: list[Message] = []
-
-    def send(self, message: Message) -> None:
-        self.sent.append(message)
-
-
 @final
 class _Gateway:
     """One gateway's exchange, at a revision, with the peers of a test."""
@@ -61,8 +50,7 @@
 
 def peer(name: str, zone: str = ZONE) -> PeerSession:
     """Make a session with a peer."""
-    hello = GatewayHello(name=name, address=name, known=[], zone=zone)
-    return PeerSession(hello=hello, connection=_Connection())
+    return make_peer(name, zone)
 
 
 def fetches(*peers: PeerSession) -> int:
--- a/tests/test_parts_transfer.py
+++ b/tests/test_parts_transfer.py
@@ -8,32 +8,21 @@
 
 import pytest
 
+from tests.fake_connection import make_peer
 from wingfall.clock import ManualClock
 from wingfall.gateway.call import PromptPart
 from wingfall.gateway.memory_survey import choose_engines
 from wingfall.gateway.parts_transfer import PartsTransfer
-from wingfall.gateway.peer_session import PeerSession
 from wingfall.gateway.state import PrefixCaches
-from wingfall.wire.gateway_messages import GatewayHello, PartsFetch
+from wingfall.wire.gateway_messages import PartsFetch
 
 if TYPE_CHECKING:
-    from wingfall.wire.message import Message
+    from wingfall.gateway.peer_session import PeerSession
 
 ZONE = 'osl-a'
 PARTS = [PromptPart(part_id='p1', tokens=500)]
 
 
-@final
-class _Connection:
-    """Keeps what is sent."""
-
-    def __init__(self) -> None:
-        self.sent: list[Message] = []
-
-    def send(self, message: Message) -> None:
-        self.sent.append(message)
-
-
 @final
 class _Gateway:
     """What the transfer needs of a gateway."""
@@ -53,8 +42,7 @@
 
 def peer(name: str, zone: str = ZONE, *, informed: bool = True) -> PeerSession:
     """Make a session with a peer."""
-    hello = GatewayHello(name=name, address=name, known=[], zone=zone)
-    session = PeerSession(hello=hello, connection=_Connection())
+    session = make_peer(name, zone)
     session.informed = informed
     return session
 
