--- a/wingfall/cmd/application.py
+++ b/wingfall/cmd/application.py
@@ -21,6 +21,7 @@
     ('delete', 'Delete an object.'),
     ('status', 'Show the accepted version and where it is in force.'),
     ('trace', 'Print what the logs of gateways tell of one call.'),
+    ('losses', 'Print which calls were not in time, and why, from logs.'),
     ('explain', 'Show which endpoints a request may use, and why not.'),
 )
 
--- /dev/null
+++ b/wingfall/cmd/losses.py
@@ -0,0 +1,59 @@
+"""``wingfall losses``: which calls were not in time, and why."""
+
+from __future__ import annotations
+
+import collections
+import sys
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from wingfall.cmd.faults import print_faults
+from wingfall.log_losses import find_losses
+from wingfall.log_trace import read_lines
+from wingfall.settings.loader import read_text
+
+if TYPE_CHECKING:
+    from wingfall.log_losses import Loss
+    from wingfall.log_trace import LogLine
+
+_EXIT_UNKNOWN = 1
+_HEADER = 'calls share reason (busiest seconds, an id)'
+
+
+def run(*logs: str) -> int:
+    """Print for each route how its calls ended.
+
+    :param logs: log files of one or more gateways.
+    :returns: the exit code.
+    """
+    lines: list[LogLine] = []
+    for path in logs:
+        text = read_text(path)
+        if not isinstance(text, Success):
+            return print_faults(text.failure())
+        lines.extend(read_lines(text.unwrap().splitlines()))
+    losses = find_losses(lines)
+    if not losses:
+        sys.stderr.write('these logs tell of no call that ended\n')
+        return _EXIT_UNKNOWN
+    _print_table(losses)
+    return 0
+
+
+def _print_table(losses: list[Loss]) -> None:
+    totals: collections.Counter[str] = collections.Counter()
+    for loss in losses:
+        totals[loss.route] += len(loss.calls)
+    sys.stdout.write(f'{_HEADER}\n')
+    route = None
+    for loss in losses:
+        if loss.route != route:
+            route = loss.route
+            sys.stdout.write(f'{route or "no route"}: {totals[route]} calls\n')
+        count = len(loss.calls)
+        share = count / totals[loss.route]
+        sys.stdout.write(
+            f'{count:7} {share:.3f} {loss.reason}'
+            f' ({loss.busiest}, {loss.calls[0]})\n',
+        )
--- a/wingfall/gateway/attempt.py
+++ b/wingfall/gateway/attempt.py
@@ -139,7 +139,7 @@
         :param binding: the platform's words.
         :param connections: connections to endpoints.
         :param now_ms: reads the clock.
-        :param on_output: called at the first event of a stream.
+        :param on_output: called whenever events of a stream have come.
         """
         self._call = call
         self._endpoint = endpoint
--- a/wingfall/gateway/caller_connection.py
+++ b/wingfall/gateway/caller_connection.py
@@ -158,12 +158,10 @@
     def _answer(self, head: CallHead, body: bytes, arrived_ms: int) -> None:
         reply = self._make_reply()
         taken = accept_call(self._state.routes, head, body, arrived_ms)
-        if isinstance(taken, Success):
-            refusal = self._serve(taken.unwrap(), reply)
-        else:
-            refusal = taken.failure()
+        call = taken.unwrap() if isinstance(taken, Success) else None
+        refusal = self._serve(call, reply) if call else taken.failure()
         if refusal is not None:
-            send_refusal(self._state, reply, head, refusal)
+            send_refusal(self._state, reply, head, refusal, call)
 
     def _serve(self, call: Call, reply: Reply) -> Refusal | None:
         watcher = gevent.spawn(self._watch, gevent.getcurrent())
--- a/wingfall/gateway/dispatcher.py
+++ b/wingfall/gateway/dispatcher.py
@@ -27,6 +27,7 @@
 )
 from wingfall.gateway.shared_read_wait import await_shared_read
 from wingfall.gateway.state import SentPrompt
+from wingfall.gateway.token_gap_watch import TokenGapWatch
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
@@ -57,6 +58,7 @@
 
     __slots__ = (
         '_call',
+        '_gaps',
         '_kept_answer',
         '_may_have_run',
         '_pool',
@@ -91,6 +93,7 @@
         self._waited = False
         self._started_ms = call.arrived_ms
         self._kept_answer: WholeAnswer | None = None
+        self._gaps: TokenGapWatch | None = None
 
     def serve(self) -> Refusal | None:
         """Serve the call to its final answer.
@@ -172,6 +175,11 @@
         entry = state.load.start(choice.endpoint.name, choice.load)
         self._note_read(choice)
         self._started_ms = state.clock.now_ms()
+        self._gaps = TokenGapWatch(
+            endpoint=choice.endpoint.name,
+            load=state.load,
+            clock=state.clock,
+        )
         outcome = AttemptOutcome(end=AttemptEnd.cut, reason='the caller left')
         try:
             outcome = self._attempt(choice, entry).run(self._limits(choice))
@@ -206,6 +214,8 @@
         )
 
     def _note_output(self, choice: Choice, entry: LoadEntry) -> None:
+        if self._gaps is not None:
+            self._gaps.note_event()
         if entry.begin_output():
             self._state.caches.note_read(choice.endpoint.name, self._call)
             waiting = choice.candidate.reading_tokens
@@ -291,7 +301,7 @@
     ) -> None:
         if outcome.end is AttemptEnd.answered:
             self._state.health.note_success(choice.endpoint.name)
-        known = choice.candidate
+        known, gaps = choice.candidate, self._gaps
         self._state.metrics.decisions.inc(
             {'part': 'dispatch', 'reason': outcome.end},
         )
@@ -308,6 +318,8 @@
             ms=self._state.clock.now_ms() - self._started_ms,
             left_ms=self._left_ms(),
             first_ms=self._first_ms(),
+            gap_ms=gaps.longest_ms if gaps else None,
+            gap_reading=gaps.longest_reading_tokens if gaps else None,
             running=known.running,
             reading=known.reading_tokens,
             cached=known.cached_tokens,
--- a/wingfall/gateway/final_answer.py
+++ b/wingfall/gateway/final_answer.py
@@ -23,6 +23,7 @@
     reply: Reply,
     head: CallHead,
     refusal: Refusal,
+    call: Call | None = None,
 ) -> None:
     """Answer a call that no endpoint answered.
 
@@ -30,6 +31,7 @@
     :param reply: writes the answer.
     :param head: head of the request.
     :param refusal: why there is no endpoint's answer.
+    :param call: the call, None if it wasn't accepted.
     """
     headers = [JSON, *state.binding.refusal_headers(head)]
     if refusal.retry_after_ms is not None:
@@ -48,6 +50,7 @@
         'refusal',
         'A call was refused.',
         call=head.call_id,
+        route=call.route.name if call else None,
         status=refusal.status,
         code=refusal.code,
         run=refusal.run,
@@ -80,6 +83,9 @@
         whole=reply.finished,
         ms=elapsed_ms,
         first_ms=reply.first_byte_ms - call.arrived_ms if started else None,
+        target_ms=call.route.target_ms,
+        gap_ms=reply.longest_gap_ms,
+        gap_target_ms=call.route.target.token_gap_ms,
     )
     state.metrics.answers.inc(
         {
--- a/wingfall/gateway/reply.py
+++ b/wingfall/gateway/reply.py
@@ -27,10 +27,12 @@
 
     __slots__ = (
         '_closing',
+        '_last_event_ms',
         '_write',
         'finished',
         'first_byte_ms',
         'last_event_id',
+        'longest_gap_ms',
         'now_ms',
         'started',
         'status',
@@ -57,6 +59,10 @@
         self.status = 0
         self.first_byte_ms = 0
         self.last_event_id: str | None = None
+        self._last_event_ms: int | None = None
+        # Longest pause between events, also over a resumption; None until
+        # there were two.
+        self.longest_gap_ms: int | None = None
 
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a whole answer.
@@ -92,6 +98,11 @@
         """
         self._write(h11.Data(data=events))
         self.last_event_id = last_event_id
+        now_ms = self.now_ms()
+        if self._last_event_ms is not None:
+            gap_ms = now_ms - self._last_event_ms
+            self.longest_gap_ms = max(self.longest_gap_ms or 0, gap_ms)
+        self._last_event_ms = now_ms
 
     def finish_stream(self) -> None:
         """End a stream that is whole."""
--- /dev/null
+++ b/wingfall/gateway/token_gap_watch.py
@@ -0,0 +1,63 @@
+"""Measures the pauses between the events of one engine's stream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+if TYPE_CHECKING:
+    from wingfall.clock import Clock
+    from wingfall.gateway.load import LoadTable
+
+
+@final
+class TokenGapWatch:
+    """The longest pause of a stream, and what the engine read meanwhile."""
+
+    __slots__ = (
+        '_clock',
+        '_endpoint',
+        '_last_ms',
+        '_load',
+        '_reading_tokens',
+        'longest_ms',
+        'longest_reading_tokens',
+    )
+
+    def __init__(
+        self,
+        *,
+        endpoint: str,
+        load: LoadTable,
+        clock: Clock,
+    ) -> None:
+        """Start before the first event.
+
+        :param endpoint: name of the engine.
+        :param load: what runs there.
+        :param clock: the time.
+        """
+        self._endpoint = endpoint
+        self._load = load
+        self._clock = clock
+        self._last_ms: int | None = None
+        self._reading_tokens = 0
+        # Milliseconds, None until there were two events.
+        self.longest_ms: int | None = None
+        # Prompt tokens that waited to be read there during that pause.
+        self.longest_reading_tokens = 0
+
+    def note_event(self) -> None:
+        """Note that events of the stream have come."""
+        now_ms = self._clock.now_ms()
+        reading = self._load.total(self._endpoint).reading_tokens
+        if self._last_ms is not None:
+            # What was read in the pause waited at its start or at its end.
+            beside = max(reading, self._reading_tokens)
+            self._note_pause(now_ms - self._last_ms, beside)
+        self._last_ms = now_ms
+        self._reading_tokens = reading
+
+    def _note_pause(self, gap_ms: int, reading_tokens: int) -> None:
+        if self.longest_ms is None or gap_ms > self.longest_ms:
+            self.longest_ms = gap_ms
+            self.longest_reading_tokens = reading_tokens
