--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -10,7 +10,8 @@
 body), ``extra`` (bytes after the answer), ``unframed`` (ends by closing),
 ``unframed_reset``, ``foreign`` (421), ``stray`` (an answer to another
 request), ``garbage`` (no HTTP), ``encoded`` (a content encoding), ``hang``,
-``cut`` (a stream ends after two events and half of the third).
+``cut`` (a stream ends after two events and half of the third), ``crash``
+(it is reset there, and nothing listens any more).
 """
 
 from __future__ import annotations
@@ -313,6 +314,10 @@
         for number in range(first, self.events + 1):
             self._pause()
             event = f'id: {number}\ndata: {run.call_id} {number}\n\n'.encode()
+            if fault == 'crash' and number > _CUT_AFTER:
+                self._server.close()
+                _reset(sock)
+                return False
             if fault == 'cut' and number > _CUT_AFTER:
                 half = h11.Data(data=event[: len(event) // 2])
                 sock.sendall(_encode(http, half))
--- /dev/null
+++ b/tests/test_platform_headers.py
@@ -0,0 +1,96 @@
+"""The platform's headers on requests to endpoints."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingfall.gateway.binding import Sending
+from wingfall.gateway.call import Call
+from wingfall.gateway.endpoints import PoolEndpoint
+from wingfall.gateway.routes import Route, WeightedPool
+from wingfall.objects.request_class import Target
+from wingfall.platform.headers import endpoint_headers, read_call
+
+
+def make_endpoint(name: str) -> PoolEndpoint:
+    """Make an endpoint."""
+    return PoolEndpoint(
+        name=name,
+        pool='engines',
+        host='10.0.0.1',
+        port=80,
+        zone='a',
+        slots=8,
+        draining=False,
+    )
+
+
+def sent_headers(
+    *headers: tuple[bytes, bytes],
+    **sending: object,
+) -> dict[bytes, list[bytes]]:
+    """Pass a caller's headers on, and list what the endpoint gets."""
+    head = read_call(
+        b'POST',
+        b'/x',
+        [(b'Host', b'h'), (b'X-Attempt-Id', b'r1'), *headers],
+    )
+    route = Route(
+        name='r',
+        host='h',
+        path_prefix='/',
+        pools=(WeightedPool(pool='engines', weight=1),),
+        tier=1,
+        target=Target(),
+        timeout_ms=1000,
+        max_attempts=1,
+        public=True,
+        repeatable=False,
+        streaming=True,
+        resumable=False,
+    )
+    call = Call(
+        head=head,
+        body=b'',
+        route=route,
+        customer=None,
+        arrived_ms=0,
+        deadline_ms=1000,
+    )
+    known = {'endpoint': make_endpoint('e1'), 'time_left_ms': 900, **sending}
+    received: dict[bytes, list[bytes]] = {}
+    for name, text in endpoint_headers(call, Sending(**known)):
+        received.setdefault(name.lower(), []).append(text)
+    return received
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        b'X-Hold',
+        b'X-Pin-Ms',
+        b'X-Kv-Backup',
+        b'Kv-From',
+        b'Kv-Fetch',
+        b'X-Expect-Instance',
+        b'X-Expect-Version',
+        b'X-Request-Priority',
+    ],
+)
+def test_callers_cannot_set_what_is_the_gateways(name: bytes):
+    odd = (name.swapcase(), b'theirs')
+    received = sent_headers((name, b'theirs'), odd, (name.upper(), b'theirs'))
+    assert b'theirs' not in received.get(name.lower(), [])
+
+
+def test_callers_copy_is_replaced_by_the_gateways():
+    received = sent_headers(
+        (b'x-kv-BACKUP', b'theirs'),
+        (b'Kv-From', b'theirs'),
+        backup=make_endpoint('e2'),
+        continues=True,
+        last_event_id='7',
+    )
+    assert received[b'x-kv-backup'] == [b'10.0.0.1:80']
+    assert received[b'kv-from'] == [b'10.0.0.1:80/r1']
+    assert received[b'last-event-id'] == [b'7']
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -11,6 +11,7 @@
 from wingfall.decision.placement import placements
 from wingfall.decision.resend_budget import ResendBudget
 from wingfall.decision.shared_read import shared_reads
+from wingfall.decision.stream_backup import stream_backups
 from wingfall.gateway.binding import bindings
 from wingfall.gateway.endpoint_connection import KeptConnections
 from wingfall.gateway.endpoints import EndpointTable
@@ -43,6 +44,7 @@
         .bind(lambda _found: admissions.find(policy.admission))
         .bind(lambda _found: cache_transfers.find(policy.cache_transfer))
         .bind(lambda _found: shared_reads.find(policy.shared_read))
+        .bind(lambda _found: stream_backups.find(policy.stream_backup))
     )
 
 
@@ -70,6 +72,9 @@
             settings.policy.cache_transfer,
         ).unwrap(),
         shared_read=shared_reads.find(settings.policy.shared_read).unwrap(),
+        stream_backup=stream_backups.find(
+            settings.policy.stream_backup,
+        ).unwrap(),
         budget=ResendBudget(
             clock=clock,
             ratio=settings.resend.ratio,
--- a/wingfall/gateway/attempt.py
+++ b/wingfall/gateway/attempt.py
@@ -107,10 +107,12 @@
     """Sends a call to an endpoint and reads the answer."""
 
     __slots__ = (
+        '_backup',
         '_binding',
         '_call',
         '_connection',
         '_connections',
+        '_continues',
         '_endpoint',
         '_now_ms',
         '_on_output',
@@ -124,6 +126,8 @@
         call: Call,
         endpoint: PoolEndpoint,
         source: PoolEndpoint | None,
+        backup: PoolEndpoint | None,
+        continues: bool,
         reply: Reply,
         binding: Binding,
         connections: KeptConnections,
@@ -135,6 +139,8 @@
         :param call: the request.
         :param endpoint: where it goes.
         :param source: the engine that it copies kept parts of the prompt from.
+        :param backup: the engine that keeps a copy of the run.
+        :param continues: whether the endpoint goes on with such a copy.
         :param reply: takes the events of a stream.
         :param binding: the platform's words.
         :param connections: connections to endpoints.
@@ -145,6 +151,8 @@
         self._endpoint = endpoint
         self._reply = reply
         self._source = source
+        self._backup = backup
+        self._continues = continues
         self._binding = binding
         self._connections = connections
         self._now_ms = now_ms
@@ -193,6 +201,8 @@
             time_left_ms=limits.deadline_ms - self._now_ms(),
             last_event_id=last_event_id or self._call.head.last_event_id,
             source=self._source,
+            backup=self._backup,
+            continues=self._continues,
         )
 
     def _read_response(
--- a/wingfall/gateway/binding.py
+++ b/wingfall/gateway/binding.py
@@ -77,7 +77,14 @@
 class Sending:
     """What an attempt adds to a caller's request."""
 
-    __slots__ = ('endpoint', 'last_event_id', 'source', 'time_left_ms')
+    __slots__ = (
+        'backup',
+        'continues',
+        'endpoint',
+        'last_event_id',
+        'source',
+        'time_left_ms',
+    )
 
     def __init__(
         self,
@@ -86,6 +93,8 @@
         time_left_ms: int,
         last_event_id: str | None = None,
         source: PoolEndpoint | None = None,
+        backup: PoolEndpoint | None = None,
+        continues: bool = False,
     ) -> None:
         """Describe a sending.
 
@@ -94,11 +103,16 @@
         :param last_event_id: the event after which the stream shall go on.
         :param source: the engine that the endpoint shall copy kept parts of
             the prompt from.
+        :param backup: the engine that shall keep a copy of the run.
+        :param continues: whether the endpoint holds a copy of this very run
+            and shall go on with it.
         """
         self.endpoint = endpoint
         self.time_left_ms = time_left_ms
         self.last_event_id = last_event_id
         self.source = source
+        self.backup = backup
+        self.continues = continues
 
 
 @final
--- a/wingfall/gateway/chooser.py
+++ b/wingfall/gateway/chooser.py
@@ -7,6 +7,7 @@
 
 from wingfall.decision.cache_transfer import copied_tokens
 from wingfall.decision.placement import Candidate, Demand
+from wingfall.decision.stream_backup import RunLength
 from wingfall.gateway.load import EndpointLoad
 
 if TYPE_CHECKING:
@@ -17,6 +18,8 @@
 # Pools up to this size are considered whole.
 _MOST_CONSIDERED: Final = 64
 _DRAWN: Final = 24
+# An engine that fails more often than this keeps no copies of runs.
+_MOST_FAILING: Final = 0.3
 # What peers sent an engine in the last tenths of a second is not known yet.
 # Gateways that all took the same engine for the best sent to it at once: of
 # 255 late first events at 30 gateways, 254 had other prompts beside them that
@@ -29,7 +32,14 @@
 class Choice:
     """A chosen endpoint and what decided it."""
 
-    __slots__ = ('candidate', 'endpoint', 'load', 'source')
+    __slots__ = (
+        'backup',
+        'candidate',
+        'continues',
+        'endpoint',
+        'load',
+        'source',
+    )
 
     def __init__(
         self,
@@ -38,6 +48,8 @@
         candidate: Candidate,
         load: EndpointLoad,
         source: PoolEndpoint | None = None,
+        backup: PoolEndpoint | None = None,
+        continues: bool = False,
     ) -> None:
         """Keep a choice.
 
@@ -45,11 +57,15 @@
         :param candidate: what was known of it.
         :param load: the work that the request brings there.
         :param source: the engine that it copies parts of the prompt from.
+        :param backup: the engine that keeps a copy of the run.
+        :param continues: whether the endpoint holds such a copy already.
         """
         self.endpoint = endpoint
         self.candidate = candidate
         self.load = load
         self.source = source
+        self.backup = backup
+        self.continues = continues
 
 
 def choose_endpoint(
@@ -74,18 +90,41 @@
     if not considered:
         return None
     listed = {each.name: each for each in considered}
-    demand = _demand(call)
+    demand = describe_demand(call)
     candidates = [describe(state, call, each) for each in considered]
     keeper = _offer_copies(state, call, pool, candidates)
     chosen = state.placement(demand, candidates)
+    candidates.remove(chosen)
+    backup = _choose_backup(state, call, pool, demand, candidates)
     return Choice(
         endpoint=listed[chosen.name],
         candidate=chosen,
-        load=_brought(call.head.prompt, demand, chosen),
+        load=brought_load(call.head.prompt, demand, chosen),
         source=listed[keeper.name] if keeper and chosen.copied_tokens else None,
+        backup=listed[backup.name] if backup else None,
     )
 
 
+def _choose_backup(
+    state: GatewayState,
+    call: Call,
+    pool: str,
+    demand: Demand,
+    candidates: list[Candidate],
+) -> Candidate | None:
+    known = state.routes.pools.get(pool) if state.routes else None
+    if known is None or not known.backs_up or not call.route.streaming:
+        return None
+    sound = [each for each in candidates if each.failing < _MOST_FAILING]
+    length = RunLength(
+        prompt_tokens=demand.tokens,
+        output_tokens=demand.output_tokens,
+    )
+    if not sound or not state.stream_backup(length, call.route.resumable):
+        return None
+    return state.placement(demand, sound)
+
+
 def _offer_copies(
     state: GatewayState,
     call: Call,
@@ -176,7 +215,12 @@
     )
 
 
-def _demand(call: Call) -> Demand:
+def describe_demand(call: Call) -> Demand:
+    """Collect what a request asks of an endpoint.
+
+    :param call: the request.
+    :returns: the inputs of the decision.
+    """
     prompt = call.head.prompt
     if prompt is None:
         return Demand(body_bytes=len(call.body))
@@ -192,11 +236,18 @@
     )
 
 
-def _brought(
+def brought_load(
     prompt: Prompt | None,
     demand: Demand,
     candidate: Candidate,
 ) -> EndpointLoad:
+    """Tell what work a request brings to an endpoint.
+
+    :param prompt: its prompt, if any.
+    :param demand: what it asks.
+    :param candidate: what is known of the endpoint.
+    :returns: the work.
+    """
     if prompt is None:
         return EndpointLoad(running=1)
     unread = demand.tokens - candidate.cached_tokens
--- a/wingfall/gateway/dispatcher.py
+++ b/wingfall/gateway/dispatcher.py
@@ -27,6 +27,7 @@
 )
 from wingfall.gateway.shared_read_wait import await_shared_read
 from wingfall.gateway.state import SentPrompt
+from wingfall.gateway.stream_continuation import find_continuation
 from wingfall.gateway.token_gap_watch import TokenGapWatch
 from wingfall.log import log_event
 
@@ -58,6 +59,7 @@
 
     __slots__ = (
         '_call',
+        '_continuation',
         '_gaps',
         '_kept_answer',
         '_may_have_run',
@@ -94,6 +96,7 @@
         self._started_ms = call.arrived_ms
         self._kept_answer: WholeAnswer | None = None
         self._gaps: TokenGapWatch | None = None
+        self._continuation: Choice | None = None
 
     def serve(self) -> Refusal | None:
         """Serve the call to its final answer.
@@ -117,10 +120,15 @@
                 self._finish(outcome)
                 return None
             self._note(choice, outcome)
+            self._continuation = find_continuation(
+                self._state, self._call, self._reply, choice, outcome
+            )
             if not self._may_try_again(outcome.end):
                 return self._give_up(_REFUSALS[outcome.end])
 
     def _choose(self) -> Choice | None:
+        if self._continuation is not None:
+            return self._continuation
         avoided = self._unreached | set(self._sent)
         choice = choose_endpoint(self._state, self._call, self._pool, avoided)
         if choice is None and self._sent and self._call.idempotent:
@@ -161,7 +169,7 @@
 
     def _after_shared_read(self, choice: Choice) -> Choice:
         # One wait a call; what was chosen before it is old after it.
-        if self._waited:
+        if self._waited or choice.continues:
             return choice
         self._waited = await_shared_read(self._state, self._call, choice)
         return (self._waited and self._choose()) or choice
@@ -191,7 +199,7 @@
 
     def _note_read(self, choice: Choice) -> None:
         prompt = self._call.head.prompt
-        if prompt is None:
+        if prompt is None or choice.continues:
             return
         name, unread = choice.endpoint.name, choice.load.reading_tokens
         self._state.note_read(name, unread)
@@ -207,6 +215,8 @@
             call=self._call,
             endpoint=choice.endpoint,
             source=choice.source,
+            backup=choice.backup,
+            continues=choice.continues,
             reply=self._reply,
             binding=state.binding,
             connections=state.connections,
@@ -273,6 +283,8 @@
         self._state.health.note_failure(name)
 
     def _may_try_again(self, end: AttemptEnd) -> bool:
+        if self._continuation is not None:
+            return True
         if end is AttemptEnd.not_sent:
             return len(self._unreached) < _MAX_CONNECTS
         if len(self._sent) >= self._call.route.max_attempts:
@@ -337,6 +349,8 @@
             cached=known.cached_tokens,
             copied=known.copied_tokens,
             source=choice.source.name if choice.source else None,
+            backup=choice.backup.name if choice.backup else None,
+            continues=choice.continues,
             recent=int(known.recent_reads),
             streams=known.streams,
             idle_gap_ms=int(known.speed.idle_gap_ms),
--- a/wingfall/gateway/endpoint_connection.py
+++ b/wingfall/gateway/endpoint_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from typing import TYPE_CHECKING, Final, final
 
@@ -21,6 +22,9 @@
 _READ_BYTES: Final = 65_536
 _DIRECT_BYTES: Final = 4096
 _CONNECT_MS: Final = 300
+# A refusal comes within a way there and back; a stream waits for it.
+_PROBE_MS: Final = 50
+_REFUSED: Final = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH)
 _DEFAULT_KEEP_MS: Final = 1000
 # The endpoint closes by its own clock; half of its time is safe to use.
 _KEEP_PART: Final = 0.5
@@ -211,6 +215,20 @@
     return AnswerBrokenError(str(error))
 
 
+def refuses_connections(endpoint: PoolEndpoint) -> bool:
+    """Tell whether nothing listens at an endpoint's address any more.
+
+    :param endpoint: the endpoint.
+    :returns: False also if nothing is known since no answer came.
+    """
+    address = (endpoint.host, endpoint.port)
+    try:
+        socket.create_connection(address, _PROBE_MS / MS_PER_S).close()
+    except OSError as error:
+        return error.errno in _REFUSED
+    return False
+
+
 def connect(
     endpoint: PoolEndpoint,
     clock: Clock,
--- a/wingfall/gateway/routes.py
+++ b/wingfall/gateway/routes.py
@@ -46,6 +46,7 @@
     """Endpoints that serve the same thing."""
 
     __slots__ = (
+        'backs_up',
         'copy_tokens_per_ms',
         'health_path',
         'memory_tokens',
@@ -61,6 +62,7 @@
         memory_tokens: int = 0,
         slots: int = 0,
         copy_tokens_per_ms: float = 0,
+        backs_up: bool = False,
     ) -> None:
         """Describe a pool.
 
@@ -71,12 +73,14 @@
         :param slots: requests an engine of it runs at once, 0 if unknown.
         :param copy_tokens_per_ms: kept tokens that engines copy from each
             other in a millisecond, 0 if they don't.
+        :param backs_up: whether engines keep copies of each other's runs.
         """
         self.name = name
         self.health_path = health_path
         self.memory_tokens = memory_tokens
         self.slots = slots
         self.copy_tokens_per_ms = copy_tokens_per_ms
+        self.backs_up = backs_up
 
 
 @final
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -17,6 +17,7 @@
     from wingfall.decision.placement import Placement
     from wingfall.decision.resend_budget import ResendBudget
     from wingfall.decision.shared_read import SharedRead
+    from wingfall.decision.stream_backup import StreamBackup
     from wingfall.gateway.binding import Binding
     from wingfall.gateway.call import Call, Prompt, PromptPart
     from wingfall.gateway.endpoint_connection import KeptConnections
@@ -250,6 +251,7 @@
         'routes',
         'shared_read',
         'speeds',
+        'stream_backup',
         'zone',
     )
 
@@ -264,6 +266,7 @@
         admission: Admission,
         cache_transfer: CacheTransfer,
         shared_read: SharedRead,
+        stream_backup: StreamBackup,
         budget: ResendBudget,
         health: EndpointHealth,
         endpoints: EndpointTable,
@@ -280,6 +283,7 @@
         :param admission: refuses prompts that would start too late.
         :param cache_transfer: tells from where engines copy what is kept.
         :param shared_read: tells how long prompts wait for a shared part.
+        :param stream_backup: tells which streams are kept at a second engine.
         :param budget: bounds second sendings.
         :param health: failures of endpoints.
         :param endpoints: the endpoints.
@@ -294,6 +298,7 @@
         self.admission = admission
         self.cache_transfer = cache_transfer
         self.shared_read = shared_read
+        self.stream_backup = stream_backup
         self.budget = budget
         self.health = health
         self.endpoints = endpoints
--- a/wingfall/platform/headers.py
+++ b/wingfall/platform/headers.py
@@ -105,6 +105,13 @@
         headers.append((b'Last-Event-Id', last_event_id))
     if sending.source is not None:
         headers.append((b'Kv-Fetch', _address(sending.source)))
+    if sending.backup is not None:
+        headers.append((b'X-Kv-Backup', _address(sending.backup)))
+    if sending.continues:
+        # The engine finds its copy of a run by the id of the request.
+        run_id = call.call_id.encode('latin-1')
+        copy = b'%b/%b' % (_address(sending.endpoint), run_id)
+        headers.append((b'Kv-From', copy))
     return headers
 
 
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -67,6 +67,10 @@
             'Whether prompts wait for a part that is being read.',
             'wait',
         ),
+        stream_backup=text(
+            'Which streams are kept at a second engine as well.',
+            'long_answers',
+        ),
     ),
     limits=section(
         'Bounds of this process.',
