--- a/tools/slopes/gateway.py
+++ b/tools/slopes/gateway.py
@@ -76,7 +76,7 @@
     return GatewayHeartbeat(
         revisions={'routes': 1000, 'endpoints': 2000},
         loads=[
-            [f'i-{number:010}', 5, 20_000, 40_000, 1500]
+            [f'i-{number:010}', 5, 20_000, 40_000, 200, 4, 300, 1]
             for number in range(busy)
         ],
         sent=[['i-0000000001', 3000, ['5c1e07a2', 13_300]]],
--- a/wingfall/cmd/losses.py
+++ b/wingfall/cmd/losses.py
@@ -9,13 +9,11 @@
 from returns.result import Success
 
 from wingfall.cmd.faults import print_faults
+from wingfall.cmd.log_files import read_log_files
 from wingfall.log_losses import find_losses
-from wingfall.log_trace import read_lines
-from wingfall.settings.loader import read_text
 
 if TYPE_CHECKING:
     from wingfall.log_losses import Loss
-    from wingfall.log_trace import LogLine
 
 _EXIT_UNKNOWN = 1
 _HEADER = 'calls share reason (busiest seconds, an id)'
@@ -27,13 +25,10 @@
     :param logs: log files of one or more gateways.
     :returns: the exit code.
     """
-    lines: list[LogLine] = []
-    for path in logs:
-        text = read_text(path)
-        if not isinstance(text, Success):
-            return print_faults(text.failure())
-        lines.extend(read_lines(text.unwrap().splitlines()))
-    losses = find_losses(lines)
+    lines = read_log_files(logs)
+    if not isinstance(lines, Success):
+        return print_faults(lines.failure())
+    losses = find_losses(lines.unwrap())
     if not losses:
         sys.stderr.write('these logs tell of no call that ended\n')
         return _EXIT_UNKNOWN
--- a/wingfall/cmd/trace.py
+++ b/wingfall/cmd/trace.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 import sys
-from typing import TYPE_CHECKING
 
 from returns.result import Success
 
 from wingfall.cmd.faults import print_faults
-from wingfall.log_trace import read_lines, trace_call
-from wingfall.settings.loader import read_text
-
-if TYPE_CHECKING:
-    from wingfall.log_trace import LogLine
+from wingfall.cmd.log_files import read_log_files
+from wingfall.log_trace import trace_call
 
 _EXIT_UNKNOWN = 1
 
@@ -24,13 +20,10 @@
     :param logs: log files of one or more gateways.
     :returns: the exit code.
     """
-    lines: list[LogLine] = []
-    for path in logs:
-        text = read_text(path)
-        if not isinstance(text, Success):
-            return print_faults(text.failure())
-        lines.extend(read_lines(text.unwrap().splitlines()))
-    story = trace_call(call_id, lines)
+    lines = read_log_files(logs)
+    if not isinstance(lines, Success):
+        return print_faults(lines.failure())
+    story = trace_call(call_id, lines.unwrap())
     for line in story:
         sys.stdout.write(f'{line}\n')
     if not story:
--- a/wingfall/decision/cache_transfer.py
+++ b/wingfall/decision/cache_transfer.py
@@ -21,7 +21,8 @@
 _LEAST_TOKENS: Final = 512
 # The link has to be so many times as fast as reading.
 _FASTER: Final = 4
-_MOST_FAILING: Final = 0.3
+# An engine that fails more often than this is not copied from or to.
+MOST_FAILING: Final = 0.3
 
 CacheTransfer = Callable[['Sequence[Candidate]', float], 'Candidate | None']
 cache_transfers: Final[Registry[CacheTransfer]] = Registry(
@@ -43,7 +44,7 @@
     usable = [
         each
         for each in candidates
-        if each.failing < _MOST_FAILING and each.cached_tokens >= _LEAST_TOKENS
+        if each.failing < MOST_FAILING and each.cached_tokens >= _LEAST_TOKENS
     ]
     if speed < _FASTER:
         usable.clear()
@@ -62,16 +63,16 @@
     """
 
 
-def copied_tokens(candidate: Candidate, keeper: Candidate | None) -> int:
+def copied_tokens(candidate: Candidate, holder: Candidate | None) -> int:
     """Tell how much of a prompt an engine would copy.
 
     :param candidate: the engine.
-    :param keeper: the engine that keeps the most, None if none is to be used.
+    :param holder: the engine that keeps the most, None if none is to be used.
     :returns: tokens, 0 if reading them is as good.
     """
-    if keeper is None:
+    if holder is None:
         return 0
-    tokens = keeper.cached_tokens - candidate.cached_tokens
+    tokens = holder.cached_tokens - candidate.cached_tokens
     return tokens if tokens >= _LEAST_TOKENS else 0
 
 
--- /dev/null
+++ b/wingfall/decision/engine_speeds.py
@@ -0,0 +1,72 @@
+"""How fast all engines are, each by itself and a pool's on average."""
+
+from __future__ import annotations
+
+from typing import final
+
+from wingfall.decision.engine_speed import EngineSpeed, LongestPause, ReadRate
+
+
+@final
+class EngineSpeeds:
+    """How fast each engine is, and the engines of a pool on average."""
+
+    __slots__ = ('_by_engine', '_by_pool', '_pauses')
+
+    def __init__(self) -> None:
+        """Start without a measurement."""
+        self._by_engine: dict[str, EngineSpeed] = {}
+        self._by_pool: dict[str, ReadRate] = {}
+        self._pauses: dict[str, LongestPause] = {}
+
+    def find(self, engine: str, pool: str) -> EngineSpeed:
+        """Give what an engine has shown.
+
+        :param engine: its name.
+        :param pool: its pool, whose average a new engine starts with.
+        :returns: its speed.
+        """
+        speed = self._by_engine.get(engine)
+        if speed is None:
+            speed = EngineSpeed(
+                tokens_per_ms=self.average(pool).tokens_per_ms,
+                pause=self._pauses.setdefault(pool, LongestPause()),
+            )
+            self._by_engine[engine] = speed
+        return speed
+
+    def average(self, pool: str) -> ReadRate:
+        """Give how fast the engines of a pool read on average.
+
+        :param pool: its name.
+        :returns: the rate.
+        """
+        return self._by_pool.setdefault(pool, ReadRate())
+
+    def note_start(
+        self,
+        engine: str,
+        pool: str,
+        tokens: int,
+        elapsed_ms: int,
+    ) -> None:
+        """Learn from a prompt whose answer has begun.
+
+        :param engine: the engine that read it.
+        :param pool: its pool.
+        :param tokens: what was to be read before it and for it.
+        :param elapsed_ms: time from its sending to its first event.
+        """
+        speed = self.find(engine, pool)
+        # The first event takes a step of its own after the reading.
+        read_ms = elapsed_ms - speed.idle_gap_ms
+        speed.rate.note(tokens, read_ms)
+        self.average(pool).note(tokens, read_ms)
+
+    def keep_only(self, names: set[str]) -> None:
+        """Forget engines that are not listed any more.
+
+        :param names: the engines that are listed.
+        """
+        for name in self._by_engine.keys() - names:
+            self._by_engine.pop(name)
--- a/wingfall/gateway/chooser.py
+++ b/wingfall/gateway/chooser.py
@@ -5,7 +5,7 @@
 import random
 from typing import TYPE_CHECKING, Final, final
 
-from wingfall.decision.cache_transfer import copied_tokens
+from wingfall.decision.cache_transfer import MOST_FAILING, copied_tokens
 from wingfall.decision.placement import Candidate, Demand
 from wingfall.decision.stream_backup import RunLength
 from wingfall.gateway.load import EndpointLoad
@@ -18,8 +18,6 @@
 # Pools up to this size are considered whole.
 _MOST_CONSIDERED: Final = 64
 _DRAWN: Final = 24
-# An engine that fails more often than this keeps no copies of runs.
-_MOST_FAILING: Final = 0.3
 # What peers sent an engine in the last tenths of a second is not known yet.
 # Gateways that all took the same engine for the best sent to it at once: of
 # 255 late first events at 30 gateways, 254 had other prompts beside them that
@@ -92,15 +90,15 @@
     listed = {each.name: each for each in considered}
     demand = describe_demand(call)
     candidates = [describe(state, call, each) for each in considered]
-    keeper = _offer_copies(state, call, pool, candidates)
+    holder = _offer_copies(state, call, pool, candidates)
     chosen = state.placement(demand, candidates)
     candidates.remove(chosen)
     backup = _choose_backup(state, call, pool, demand, candidates)
     return Choice(
         endpoint=listed[chosen.name],
         candidate=chosen,
-        load=brought_load(call.head.prompt, demand, chosen),
-        source=listed[keeper.name] if keeper and chosen.copied_tokens else None,
+        load=added_load(call.head.prompt, demand, chosen),
+        source=listed[holder.name] if holder and chosen.copied_tokens else None,
         backup=listed[backup.name] if backup else None,
     )
 
@@ -115,7 +113,7 @@
     known = state.routes.pools.get(pool) if state.routes else None
     if known is None or not known.backs_up or not call.route.streaming:
         return None
-    sound = [each for each in candidates if each.failing < _MOST_FAILING]
+    sound = [each for each in candidates if each.failing < MOST_FAILING]
     length = RunLength(
         prompt_tokens=demand.tokens,
         output_tokens=demand.output_tokens,
@@ -136,10 +134,10 @@
         return None
     rate = state.speeds.average(pool).tokens_per_ms
     speed = known.copy_tokens_per_ms / rate
-    keeper = state.cache_transfer(candidates, speed)
+    holder = state.cache_transfer(candidates, speed)
     for candidate in candidates:
-        candidate.copied_tokens = copied_tokens(candidate, keeper)
-    return keeper
+        candidate.copied_tokens = copied_tokens(candidate, holder)
+    return holder
 
 
 def _acceptable(
@@ -236,7 +234,7 @@
     )
 
 
-def brought_load(
+def added_load(
     prompt: Prompt | None,
     demand: Demand,
     candidate: Candidate,
--- a/wingfall/gateway/stream_continuation.py
+++ b/wingfall/gateway/stream_continuation.py
@@ -7,7 +7,7 @@
 from wingfall.gateway.attempt import AttemptEnd
 from wingfall.gateway.chooser import (
     Choice,
-    brought_load,
+    added_load,
     describe,
     describe_demand,
 )
@@ -67,6 +67,6 @@
     return Choice(
         endpoint=listed,
         candidate=candidate,
-        load=brought_load(call.head.prompt, demand, candidate),
+        load=added_load(call.head.prompt, demand, candidate),
         continues=True,
     )
