--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -117,6 +117,28 @@
     assert engines(backup_site)[1].turned_away == 1
 
 
+def test_run_begins_nowhere_anew_if_its_copy_cannot_be_reached(
+    backup_site: GatewaySite,
+):
+    backup_site.add_server('three', 'engines').events = 6
+    gateway = backup_site.gateways[0]
+    wait_until(lambda: 'three' in gateway.status()['endpoints'])
+    break_first(backup_site, 'crash')
+    for server in backup_site.servers.values():
+        server.event_ms = 150
+    caller = backup_site.caller()
+    caller.send('/oneway/x', method='POST', **LONG_ANSWER)
+    wait_until(lambda: any(each.runs for each in backup_site.servers.values()))
+    (first,) = [each for each in backup_site.servers.values() if each.runs]
+    backup = first.runs[0].headers['x-kv-backup']
+    for server in backup_site.servers.values():
+        if server.address == backup:
+            server.stop()
+    answer = caller.receive()
+    assert not answer.whole
+    assert sum(len(each.runs) for each in backup_site.servers.values()) == 1
+
+
 def test_second_engine_that_breaks_too_ends_the_stream(
     backup_site: GatewaySite,
 ):
--- a/wingfall/gateway/dispatcher.py
+++ b/wingfall/gateway/dispatcher.py
@@ -284,12 +284,14 @@
     def _may_try_again(self, end: AttemptEnd) -> bool:
         if self._continuation is not None:
             return True
+        # First of all: also where the last engine could not be reached, an
+        # earlier one may have run it.
+        if self._may_have_run and not self._call.idempotent:
+            return False
         if end is AttemptEnd.not_sent:
             return len(self._unreached) < _MAX_CONNECTS
         if len(self._sent) >= self._call.route.max_attempts:
             return False
-        if self._may_have_run and not self._call.idempotent:
-            return False
         if self._reply.started and self._reply.last_event_id is None:
             return False
         return self._state.budget.take(self._pool)
