--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -30,12 +30,20 @@
 
     def __init__(self) -> None:
         self.calls: list[str] = []
+        # Whether each watch was to return at once.
+        self.brief: list[bool] = []
         self.status = 0
 
     def list_all(self) -> Result[StoreReading, PlatformError]:
         return self._answer('list')
 
-    def watch(self, revision: int) -> Result[StoreReading, PlatformError]:
+    def watch(
+        self,
+        revision: int,
+        *,
+        brief: bool = False,
+    ) -> Result[StoreReading, PlatformError]:
+        self.brief.append(brief)
         answer = self._answer(f'watch {revision}')
         if self.status == GONE:
             self.status = 0
@@ -146,3 +154,15 @@
     gevent.sleep(0.5)
     rests = (time.monotonic() - started_s) * MS_PER_S / REST_MS
     assert len(followed.store.calls) - before <= rests + 2
+
+
+def test_lost_store_is_asked_without_a_wait_until_it_is_back(
+    followed: _Followed,
+):
+    followed.replica.catch_up(reading(5))
+    followed.store.status = DOWN
+    followed.start()
+    wait_until(lambda: len(followed.store.brief) >= 3)
+    assert followed.store.brief[:3] == [False, True, True]
+    followed.store.status = 0
+    wait_until(lambda: not followed.store.brief[-1])
--- a/wingfall/gateway/binding.py
+++ b/wingfall/gateway/binding.py
@@ -69,8 +69,13 @@
     def list_all(self) -> Result[StoreReading, PlatformError]:
         """Read all objects of the kind."""
 
-    def watch(self, revision: int) -> Result[StoreReading, PlatformError]:
-        """Wait a bounded time for changes after a revision."""
+    def watch(
+        self,
+        revision: int,
+        *,
+        brief: bool = False,
+    ) -> Result[StoreReading, PlatformError]:
+        """Wait a bounded time, or not at all, for changes after a revision."""
 
 
 @final
--- a/wingfall/gateway/follower.py
+++ b/wingfall/gateway/follower.py
@@ -130,7 +130,9 @@
         if revision is None:
             read = self._store.list_all()
         else:
-            read = self._store.watch(revision)
+            # A store that has fallen silent lets a watch hang for its whole
+            # time, also if it is back meanwhile.
+            read = self._store.watch(revision, brief=self._lost)
         if not isinstance(read, Success):
             self._note_lost(str(read.failure()))
             if read.failure().status == _GONE:
--- a/wingfall/platform/store.py
+++ b/wingfall/platform/store.py
@@ -20,7 +20,10 @@
 
 _OBJECTS: Final = '/wingfall/objects'
 _OK: Final = 200
+# Milliseconds by which the answer of a watch may be late.
 _SLACK_MS: Final = 1000
+# A watch that doesn't wait; the store takes whole milliseconds from 1 on.
+_BRIEF_MS: Final = 1
 _MAX_MESSAGE: Final = 200
 # A connection whose other side has gone silent ends within two seconds.
 _SOCKET_OPTIONS: Final = (
@@ -95,14 +98,21 @@
                 )
             query = {'since_rev': reading.objects[-1].name}
 
-    def watch(self, revision: int) -> Result[StoreReading, PlatformError]:
+    def watch(
+        self,
+        revision: int,
+        *,
+        brief: bool = False,
+    ) -> Result[StoreReading, PlatformError]:
         """Wait for changes after a revision.
 
         :param revision: up to where the changes are known.
+        :param brief: whether to take what there is without waiting for more.
         :returns: the changes, none after the time of one watch.
         """
-        query = {'watch': str(revision), 'wait_ms': str(self._wait_ms)}
-        timeout_ms = self._wait_ms + _SLACK_MS
+        wait_ms = _BRIEF_MS if brief else self._wait_ms
+        query = {'watch': str(revision), 'wait_ms': str(wait_ms)}
+        timeout_ms = self._timeout_ms if brief else wait_ms + _SLACK_MS
         return self._call(query, timeout_ms).bind(_read_changes)
 
     def _call(
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -47,7 +47,9 @@
         "The platform's store.",
         address=host_port('host:port of the store.'),
         timeout_ms=number(1500, 10, 60_000, 'Bound of a short call.'),
-        watch_ms=number(5000, 10, 30_000, 'Wait of one watch.'),
+        # A watch that hangs since the store fell silent must end before VMs
+        # count as in touch again, three seconds after the store's return.
+        watch_ms=number(3000, 10, 30_000, 'Wait of one watch.'),
     ),
     resend=section(
         'How often requests may be sent a second time.',
