--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -18,6 +18,10 @@
 from wingfall.gateway.replica import ObjectReplica
 
 
+# Milliseconds for which an entry that went without notice is still used.
+MOST_LAPSE_MS = 600
+
+
 def stored(name: str, revision: int, *, gone: bool = False) -> StoredObject:
     """Make an object."""
     spec = None if gone else {'revision': revision}
@@ -207,7 +211,7 @@
     table.remove('one')
     table.remove('two')
     assert len(table.usable('pool')) == 3
-    clock.advance(1500)
+    clock.advance(MOST_LAPSE_MS)
     assert [each.name for each in table.usable('pool')] == ['three']
 
 
--- a/wingfall/gateway/endpoints.py
+++ b/wingfall/gateway/endpoints.py
@@ -10,9 +10,11 @@
     from wingfall.clock import Clock
 
 # An entry that went without notice may only have lapsed in the store. Its
-# endpoint stays usable for this long, well within the time that a leaving
-# endpoint still serves, but only where at least half of a pool went at once.
-_LAPSE_MS: Final = 1500
+# endpoint stays usable for this many milliseconds, but only where at least
+# half of a pool went at once. A leaving endpoint must get nothing new two
+# seconds after its entry went, and a gateway that hears of it from a peer hears
+# up to 1.2 s late (revisions are told each second, asked for after 200 ms).
+_LAPSE_MS: Final = 600
 
 
 @final
