--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -17,7 +17,6 @@
 )
 from wingfall.gateway.replica import ObjectReplica
 
-
 # Milliseconds for which an entry that went without notice is still used.
 MOST_LAPSE_MS = 600
 
