Logs tell why a peer's session ended, and how long and how large its answers are

Change: lines for a question to a peer, its answer (objects given, new, bytes, ms) and one that did not come in time; the reason of a session that this side ended; reads of the store that brought objects (ms); who watches the store. No decision is changed. Tests: test_object_exchange, test_gateway_follower, test_gateway_config, test_wire, test_peer_sessions: 52 passed; lint clean.

--- a/wingfall/gateway/follower.py
+++ b/wingfall/gateway/follower.py
@@ -37,6 +37,7 @@
         '_backoff',
         '_clock',
         '_heard_ms',
+        '_held',
         '_holds_watch',
         '_leads',
         '_lost',
@@ -69,6 +70,8 @@
         self._holds_watch = holds_watch
         self._leads = leads
         self._heard_ms = 0
+        # Whether it watched the store at the last look, for the log.
+        self._held = False
         self._revision: int | None = None
         # The store has forgotten the history up to the revision.
         self._must_list = False
@@ -99,7 +102,9 @@
         """
         while not stop.is_set():
             self._take_peers_revision()
-            if self._revision is not None and not self._holds_watch():
+            holds_watch = self._holds_watch()
+            self._note_held(held=holds_watch)
+            if self._revision is not None and not holds_watch:
                 gevent.sleep(_IDLE_MS / MS_PER_S)
             elif self._step():
                 self._backoff.reset()
@@ -123,6 +128,7 @@
             gevent.sleep(_IDLE_MS / MS_PER_S)
 
     def _step(self) -> bool:
+        asked_ms = self._clock.now_ms()
         revision = self._revision
         if revision is not None:
             # Peers may have told more than the store did.
@@ -149,9 +155,29 @@
         self._heard_ms = self._clock.now_ms()
         self._note_regained()
         if reading.objects:
+            log_event(
+                'store',
+                'The store told of objects.',
+                kind=self._replica.kind,
+                call='list' if revision is None else 'watch',
+                objects=len(reading.objects),
+                revision=reading.revision,
+                ms=self._heard_ms - asked_ms,
+            )
             gevent.sleep(REST_MS / MS_PER_S)
         return True
 
+    def _note_held(self, *, held: bool) -> None:
+        if held is not self._held:
+            self._held = held
+            log_event(
+                'store',
+                'Watched from here.' if held else 'Watched by peers.',
+                kind=self._replica.kind,
+                revision=self._revision,
+                heard_ms=self._clock.now_ms() - self._heard_ms,
+            )
+
     def _note_lost(self, reason: str) -> None:
         if not self._lost:
             self._lost = True
--- a/wingfall/gateway/object_exchange.py
+++ b/wingfall/gateway/object_exchange.py
@@ -28,10 +28,17 @@
 class _Fetch:
     """A fetch that is under way."""
 
-    __slots__ = ('session', 'until_ms')
+    __slots__ = ('asked_ms', 'session', 'until_ms')
 
-    def __init__(self, *, session: PeerSession, until_ms: int) -> None:
+    def __init__(
+        self,
+        *,
+        session: PeerSession,
+        asked_ms: int,
+        until_ms: int,
+    ) -> None:
         self.session = session
+        self.asked_ms = asked_ms
         self.until_ms = until_ms
 
 
@@ -88,12 +95,23 @@
         under_way = self._fetches.get(kind)
         if under_way is not None and under_way.until_ms > now_ms:
             return
+        self._note_silent(kind, now_ms)
         self._fetches[kind] = _Fetch(
             session=session,
+            asked_ms=now_ms,
             until_ms=now_ms + _ANSWER_MS,
         )
         fetch = ObjectsFetch(kind=kind, revision=replica.revision)
         session.connection.send(fetch)
+        log_event(
+            'peers',
+            'A peer is asked for objects.',
+            peer=session.name,
+            kind=kind,
+            revision=replica.revision,
+            there=revision,
+            behind_ms=now_ms - since_ms,
+        )
 
     def forget(self, session: PeerSession) -> None:
         """Wait no longer for a peer that is gone.
@@ -139,26 +157,46 @@
         replica = self._replicas.get(page.kind)
         if replica is None:
             return
-        self._fetches.pop(page.kind, None)
-        objects = [
-            StoredObject(
-                name=name,
-                revision=revision,
-                spec=None if raw is None else orjson.loads(raw),
-            )
-            for name, revision, raw in page.objects
-        ]
-        reading = StoreReading(revision=page.revision, objects=objects)
-        taken = replica.catch_up(reading)
+        fetch = self._fetches.pop(page.kind, None)
+        taken = replica.catch_up(_read_page(page))
+        asked_ms = fetch.asked_ms if fetch else None
         log_event(
             'peers',
             'A peer gave objects.',
             peer=session.name,
             kind=page.kind,
             objects=taken,
+            given=len(page.objects),
+            bytes=sum(
+                len(raw or b'') for _name, _revision, raw in page.objects
+            ),
             revision=replica.revision,
+            ms=None if asked_ms is None else self._clock.now_ms() - asked_ms,
         )
 
+    def _note_silent(self, kind: str, now_ms: int) -> None:
+        silent = self._fetches.get(kind)
+        if silent is not None:
+            log_event(
+                'peers',
+                'A peer has not given objects in time.',
+                peer=silent.session.name,
+                kind=kind,
+                ms=now_ms - silent.asked_ms,
+            )
+
     def _wait_ms(self, session: PeerSession) -> int:
         near = session.zone == self._zone
         return _NEAR_AFTER_MS if near else _FAR_AFTER_MS
+
+
+def _read_page(page: ObjectsPage) -> StoreReading:
+    objects = [
+        StoredObject(
+            name=name,
+            revision=revision,
+            spec=None if raw is None else orjson.loads(raw),
+        )
+        for name, revision, raw in page.objects
+    ]
+    return StoreReading(revision=page.revision, objects=objects)
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -247,6 +247,7 @@
         self._sessions[session.name] = session
         if known is not None:
             known.connection.close()
+            log_event('peers', 'A peer is connected anew.', peer=session.name)
         self._share_budget()
         log_event('peers', 'A peer is connected.', peer=session.name)
         self._heartbeats.greet(session)
@@ -259,7 +260,12 @@
         self._heartbeats.forget(session)
         self._transfer.note_sessions(len(self._sessions), len(self._addresses))
         self._share_budget()
-        log_event('peers', 'A peer is gone.', peer=session.name)
+        log_event(
+            'peers',
+            'A peer is gone.',
+            peer=session.name,
+            reason=session.connection.fault,
+        )
 
     def _share_budget(self) -> None:
         # Those that can't be reached may still send, with the same slack.
--- a/wingfall/wire/connection.py
+++ b/wingfall/wire/connection.py
@@ -57,6 +57,7 @@
     __slots__ = (
         '_closed',
         '_decoder',
+        '_fault',
         '_queued',
         '_queued_bytes',
         '_ready',
@@ -76,6 +77,7 @@
         self._queued_bytes = 0
         self._ready = Event()
         self._closed = False
+        self._fault = ''
         self._writer = gevent.spawn(self._write)
 
     @property
@@ -83,6 +85,11 @@
         """Whether either side has ended the connection."""
         return self._closed
 
+    @property
+    def fault(self) -> str:
+        """Why this side ended the connection, empty if nothing failed."""
+        return self._fault
+
     @property
     def no_delay(self) -> bool:
         """Whether small messages leave at once."""
@@ -119,6 +126,7 @@
         self._queued.append(frame)
         self._queued_bytes += len(frame)
         if self._queued_bytes > _MAX_QUEUED_BYTES:
+            self._fault = f'{self._queued_bytes} bytes are queued'
             self.close()
         self._ready.set()
 
@@ -134,7 +142,9 @@
                 received = self._socket.recv(_READ_BYTES)
             except TimeoutError as error:
                 raise WireError('the peer is silent') from error
-            except OSError:
+            except OSError as error:
+                if not self._closed:
+                    self._fault = f'receiving: {error}'
                 return
             if not received:
                 return
@@ -180,7 +190,8 @@
             batch = len(self._queued)
             try:
                 self._socket.sendall(frames)
-            except OSError:
+            except OSError as error:
+                self._fault = f'sending {len(frames)} bytes: {error}'
                 self.close()
                 return
             self._queued = self._queued[batch:]
