--- a/standins/link.py
+++ b/standins/link.py
@@ -1,10 +1,11 @@
-"""A loopback proxy that delays, resets, cuts one way or silences a link."""
+"""A loopback proxy that delays, slows, resets, cuts or silences a link."""
 
 from __future__ import annotations
 
 import enum
 import socket
 import struct
+import time
 from typing import Any, Final, final
 
 import gevent
@@ -16,6 +17,8 @@
 _READ_BYTES: Final = 65_536
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 _MS: Final = 1000
+# What waits in a slow link is held by its sender, as over a real one.
+_SLOW_BUFFER_BYTES: Final = 32_768
 
 
 class LinkState(enum.StrEnum):
@@ -27,6 +30,30 @@
     silent = 'silent'  # All bytes are held back, both ways.
 
 
+@final
+class Bandwidth:
+    """The bytes a second that some links share, towards their callers."""
+
+    def __init__(self, *, bytes_per_s: int) -> None:
+        """Start with nothing passed.
+
+        :param bytes_per_s: bytes a second of all links together.
+        """
+        self.passed_bytes = 0
+        self._bytes_per_s = bytes_per_s
+        self._free_s = time.monotonic()
+
+    def take(self, count: int) -> None:
+        """Wait until some bytes may pass.
+
+        :param count: how many.
+        """
+        now_s = time.monotonic()
+        self._free_s = max(self._free_s, now_s) + count / self._bytes_per_s
+        gevent.sleep(self._free_s - now_s)
+        self.passed_bytes += count
+
+
 @final
 class Link:
     """Passes bytes between its port and a target, as long as it is whole.
@@ -35,11 +62,18 @@
     network that lost packets for a while.
     """
 
-    def __init__(self, *, target: str) -> None:
+    def __init__(
+        self,
+        *,
+        target: str,
+        bandwidth: Bandwidth | None = None,
+    ) -> None:
         """Listen on a free port.
 
         :param target: ``host:port`` that the link leads to.
+        :param bandwidth: bounds what comes back from there, None for no bound.
         """
+        self._bandwidth = bandwidth
         host, _colon, port = target.rpartition(':')
         self._target = (host, int(port))
         self._state = LinkState.whole
@@ -102,7 +136,11 @@
         for sock in (near, far):
             set_no_delay(sock)
             self._sockets.add(sock)
-        back = gevent.spawn(self._pump, far, near, LinkState.silent)
+        if self._bandwidth is not None:
+            _shrink_buffers(near, far)
+        back = gevent.spawn(
+            self._pump, far, near, LinkState.silent, bandwidth=self._bandwidth
+        )
         self._pump(near, far, LinkState.silent, LinkState.deaf)
         back.join()
         self._sockets -= {near, far}
@@ -112,10 +150,13 @@
         source: socket.socket,
         sink: socket.socket,
         *holding: LinkState,
+        bandwidth: Bandwidth | None = None,
     ) -> None:
         try:
             while received := source.recv(_READ_BYTES):
                 gevent.sleep(self._delay_ms / _MS)
+                if bandwidth is not None:
+                    bandwidth.take(len(received))
                 while self._state in holding:
                     self._healed.wait()
                 sink.sendall(received)
@@ -125,6 +166,12 @@
             _reset(sink)
 
 
+def _shrink_buffers(near: socket.socket, far: socket.socket) -> None:
+    size = _SLOW_BUFFER_BYTES
+    near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+    far.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 def _reset(sock: socket.socket) -> None:
     # A shutdown before it would be an orderly end to the other side.
     try:
--- /dev/null
+++ b/tests/peer_standin.py
@@ -0,0 +1,126 @@
+"""A gateway that only answers what its peers ask, behind a slow link."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Any, Final, final
+
+import gevent
+from gevent.server import StreamServer
+
+from standins.link import Bandwidth, Link
+from wingfall.clock import WallClock
+from wingfall.errors import WireError
+from wingfall.gateway.binding import StoredObject, StoreReading
+from wingfall.gateway.heartbeat_schedule import silence_ms
+from wingfall.gateway.object_exchange import ObjectExchange
+from wingfall.gateway.peer_session import PeerSession
+from wingfall.gateway.replica import ROUTES_KIND, ObjectReplica
+from wingfall.wire.connection import Connection
+from wingfall.wire.gateway_messages import GatewayHeartbeat, GatewayHello
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wingfall.wire.message import Message
+
+HOST: Final = '127.0.0.1'
+ZONE: Final = 'osl-a'
+_HEARTBEAT_S: Final = 0.1
+_SEND_BUFFER_BYTES: Final = 32_768
+
+
+@final
+class PeerStandIn:
+    """A peer with a copy of the configuration, reached over one link only."""
+
+    def __init__(self, *, name: str, bandwidth: Bandwidth) -> None:
+        """Start to listen.
+
+        :param name: its name.
+        :param bandwidth: bounds what it sends, together with others.
+        """
+        self._name = name
+        self._replica = ObjectReplica(
+            kind=ROUTES_KIND,
+            listener=lambda _name, _spec: None,
+        )
+        self._exchange = ObjectExchange(
+            replicas=[self._replica],
+            clock=WallClock(),
+            zone=ZONE,
+        )
+        self._handlers: dict[str, Callable[[PeerSession, Message], None]] = {
+            'ObjectsFetch': self._exchange.answer,
+        }
+        self.sessions = 0
+        self._server = StreamServer((HOST, 0), self._accept)
+        self._server.start()
+        self.link = Link(
+            target=f'{HOST}:{self._server.server_port}',
+            bandwidth=bandwidth,
+        )
+
+    def learn(self, revision: int, spec: dict[str, Any]) -> None:
+        """Read a configuration from the store.
+
+        :param revision: the store's revision.
+        :param spec: the configuration.
+        """
+        stored = StoredObject(name='main', revision=revision, spec=spec)
+        reading = StoreReading(revision=revision, objects=[stored])
+        self._replica.apply_changes(reading)
+
+    def stop(self) -> None:
+        """End all connections."""
+        self._server.stop(timeout=0)
+        self.link.close()
+
+    def _accept(self, sock: socket.socket, _peer: object) -> None:
+        size = _SEND_BUFFER_BYTES
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+        connection = Connection(sock=sock)
+        connection.allow_large()
+        connection.set_timeout(silence_ms(1))
+        connection.send(self._hello())
+        beats = gevent.spawn(self._beat, connection)
+        try:
+            self._serve(connection)
+        except WireError:
+            connection.close()
+        finally:
+            beats.kill()
+            connection.close()
+
+    def _serve(self, connection: Connection) -> None:
+        session: PeerSession | None = None
+        for message in connection.receive():
+            if isinstance(message, GatewayHello):
+                session = PeerSession(hello=message, connection=connection)
+                self.sessions += 1
+                continue
+            take = self._handlers.get(type(message).__name__)
+            if take is not None and session is not None:
+                take(session, message)
+
+    def _beat(self, connection: Connection) -> None:
+        while not connection.closed:
+            connection.send(
+                GatewayHeartbeat(
+                    revisions=self._exchange.revisions,
+                    loads=[],
+                    sent=[],
+                    leaving=False,
+                    whole=True,
+                    watching=True,
+                ),
+            )
+            gevent.sleep(_HEARTBEAT_S)
+
+    def _hello(self) -> GatewayHello:
+        return GatewayHello(
+            name=self._name,
+            address=self.link.address,
+            known=[],
+            zone=ZONE,
+        )
