An object that a peer holds is not given to it again

A gateway that listed the store had a higher one for the same object, and all that held it fetched it again: five copies of 0.8 MB at each gateway with a fast link, where two were new. Change: what there is is told by its own revision; only what is gone is told by the revision at which that was learned, since it bears an older one. test_object_that_a_peer_holds_is_not_given_again is red without it (run so).

--- a/tests/test_object_exchange.py
+++ b/tests/test_object_exchange.py
@@ -245,3 +245,27 @@
     behind = _Gateway(revision=4)
     behind.exchange.take(peer('ahead'), page)
     assert behind.replica.revision == 5
+
+
+def test_object_that_a_peer_holds_is_not_given_again():
+    # The one ahead has listed the store since; the object is the same.
+    ahead = _Gateway(revision=0)
+    ahead.replica.apply_list(
+        StoreReading(revision=9, objects=reading(5).objects),
+    )
+    back = peer('behind')
+    ahead.exchange.answer(
+        back, ObjectsFetch(kind=ROUTES_KIND, revision=5, most=CHUNK_BYTES)
+    )
+    (page,) = back.connection.sent
+    assert not page.size
+    behind = _Gateway(revision=5)
+    behind.exchange.take(peer('ahead'), page)
+    assert behind.replica.revision == 9
+
+
+def test_object_that_is_gone_is_told_whatever_its_own_revision():
+    ahead = _Gateway(revision=5)
+    ahead.replica.apply_list(StoreReading(revision=9, objects=[]))
+    (gone,) = ahead.replica.since(7)
+    assert gone.spec is None
--- a/wingfall/gateway/replica.py
+++ b/wingfall/gateway/replica.py
@@ -106,7 +106,7 @@
         changed = [
             entry.stored
             for entry in self._entries.values()
-            if entry.learned_at > revision
+            if _told_at(entry) > revision
         ]
         changed.sort(key=lambda each: each.revision)
         return changed
@@ -133,6 +133,14 @@
             self._entries.pop(oldest)
 
 
+def _told_at(entry: _Entry) -> int:
+    # An object has the same revision everywhere; by the one that a list or a
+    # peer happened to have, peers that hold it would be sent it again. What is
+    # gone bears the revision of its last change and would not be told at all.
+    gone = entry.stored.spec is None
+    return entry.learned_at if gone else entry.stored.revision
+
+
 def _is_newer(changed: StoredObject, known: StoredObject) -> bool:
     # What is gone may bear the revision of its last change.
     if changed.revision == known.revision:
