Gateways step in for lost watchers of the store in waves, and say so at once

Ruled out: that the store was down (it answered all). Change: who steps in follows the order in waves of 3, 6, 12 (WatchDuty), half a second apart; one that steps in asks the store without a wait and tells its peers with the next beat, so that the waves end; a long answer counts as heard as long as it comes.

--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -18,7 +18,7 @@
 from wingfall.gateway.replica import ROUTES_KIND, ObjectReplica
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
 GONE = 410
 DOWN = 503
@@ -33,17 +33,25 @@
         # Whether each watch was to return at once.
         self.brief: list[bool] = []
         self.status = 0
+        # Called by a long answer as it comes in.
+        self.progress: Callable[[], None] = lambda: None
 
-    def list_all(self) -> Result[StoreReading, PlatformError]:
+    def list_all(
+        self,
+        *,
+        progress: Callable[[], None],
+    ) -> Result[StoreReading, PlatformError]:
         return self._answer('list')
 
     def watch(
         self,
         revision: int,
         *,
+        progress: Callable[[], None],
         brief: bool = False,
     ) -> Result[StoreReading, PlatformError]:
         self.brief.append(brief)
+        self.progress = progress
         answer = self._answer(f'watch {revision}')
         if self.status == GONE:
             self.status = 0
@@ -166,3 +174,25 @@
     assert followed.store.brief[:3] == [False, True, True]
     followed.store.status = 0
     wait_until(lambda: not followed.store.brief[-1])
+
+
+def test_gateway_that_steps_in_hears_the_store_without_a_wait(
+    followed: _Followed,
+):
+    followed.replica.catch_up(reading(5))
+    followed.holds_watch = False
+    followed.start()
+    gevent.sleep(0.05)
+    followed.holds_watch = True
+    wait_until(lambda: len(followed.store.brief) >= 2)
+    assert followed.store.brief[:2] == [True, False]
+
+
+def test_store_is_heard_as_long_as_a_long_answer_comes(followed: _Followed):
+    followed.start()
+    wait_until(lambda: followed.store.brief)
+    gevent.sleep(0.1)
+    within_ms = 50
+    assert not followed.follower.has_heard(within_ms)
+    followed.store.progress()
+    assert followed.follower.has_heard(within_ms)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -22,6 +22,6 @@
             metrics=Metrics(),
         )
         # A watch with its whole wait would outlast any run of the tests.
-        read = store.watch(5, brief=True)
+        read = store.watch(5, brief=True, progress=lambda: None)
     assert isinstance(read, Failure)
     assert read.failure().status == 0
--- a/wingfall/gateway/binding.py
+++ b/wingfall/gateway/binding.py
@@ -7,6 +7,7 @@
 from wingfall.registry import Registry
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from types import SimpleNamespace
 
     from returns.result import Result
@@ -64,15 +65,20 @@
 
 
 class ObjectStore(Protocol):
-    """Reads one kind of object."""
+    """Reads one kind of object; tells of progress as answers come in."""
 
-    def list_all(self) -> Result[StoreReading, PlatformError]:
+    def list_all(
+        self,
+        *,
+        progress: Callable[[], None],
+    ) -> Result[StoreReading, PlatformError]:
         """Read all objects of the kind."""
 
     def watch(
         self,
         revision: int,
         *,
+        progress: Callable[[], None],
         brief: bool = False,
     ) -> Result[StoreReading, PlatformError]:
         """Wait a bounded time, or not at all, for changes after a revision."""
--- a/wingfall/gateway/follower.py
+++ b/wingfall/gateway/follower.py
@@ -39,6 +39,7 @@
         '_heard_ms',
         '_held',
         '_holds_watch',
+        '_idle',
         '_leads',
         '_lost',
         '_must_list',
@@ -76,6 +77,8 @@
         # The store has forgotten the history up to the revision.
         self._must_list = False
         self._lost = False
+        # Peers watched last; what the store says now has not been asked.
+        self._idle = False
         self._backoff = Backoff(
             min_ms=_MIN_RETRY_MS,
             max_ms=_MAX_RETRY_BEHIND_MS,
@@ -105,6 +108,7 @@
             holds_watch = self._holds_watch()
             self._note_held(held=holds_watch)
             if self._revision is not None and not holds_watch:
+                self._idle = True
                 gevent.sleep(_IDLE_MS / MS_PER_S)
             elif self._step():
                 self._backoff.reset()
@@ -134,11 +138,16 @@
             # Peers may have told more than the store did.
             revision = max(revision, self._replica.revision)
         if revision is None:
-            read = self._store.list_all()
+            read = self._store.list_all(progress=self._note_progress)
         else:
             # A store that has fallen silent lets a watch hang for its whole
-            # time, also if it is back meanwhile.
-            read = self._store.watch(revision, brief=self._lost)
+            # time, also if it is back meanwhile. A gateway that steps in is
+            # heard to watch by its peers once the store has answered it.
+            read = self._store.watch(
+                revision,
+                brief=self._lost or self._idle,
+                progress=self._note_progress,
+            )
         if not isinstance(read, Success):
             self._note_lost(str(read.failure()))
             if read.failure().status == _GONE:
@@ -152,7 +161,8 @@
             self._replica.apply_changes(reading)
         self._revision = max(reading.revision, revision or 0)
         self._must_list = False
-        self._heard_ms = self._clock.now_ms()
+        self._idle = False
+        self._note_progress()
         self._note_regained()
         if reading.objects:
             log_event(
@@ -167,6 +177,10 @@
             gevent.sleep(REST_MS / MS_PER_S)
         return True
 
+    def _note_progress(self) -> None:
+        # A long answer over a slow link is being heard as long as it comes.
+        self._heard_ms = self._clock.now_ms()
+
     def _note_held(self, *, held: bool) -> None:
         if held is not self._held:
             self._held = held
--- a/wingfall/gateway/heartbeats.py
+++ b/wingfall/gateway/heartbeats.py
@@ -39,6 +39,7 @@
         '_sessions',
         '_state',
         '_told_revisions',
+        '_told_watching',
         '_transfer',
         '_watches',
     )
@@ -70,6 +71,7 @@
         self._loads = LoadExchange(name=name, state=state)
         self._schedule = HeartbeatSchedule()
         self._told_revisions: dict[str, int] = {}
+        self._told_watching = False
         self._handlers: dict[type[Message], Callable[..., None]] = {
             GatewayHeartbeat: self._hear,
             ZoneLoads: self._hear_zone,
@@ -118,12 +120,16 @@
         self._transfer.step(sessions)
         near = len(self._loads.near(sessions))
         self._schedule.set_peers(near=near, peers=len(sessions))
+        watching = self._watches()
         due = self._schedule.due(
             now_ms,
             has_news=self._state.load.has_changed,
-            watching=self._watches(),
+            watching=watching,
             new_objects=self._has_new_objects(),
         )
+        if watching is not self._told_watching:
+            # Others step in, or need no longer, as soon as they hear it.
+            due = HeartbeatDue.whole
         if due is not HeartbeatDue.none:
             self._schedule.note_sent(now_ms, due)
             self.tell(
@@ -154,6 +160,7 @@
         )
         _send_to_all(near, heartbeat)
         self._told_revisions = self._exchange.revisions
+        self._told_watching = heartbeat.watching
 
     def _hear(self, session: PeerSession, heartbeat: GatewayHeartbeat) -> None:
         session.leaving = heartbeat.leaving
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -20,6 +20,7 @@
 from wingfall.gateway.object_exchange import ObjectExchange
 from wingfall.gateway.peer_session import PeerSession
 from wingfall.gateway.ranking import rank
+from wingfall.gateway.watch_duty import WATCHERS, WatchDuty
 from wingfall.log import log_event
 from wingfall.wire.connection import Connection
 from wingfall.wire.gateway_messages import GatewayHello
@@ -33,7 +34,6 @@
     from wingfall.supervisor import Supervisor
     from wingfall.wire.message import Message
 
-_WATCHERS: Final = 3
 _CONNECT_S: Final = 1
 _DIAL_MS: Final = 300
 _DIALS: Final = 8
@@ -59,6 +59,7 @@
         '_state',
         '_supervisor',
         '_transfer',
+        '_watch_duty',
     )
 
     def __init__(
@@ -91,6 +92,7 @@
         self._transfer = transfer
         self._supervisor = supervisor
         self._sessions: dict[str, PeerSession] = {}
+        self._watch_duty = WatchDuty()
         self._heartbeats = Heartbeats(
             name=name,
             state=state,
@@ -129,14 +131,13 @@
         """
         # Who watches is heard each second, however many gateways there are.
         before = self._before(heard_within_ms(1))
-        watching = [each for each in before if each.watching]
-        return len(watching) < _WATCHERS
+        return self._watch_duty.holds(before, self._state.clock.now_ms())
 
     @property
     def leads(self) -> bool:
         """Whether this gateway shall be among the first to ask a lost store."""
         within_ms = heard_within_ms(len(self._sessions))
-        return len(self._before(within_ms)) < _WATCHERS
+        return len(self._before(within_ms)) < WATCHERS
 
     def start(self) -> None:
         """Accept and connect from now on."""
--- a/wingfall/platform/store.py
+++ b/wingfall/platform/store.py
@@ -14,7 +14,7 @@
 from wingfall.gateway.binding import StoredObject, StoreReading
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from wingfall.metrics import Metrics
 
@@ -25,6 +25,8 @@
 # A watch that doesn't wait; the store takes whole milliseconds from 1 on.
 _BRIEF_MS: Final = 1
 _MAX_MESSAGE: Final = 200
+# A long answer counts as heard each time that so many bytes have come.
+_PIECE_BYTES: Final = 65_536
 # A connection whose other side has gone silent ends within two seconds.
 _SOCKET_OPTIONS: Final = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -76,16 +78,23 @@
             socket_options=list(_SOCKET_OPTIONS),
         )
 
-    def list_all(self) -> Result[StoreReading, PlatformError]:
+    def list_all(
+        self,
+        *,
+        progress: Callable[[], None],
+    ) -> Result[StoreReading, PlatformError]:
         """Read all objects of the kind, page by page.
 
+        :param progress: called as the answers come in.
         :returns: the objects and the revision they stand at, or the failure.
         """
         objects: list[StoredObject] = []
         query: dict[str, str] = {}
         revision: int | None = None
         while True:
-            page = self._call(query, self._timeout_ms).bind(_read_page)
+            page = self._call(query, self._timeout_ms, progress).bind(
+                _read_page,
+            )
             if not isinstance(page, Success):
                 return page
             reading, more = page.unwrap()
@@ -102,23 +111,26 @@
         self,
         revision: int,
         *,
+        progress: Callable[[], None],
         brief: bool = False,
     ) -> Result[StoreReading, PlatformError]:
         """Wait for changes after a revision.
 
         :param revision: up to where the changes are known.
+        :param progress: called as the answer comes in.
         :param brief: whether to take what there is without waiting for more.
         :returns: the changes, none after the time of one watch.
         """
         wait_ms = _BRIEF_MS if brief else self._wait_ms
         query = {'watch': str(revision), 'wait_ms': str(wait_ms)}
         timeout_ms = self._timeout_ms if brief else wait_ms + _SLACK_MS
-        return self._call(query, timeout_ms).bind(_read_changes)
+        return self._call(query, timeout_ms, progress).bind(_read_changes)
 
     def _call(
         self,
         query: Mapping[str, str],
         timeout_ms: int,
+        progress: Callable[[], None],
     ) -> Result[Any, PlatformError]:
         status = 0
         try:
@@ -130,9 +142,10 @@
                     connect=self._timeout_ms / MS_PER_S,
                     read=timeout_ms / MS_PER_S,
                 ),
+                preload_content=False,
             )
+            body = _read_body(response, progress)
             status = response.status
-            body = response.data
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Failure(PlatformError(status=0, message=str(error)))
         finally:
@@ -144,6 +157,17 @@
         return _parse(body)
 
 
+def _read_body(
+    response: urllib3.BaseHTTPResponse,
+    progress: Callable[[], None],
+) -> bytes:
+    pieces = []
+    for piece in response.stream(_PIECE_BYTES):
+        progress()
+        pieces.append(piece)
+    return b''.join(pieces)
+
+
 def _parse(body: bytes) -> Result[Any, PlatformError]:
     try:
         return Success(orjson.loads(body))
