--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+import h11
 import pytest
 
 from tests.gateway_site import GatewaySite
@@ -107,3 +108,36 @@
     sockets[0].sendall(REQUEST)
     connection.run()
     assert b' 503 ' in sockets[0].recv(1000)
+
+
+def test_caller_that_reads_slowly_gets_a_long_answer_whole(
+    sockets: tuple[socket.socket, socket.socket],
+    connection: CallerConnection,
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """The bound of a write is for a piece of the answer, not for all of it."""
+    monkeypatch.setattr('wingfall.gateway.caller_connection._WRITE_MS', 400)
+    caller, accepted = sockets
+    caller.settimeout(5)
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32_768)
+    connection._http.receive_data(REQUEST)
+    for _event in range(2):
+        connection._http.next_event()
+    body = bytes(8_000_000)
+    written = gevent.spawn(
+        connection._write,
+        h11.Response(
+            status_code=200,
+            headers=[('Content-Length', str(len(body)))],
+        ),
+        h11.Data(data=body),
+        h11.EndOfMessage(),
+    )
+    received = 0
+    while received < len(body):
+        # Some 1.5 s for all of it, whatever the network's buffers hold.
+        gevent.sleep(0.02)
+        piece = caller.recv(100_000)
+        assert piece
+        received += len(piece)
+    written.get(timeout=5)
--- a/tests/test_parts_transfer.py
+++ b/tests/test_parts_transfer.py
@@ -76,6 +76,18 @@
     assert asked(*peers) == ['one', 'two']
 
 
+def test_each_silent_peer_doubles_the_time_that_is_given(gateway: _Gateway):
+    peers = [peer('one'), peer('two')]
+    asked_ms = []
+    for now_ms in range(0, 8000, 100):
+        sent = sum(len(each.connection.sent) for each in peers)
+        gateway.transfer.step(peers)
+        if sum(len(each.connection.sent) for each in peers) > sent:
+            asked_ms.append(now_ms)
+        gateway.clock.advance(100)
+    assert asked_ms == [0, 1000, 3000, 7000]
+
+
 def test_gateway_is_informed_when_nobody_knows(gateway: _Gateway):
     new = peer('new', informed=False)
     gateway.clock.advance(2900)
--- a/tests/test_peer_sessions.py
+++ b/tests/test_peer_sessions.py
@@ -115,3 +115,30 @@
     wait_until(peer.closed['accepted'].is_set)
     assert gateway.status()['peers'] == [AFTER]
     peer.stop()
+
+
+def test_slow_dial_is_not_repeated_while_it_is_under_way(
+    gateway_site: GatewaySite,
+):
+    """Over a full link a hello comes later than the next round of dials."""
+    opened = []
+    test_ended = Event()
+
+    def say_nothing(sock: gevent.socket.socket, _peer: object) -> None:
+        opened.append(sock)
+        test_ended.wait()
+
+    server = StreamServer((HOST, 0), say_nothing)
+    server.start()
+    gateway_site.start_gateway(
+        peers={
+            'listen': f'{HOST}:0',
+            'seeds': [f'{HOST}:{server.server_port}'],
+        },
+    )
+    wait_until(lambda: opened)
+    # Three rounds of dials.
+    gevent.sleep(1)
+    assert len(opened) == 1
+    test_ended.set()
+    server.stop(timeout=0)
--- a/wingfall/gateway/caller_connection.py
+++ b/wingfall/gateway/caller_connection.py
@@ -30,7 +30,7 @@
 from wingfall.gateway.routes import CallerLimits
 from wingfall.http_server import is_readable
 from wingfall.log import log_event
-from wingfall.wire.connection import set_no_delay
+from wingfall.wire.connection import send_all, set_no_delay
 
 if TYPE_CHECKING:
     from gevent import Greenlet
@@ -40,6 +40,7 @@
     from wingfall.gateway.state import GatewayState
 
 _READ_BYTES: Final = 65_536
+# A caller that takes nothing for so long has left.
 _WRITE_MS: Final = 5000
 # Callers use a connection up to four fifths of the idle bound; some more
 # than the bound is given, since their clocks and ways differ.
@@ -268,7 +269,7 @@
             return
         self._socket.settimeout(_WRITE_MS / MS_PER_S)
         try:
-            self._socket.sendall(encoded)
+            send_all(self._socket, encoded)
         except OSError as error:
             raise CallerGoneError from error
 
--- a/wingfall/gateway/parts_transfer.py
+++ b/wingfall/gateway/parts_transfer.py
@@ -13,6 +13,7 @@
 from wingfall.clock import MS_PER_S
 from wingfall.gateway.call import PromptPart
 from wingfall.log import log_event
+from wingfall.supervisor import Backoff
 from wingfall.wire.gateway_messages import PartsFetch, PartsPage
 
 if TYPE_CHECKING:
@@ -24,7 +25,10 @@
 _TICK_MS: Final = 50
 # For so long only peers of the own availability zone are asked.
 _NEAR_ONLY_MS: Final = 300
+# A peer that has not answered in this time is asked no longer; the time
+# doubles with each, since the answer is long and links may be slow.
 _ANSWER_MS: Final = 1000
+_MAX_ANSWER_MS: Final = 8000
 # When no peer has known more for so long, nobody does.
 _NOBODY_KNOWS_MS: Final = 3000
 _MOST_PARTS: Final = 20_000
@@ -38,6 +42,7 @@
     __slots__ = (
         '_asked',
         '_asked_until_ms',
+        '_backoff',
         '_behind_since_ms',
         '_state',
         'informed',
@@ -54,6 +59,7 @@
         self._behind_since_ms = state.clock.now_ms()
         self._asked: PeerSession | None = None
         self._asked_until_ms = 0
+        self._backoff = Backoff(min_ms=_ANSWER_MS, max_ms=_MAX_ANSWER_MS)
 
     def note_sessions(self, connected: int, known: int) -> None:
         """Note how many peers are left after one has gone.
@@ -77,7 +83,7 @@
         session = self._choose(sessions, near_only=behind_ms < _NEAR_ONLY_MS)
         if session is not None:
             self._asked = session
-            self._asked_until_ms = now_ms + _ANSWER_MS
+            self._asked_until_ms = now_ms + self._backoff.take_ms()
             session.connection.send(PartsFetch(most=_MOST_PARTS))
         elif sessions and behind_ms >= _NOBODY_KNOWS_MS:
             self.informed = True
@@ -105,6 +111,7 @@
         for endpoint, *parts in page.parts:
             self._state.caches.find(endpoint).note(read_parts(parts))
         self.informed = True
+        self._backoff.reset()
         log_event(
             'peers',
             'A peer told what engines keep.',
--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -50,6 +50,7 @@
     __slots__ = (
         '_address',
         '_addresses',
+        '_dialing',
         '_heartbeats',
         '_incarnation',
         '_name',
@@ -107,6 +108,8 @@
         )
         # Known addresses and the dials in a row that failed.
         self._addresses: dict[str, int] = {}
+        # Where a connection is being opened, or one that was is still used.
+        self._dialing: set[str] = set()
         host, _colon, port = address.rpartition(':')
         self._server = StreamServer((host, int(port)), self._accept)
         self._server.init_socket()
@@ -181,13 +184,22 @@
     def _dial_forever(self) -> None:
         while not self._supervisor.stopped:
             connected = {each.address for each in self._sessions.values()}
-            missing = sorted(self._addresses.keys() - connected)
+            # Over a slow link a dial takes longer than the pause between two.
+            known = self._addresses.keys()
+            missing = sorted(known - connected - self._dialing)
             # A few at a time, drawn, so that two rarely dial each other.
             for address in random.sample(missing, min(_DIALS, len(missing))):
                 gevent.spawn(self._dial, address)
             gevent.sleep(_DIAL_MS / MS_PER_S)
 
     def _dial(self, address: str) -> None:
+        self._dialing.add(address)
+        try:
+            self._connect(address)
+        finally:
+            self._dialing.discard(address)
+
+    def _connect(self, address: str) -> None:
         host, _colon, port = address.rpartition(':')
         try:
             sock = socket.create_connection((host, int(port)), _CONNECT_S)
--- a/wingfall/wire/connection.py
+++ b/wingfall/wire/connection.py
@@ -18,8 +18,6 @@
     from wingfall.wire.message import Message
 
 _READ_BYTES = 65_536
-# The silence of the peer bounds each piece of this size, not all that is
-# queued: over a slow link that would cut what is still moving.
 _WRITE_BYTES = 65_536
 _MAX_QUEUED_BYTES = 67_108_864
 
@@ -34,6 +32,21 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def send_all(sock: socket.socket, encoded: bytes) -> None:
+    """Send bytes as long as they move.
+
+    The socket's timeout bounds each piece of 64 KB. A bound of the whole would
+    cut what a slow link still carries, and what was sent would be lost.
+
+    :param sock: a socket with a timeout.
+    :param encoded: the bytes.
+    :raises OSError: if a piece does not leave in time, or the peer is gone.
+    """
+    view = memoryview(encoded)
+    for start in range(0, len(view), _WRITE_BYTES):
+        sock.sendall(view[start : start + _WRITE_BYTES])
+
+
 def tcp_listener(address: str, backlog: int) -> socket.socket:
     """Listen on an address.
 
@@ -189,17 +202,13 @@
 
     def _flush(self) -> None:
         while self._queued and not self._closed:
-            frames = memoryview(b''.join(self._queued))
+            frames = b''.join(self._queued)
             batch = len(self._queued)
             try:
-                self._send_all(frames)
+                send_all(self._socket, frames)
             except OSError as error:
                 self._fault = f'sending {len(frames)} bytes: {error}'
                 self.close()
                 return
             self._queued = self._queued[batch:]
             self._queued_bytes -= len(frames)
-
-    def _send_all(self, frames: memoryview) -> None:
-        for start in range(0, len(frames), _WRITE_BYTES):
-            self._socket.sendall(frames[start : start + _WRITE_BYTES])
