Soak: connections used to the end, signals, restarts and changes in series

Half of the callers use a connection until the gateway ends it. New promise: a route that was added is there once that is in force (its test shows it broken). A soak holds its block of ports by listening on the first one; blocks are large enough for 29 gateways.

--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -6,11 +6,16 @@
 
 import pytest
 
-from tools.soak.promises import in_force, revoked_keys_are_refused
+from tools.soak.promises import (
+    added_routes_are_there,
+    in_force,
+    revoked_keys_are_refused,
+)
 from tools.soak.traffic import Outcome
 
 REVOKED_S = 100.0
 KEY = 'key-1'
+ROUTE = 'added-1'
 
 
 @final
@@ -21,6 +26,7 @@
         self.store_disturbed = list(store_disturbed)
         self.disturbed: dict[str, list[float]] = {}
         self.revoked_s = {KEY: REVOKED_S}
+        self.added_s = {ROUTE: REVOKED_S}
 
 
 def served(sent_s: float) -> Outcome:
@@ -63,3 +69,12 @@
     site = _Site()
     site.disturbed['g'] = [103.0]
     assert not list(revoked_keys_are_refused(site, [served(104)]))
+
+
+def test_added_route_that_is_unknown_too_long_breaks_a_promise():
+    asked = [served(101), served(104)]
+    for each in asked:
+        each.route = ROUTE
+        each.status = 404
+    (broken,) = added_routes_are_there(_Site(), asked)
+    assert broken == f'call: {ROUTE} is unknown after 4.0 s'
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -15,19 +15,25 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
 
 from tools.fleet import wait_for
+from tools.soak import series
 from tools.soak.faults import faults
 from tools.soak.promises import promises
 from tools.soak.running_faults import RunningFaults
 from tools.soak.site import STEADY_KEY, SoakSite
 from tools.soak.traffic import KINDS, Traffic
 
+# Faults are known once their modules are imported.
+FAULTS = (series,)
+
 _CALLERS = 8
 _SETTLE_S = 6
 _RECOVER_S = 12
 _MOST_SHOWN = 5
 _MOST_FAULTS = 4
+_LAST_ROUTES = 3
 
 
 def main() -> int:
@@ -104,20 +110,26 @@
         if gateway.child.poll() is not None:
             broken.append(f'{name} has ended by itself')
             continue
-        for kind in KINDS:
-            try:
-                wait_for(
-                    lambda: traffic.ask(kind, name, STEADY_KEY).status == 200,
-                    'service',
-                    _RECOVER_S,
-                )
-            except TimeoutError:
-                broken.append(f'{name} does not serve {kind} again')
+        broken.extend(_check_service(traffic, name))
         # The promises look at what became of these.
         for key in site.revoked_s:
             traffic.ask(KINDS[0], name, key)
+        for route in list(site.added_s)[-_LAST_ROUTES:]:
+            traffic.ask(KINDS[0], name, STEADY_KEY, route=route)
     return broken
 
 
+def _check_service(traffic: Traffic, name: str) -> Iterator[str]:
+    for kind in KINDS:
+        try:
+            wait_for(
+                lambda: traffic.ask(kind, name, STEADY_KEY).status == 200,
+                'service',
+                _RECOVER_S,
+            )
+        except TimeoutError:
+            yield f'{name} does not serve {kind} again'
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -20,6 +20,7 @@
 promises: Final[Registry[Promise]] = Registry(kind='promise')
 
 _OK: Final = 200
+_NOT_FOUND: Final = 404
 _REFUSED: Final = frozenset((429, 503))
 _ONCE: Final = frozenset(('unsafe', 'oneway'))
 _STREAMS: Final = frozenset(('stream', 'oneway'))
@@ -133,10 +134,27 @@
 ) -> Iterator[str]:
     """A key that all configurations have is never refused."""
     for each in outcomes:
-        if each.key == STEADY_KEY and each.status in _DENIED:
+        added = each.route in site.added_s
+        if each.key == STEADY_KEY and each.status in _DENIED and not added:
             yield f'{each.call_id} was denied by {each.status}'
 
 
+@promises.register('added_routes_are_there')
+def added_routes_are_there(
+    site: SoakSite,
+    outcomes: list[Outcome],
+) -> Iterator[str]:
+    """A route that was added is there once that is in force."""
+    for each in outcomes:
+        since_s = site.added_s.get(each.route)
+        if since_s is None or each.status != _NOT_FOUND:
+            continue
+        learned = in_force(site, since_s, each.sent_s)
+        if learned and not _gateway_disturbed(site, each):
+            late_s = round(each.sent_s - since_s, 1)
+            yield f'{each.call_id}: {each.route} is unknown after {late_s} s'
+
+
 @promises.register('planned_stop_answers')
 def planned_stop_answers(
     site: SoakSite,
@@ -154,7 +172,7 @@
 def _compare_plain(outcome: Outcome) -> Iterator[str]:
     words = outcome.body.split(b' ')
     seal = outcome.headers.get('x-response-seal', '')
-    path = f'/{outcome.kind}/x'
+    path = f'/{outcome.route}/x'
     if words[1:] != [outcome.call_id.encode(), path.encode()]:
         yield f'{outcome.call_id} got {outcome.body!r}'
     elif seal != f'seal.{words[0].decode()}':
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -5,6 +5,7 @@
 import itertools
 import os
 import pathlib
+import socket
 import sys
 import time
 from typing import TYPE_CHECKING, Any, Final, final
@@ -28,8 +29,9 @@
 EVENTS: Final = 6
 _SLOTS: Final = 8
 _FIRST_PORT: Final = 20_000
-_BLOCK_PORTS: Final = 60
-_BLOCKS: Final = 200
+# Four for each gateway, of which a soak has 29 at most.
+_BLOCK_PORTS: Final = 120
+_BLOCKS: Final = 100
 _MEMORY_TOKENS: Final = 100_000
 
 
@@ -75,7 +77,8 @@
         """
         self._folder = folder
         self._changes = changes or {}
-        self._ports = _own_ports()
+        self._guard = _claim_block()
+        self._ports = _ports_after(self._guard)
         self._numbers = itertools.count()
         self.store = ObjectStoreStandIn()
         self._store_server = start_server(self.store.app)
@@ -85,6 +88,8 @@
         # From when to when the store or the way to it was disturbed.
         self.store_disturbed: list[tuple[float, float]] = []
         self.version = 0
+        # Routes that were added, and when they came in force at the store.
+        self.added_s: dict[str, float] = {}
         self.write_config()
         for pool in POOLS:
             for _server in range(servers):
@@ -109,6 +114,7 @@
             _route('unsafe', 'plain', kind='unsafe'),
             _route('stream', 'engines', kind='stream', resumable=True),
             _route('oneway', 'engines', kind='stream'),
+            *(_route(name, 'plain', kind='safe') for name in self.added_s),
         ]
         services = [
             {'name': 'plain', 'health_path': '/health'},
@@ -130,6 +136,17 @@
         }
         self.store.put('config', 'main', spec)
 
+    def add_routes(self, count: int) -> None:
+        """Write a configuration with more routes.
+
+        :param count: how many more.
+        """
+        first = len(self.added_s)
+        now_s = time.monotonic()
+        for number in range(first, first + count):
+            self.added_s[f'added-{number}'] = now_s
+        self.write_config()
+
     def add_server(self, pool: str) -> Server:
         """Start an endpoint and list it.
 
@@ -198,6 +215,7 @@
         for link in self.store_links.values():
             link.close()
         self._store_server.stop()
+        self._guard.close()
 
     def _start_gateway(self, number: int) -> None:
         name = f'gateway-{number}'
@@ -233,12 +251,24 @@
         )
 
 
-def _own_ports() -> Iterator[int]:
+def _claim_block() -> socket.socket:
     # Gateways take their ports late and again after a restart, so each soak
-    # that runs at the same time has a block of its own.
-    block = os.getpid() % _BLOCKS
-    first = _FIRST_PORT + block * _BLOCK_PORTS
-    return iter(range(first, first + _BLOCK_PORTS))
+    # that runs at the same time has a block of its own, which it holds by
+    # listening on the first port of it.
+    for turn in range(_BLOCKS):
+        block = (os.getpid() + turn) % _BLOCKS
+        try:
+            return socket.create_server(
+                (HOST, _FIRST_PORT + block * _BLOCK_PORTS),
+            )
+        except OSError as error:
+            taken = error
+    raise taken
+
+
+def _ports_after(guard: socket.socket) -> Iterator[int]:
+    first = guard.getsockname()[1]
+    return iter(range(first + 1, first + _BLOCK_PORTS))
 
 
 def _route(name: str, pool: str, **changes: Any) -> dict[str, Any]:
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -27,6 +27,7 @@
 _KEEP: Final = 0.8
 _LEAVE: Final = 0.03
 _REVOKED: Final = 0.1
+_ADDED: Final = 0.2
 _PARTS: Final = 'aa:200,bb:100'
 
 
@@ -41,6 +42,7 @@
         kind: str,
         gateway: str,
         key: str,
+        route: str = '',
     ) -> None:
         """Begin a request.
 
@@ -48,8 +50,10 @@
         :param kind: its kind.
         :param gateway: where it goes.
         :param key: the API key.
+        :param route: name of its route, empty for that of its kind.
         """
         super().__init__()
+        self.route = route or kind
         self.call_id = call_id
         self.kind = kind
         self.gateway = gateway
@@ -87,7 +91,12 @@
         self._numbers = itertools.count()
         self._stopped = False
         self._callers: list[Greenlet] = [
-            gevent.spawn(self._call_forever, random.Random(seed + number))
+            gevent.spawn(
+                self._call_forever,
+                random.Random(seed + number),
+                # Half of them use a connection until the gateway ends it.
+                1 if number % 2 else _KEEP,
+            )
             for number in range(callers)
         ]
 
@@ -102,6 +111,7 @@
         gateway: str,
         key: str,
         parts: str = _PARTS,
+        route: str = '',
     ) -> Outcome:
         """Send one request on a new connection.
 
@@ -109,9 +119,10 @@
         :param gateway: where it goes.
         :param key: the API key.
         :param parts: parts of the prompt, if there is one.
+        :param route: name of its route, empty for that of its kind.
         :returns: what came back.
         """
-        outcome = self._begin(kind, gateway, key)
+        outcome = self._begin(kind, gateway, key, route)
         outcome.parts = parts
         try:
             with self._connect(gateway) as sock:
@@ -121,12 +132,12 @@
         outcome.ended_s = time.monotonic()
         return outcome
 
-    def _call_forever(self, chance: random.Random) -> None:
+    def _call_forever(self, chance: random.Random, keep: float) -> None:
         while not self._stopped:
             gateway = chance.choice(list(self._site.gateways))
             try:
                 with self._connect(gateway) as sock:
-                    self._use(sock, gateway, chance)
+                    self._use(sock, gateway, chance, keep)
             except (OSError, h11.ProtocolError):
                 gevent.sleep(_PAUSE_S)
 
@@ -135,11 +146,11 @@
         sock: socket.socket,
         gateway: str,
         chance: random.Random,
+        keep: float,
     ) -> None:
         http = h11.Connection(h11.CLIENT)
         while not self._stopped:
-            key = self._pick_key(chance)
-            outcome = self._begin(chance.choice(KINDS), gateway, key)
+            outcome = self._draw(gateway, chance)
             outcome.left = chance.random() < _LEAVE
             try:
                 self._exchange(sock, http, outcome)
@@ -148,23 +159,38 @@
             ended = http.our_state is not h11.DONE
             if ended or http.their_state is not h11.DONE:
                 return
-            if chance.random() > _KEEP:
+            if chance.random() > keep:
                 return
             http.start_next_cycle()
             gevent.sleep(chance.random() * _PAUSE_S)
 
+    def _draw(self, gateway: str, chance: random.Random) -> Outcome:
+        key = self._pick_key(chance)
+        added = list(self._site.added_s)
+        if added and chance.random() < _ADDED:
+            # The latest are those that a gateway may lack.
+            return self._begin('safe', gateway, key, added[-1])
+        return self._begin(chance.choice(KINDS), gateway, key)
+
     def _pick_key(self, chance: random.Random) -> str:
         revoked = list(self._site.revoked_s)
         if revoked and chance.random() < _REVOKED:
             return chance.choice(revoked)
         return chance.choice(self._site.keys)
 
-    def _begin(self, kind: str, gateway: str, key: str) -> Outcome:
+    def _begin(
+        self,
+        kind: str,
+        gateway: str,
+        key: str,
+        route: str = '',
+    ) -> Outcome:
         outcome = Outcome(
             call_id=f'call-{next(self._numbers)}',
             kind=kind,
             gateway=gateway,
             key=key,
+            route=route,
         )
         self.outcomes.append(outcome)
         return outcome
@@ -219,7 +245,7 @@
         headers.append(('Content-Length', '0'))
     request = h11.Request(
         method=method,
-        target=f'/{outcome.kind}/x',
+        target=f'/{outcome.route}/x',
         headers=headers,
     )
     return http.send(request) + http.send(h11.EndOfMessage())
