--- a/wingfall/gateway/peers.py
+++ b/wingfall/gateway/peers.py
@@ -234,7 +234,7 @@
                 if session is None:
                     break
         except WireError as error:
-            log_event('peers', 'A peer was cut off.', reason=str(error))
+            _log_cut(session, error)
         finally:
             connection.close()
             self._end(session)
@@ -300,3 +300,13 @@
             zone=self._state.zone,
             incarnation=self._incarnation,
         )
+
+
+def _log_cut(session: PeerSession | None, error: WireError) -> None:
+    log_event(
+        'peers',
+        'A peer was cut off.',
+        # Without a name if it was cut before it said hello.
+        peer=session.name if session else None,
+        reason=str(error),
+    )
