A store that forgot its history is not lost; the follower reads in shorter steps

Cause: a 410 counted as a lost store, so that the watchers said that they no longer heard it and others stepped in while they listed it; the log said lost. Change: a 410 is an answer, with a line of its own. StoreFollower._step is split into reading and taking; the soak's promises share when a gateway must know. test_store_that_forgot_its_history_is_not_lost is red without it (run so).

--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -196,3 +196,19 @@
     assert not followed.follower.has_heard(within_ms)
     followed.store.progress()
     assert followed.follower.has_heard(within_ms)
+
+
+def test_store_that_forgot_its_history_is_not_lost(followed: _Followed):
+    heard: list[bool] = []
+    list_all = followed.store.list_all
+
+    def note_and_list(**named: Callable[[], None]) -> object:
+        heard.append(followed.follower.has_heard(within_ms=1000))
+        return list_all(**named)
+
+    followed.store.list_all = note_and_list
+    followed.replica.catch_up(reading(5))
+    followed.store.status = GONE
+    followed.start()
+    wait_until(lambda: heard)
+    assert heard == [True]
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -105,8 +105,7 @@
         late = [
             run.call_id
             for run in server.standin.runs
-            if in_force(site, since_s, sent[run.call_id].sent_s)
-            and not _gateway_disturbed(site, sent[run.call_id])
+            if _must_know(site, since_s, sent[run.call_id])
         ]
         for call_id in late:
             yield f'{call_id} reached {server.name}, which left'
@@ -122,8 +121,7 @@
         since_s = site.revoked_s.get(each.key)
         if since_s is None or each.status != _OK:
             continue
-        learned = in_force(site, since_s, each.sent_s)
-        if learned and not _gateway_disturbed(site, each):
+        if _must_know(site, since_s, each):
             yield f'{each.call_id} was served with a key taken away'
 
 
@@ -149,8 +147,7 @@
         since_s = site.added_s.get(each.route)
         if since_s is None or each.status != _NOT_FOUND:
             continue
-        learned = in_force(site, since_s, each.sent_s)
-        if learned and not _gateway_disturbed(site, each):
+        if _must_know(site, since_s, each):
             late_s = round(each.sent_s - since_s, 1)
             yield f'{each.call_id}: {each.route} is unknown after {late_s} s'
 
@@ -203,6 +200,11 @@
     return sent_s - calm_from_s >= _LEARNED_S
 
 
+def _must_know(site: SoakSite, since_s: float, outcome: Outcome) -> bool:
+    learned = in_force(site, since_s, outcome.sent_s)
+    return learned and not _gateway_disturbed(site, outcome)
+
+
 def _gateway_disturbed(site: SoakSite, outcome: Outcome) -> bool:
     return any(
         outcome.sent_s - _CALM_S < disturbed_s < outcome.sent_s + _CALM_S
--- a/wingfall/gateway/follower.py
+++ b/wingfall/gateway/follower.py
@@ -14,9 +14,11 @@
 
 if TYPE_CHECKING:
     from gevent.event import Event
+    from returns.result import Result
 
     from wingfall.clock import Clock
-    from wingfall.gateway.binding import ObjectStore
+    from wingfall.errors import PlatformError
+    from wingfall.gateway.binding import ObjectStore, StoreReading
     from wingfall.gateway.replica import ObjectReplica
 
 _GONE: Final = 410
@@ -137,22 +139,9 @@
         if revision is not None:
             # Peers may have told more than the store did.
             revision = max(revision, self._replica.revision)
-        if revision is None:
-            read = self._store.list_all(progress=self._note_progress)
-        else:
-            # A store that has fallen silent lets a watch hang for its whole
-            # time, also if it is back meanwhile. A gateway that steps in is
-            # heard to watch by its peers once the store has answered it.
-            read = self._store.watch(
-                revision,
-                brief=self._lost or self._idle,
-                progress=self._note_progress,
-            )
+        read = self._read(revision)
         if not isinstance(read, Success):
-            self._note_lost(str(read.failure()))
-            if read.failure().status == _GONE:
-                self._revision = None
-                self._must_list = True
+            self._note_failed(read.failure())
             return False
         reading = read.unwrap()
         if revision is None:
@@ -177,6 +166,21 @@
             gevent.sleep(REST_MS / MS_PER_S)
         return True
 
+    def _read(
+        self,
+        revision: int | None,
+    ) -> Result[StoreReading, PlatformError]:
+        if revision is None:
+            return self._store.list_all(progress=self._note_progress)
+        # A store that has fallen silent lets a watch hang for its whole time,
+        # also if it is back meanwhile. A gateway that steps in is heard to
+        # watch by its peers once the store has answered it.
+        return self._store.watch(
+            revision,
+            brief=self._lost or self._idle,
+            progress=self._note_progress,
+        )
+
     def _note_progress(self) -> None:
         # A long answer over a slow link is being heard as long as it comes.
         self._heard_ms = self._clock.now_ms()
@@ -192,15 +196,26 @@
                 heard_ms=self._clock.now_ms() - self._heard_ms,
             )
 
-    def _note_lost(self, reason: str) -> None:
-        if not self._lost:
+    def _note_failed(self, failure: PlatformError) -> None:
+        if failure.status == _GONE:
+            # It has answered: peers need not step in while it is listed.
+            self._revision = None
+            self._must_list = True
+            self._note_progress()
+            log_event(
+                'store',
+                'The store has forgotten the history.',
+                kind=self._replica.kind,
+                revision=self._replica.revision,
+            )
+        elif not self._lost:
             self._lost = True
             log_event(
                 'store',
                 'The store was lost.',
                 kind=self._replica.kind,
                 revision=self._revision,
-                reason=reason,
+                reason=str(failure),
             )
 
     def _note_regained(self) -> None:
