--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -7,7 +7,7 @@
 from wingfall.gateway.binding import Sending
 from wingfall.gateway.call import Call
 from wingfall.gateway.endpoints import PoolEndpoint
-from wingfall.gateway.routes import Route, WeightedPool
+from wingfall.gateway.routes import GatewayCustomer, Route, WeightedPool
 from wingfall.objects.request_class import Target
 from wingfall.platform.headers import endpoint_headers, read_call
 
@@ -27,6 +27,8 @@
 
 def sent_headers(
     *headers: tuple[bytes, bytes],
+    tier: int = 1,
+    customer: GatewayCustomer | None = None,
     **sending: object,
 ) -> dict[bytes, list[bytes]]:
     """Pass a caller's headers on, and list what the endpoint gets."""
@@ -40,7 +42,7 @@
         host='h',
         path_prefix='/',
         pools=(WeightedPool(pool='engines', weight=1),),
-        tier=1,
+        tier=tier,
         target=Target(),
         timeout_ms=1000,
         max_attempts=1,
@@ -53,7 +55,7 @@
         head=head,
         body=b'',
         route=route,
-        customer=None,
+        customer=customer,
         arrived_ms=0,
         deadline_ms=1000,
     )
@@ -94,3 +96,24 @@
     assert received[b'x-kv-backup'] == [b'10.0.0.1:80']
     assert received[b'kv-from'] == [b'10.0.0.1:80/r1']
     assert received[b'last-event-id'] == [b'7']
+
+
+PROMPT = ((b'X-Token-Count', b'100,10'), (b'X-Model', b'm'))
+
+
+def told_tier(route_tier: int, customer_tier: int | None) -> int:
+    """Tell the priority of a prompt at an engine, 0 the most urgent."""
+    customer = GatewayCustomer(name='c', key_hashes=(), tier=customer_tier)
+    told = sent_headers(*PROMPT, tier=route_tier, customer=customer)
+    (priority,) = told[b'x-request-priority']
+    return int(priority)
+
+
+def test_more_urgent_route_goes_first_at_engines_whoever_the_customer():
+    """A full engine displaces the newest of the least urgent.
+
+    Prompts of the most urgent route from a customer with a lower priority were
+    told as urgent as those of the next route, came later and were displaced,
+    while those ran on.
+    """
+    assert told_tier(0, customer_tier=1) < told_tier(1, customer_tier=None)
