--- a/tests/peer_standin.py
+++ b/tests/peer_standin.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from typing import TYPE_CHECKING, Any, Final, final
+from typing import Any, Final, final
 
 import gevent
 from gevent.server import StreamServer
@@ -17,12 +17,11 @@
 from wingfall.gateway.peer_session import PeerSession
 from wingfall.gateway.replica import ROUTES_KIND, ObjectReplica
 from wingfall.wire.connection import Connection
-from wingfall.wire.gateway_messages import GatewayHeartbeat, GatewayHello
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from wingfall.wire.message import Message
+from wingfall.wire.gateway_messages import (
+    GatewayHeartbeat,
+    GatewayHello,
+    ObjectsFetch,
+)
 
 HOST: Final = '127.0.0.1'
 ZONE: Final = 'osl-a'
@@ -50,9 +49,6 @@
             clock=WallClock(),
             zone=ZONE,
         )
-        self._handlers: dict[str, Callable[[PeerSession, Message], None]] = {
-            'ObjectsFetch': self._exchange.answer,
-        }
         self.sessions = 0
         self._server = StreamServer((HOST, 0), self._accept)
         self._server.start()
@@ -98,10 +94,8 @@
             if isinstance(message, GatewayHello):
                 session = PeerSession(hello=message, connection=connection)
                 self.sessions += 1
-                continue
-            take = self._handlers.get(type(message).__name__)
-            if take is not None and session is not None:
-                take(session, message)
+            elif isinstance(message, ObjectsFetch) and session is not None:
+                self._exchange.answer(session, message)
 
     def _beat(self, connection: Connection) -> None:
         while not connection.closed:
