Engines are told the route's tier first, the customer's priority within it

Cause: a customer's own priority replaced the route's in what engines are told. Change: rules/engine_priority.py ranks the tiers in force, three places each (customers before, at and after the route's tier) where the platform's ten priorities have room, else by the route alone. The field tier of the attempts' lines is what the engine was told.

--- /dev/null
+++ b/tests/test_engine_priority.py
@@ -0,0 +1,46 @@
+"""How urgent engines are told that a prompt is."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from wingfall.gateway.rules.engine_priority import PRIORITIES, engine_priority
+
+CUSTOMERS = (None, *range(PRIORITIES))
+
+
+@pytest.mark.parametrize('count', range(1, PRIORITIES + 1))
+def test_more_urgent_route_goes_first_whoever_the_customers_are(count: int):
+    tiers = range(count)
+    for urgent, lesser in itertools.combinations(tiers, 2):
+        for first, second in itertools.product(CUSTOMERS, CUSTOMERS):
+            assert engine_priority(urgent, first, tiers) < engine_priority(
+                lesser, second, tiers
+            )
+
+
+@pytest.mark.parametrize('count', range(1, PRIORITIES + 1))
+def test_priorities_fit_what_engines_tell_apart(count: int):
+    tiers = range(count)
+    told = {
+        engine_priority(tier, customer, tiers)
+        for tier, customer in itertools.product(tiers, CUSTOMERS)
+    }
+    assert told <= set(range(PRIORITIES))
+
+
+def test_customers_are_ordered_among_prompts_of_one_tier():
+    tiers = (0, 1, 2)
+    ranked = [engine_priority(1, each, tiers) for each in (0, None, 1, 2)]
+    assert ranked == [3, 4, 4, 5]
+
+
+def test_tiers_far_apart_leave_room_for_customers():
+    assert engine_priority(9, 0, (2, 9)) < engine_priority(9, 9, (2, 9))
+
+
+def test_more_tiers_than_engines_tell_apart_share_the_last():
+    tiers = range(20)
+    assert engine_priority(19, None, tiers) == PRIORITIES - 1
--- a/wingfall/gateway/calls/attempt_log.py
+++ b/wingfall/gateway/calls/attempt_log.py
@@ -49,7 +49,7 @@
         'An attempt ended.',
         call=call.call_id,
         route=call.route.name,
-        tier=call.tier,
+        tier=call.priority,
         attempt=number,
         endpoint=destination.endpoint.name,
         end=outcome.end,
--- a/wingfall/gateway/calls/intake.py
+++ b/wingfall/gateway/calls/intake.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from wingfall.gateway.model.call import Call
+from wingfall.gateway.rules.engine_priority import engine_priority
 from wingfall.gateway.rules.refusals import refuse_no_routes, refuse_request
 
 if TYPE_CHECKING:
@@ -75,6 +76,11 @@
             customer=customer,
             arrived_ms=arrived_ms,
             deadline_ms=arrived_ms + left_ms - _ANSWER_MS,
+            priority=engine_priority(
+                route.tier,
+                customer.tier if customer else None,
+                routes.tiers,
+            ),
         ),
     )
 
--- a/wingfall/gateway/model/routes.py
+++ b/wingfall/gateway/model/routes.py
@@ -182,7 +182,7 @@
 
         :param name: its name.
         :param key_hashes: SHA-256 of each API key, in hex.
-        :param tier: priority that goes before that of a route, if any.
+        :param tier: its own priority, 0 the highest, if any.
         """
         self.name = name
         self.key_hashes = key_hashes
@@ -201,6 +201,7 @@
         'limits',
         'pools',
         'routes',
+        'tiers',
         'version',
     )
 
@@ -226,6 +227,8 @@
         self.pools = {pool.name: pool for pool in pools}
         self.customers = customers
         self.limits = limits
+        # Tiers of all routes, ascending, each once.
+        self.tiers = tuple(sorted({route.tier for route in routes}))
         self._by_host = _index_hosts(routes)
         self._urgent = _index_tiers(routes)
         self._by_key = {
--- a/wingfall/platform/headers.py
+++ b/wingfall/platform/headers.py
@@ -23,7 +23,7 @@
 _DEADLINE: Final = b'x-deadline-ms'
 _EXPECT: Final = b'X-Expect-Instance'
 _CUSTOMER: Final = b'X-Tenant'
-_TIER: Final = b'X-Request-Priority'
+_PRIORITY: Final = b'X-Request-Priority'
 _LAST_EVENT: Final = b'last-event-id'
 _TOKENS: Final = b'x-token-count'
 _PARTS: Final = b'x-prompt-prefix'
@@ -31,7 +31,7 @@
 _NOT_RUN: Final = b'x-not-executed'
 _KEY_SCHEME: Final = 'token '
 # The greatest number of a priority that is sent to engines. Not measured.
-_MAX_TIER: Final = 9
+_MAX_PRIORITY: Final = 9
 
 # They speak of one connection only, or are the system's own to set.
 _CONNECTION_ONLY: Final = frozenset(
@@ -54,7 +54,7 @@
         _DEADLINE,
         _EXPECT.lower(),
         _CUSTOMER.lower(),
-        _TIER.lower(),
+        _PRIORITY.lower(),
         b'x-expect-version',
         b'x-hold',
         b'x-pin-ms',
@@ -104,7 +104,7 @@
     if call.customer is not None:
         headers.append((_CUSTOMER, call.customer.name.encode()))
     if call.head.prompt is not None:
-        headers.append((_TIER, b'%d' % min(call.tier, _MAX_TIER)))
+        headers.append((_PRIORITY, b'%d' % min(call.priority, _MAX_PRIORITY)))
     if sending.last_event_id is not None:
         last_event_id = sending.last_event_id.encode('latin-1')
         headers.append((b'Last-Event-Id', last_event_id))
