Store: each object is read by itself; what cannot be used names no endpoint

Cause: a page or a watch failed whole if one object in it could not be read, so a gateway that started had no endpoints, and one that watched asked the same again for ever; fields of another type were used as they were; an endpoint whose entry became unreadable was used on. Entries with other fields missing (version, seq_no, cold_left_ms) are read, as the record of a stored endpoint asks.

--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -41,6 +41,8 @@
         self.oldest = 1
         self.calls = 0
         self.script: dict[str, int] = {}
+        # Bytes that are replaced in each answer, so that it can be no JSON.
+        self.replaced: dict[bytes, bytes] = {}
         self._changed = Event()
         app = bottle.Bottle()
         app.post('/script', callback=self._set_script)
@@ -69,6 +71,17 @@
         self.objects.setdefault(kind, {})[name] = stored
         self._note(kind, {'gone': False, 'object': stored})
 
+    def put_raw(self, kind: str, name: str, stored: Any) -> None:
+        """Write what another writer left in the place of an object.
+
+        :param kind: its kind.
+        :param name: the name under which it is listed.
+        :param stored: all of it, of any type.
+        """
+        self.revision += 1
+        self.objects.setdefault(kind, {})[name] = stored
+        self._note(kind, {'gone': False, 'object': stored})
+
     def delete(self, kind: str, name: str) -> None:
         """Remove an object.
 
@@ -112,7 +125,7 @@
             'more': len(later) > page,
             'at': self.revision,
         }
-        return answer_json(body)
+        return self._answer(body)
 
     def _watch(
         self,
@@ -132,7 +145,13 @@
         finally:
             deadline.close()
         events = self._after(kind, revision)
-        return answer_json({'events': events, 'at': self.revision})
+        return self._answer({'events': events, 'at': self.revision})
+
+    def _answer(self, body: dict[str, Any]) -> bottle.HTTPResponse:
+        answer = answer_json(body)
+        for known, replacement in self.replaced.items():
+            answer.body = answer.body.replace(known, replacement)
+        return answer
 
     def _after(self, kind: str, revision: int) -> list[dict[str, Any]]:
         return [
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -172,15 +172,25 @@
         :param pool: its pool.
         :param state: ``ready`` or ``draining``.
         """
-        spec = {
+        self.store.put('servers', name, self.entry(name, pool, state=state))
+
+    def entry(self, name: str, pool: str, **changes: Any) -> dict[str, Any]:
+        """Make an endpoint's entry.
+
+        :param name: its id.
+        :param pool: its pool.
+        :param changes: fields that differ.
+        :returns: what the entry says.
+        """
+        return {
             'service': pool,
             'address': self.servers[name].address,
             'zone': 'osl-a',
             'version': 'v1',
             'slots': 8,
-            'state': state,
+            'state': 'ready',
+            **changes,
         }
-        self.store.put('servers', name, spec)
 
     def add_gateway(self, **changes: Any) -> GatewayApplication:
         """Start a gateway and wait until it is ready.
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -26,7 +26,8 @@
 from wingfall.log_trace import LogLine, trace_call
 from wingfall.metrics import Metrics
 from wingfall.platform.binding import FjordgridBinding
-from wingfall.platform.documents import read_endpoint, read_routes
+from wingfall.platform.documents import read_routes
+from wingfall.platform.endpoint_entry import read_endpoint
 from wingfall.platform.headers import caller_headers, read_answer, read_call
 from wingfall.settings.gateway_schema import GATEWAY_SCHEMA
 from wingfall.settings.schema import AGENT_SCHEMA, ROUTER_SCHEMA
--- a/wingfall/errors.py
+++ b/wingfall/errors.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import enum
-from typing import final
+from typing import Final, final
+
+# Characters of a reason that are kept: what is wrong may be a value of any
+# length that a stranger wrote.
+_MAX_REASON: Final = 200
 
 
 class RunState(enum.StrEnum):
@@ -46,6 +50,27 @@
         return f'{self.source}:{self.line}: {field}: {self.reason}'
 
 
+@final
+class ObjectFault:
+    """Why an object of the platform's store can't be used."""
+
+    __slots__ = ('field', 'reason')
+
+    def __init__(self, *, field: str, reason: str) -> None:
+        """Describe a fault.
+
+        :param field: the field that is wrong, ``object`` for the whole; one
+            of few words, since faults are counted by it.
+        :param reason: what is wrong with it, cut to what a log line bears.
+        """
+        self.field = field
+        self.reason = reason[:_MAX_REASON]
+
+    def __str__(self) -> str:
+        """Format as ``field: reason``."""
+        return f'{self.field}: {self.reason}'
+
+
 @final
 class Refusal:
     """An answer to a caller that is not the endpoint's.
--- a/wingfall/gateway/configuration/follower.py
+++ b/wingfall/gateway/configuration/follower.py
@@ -212,6 +212,10 @@
             )
 
     def _note_failed(self, failure: PlatformError) -> None:
+        if failure.status == http.HTTPStatus.OK:
+            # What a watch told can't be read; a list leads past it.
+            self._revision = None
+            self._must_list = True
         if failure.status == http.HTTPStatus.GONE:
             # It has answered: peers need not step in while it is listed.
             self._revision = None
--- a/wingfall/gateway/configuration/object_applier.py
+++ b/wingfall/gateway/configuration/object_applier.py
@@ -11,15 +11,18 @@
 
 from returns.result import Success
 
+from wingfall.gateway.configuration.replica import ENDPOINTS_KIND, ROUTES_KIND
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
+    from wingfall.errors import ObjectFault
+    from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.state import GatewayState
 
 
 @final
 class ObjectApplier:
-    """Reads objects by the platform's binding; what is unreadable is left."""
+    """Reads objects by the platform's binding; what is unreadable is told."""
 
     __slots__ = ('_state',)
 
@@ -30,7 +33,7 @@
         """
         self._state = state
 
-    def apply_routes(self, name: str, spec: dict[str, Any] | None) -> None:
+    def apply_routes(self, name: str, spec: Any) -> None:
         """Put a configuration in force if its version is higher.
 
         :param name: name of the object.
@@ -38,9 +41,16 @@
         """
         if spec is None:
             return
-        read = self._state.binding.read_routes(spec)
+        read = self._state.binding.read_routes(name, spec)
         if not isinstance(read, Success):
-            log_event('config', 'Refused.', name=name, reason=read.failure())
+            self._note_refused(ROUTES_KIND, read.failure())
+            log_event(
+                'config',
+                'Refused.',
+                name=name,
+                field=read.failure().field,
+                reason=read.failure().reason,
+            )
             return
         routes = read.unwrap()
         in_force = self._state.routes
@@ -56,9 +66,12 @@
             customers=len(routes.customers),
         )
 
-    def apply_endpoint(self, name: str, spec: dict[str, Any] | None) -> None:
+    def apply_endpoint(self, name: str, spec: Any) -> None:
         """List an endpoint, or take it off the list.
 
+        An entry that can't be read takes its endpoint out of use as a removal
+        does: nobody knows any more what listens there.
+
         :param name: its name.
         :param spec: what its object says, None once it is gone.
         """
@@ -67,19 +80,30 @@
             return
         read = self._state.binding.read_endpoint(name, spec)
         if not isinstance(read, Success):
-            log_event(
-                'endpoints',
-                'Refused.',
-                endpoint=name,
-                reason=read.failure(),
-            )
+            self._refuse_endpoint(name, read.failure())
             return
         endpoint = read.unwrap()
         self._state.knowledge.table.put(endpoint)
-        self._set_cache_capacity(name, endpoint.pool)
+        self._set_cache_capacity(endpoint)
+
+    def _refuse_endpoint(self, name: str, fault: ObjectFault) -> None:
+        self._note_refused(ENDPOINTS_KIND, fault)
+        log_event(
+            'endpoints',
+            'Refused.',
+            endpoint=name,
+            field=fault.field,
+            reason=fault.reason,
+        )
+        self._state.knowledge.table.remove(name)
+
+    def _note_refused(self, kind: str, fault: ObjectFault) -> None:
+        labels = {'kind': kind, 'field': fault.field}
+        self._state.metrics.objects_refused.inc(labels)
 
-    def _set_cache_capacity(self, name: str, pool_name: str) -> None:
+    def _set_cache_capacity(self, endpoint: PoolEndpoint) -> None:
         routes = self._state.routes
-        pool = routes.pools.get(pool_name) if routes else None
+        pool = routes.pools.get(endpoint.pool) if routes else None
         if pool is not None:
-            self._state.knowledge.caches.set_capacity(name, pool.memory_tokens)
+            caches = self._state.knowledge.caches
+            caches.set_capacity(endpoint.name, pool.memory_tokens)
--- a/wingfall/gateway/configuration/replica.py
+++ b/wingfall/gateway/configuration/replica.py
@@ -19,7 +19,7 @@
 # more than leave a site in the seconds that a peer is behind.
 _MAX_GONE: Final = 1000
 
-Listener = Callable[[str, 'dict[str, Any] | None'], None]
+Listener = Callable[[str, Any], None]
 
 
 @final
@@ -52,7 +52,7 @@
 
         :param kind: the product's word for the kind.
         :param listener: called with the name and what an object says after
-            each change, None once it is gone.
+            each change of that, None once it is gone.
         """
         self.kind = kind
         self.revision = 0
@@ -125,7 +125,8 @@
         if changed.spec is None:
             self._gone[changed.name] = None
             self._trim_gone()
-        self._listener(changed.name, changed.spec)
+        if known is None or known.stored.spec != changed.spec:
+            self._listener(changed.name, changed.spec)
         return True
 
     def _trim_gone(self) -> None:
--- a/wingfall/gateway/model/binding.py
+++ b/wingfall/gateway/model/binding.py
@@ -15,6 +15,7 @@
 
     from returns.result import Result
 
+    from wingfall.errors import ObjectFault
     from wingfall.gateway.model.call import Call, CallHead, Headers
     from wingfall.gateway.model.object_store import ObjectStore
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
@@ -123,14 +124,14 @@
     def refusal_headers(self, head: CallHead) -> Headers:
         """Write the headers of an answer that is the gateway's own."""
 
-    def read_routes(self, spec: dict[str, Any]) -> Result[Routes, str]:
+    def read_routes(self, name: str, spec: Any) -> Result[Routes, ObjectFault]:
         """Read the configuration from its stored object."""
 
     def read_endpoint(
         self,
         name: str,
-        spec: dict[str, Any],
-    ) -> Result[PoolEndpoint, str]:
+        spec: Any,
+    ) -> Result[PoolEndpoint, ObjectFault]:
         """Read an endpoint from its stored object."""
 
     def routes_store(self) -> ObjectStore:
--- a/wingfall/gateway/model/object_store.py
+++ b/wingfall/gateway/model/object_store.py
@@ -26,13 +26,14 @@
         *,
         name: str,
         revision: int,
-        spec: dict[str, Any] | None,
+        spec: Any,
     ) -> None:
         """Keep an object.
 
         :param name: its name within its kind.
         :param revision: the store's counter at its last change.
-        :param spec: what it says, None once it is gone.
+        :param spec: what it says, of any type since anybody may have written
+            it; None once it is gone.
         """
         self.name = name
         self.revision = revision
@@ -43,16 +44,25 @@
 class StoreReading:
     """The answer of one call to the store."""
 
-    __slots__ = ('objects', 'revision')
+    __slots__ = ('nameless', 'objects', 'revision')
 
-    def __init__(self, *, revision: int, objects: list[StoredObject]) -> None:
+    def __init__(
+        self,
+        *,
+        revision: int,
+        objects: list[StoredObject],
+        nameless: int = 0,
+    ) -> None:
         """Keep a reading.
 
         :param revision: the store's counter up to which it is complete.
         :param objects: the objects listed or changed, in order.
+        :param nameless: how many more there were, without a name to know
+            them by.
         """
         self.revision = revision
         self.objects = objects
+        self.nameless = nameless
 
 
 class ObjectStore(Protocol):
--- a/wingfall/gateway/peers/object_exchange.py
+++ b/wingfall/gateway/peers/object_exchange.py
@@ -13,7 +13,7 @@
 from wingfall.gateway.peers.object_transfer import (
     OutgoingTransfer,
     pack_objects,
-    read_object,
+    read_objects,
     write_spec,
 )
 from wingfall.log import log_event
@@ -159,10 +159,10 @@
 
         :param session: the peer.
         :param page: its answer, or a chunk of it.
-        :raises WireError: if the chunks can't be unpacked.
+        :raises WireError: if the objects can't be read.
         """
         if not page.size:
-            objects = [read_object(*entry) for entry in page.objects]
+            objects = read_objects(page.objects)
             reading = StoreReading(revision=page.revision, objects=objects)
             self._finish(session, page.kind, reading, 0)
             return
--- a/wingfall/gateway/peers/object_transfer.py
+++ b/wingfall/gateway/peers/object_transfer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import zlib
-from typing import TYPE_CHECKING, Final, final
+from typing import TYPE_CHECKING, Any, Final, final
 
 import msgpack
 import orjson
@@ -25,6 +25,9 @@
 # size in two years (DEVELOPING.md).
 _MOST_BYTES: Final = 67_108_864
 _UNREADABLE: Final = (ValueError, TypeError, zlib.error)
+# Stands for what an object says that can't be passed on: no reader of a kind
+# takes it for more than a text.
+_UNWRITABLE: Final = 'the object can not be written'
 
 
 @final
@@ -127,9 +130,10 @@
         raw = decompressor.decompress(packed, _MOST_BYTES)
         if not decompressor.eof:
             raise WireError(f'objects of more than {_MOST_BYTES} bytes')
-        return [read_object(*entry) for entry in msgpack.unpackb(raw)]
+        entries = msgpack.unpackb(raw)
     except _UNREADABLE as error:
         raise WireError(f'objects that can not be read: {error}') from error
+    return read_objects(entries)
 
 
 def write_spec(stored: StoredObject) -> bytes | None:
@@ -138,16 +142,41 @@
     :param stored: the object.
     :returns: its JSON, None if it is gone.
     """
-    return None if stored.spec is None else orjson.dumps(stored.spec)
+    if stored.spec is None:
+        return None
+    try:
+        return orjson.dumps(stored.spec)
+    except orjson.JSONEncodeError:
+        # Lists in lists may be read that are too deep to be written.
+        return orjson.dumps(_UNWRITABLE)
 
 
-def read_object(name: str, revision: int, raw: bytes | None) -> StoredObject:
-    """Read an object as it is on the wire.
+def read_objects(entries: Any) -> list[StoredObject]:
+    """Read objects as they are on the wire.
 
-    :param name: its name.
-    :param revision: revision of its last change.
-    :param raw: its JSON, None if it is gone.
-    :returns: the object.
+    :param entries: name, revision and JSON of each, None once it is gone.
+    :returns: the objects, in their order.
+    :raises WireError: if they are not written so.
     """
-    spec = None if raw is None else orjson.loads(raw)
-    return StoredObject(name=name, revision=revision, spec=spec)
+    if not isinstance(entries, list):
+        raise WireError('objects that are no list')
+    return [_read_object(entry) for entry in entries]
+
+
+def _read_object(entry: Any) -> StoredObject:
+    match entry:
+        case [str(name), int(revision), bytes() | None as raw]:
+            spec = None if raw is None else _read_spec(raw)
+            return StoredObject(name=name, revision=revision, spec=spec)
+        case _:
+            raise WireError('an object that is not name, revision and JSON')
+
+
+def _read_spec(raw: bytes) -> Any:
+    try:
+        spec = orjson.loads(raw)
+    except orjson.JSONDecodeError as error:
+        raise WireError(f'an object that is no JSON: {error}') from error
+    if spec is None:
+        raise WireError('an object that says nothing')
+    return spec
--- a/wingfall/metrics.py
+++ b/wingfall/metrics.py
@@ -23,6 +23,7 @@
         'limit',
         'links',
         'loop_lag_ms',
+        'objects_refused',
         'platform_calls',
         'queue_length',
         'registry',
@@ -77,6 +78,11 @@
             'Objects whose newest version is refused.',
             registry=registry,
         )
+        self.objects_refused = Counter(
+            'wingfall_objects_refused_total',
+            'Stored objects that can not be used, by kind and faulty field.',
+            registry=registry,
+        )
         self.links = Gauge(
             'wingfall_links',
             'Open connections between routers and agents.',
--- a/wingfall/platform/binding.py
+++ b/wingfall/platform/binding.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING, Any, Final, final
 
+from returns.result import Failure
+
+from wingfall.errors import ObjectFault
 from wingfall.gateway.model.binding import bindings
-from wingfall.platform.documents import (
-    read_endpoint,
-    read_memory,
-    read_routes,
-)
+from wingfall.platform.documents import read_memory, read_routes
+from wingfall.platform.endpoint_entry import read_endpoint
 from wingfall.platform.headers import (
     caller_headers,
     endpoint_headers,
@@ -35,6 +35,8 @@
 _READY_PATH: Final = '/wingfall/ready'
 _MEMORY_PATH: Final = b'/wingfall/kv-list'
 _CONFIG_KIND: Final = 'config'
+# The one object of its kind that is in force.
+_CONFIG_NAME: Final = 'main'
 _ENDPOINT_KIND: Final = 'servers'
 
 
@@ -97,15 +99,18 @@
         """Write the headers of an answer that is the gateway's own."""
         return refusal_headers(head)
 
-    def read_routes(self, spec: dict[str, Any]) -> Result[Routes, str]:
+    def read_routes(self, name: str, spec: Any) -> Result[Routes, ObjectFault]:
         """Read the configuration from its stored object."""
+        if name != _CONFIG_NAME:
+            reason = f'the configuration is {_CONFIG_NAME!r} alone'
+            return Failure(ObjectFault(field='name', reason=reason))
         return read_routes(spec)
 
     def read_endpoint(
         self,
         name: str,
-        spec: dict[str, Any],
-    ) -> Result[PoolEndpoint, str]:
+        spec: Any,
+    ) -> Result[PoolEndpoint, ObjectFault]:
         """Read an endpoint from its stored object."""
         return read_endpoint(name, spec)
 
--- a/wingfall/platform/documents.py
+++ b/wingfall/platform/documents.py
@@ -1,4 +1,4 @@
-"""The platform's stored objects, read into routes and endpoints.
+"""The platform's configuration and lists of cached parts, read into types.
 
 The only place that knows their fields. What can't be read is a failure with its
 reason; defaults are those of the platform.
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Final
 
 import orjson
 from returns.result import Failure, Result, Success
 
-from wingfall.gateway.model.pool_endpoint import PoolEndpoint
+from wingfall.errors import ObjectFault
 from wingfall.gateway.model.prompt import PromptPart
 from wingfall.gateway.model.routes import (
     DEFAULT_TIER,
@@ -27,19 +27,28 @@
 
 # A link of one megabit a second carries so many bytes in a millisecond.
 _BYTES_PER_MBIT_MS = 125
-_UNREADABLE = (LookupError, TypeError, ValueError, AttributeError)
+# The greatest whole number that JSON carries exactly: a version beyond it would
+# keep all later ones from being put in force.
+_MOST_WHOLE: Final = 9_007_199_254_740_992
+_UNREADABLE = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 
 
-def read_routes(spec: dict[str, Any]) -> Result[Routes, str]:
+def read_routes(spec: Any) -> Result[Routes, ObjectFault]:
     """Read the configuration.
 
     :param spec: what the stored object says.
-    :returns: the routes in force with it, or why it can't be read.
+    :returns: the routes in force with it, or what is wrong with it.
     """
     try:
         return Success(
             Routes(
-                version=int(spec['version']),
+                version=_read_version(spec['version']),
                 routes=tuple(map(_read_route, spec.get('routes', ()))),
                 pools=map(_read_pool, spec.get('services', ())),
                 customers=tuple(map(_read_customer, spec.get('tenants') or ())),
@@ -47,34 +56,8 @@
             ),
         )
     except _UNREADABLE as error:
-        return Failure(f'not a configuration: {error!r}')
-
-
-def read_endpoint(
-    name: str,
-    spec: dict[str, Any],
-) -> Result[PoolEndpoint, str]:
-    """Read an endpoint.
-
-    :param name: its id.
-    :param spec: what the stored object says.
-    :returns: the endpoint, or why it can't be read.
-    """
-    try:
-        host, _colon, port = spec['address'].rpartition(':')
-        return Success(
-            PoolEndpoint(
-                name=name,
-                pool=spec['service'],
-                host=host,
-                port=int(port),
-                zone=spec.get('zone', ''),
-                slots=int(spec.get('slots') or 1),
-                draining=spec.get('state') == 'draining',
-            ),
-        )
-    except _UNREADABLE as error:
-        return Failure(f'not an endpoint: {error!r}')
+        reason = f'not a configuration: {error!r}'
+        return Failure(ObjectFault(field='object', reason=reason))
 
 
 def read_memory(body: bytes) -> Result[tuple[PromptPart, ...], str]:
@@ -96,13 +79,33 @@
         return Failure(f'not a list of parts: {error!r}')
 
 
+def _read_version(raw: Any) -> int:
+    whole = isinstance(raw, int) and not isinstance(raw, bool)
+    if not whole or raw > _MOST_WHOLE:
+        raise TypeError(f'no version: {raw!r}')
+    return raw
+
+
+def _read_weight(raw: Any) -> float:
+    weight = float(raw)
+    if not 0 <= weight <= _MOST_WHOLE:
+        raise ValueError(f'no weight: {raw!r}')
+    return weight
+
+
+def _read_text(raw: Any) -> str:
+    if not isinstance(raw, str):
+        raise TypeError(f'no text: {raw!r}')
+    return raw
+
+
 def _read_route(raw: dict[str, Any]) -> Route:
     streaming = raw.get('kind') == 'stream'
     target_ms = int(raw.get('target_latency_ms') or 0)
     return Route(
-        name=raw['name'],
-        host=raw['host'].lower(),
-        path_prefix=raw['path_prefix'],
+        name=_read_text(raw['name']),
+        host=_read_text(raw['host']).lower(),
+        path_prefix=_read_text(raw['path_prefix']),
         pools=_read_pools(raw),
         tier=int(raw.get('priority', DEFAULT_TIER)),
         target=Target(
@@ -122,7 +125,10 @@
 def _read_pools(raw: dict[str, Any]) -> tuple[WeightedPool, ...]:
     backends = raw.get('backends') or [{'service': raw['service']}]
     return tuple(
-        WeightedPool(pool=entry['service'], weight=entry.get('weight', 1))
+        WeightedPool(
+            pool=_read_text(entry['service']),
+            weight=_read_weight(entry.get('weight', 1)),
+        )
         for entry in backends
     )
 
@@ -130,7 +136,7 @@
 def _read_pool(raw: dict[str, Any]) -> Pool:
     engine = raw.get('engine') or {}
     return Pool(
-        name=raw['name'],
+        name=_read_text(raw['name']),
         memory_tokens=int(engine.get('kv_capacity_tokens', 0)),
         copy_tokens_per_ms=_read_copy_rate(engine),
         backs_up=bool(engine.get('backups')),
@@ -141,14 +147,16 @@
     token_bytes = engine.get('kv_token_bytes')
     if not token_bytes or not engine.get('moves'):
         return 0
-    return engine.get('link_mbps', 0) * _BYTES_PER_MBIT_MS / token_bytes
+    link_mbps = float(engine.get('link_mbps', 0))
+    return link_mbps * _BYTES_PER_MBIT_MS / float(token_bytes)
 
 
 def _read_customer(raw: dict[str, Any]) -> GatewayCustomer:
+    tier = raw.get('priority')
     return GatewayCustomer(
-        name=raw['name'],
+        name=_read_text(raw['name']),
         key_hashes=tuple(map(hash_key, raw.get('api_keys') or ())),
-        tier=raw.get('priority'),
+        tier=None if tier is None else int(tier),
     )
 
 
--- /dev/null
+++ b/wingfall/platform/endpoint_entry.py
@@ -0,0 +1,70 @@
+"""The platform's entries of endpoints, read by their schema.
+
+Endpoints write their entries themselves, and so may others: what does not fit
+names no endpoint. Only fields that are used must be there; those that are not
+must be of their type if they are, since else the entry is another writer's.
+"""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING, Any, Final
+
+from wingfall.gateway.model.pool_endpoint import PoolEndpoint
+from wingfall.platform.schema_check import SchemaCheck
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from wingfall.errors import ObjectFault
+
+# A TCP port, 1 to 65535.
+_PORT: Final = (
+    r'([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d|6553[0-5])'
+)
+_DRAINING: Final = 'draining'
+_TEXT: Final = {'type': 'string', 'minLength': 1}
+_ENTRY: Final = SchemaCheck(
+    schema={
+        'type': 'object',
+        'required': ['service', 'address', 'zone', 'slots', 'state'],
+        'properties': {
+            'service': _TEXT,
+            'address': {'type': 'string', 'pattern': rf'^[^\s/]+:{_PORT}$'},
+            'zone': _TEXT,
+            'slots': {'type': 'integer', 'minimum': 1},
+            'state': {'enum': ['ready', _DRAINING]},
+            # Unix milliseconds of the endpoint's start.
+            'born': {'type': 'integer', 'minimum': 0},
+            'version': {'type': 'string'},
+            'seq_no': {'type': 'integer'},
+            'cold_left_ms': {'type': 'number', 'minimum': 0},
+        },
+    },
+)
+
+
+def read_endpoint(
+    name: str,
+    spec: Any,
+) -> Result[PoolEndpoint, ObjectFault]:
+    """Read an endpoint.
+
+    :param name: its id.
+    :param spec: what the stored object says.
+    :returns: the endpoint, or what is wrong with the entry.
+    """
+    return _ENTRY.find_fault(spec).map(functools.partial(_make, name))
+
+
+def _make(name: str, spec: dict[str, Any]) -> PoolEndpoint:
+    host, _colon, port = spec['address'].rpartition(':')
+    return PoolEndpoint(
+        name=name,
+        pool=spec['service'],
+        host=host,
+        port=int(port),
+        zone=spec['zone'],
+        slots=int(spec['slots']),
+        draining=spec['state'] == _DRAINING,
+    )
--- a/wingfall/platform/store.py
+++ b/wingfall/platform/store.py
@@ -8,18 +8,24 @@
 import http
 from typing import TYPE_CHECKING, Any, Final, final
 
-import orjson
 import urllib3
 from returns.result import Failure, Result, Success
 
 from wingfall.clock import MS_PER_S
 from wingfall.errors import PlatformError
-from wingfall.gateway.model.object_store import StoredObject, StoreReading
+from wingfall.gateway.model.object_store import StoreReading
+from wingfall.log import log_event
+from wingfall.platform.store_answers import (
+    parse_answer,
+    read_changes,
+    read_page,
+)
 from wingfall.tcp import silence_options
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from wingfall.gateway.model.object_store import StoredObject
     from wingfall.metrics import Metrics
 
 _OBJECTS: Final = '/wingfall/objects'
@@ -91,11 +97,12 @@
         revision: int | None = None
         while True:
             page = self._call(query, self._timeout_ms, progress).bind(
-                _read_page,
+                read_page,
             )
             if not isinstance(page, Success):
                 return page
             reading, more = page.unwrap()
+            self._note_nameless(reading)
             objects.extend(reading.objects)
             # What changed while later pages were read comes by the watch.
             revision = reading.revision if revision is None else revision
@@ -122,7 +129,9 @@
         wait_ms = _BRIEF_MS if brief else self._wait_ms
         query = {'watch': str(revision), 'wait_ms': str(wait_ms)}
         timeout_ms = self._timeout_ms if brief else wait_ms + _SLACK_MS
-        return self._call(query, timeout_ms, progress).bind(_read_changes)
+        changes = self._call(query, timeout_ms, progress).bind(read_changes)
+        changes.map(self._note_nameless)
+        return changes
 
     def _call(
         self,
@@ -152,7 +161,21 @@
         if status != http.HTTPStatus.OK:
             text = body.decode(errors='replace')[:_MAX_MESSAGE]
             return Failure(PlatformError(status=status, message=text))
-        return _parse(body)
+        return parse_answer(body)
+
+    def _note_nameless(self, reading: StoreReading) -> None:
+        # Nothing can be done about them; a list tells of them each time.
+        if not reading.nameless:
+            return
+        labels = {'kind': self._kind, 'field': 'name'}
+        self._metrics.objects_refused.add(labels, reading.nameless)
+        log_event(
+            'store',
+            'Objects without a name were left out.',
+            kind=self._kind,
+            objects=reading.nameless,
+            revision=reading.revision,
+        )
 
 
 def _read_body(
@@ -164,48 +187,3 @@
         progress()
         pieces.append(piece)
     return b''.join(pieces)
-
-
-def _parse(body: bytes) -> Result[Any, PlatformError]:
-    try:
-        return Success(orjson.loads(body))
-    except orjson.JSONDecodeError as error:
-        return Failure(
-            PlatformError(status=http.HTTPStatus.OK, message=str(error))
-        )
-
-
-def _read_page(
-    body: Any,
-) -> Result[tuple[StoreReading, bool], PlatformError]:
-    try:
-        objects = [_read_object(raw, gone=False) for raw in body['items']]
-        reading = StoreReading(revision=int(body['at']), objects=objects)
-        return Success((reading, bool(body.get('more'))))
-    except (KeyError, TypeError, ValueError):
-        return Failure(
-            PlatformError(status=http.HTTPStatus.OK, message='not a list')
-        )
-
-
-def _read_changes(body: Any) -> Result[StoreReading, PlatformError]:
-    try:
-        objects = [
-            _read_object(event['object'], gone=bool(event.get('gone')))
-            for event in body['events']
-        ]
-        return Success(StoreReading(revision=int(body['at']), objects=objects))
-    except (KeyError, TypeError, ValueError):
-        return Failure(
-            PlatformError(status=http.HTTPStatus.OK, message='not changes')
-        )
-
-
-def _read_object(raw: Any, *, gone: bool) -> StoredObject:
-    metadata = raw['metadata']
-    leaving = gone or bool(metadata.get('deleting'))
-    return StoredObject(
-        name=metadata['name'],
-        revision=int(metadata['revision']),
-        spec=None if leaving else dict(raw['spec']),
-    )
--- /dev/null
+++ b/wingfall/platform/store_answers.py
@@ -0,0 +1,136 @@
+"""Reads what the platform's store answers, each object by itself.
+
+Another writer may have left anything in an object's place; the objects beside
+it hold. Bytes and escapes that are no text are replaced, so that they spoil
+only the text that they stand in.
+"""
+
+from __future__ import annotations
+
+import http
+import re
+from typing import Any, Final
+
+import orjson
+from returns.result import Failure, Result, Success
+
+from wingfall.errors import PlatformError
+from wingfall.gateway.model.object_store import StoredObject, StoreReading
+
+# Half of a surrogate pair, written as an escape without the other half.
+_LONE_SURROGATE: Final = re.compile(
+    r'\\u[dD][89abAB][0-9a-fA-F]{2}(?!\\u[dD][c-fC-F][0-9a-fA-F]{2})'
+    r'|(?<!\\u[dD][89abAB][0-9a-fA-F]{2})\\u[dD][c-fC-F][0-9a-fA-F]{2}',
+)
+# What stands for text that can't be read.
+_REPLACEMENT: Final = '\ufffd'
+# Stand for what an object says, which no reader of a kind takes for more than a
+# text; None would say that it is gone.
+_NO_REVISION: Final = 'the object has no revision'
+_NO_SPEC: Final = 'the object has no spec'
+
+
+def parse_answer(body: bytes) -> Result[Any, PlatformError]:
+    """Parse an answer.
+
+    :param body: its bytes.
+    :returns: its JSON, or a failure if it is none even with what is no text
+        replaced.
+    """
+    try:
+        return Success(orjson.loads(body))
+    except orjson.JSONDecodeError:
+        text = body.decode(errors='replace')
+        return _parse_text(_LONE_SURROGATE.sub(_REPLACEMENT, text))
+
+
+def read_page(body: Any) -> Result[tuple[StoreReading, bool], PlatformError]:
+    """Read a page of a list.
+
+    :param body: the answer's JSON.
+    :returns: the objects that have a name, and whether more follow; a failure
+        if it is no list at all.
+    """
+    if not _is_answer(body, 'items'):
+        return _unreadable('not a list')
+    found = [_read_object(raw, body['at'], gone=False) for raw in body['items']]
+    return Success((_make_reading(found, body['at']), bool(body.get('more'))))
+
+
+def read_changes(body: Any) -> Result[StoreReading, PlatformError]:
+    """Read what a watch tells.
+
+    :param body: the answer's JSON.
+    :returns: the changes of objects that have a name, or a failure if they are
+        no changes at all.
+    """
+    if not _is_answer(body, 'events'):
+        return _unreadable('not changes')
+    events = [raw if isinstance(raw, dict) else {} for raw in body['events']]
+    found = [
+        _read_object(
+            each.get('object'), body['at'], gone=bool(each.get('gone'))
+        )
+        for each in events
+    ]
+    return Success(_make_reading(found, body['at']))
+
+
+def _parse_text(text: str) -> Result[Any, PlatformError]:
+    try:
+        return Success(orjson.loads(text))
+    except orjson.JSONDecodeError as error:
+        return _unreadable(str(error))
+
+
+def _unreadable(reason: str) -> Result[Any, PlatformError]:
+    failure = PlatformError(status=http.HTTPStatus.OK, message=reason)
+    return Failure(failure)
+
+
+def _is_answer(body: Any, listed: str) -> bool:
+    if not isinstance(body, dict):
+        return False
+    return isinstance(body.get(listed), list) and _is_whole(body.get('at'))
+
+
+def _is_whole(given: Any) -> bool:
+    # True and False are integers of this language, not of JSON.
+    return isinstance(given, int) and not isinstance(given, bool)
+
+
+def _make_reading(
+    found: list[StoredObject | None],
+    revision: int,
+) -> StoreReading:
+    objects = [stored for stored in found if stored is not None]
+    return StoreReading(
+        revision=revision,
+        objects=objects,
+        nameless=len(found) - len(objects),
+    )
+
+
+def _read_object(raw: Any, at: int, *, gone: bool) -> StoredObject | None:
+    metadata = raw.get('metadata') if isinstance(raw, dict) else None
+    if not isinstance(metadata, dict):
+        return None
+    name = metadata.get('name')
+    if not isinstance(name, str):
+        return None
+    revision = metadata.get('revision')
+    leaving = gone or bool(metadata.get('deleting'))
+    if _is_whole(revision):
+        # A counter beyond the store's own would keep later changes out.
+        revision = min(revision, at)
+        spec = raw.get('spec')
+    else:
+        revision = at
+        spec = _NO_REVISION
+    if spec is None:
+        spec = _NO_SPEC
+    return StoredObject(
+        name=name,
+        revision=revision,
+        spec=None if leaving else spec,
+    )
