Endpoints that start again under their id are other endpoints

Cause: nothing read an entry's born. An endpoint that starts again under the id that it had holds nothing of before, yet its cached parts, speed, failures, loads, connections and copies would have been taken for the new one's. Ruled out: forgetting in each owner by a message of its own (a late message of the earlier start would bring it back); lives beside names in messages between gateways (a field more in three messages, for what a name says already). Change: each incarnation has a name of its own, id@born, under which all that is known stands, here and in what gateways tell each other; the platform is told the id. knowledge/endpoint_lives.py judges entries: a lower start changes nothing, also after the endpoint left; an entry without a start is another writer's where the id has told one, or where at least half of its pool does. A cut stream goes on at its backup also if its engine listens again with a later start, and never at a backup whose holder has started again. An entry that moves to another pool leaves the old one. Measured: tests of each owner, of two gateways that read a new start at different times, of streams, of a gateway process; all new. Gateways of before and of now name such an endpoint unlike, so while both run they do not share its load; no platform tells starts yet.

--- /dev/null
+++ b/tests/test_endpoint_lives.py
@@ -0,0 +1,436 @@
+"""Endpoints that start again under the id that they had."""
+
+from __future__ import annotations
+
+import contextlib
+import subprocess
+import sys
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+
+import pytest
+import yaml
+
+from standins.pool_server import PoolServerStandIn
+from tests.gateway_site import (
+    HOST,
+    CallerStandIn,
+    GatewaySite,
+    caches_part,
+    known_endpoints,
+)
+from tests.local_site import wait_until
+from tests.test_stored_objects import SOUND, make_state
+from tools.fleet import free_port
+from wingfall.clock import ManualClock
+from wingfall.gateway.configuration.object_applier import ObjectApplier
+from wingfall.gateway.endpoints.kept_connections import KeptConnections
+from wingfall.gateway.knowledge import endpoint_lives
+from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
+from wingfall.gateway.knowledge.endpoint_lives import (
+    EndpointLives,
+    Incarnation,
+    told_by_endpoints,
+)
+from wingfall.gateway.knowledge.load import EndpointLoad
+from wingfall.gateway.knowledge.prefix_caches import SentPrompt
+from wingfall.gateway.model.pool_endpoint import PoolEndpoint
+from wingfall.gateway.model.prompt import PromptPart
+from wingfall.gateway.peers.load_entries import Activity
+from wingfall.gateway.peers.load_exchange import LoadExchange
+from wingfall.platform.endpoint_entry import read_endpoint
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+FIRST_MS = 1_785_061_641_008
+AGAIN_MS = FIRST_MS + 5000
+PARTS = (PromptPart(part_id='p1', tokens=500),)
+
+
+def born(
+    born_ms: int | None, name: str = 'one', **changes: Any
+) -> PoolEndpoint:
+    """Make an endpoint that started at a time."""
+    spec = {**SOUND, **changes}
+    if born_ms is not None:
+        spec['born'] = born_ms
+    return read_endpoint(name, spec).unwrap()
+
+
+def listing(applier: ObjectApplier) -> Callable[..., None]:
+    """Give a function that writes an entry."""
+
+    def put(born_ms: int | None, name: str = 'one', **changes: Any) -> None:
+        spec = {**SOUND, **changes}
+        if born_ms is not None:
+            spec['born'] = born_ms
+        applier.apply_endpoint(name, spec)
+
+    return put
+
+
+def usable(state: SimpleNamespace) -> list[int | None]:
+    """Tell when the endpoints in use were born."""
+    return [each.born_ms for each in state.knowledge.table.usable('plain')]
+
+
+def test_each_start_has_a_name_of_its_own():
+    first, again = born(FIRST_MS), born(AGAIN_MS)
+    assert first.name != again.name
+    assert first.instance == again.instance == 'one'
+    assert born(None).name == 'one'
+
+
+def test_later_start_is_the_newest_and_an_earlier_one_is_not():
+    lives = EndpointLives()
+    assert lives.note(born(FIRST_MS)) is Incarnation.newest
+    assert lives.note(born(AGAIN_MS)) is Incarnation.newest
+    assert lives.note(born(FIRST_MS)) is Incarnation.earlier
+    assert lives.note(born(AGAIN_MS)) is Incarnation.newest
+    assert lives.note(born(None)) is Incarnation.untold
+    assert lives.has_ended(born(FIRST_MS))
+    assert not lives.has_ended(born(AGAIN_MS))
+    assert not lives.has_ended(born(None))
+
+
+def test_remembered_starts_are_bounded(monkeypatch: pytest.MonkeyPatch):
+    monkeypatch.setattr(endpoint_lives, '_MOST_REMEMBERED', 2)
+    lives = EndpointLives()
+    for number in range(3):
+        lives.note(born(AGAIN_MS, f'i-{number}'))
+    assert lives.note(born(FIRST_MS, 'i-2')) is Incarnation.earlier
+    assert lives.note(born(FIRST_MS, 'i-0')) is Incarnation.newest
+
+
+def test_entries_without_a_start_are_used_where_none_tells_it():
+    listed = [born(None, 'one'), born(None, 'two')]
+    assert told_by_endpoints(listed) == listed
+
+
+def test_entry_without_a_start_among_those_that_tell_it_is_anothers():
+    listed = [born(FIRST_MS, 'one'), born(None, 'two')]
+    assert told_by_endpoints(listed) == listed[:1]
+
+
+def test_one_entry_with_a_start_does_not_drive_the_others_out():
+    listed = [born(FIRST_MS, 'odd'), born(None, 'one'), born(None, 'two')]
+    assert told_by_endpoints(listed) == listed
+
+
+def test_new_start_takes_the_place_of_the_earlier_one_at_once():
+    state = make_state()
+    put = listing(ObjectApplier(state=state))
+    put(FIRST_MS)
+    put(AGAIN_MS)
+    assert usable(state) == [AGAIN_MS]
+    assert len(state.knowledge.table.names) == 1
+
+
+@pytest.mark.parametrize('left', [False, True])
+def test_late_entry_of_an_earlier_start_changes_nothing(left: bool):
+    state = make_state()
+    applier = ObjectApplier(state=state)
+    put = listing(applier)
+    put(FIRST_MS)
+    put(AGAIN_MS)
+    if left:
+        applier.apply_endpoint('one', None)
+        state.knowledge.table._clock.advance(10_000)
+    put(FIRST_MS)
+    still_used = [] if left else [AGAIN_MS]
+    assert usable(state) == still_used
+
+
+def test_entry_that_lost_its_start_is_anothers():
+    state = make_state()
+    put = listing(ObjectApplier(state=state))
+    for name in ('one', 'two', 'three'):
+        put(FIRST_MS, name)
+    put(None, 'two')
+    names = {each.instance for each in state.knowledge.table.usable('plain')}
+    assert names == {'one', 'three'}
+
+
+def note_load(known: EndpointKnowledge, name: str) -> None:
+    """Have this gateway and a peer work there."""
+    known.load.start(name, EndpointLoad(running=1, reading_tokens=90))
+    work = [(name, EndpointLoad(running=2))]
+    known.load.take_from_peer('peer', work, whole=False)
+
+
+def note_failures(known: EndpointKnowledge, name: str) -> None:
+    """Have it fail, and take no connection."""
+    known.health.note_failure(name)
+    known.health.note_unreachable(name)
+
+
+# What is noted of an endpoint, and what is then known, by owner.
+OWNERS = {
+    'caches': (
+        lambda known, name: known.caches.find(name).note(PARTS),
+        lambda known, name: known.caches.find(name).cached_tokens(PARTS),
+    ),
+    'load': (note_load, lambda known, name: known.load.total(name).running),
+    'failures': (
+        note_failures,
+        lambda known, name: (
+            known.health.failing(name) or known.health.is_out(name)
+        ),
+    ),
+    'long reads': (
+        lambda known, name: known.note_prompt_sent(name, 9000),
+        lambda known, name: known.long_reads.tokens(name),
+    ),
+    'reads under way': (
+        lambda known, name: known.caches.note_sent(
+            SentPrompt(endpoint=name, parts=PARTS, unread=500), 10_000
+        ),
+        lambda known, name: (
+            known.caches.find(name).pending_read(PARTS, 0).tokens
+        ),
+    ),
+}
+
+
+@pytest.mark.parametrize('owner', OWNERS)
+def test_nothing_known_of_an_earlier_start_is_held_of_the_next(owner: str):
+    note, look = OWNERS[owner]
+    state = make_state()
+    known = state.knowledge
+    put = listing(ObjectApplier(state=state))
+    put(FIRST_MS)
+    note(known, born(FIRST_MS).name)
+    assert look(known, born(FIRST_MS).name)
+    put(AGAIN_MS)
+    (newest,) = known.table.usable('plain')
+    assert not look(known, newest.name)
+    # What still comes of the earlier one changes nothing either.
+    note(known, born(FIRST_MS).name)
+    assert not look(known, newest.name)
+
+
+def test_speed_of_an_earlier_start_is_learned_anew():
+    state = make_state()
+    known = state.knowledge
+    put = listing(ObjectApplier(state=state))
+    put(FIRST_MS)
+    first = born(FIRST_MS).name
+    before = known.speed('nobody').read_ms(10_000)
+    for _stream in range(50):
+        known.speeds.find(first, 'other').rate.note(10_000, 10)
+    assert known.speed(first).read_ms(10_000) < before
+    put(AGAIN_MS)
+    assert known.speed(born(AGAIN_MS).name).read_ms(10_000) == before
+
+
+def test_connection_to_an_earlier_start_is_not_used_again():
+    server = PoolServerStandIn(name='one')
+    kept = KeptConnections(clock=ManualClock(start_ms=1))
+    first = born(FIRST_MS, address=server.address)
+    again = born(AGAIN_MS, address=server.address)
+    connection = kept.take(first, timeout_ms=1000, kept=True)
+    kept._idle[first.name] = [connection]
+    assert kept.take(again, timeout_ms=1000, kept=True) is not connection
+    assert kept.take(first, timeout_ms=1000, kept=True) is connection
+    kept._idle[first.name] = [connection]
+    kept.forget({again.name})
+    assert not kept._idle.get(first.name)
+    server.stop()
+
+
+def make_exchange(state: SimpleNamespace, name: str) -> LoadExchange:
+    """Make what takes and tells the work of gateways."""
+    return LoadExchange(
+        name=name,
+        zone='a',
+        clock=ManualClock(start_ms=1000),
+        knowledge=state.knowledge,
+    )
+
+
+def test_gateways_that_read_a_new_start_two_seconds_apart_agree():
+    early, late = make_state(), make_state()
+    put_early = listing(ObjectApplier(state=early))
+    put_late = listing(ObjectApplier(state=late))
+    put_early(FIRST_MS)
+    put_late(FIRST_MS)
+    peer = SimpleNamespace(name='early', zone='a')
+    told, taken = make_exchange(early, 'early'), make_exchange(late, 'late')
+    put_early(AGAIN_MS)
+    early.knowledge.load.start(born(AGAIN_MS).name, EndpointLoad(running=3))
+    loads = told.take_loads(whole=True)
+    taken.take_heartbeat(peer, loads, Activity(), whole=True)
+    # The late one still knows the earlier start alone, without that work.
+    assert late.knowledge.load.total(born(FIRST_MS).name).running == 0
+    late.knowledge.load.start(born(FIRST_MS).name, EndpointLoad(running=9))
+    back = make_exchange(late, 'late').take_loads(whole=True)
+    told.take_heartbeat(
+        SimpleNamespace(name='late', zone='a'), back, Activity(), whole=True
+    )
+    assert early.knowledge.load.total(born(AGAIN_MS).name).running == 3
+    put_late(AGAIN_MS)
+    assert late.knowledge.load.total(born(AGAIN_MS).name).running == 3
+
+
+def list_born(site: GatewaySite, pool: str, name: str, born_ms: int) -> None:
+    """Write an entry that tells its start."""
+    site.store.put('servers', name, site.entry(name, pool, born=born_ms))
+
+
+def restart(site: GatewaySite, name: str) -> PoolServerStandIn:
+    """Start an endpoint again at its address, under its id."""
+    before = site.servers[name]
+    before.stop()
+    port = int(before.address.rpartition(':')[2])
+    site.servers[name] = PoolServerStandIn(name=name, port=port)
+    return site.servers[name]
+
+
+def test_engine_that_started_again_counts_as_empty(gateway_site: GatewaySite):
+    engine = gateway_site.add_server('one', 'engines')
+    list_born(gateway_site, 'engines', 'one', FIRST_MS)
+    gateway = gateway_site.add_gateway()
+    prompt = {'X_Token_Count': '500,9', 'X_Prompt_Prefix': 'p1:400,own:100'}
+    assert gateway_site.ask('/stream/x', method='POST', **prompt).whole
+    assert engine.runs[0].headers['x-expect-instance'] == 'one'
+    first, again = f'one@{FIRST_MS}', f'one@{AGAIN_MS}'
+    assert caches_part(gateway, first, 'p1')
+    engine = restart(gateway_site, 'one')
+    list_born(gateway_site, 'engines', 'one', AGAIN_MS)
+    wait_until(lambda: known_endpoints(gateway).find(again))
+    assert not caches_part(gateway, again, 'p1')
+    assert gateway_site.ask('/stream/x', method='POST', **prompt).whole
+    assert engine.runs[0].headers['x-expect-instance'] == 'one'
+    assert caches_part(gateway, again, 'p1')
+
+
+@pytest.fixture
+def backup_site(gateway_site: GatewaySite) -> GatewaySite:
+    """Give two engines that keep copies, and tell their start."""
+    gateway_site.config['services'][1]['engine']['backups'] = True
+    gateway_site.write_config()
+    for name in ('one', 'two'):
+        engine = gateway_site.add_server(name, 'engines')
+        engine.events = 6
+        engine.event_ms = 300
+        list_born(gateway_site, 'engines', name, FIRST_MS)
+    gateway_site.add_gateway()
+    return gateway_site
+
+
+def begin_stream(site: GatewaySite) -> tuple[CallerStandIn, str, str]:
+    """Begin a stream that may not be resumed, which its engine will cut.
+
+    :returns: the caller, the engine that runs it, the one that has its copy.
+    """
+    for engine in site.servers.values():
+        engine.faults = ['cut']
+    caller = site.caller()
+    caller.send(
+        '/oneway/x',
+        method='POST',
+        X_Token_Count='300,200',
+        X_Prompt_Prefix='aa:200,bb:100',
+    )
+    wait_until(lambda: any(each.runs for each in site.servers.values()))
+    first, other = site.servers
+    if site.servers[other].runs:
+        first, other = other, first
+    site.servers[other].faults = []
+    return caller, first, other
+
+
+def test_stream_does_not_go_on_at_a_copy_that_died_with_its_holder(
+    backup_site: GatewaySite,
+):
+    caller, first, other = begin_stream(backup_site)
+    backup_site.servers[first].stop()
+    engine = restart(backup_site, other)
+    list_born(backup_site, 'engines', other, AGAIN_MS)
+    table = known_endpoints(backup_site.gateways[0])
+    wait_until(lambda: table.find(f'{other}@{AGAIN_MS}'))
+    assert not caller.receive().whole
+    assert not engine.runs
+
+
+def test_stream_goes_on_at_its_copy_if_its_engine_has_started_again(
+    backup_site: GatewaySite,
+):
+    caller, first, other = begin_stream(backup_site)
+    # It listens again, so that only its later start shows that the run ended.
+    restart(backup_site, first)
+    list_born(backup_site, 'engines', first, AGAIN_MS)
+    table = known_endpoints(backup_site.gateways[0])
+    wait_until(lambda: table.find(f'{first}@{AGAIN_MS}'))
+    answer = caller.receive()
+    assert answer.whole
+    (run,) = backup_site.servers[other].runs
+    assert 'kv-from' in run.headers
+
+
+def test_request_that_an_earlier_start_may_have_run_is_not_called_not_run(
+    gateway_site: GatewaySite,
+):
+    server = gateway_site.add_server('one')
+    server.delay_ms = 500
+    server.faults = ['reset']
+    list_born(gateway_site, 'plain', 'one', FIRST_MS)
+    gateway = gateway_site.add_gateway()
+    caller = gateway_site.caller()
+    caller.send('/unsafe/x', method='POST', body=b'1')
+    wait_until(lambda: gateway_site.servers['one'].runs)
+    again = restart(gateway_site, 'one')
+    list_born(gateway_site, 'plain', 'one', AGAIN_MS)
+    answer = caller.receive()
+    assert answer.status in {502, 504}
+    assert known_endpoints(gateway).names
+    assert not again.runs
+
+
+@contextlib.contextmanager
+def gateway_process(site: GatewaySite, folder: Any) -> Iterator[int]:
+    """Run a gateway as a process; gives its port for callers."""
+    port = free_port()
+    settings = {
+        **site.settings(),
+        'callers': f'{HOST}:{port}',
+        'readiness': f'{HOST}:{free_port()}',
+        'admin': {'host': HOST, 'port': free_port()},
+        'peers': {'listen': f'{HOST}:{free_port()}'},
+    }
+    path = folder / 'settings.yaml'
+    path.write_text(yaml.safe_dump(settings), 'utf-8')
+    command = (sys.executable, '-m', 'wingfall.gateway', '--settings', path)
+    with subprocess.Popen(command, stdout=subprocess.DEVNULL) as child:
+        try:
+            yield port
+        finally:
+            child.kill()
+
+
+def status_of(port: int) -> int:
+    """Ask a gateway once; 0 while it doesn't listen."""
+    try:
+        caller = CallerStandIn(port=port)
+    except OSError:
+        return 0
+    caller.send('/safe/x')
+    answer = caller.receive()
+    caller.close()
+    return answer.status
+
+
+@pytest.mark.processes
+def test_process_serves_from_an_endpoint_that_starts_again(
+    gateway_site: GatewaySite,
+    tmp_path: Any,
+):
+    gateway_site.add_server('one')
+    list_born(gateway_site, 'plain', 'one', FIRST_MS)
+    gateway_site.store.put('servers', 'odd', {'service': 'plain'})
+    with gateway_process(gateway_site, tmp_path) as port:
+        wait_until(lambda: status_of(port) == 200)
+        again = restart(gateway_site, 'one')
+        list_born(gateway_site, 'plain', 'one', AGAIN_MS)
+        wait_until(lambda: status_of(port) == 200 and again.runs)
--- a/wingfall/gateway/calls/stream_continuation.py
+++ b/wingfall/gateway/calls/stream_continuation.py
@@ -35,8 +35,9 @@
     """Choose the engine that goes on with a stream whose engine has ended.
 
     While the first engine lives it may still work on the run, and two engines
-    would work on it; so it has to refuse connections by now. The retry budget
-    is asked last, so that nothing of it is taken in vain.
+    would work on it; so it has to refuse connections by now, or must have
+    started again since. The retry budget is asked last, so that nothing of it
+    is taken in vain.
 
     :param state: what the gateway knows.
     :param call: the call.
@@ -49,7 +50,7 @@
         return None
     if reply.last_event_id is None:
         return None
-    if not refuses_connections(destination.endpoint):
+    if not _has_ended(state, destination.endpoint):
         return None
     continuation = _describe_continuation(state, call, destination.backup)
     pool = destination.endpoint.pool
@@ -58,6 +59,13 @@
     return continuation
 
 
+def _has_ended(state: GatewayState, endpoint: PoolEndpoint) -> bool:
+    # One that has started again listens there, and knows nothing of the run.
+    if state.knowledge.lives.has_ended(endpoint):
+        return True
+    return refuses_connections(endpoint)
+
+
 def _describe_continuation(
     state: GatewayState,
     call: Call,
--- a/wingfall/gateway/configuration/object_applier.py
+++ b/wingfall/gateway/configuration/object_applier.py
@@ -11,11 +11,12 @@
 
 from returns.result import Success
 
+from wingfall.errors import ObjectFault
 from wingfall.gateway.configuration.replica import ENDPOINTS_KIND, ROUTES_KIND
+from wingfall.gateway.knowledge.endpoint_lives import Incarnation
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
-    from wingfall.errors import ObjectFault
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.state import GatewayState
 
@@ -82,9 +83,23 @@
         if not isinstance(read, Success):
             self._refuse_endpoint(name, read.failure())
             return
-        endpoint = read.unwrap()
-        self._state.knowledge.table.put(endpoint)
-        self._set_cache_capacity(endpoint)
+        self._put_endpoint(read.unwrap())
+
+    def _put_endpoint(self, endpoint: PoolEndpoint) -> None:
+        match self._state.knowledge.lives.note(endpoint):
+            case Incarnation.newest:
+                self._state.knowledge.table.put(endpoint)
+                self._set_cache_capacity(endpoint)
+            case Incarnation.earlier:
+                log_event(
+                    'endpoints',
+                    'An entry of an earlier start changes nothing.',
+                    endpoint=endpoint.name,
+                )
+            case Incarnation.untold:
+                reason = 'the endpoint has told its start before'
+                fault = ObjectFault(field='born', reason=reason)
+                self._refuse_endpoint(endpoint.instance, fault)
 
     def _refuse_endpoint(self, name: str, fault: ObjectFault) -> None:
         self._note_refused(ENDPOINTS_KIND, fault)
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, final
 
 from wingfall.gateway.knowledge.endpoint_health import EndpointHealth
+from wingfall.gateway.knowledge.endpoint_lives import EndpointLives
 from wingfall.gateway.knowledge.endpoint_table import EndpointTable
 from wingfall.gateway.knowledge.engine_speeds import EngineSpeeds
 from wingfall.gateway.knowledge.load import LoadTable
@@ -27,6 +28,7 @@
         '_clock',
         'caches',
         'health',
+        'lives',
         'load',
         'long_reads',
         'speeds',
@@ -41,6 +43,8 @@
         self._clock = clock
         # Which there are, by the store.
         self.table = EndpointTable(clock=clock)
+        # Which of their incarnations is the newest, by the store.
+        self.lives = EndpointLives()
         # What runs there, by the calls of this gateway and its peers.
         self.load = LoadTable()
         # Which parts of prompts they cache, by what was sent and told.
--- a/wingfall/gateway/knowledge/endpoint_table.py
+++ b/wingfall/gateway/knowledge/endpoint_table.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING, Final, final
 
+from wingfall.gateway.knowledge.endpoint_lives import told_by_endpoints
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
@@ -26,7 +27,14 @@
 class EndpointTable:
     """All endpoints by name, with those that went a moment ago."""
 
-    __slots__ = ('_by_name', '_by_pool', '_clock', '_lapsed', '_ready')
+    __slots__ = (
+        '_by_instance',
+        '_by_name',
+        '_by_pool',
+        '_clock',
+        '_lapsed',
+        '_ready',
+    )
 
     def __init__(self, *, clock: Clock) -> None:
         """Start empty.
@@ -35,6 +43,8 @@
         """
         self._clock = clock
         self._by_name: dict[str, PoolEndpoint] = {}
+        # The same by the id that an endpoint keeps when it starts again.
+        self._by_instance: dict[str, PoolEndpoint] = {}
         self._by_pool: dict[str, dict[str, PoolEndpoint]] = {}
         self._lapsed: dict[str, tuple[PoolEndpoint, int]] = {}
         # Those that take new work, by pool, until something changes.
@@ -56,14 +66,18 @@
     def put(self, endpoint: PoolEndpoint) -> None:
         """List an endpoint, or replace its entry.
 
-        :param endpoint: the endpoint.
+        :param endpoint: the endpoint; an earlier incarnation goes with its
+            entry, and a pool that the entry names no longer loses it.
         """
-        known = self._by_name.get(endpoint.name)
-        self._lapsed.pop(endpoint.name, None)
+        known = self._by_instance.get(endpoint.instance)
+        if known is not None:
+            self._drop(known)
+        self._lapsed.pop(endpoint.instance, None)
         self._ready.clear()
         self._by_name[endpoint.name] = endpoint
+        self._by_instance[endpoint.instance] = endpoint
         self._by_pool.setdefault(endpoint.pool, {})[endpoint.name] = endpoint
-        if known is None or known.draining != endpoint.draining:
+        if known is None or _differs(known, endpoint):
             log_event(
                 'endpoints',
                 'The list has an endpoint.',
@@ -73,23 +87,23 @@
                 draining=endpoint.draining,
             )
 
-    def remove(self, name: str) -> None:
+    def remove(self, instance: str) -> None:
         """Take an endpoint off the list.
 
-        :param name: its name.
+        :param instance: its id.
         """
-        endpoint = self._by_name.pop(name, None)
+        endpoint = self._by_instance.get(instance)
         if endpoint is None:
             return
         self._ready.clear()
-        self._by_pool.get(endpoint.pool, {}).pop(name, None)
+        self._drop(endpoint)
         if not endpoint.draining:
             until_ms = self._clock.now_ms() + _LAPSE_MS
-            self._lapsed[name] = (endpoint, until_ms)
+            self._lapsed[instance] = (endpoint, until_ms)
         log_event(
             'endpoints',
             'An endpoint left the list.',
-            endpoint=name,
+            endpoint=endpoint.name,
             pool=endpoint.pool,
             draining=endpoint.draining,
         )
@@ -107,11 +121,17 @@
         lapsed = self._recently_listed(pool)
         return ready + lapsed if len(lapsed) >= len(ready) else ready
 
+    def _drop(self, endpoint: PoolEndpoint) -> None:
+        self._by_instance.pop(endpoint.instance)
+        self._by_name.pop(endpoint.name)
+        self._by_pool[endpoint.pool].pop(endpoint.name)
+
     def _list_ready(self, pool: str) -> list[PoolEndpoint]:
         ready = self._ready.get(pool)
         if ready is None:
-            listed = self._by_pool.get(pool, {}).values()
-            ready = [each for each in listed if not each.draining]
+            listed = list(self._by_pool.get(pool, {}).values())
+            told = told_by_endpoints(listed)
+            ready = [each for each in told if not each.draining]
             self._ready[pool] = ready
         return ready
 
@@ -127,3 +147,8 @@
             for endpoint, _until_ms in self._lapsed.values()
             if endpoint.pool == pool
         ]
+
+
+def _differs(known: PoolEndpoint, endpoint: PoolEndpoint) -> bool:
+    before = (known.name, known.pool, known.draining)
+    return before != (endpoint.name, endpoint.pool, endpoint.draining)
--- a/wingfall/gateway/model/pool_endpoint.py
+++ b/wingfall/gateway/model/pool_endpoint.py
@@ -10,8 +10,10 @@
     """An endpoint of a pool as the platform lists it."""
 
     __slots__ = (
+        'born_ms',
         'draining',
         'host',
+        'instance',
         'name',
         'pool',
         'port',
@@ -29,18 +31,26 @@
         zone: str,
         slots: int,
         draining: bool,
+        instance: str | None = None,
+        born_ms: int | None = None,
     ) -> None:
         """Describe an endpoint.
 
-        :param name: id of this incarnation, never used twice.
+        :param name: name of this incarnation, never used twice.
         :param pool: the pool it belongs to.
         :param host: its IP number.
         :param port: its port.
         :param zone: its availability zone.
         :param slots: requests it runs at once.
         :param draining: whether it is about to leave.
+        :param instance: the platform's id, which an endpoint that starts
+            again may keep; the name if it isn't told.
+        :param born_ms: when this incarnation started, Unix milliseconds; None
+            on platforms that don't tell, where an id is never used twice.
         """
         self.name = name
+        self.instance = name if instance is None else instance
+        self.born_ms = born_ms
         self.pool = pool
         self.host = host
         self.port = port
--- a/wingfall/platform/endpoint_entry.py
+++ b/wingfall/platform/endpoint_entry.py
@@ -59,12 +59,15 @@
 
 def _make(name: str, spec: dict[str, Any]) -> PoolEndpoint:
     host, _colon, port = spec['address'].rpartition(':')
+    born = spec.get('born')
     return PoolEndpoint(
-        name=name,
+        name=name if born is None else f'{name}@{int(born)}',
+        instance=name,
         pool=spec['service'],
         host=host,
         port=int(port),
         zone=spec['zone'],
         slots=int(spec['slots']),
         draining=spec['state'] == _DRAINING,
+        born_ms=None if born is None else int(born),
     )
--- a/wingfall/platform/headers.py
+++ b/wingfall/platform/headers.py
@@ -100,7 +100,7 @@
         pair for pair in call.head.headers if pair[0].lower() != _LAST_EVENT
     ]
     headers.append((b'X-Deadline-Ms', b'%d' % sending.time_left_ms))
-    headers.append((_EXPECT, sending.endpoint.name.encode()))
+    headers.append((_EXPECT, sending.endpoint.instance.encode()))
     if call.customer is not None:
         headers.append((_CUSTOMER, call.customer.name.encode()))
     if call.head.prompt is not None:
@@ -128,7 +128,7 @@
     """
     return [
         (b'Host', _address(endpoint)),
-        (_EXPECT, endpoint.name.encode()),
+        (_EXPECT, endpoint.instance.encode()),
     ]
 
 
