Engines' memory is what the configuration in force says of it

Cause: the model of an engine's memory got its size when an entry arrived after a configuration, once; an entry that came first left the default of 400,000 tokens, and a changed service never counted. Change: each configuration that is put in force sets the size for all listed engines, each entry for its own; what no longer fits gives way, oldest first. Measured: the test is red in both orders without it.

--- a/tests/test_stored_objects.py
+++ b/tests/test_stored_objects.py
@@ -9,6 +9,7 @@
 
 import msgpack
 import orjson
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.result import Success
@@ -23,6 +24,7 @@
 )
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.model.object_store import StoredObject, StoreReading
+from wingfall.gateway.model.prompt import PromptPart
 from wingfall.gateway.peers.object_transfer import (
     pack_objects,
     read_objects,
@@ -203,3 +205,36 @@
     stored = StoredObject(name='deep', revision=1, spec=deep)
     (read,) = unpack_objects(pack_objects([stored]))
     assert isinstance(read.spec, str)
+
+
+def with_memory(version: int, tokens: int) -> StoredObject:
+    """Write a configuration whose engines hold so many tokens."""
+    engine = {'kv_capacity_tokens': tokens}
+    spec = {
+        **ROUTES,
+        'version': version,
+        'services': [{'name': 'plain', 'engine': engine}],
+    }
+    return StoredObject(name='main', revision=version, spec=spec)
+
+
+@pytest.mark.parametrize('endpoint_first', [False, True])
+def test_engines_memory_is_what_the_newest_configuration_says(
+    endpoint_first: bool,
+):
+    state = make_state()
+    applier = ObjectApplier(state=state)
+    parts = [PromptPart(part_id=str(each), tokens=100) for each in range(9)]
+    if endpoint_first:
+        applier.apply_endpoint('one', SOUND)
+        state.knowledge.caches.find('one').note(parts)
+    applier.apply_routes('main', with_memory(3, 500).spec)
+    applier.apply_endpoint('one', SOUND)
+    cache = state.knowledge.caches.find('one')
+    cache.note(parts)
+    assert cache.tokens == 500
+    applier.apply_routes('main', with_memory(4, 300).spec)
+    assert cache.tokens == 300
+    applier.apply_routes('main', with_memory(5, 800).spec)
+    cache.note(parts)
+    assert cache.tokens == 800
--- a/wingfall/gateway/configuration/object_applier.py
+++ b/wingfall/gateway/configuration/object_applier.py
@@ -58,6 +58,9 @@
         if in_force is not None and routes.version <= in_force.version:
             return
         self._state.routes = routes
+        # Entries may have come before the configuration that tells of memory.
+        for endpoint in self._state.knowledge.table.listed:
+            self._set_cache_capacity(endpoint)
         self._state.metrics.config_version.set({}, routes.version)
         log_event(
             'config',
--- a/wingfall/gateway/knowledge/endpoint_table.py
+++ b/wingfall/gateway/knowledge/endpoint_table.py
@@ -55,6 +55,11 @@
         """Names of all endpoints that are listed."""
         return set(self._by_name)
 
+    @property
+    def listed(self) -> list[PoolEndpoint]:
+        """All endpoints that are listed."""
+        return list(self._by_name.values())
+
     def find(self, name: str) -> PoolEndpoint | None:
         """Find a listed endpoint.
 
--- a/wingfall/gateway/knowledge/prefix_cache.py
+++ b/wingfall/gateway/knowledge/prefix_cache.py
@@ -175,10 +175,15 @@
             self._tokens += part.tokens - self._parts.pop(part.part_id, 0)
             self._parts[part.part_id] = part.tokens
             self._index.add(part.part_id, self._engine)
-        while self._tokens > self._capacity:
-            oldest = next(iter(self._parts))
-            self._ready_ms.pop(oldest, None)
-            self._drop(oldest)
+        self._trim()
+
+    def resize(self, capacity: int) -> None:
+        """Take how much the engine can keep; what is beyond gives way.
+
+        :param capacity: tokens.
+        """
+        self._capacity = capacity
+        self._trim()
 
     def clear(self) -> None:
         """Forget all parts, as when the engine is gone."""
@@ -194,6 +199,12 @@
         """
         return list(self._parts.items())[-most:]
 
+    def _trim(self) -> None:
+        while self._tokens > self._capacity:
+            oldest = next(iter(self._parts))
+            self._ready_ms.pop(oldest, None)
+            self._drop(oldest)
+
     def _drop(self, part_id: str) -> None:
         self._tokens -= self._parts.pop(part_id, 0)
         self._index.discard(part_id, self._engine)
--- a/wingfall/gateway/knowledge/prefix_caches.py
+++ b/wingfall/gateway/knowledge/prefix_caches.py
@@ -77,17 +77,13 @@
         return self._index.engines(prompt.shared[0].part_id)
 
     def set_capacity(self, endpoint: str, capacity: int) -> None:
-        """Start the model of an engine whose memory is known.
+        """Set how much an engine can hold, whose memory is known by now.
 
         :param endpoint: its name.
-        :param capacity: tokens that it can hold.
+        :param capacity: tokens that it can hold, 0 if it keeps none.
         """
-        if endpoint not in self._by_endpoint and capacity:
-            self._by_endpoint[endpoint] = PrefixCache(
-                engine=endpoint,
-                index=self._index,
-                capacity=capacity,
-            )
+        if capacity:
+            self.find(endpoint).resize(capacity)
 
     def note_sent(self, sent: SentPrompt, ready_ms: int) -> None:
         """Note a prompt that this gateway sent.
