Of a large pool few endpoints are weighed, so that gateways choose unlike

Cause: gateways hear of each other's work some tenths of a second late, each weighed all of up to 64 engines and so all took the same for the best; most engines were empty while a tenth of the prompts queued up at a few. Which cache it is asked by the last part that any engine keeps, not the first, which prompts of a kind share.

--- a/tests/test_prefix_cache.py
+++ b/tests/test_prefix_cache.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies as st
 
 from wingfall.gateway.knowledge.prefix_cache import PartIndex, PrefixCache
-from wingfall.gateway.model.prompt import PromptPart
+from wingfall.gateway.knowledge.prefix_caches import PrefixCaches
+from wingfall.gateway.model.prompt import Prompt, PromptPart
 
 
 def parts(*names: str, tokens: int = 100) -> list[PromptPart]:
@@ -96,3 +97,15 @@
             if cache.cached_tokens([part])
         }
         assert index.engines(part.part_id) == keeping
+
+
+def test_engines_that_keep_the_most_of_a_prompt_are_named():
+    caches = PrefixCaches()
+    for number in range(9):
+        caches.find(f'i-{number}').note(parts('common'))
+    caches.find('i-4').note(parts('common', 'session'))
+    prompt = Prompt(parts=tuple(parts('common', 'session', 'own')))
+    assert caches.engines_with(prompt) == {'i-4'}
+    other = Prompt(parts=tuple(parts('common', 'unseen', 'own')))
+    assert len(caches.engines_with(other)) == 9
+    assert not caches.engines_with(Prompt(parts=tuple(parts('own'))))
--- a/wingfall/gateway/calls/destination.py
+++ b/wingfall/gateway/calls/destination.py
@@ -12,7 +12,12 @@
 from wingfall.gateway.knowledge.load import EndpointLoad
 from wingfall.gateway.rules.cache_transfer import copied_tokens
 from wingfall.gateway.rules.candidate import Candidate, Demand
-from wingfall.gateway.rules.shortlist import is_long, prefer_sound, shorten
+from wingfall.gateway.rules.shortlist import (
+    is_long,
+    list_sound,
+    prefer_sound,
+    shorten,
+)
 from wingfall.gateway.rules.stream_backup import choose_backup
 
 if TYPE_CHECKING:
@@ -202,11 +207,12 @@
 ) -> list[PoolEndpoint]:
     usable = state.knowledge.table.usable(pool)
     is_out = state.knowledge.health.is_out
-    if not is_long(usable):
-        return prefer_sound(usable, avoided, is_out)
-    shortlist = shorten(usable, _endpoints_that_cache(state, call))
-    weighed = prefer_sound(shortlist, avoided, is_out)
-    return weighed or prefer_sound(usable, avoided, is_out)
+    if is_long(usable):
+        shortlist = shorten(usable, _endpoints_that_cache(state, call))
+        sound = list_sound(shortlist, avoided, is_out)
+        if sound:
+            return sound
+    return prefer_sound(usable, avoided, is_out)
 
 
 def _endpoints_that_cache(
--- a/wingfall/gateway/knowledge/prefix_caches.py
+++ b/wingfall/gateway/knowledge/prefix_caches.py
@@ -67,14 +67,19 @@
         return known
 
     def engines_with(self, prompt: Prompt) -> set[str]:
-        """Name the engines that keep the beginning of a prompt.
+        """Name the engines that keep the most of a prompt.
+
+        Those that keep its first part alone may be all there are: prompts of
+        one kind begin alike. The last part that any engine keeps tells more.
 
         :param prompt: the prompt.
         :returns: names of the engines.
         """
-        if not prompt.shared:
-            return set()
-        return self._index.engines(prompt.shared[0].part_id)
+        for part in reversed(prompt.shared):
+            engines = self._index.engines(part.part_id)
+            if engines:
+                return engines
+        return set()
 
     def set_capacity(self, endpoint: str, capacity: int) -> None:
         """Set how much an engine can hold, whose memory is known by now.
