--- a/wingfall/router/dispatcher.py
+++ b/wingfall/router/dispatcher.py
@@ -11,15 +11,12 @@
 from wingfall.log import part_logger
 from wingfall.router.answer import Answer
 from wingfall.router.attempt import Attempt
+from wingfall.router.dispatch_progress import DispatchProgress
 from wingfall.router.refusals import (
-    KEY_REASONS,
     gave_up,
     key_home_down,
-    key_refused,
-    no_capacity,
     no_endpoint,
     run_failed,
-    run_state,
 )
 from wingfall.router.wakeups import Wakeups
 from wingfall.wire.offer_messages import Grant, Refused
@@ -36,42 +33,11 @@
     from wingfall.router.directory import Directory
     from wingfall.router.link import AgentLink
     from wingfall.router.request import Request
-from wingfall.wire.call_messages import End
+    from wingfall.wire.call_messages import End
 
 logger = part_logger('router.dispatch')
 
 
-@final
-class _Progress:
-    """What one request has learned over its rounds."""
-
-    __slots__ = ('eager', 'failed', 'refused', 'rounds', 'tried')
-
-    def __init__(self) -> None:
-        """Start with nothing tried."""
-        self.tried: set[str] = set()
-        self.rounds = 0
-        self.eager = True
-        self.refused: Refused | None = None
-        self.failed: Refused | End | None = None
-
-    @property
-    def run(self) -> RunState:
-        """What is known about earlier runs of the request."""
-        return run_state(self.failed) if self.failed else RunState.not_run
-
-    def refuse(self) -> Refusal:
-        """Refuse the request for what was learned last.
-
-        :returns: the refusal.
-        """
-        if self.failed is not None:
-            return run_failed(self.failed)
-        if self.refused and self.refused.reason in KEY_REASONS:
-            return key_refused(self.refused)
-        return no_capacity(self.refused)
-
-
 @final
 class Dispatcher:
     """Offers requests to agents in rounds until one runs it.
@@ -147,7 +113,7 @@
             closed=self._wakeups.remove,
         )
         self._wakeups.add(attempt)
-        progress = _Progress()
+        progress = DispatchProgress()
         outcome: Result[Answer, Refusal] | None = None
         try:
             while progress.rounds < self._attempts:
@@ -167,7 +133,7 @@
     def _try_round(
         self,
         attempt: Attempt,
-        progress: _Progress,
+        progress: DispatchProgress,
     ) -> Result[Answer, Refusal] | None:
         cached = self._history.cached_parts(attempt.request.prefixes)
         links = self._find_links(attempt, progress, cached)
@@ -196,7 +162,7 @@
     def _find_links(
         self,
         attempt: Attempt,
-        progress: _Progress,
+        progress: DispatchProgress,
         cached: Iterable[str],
     ) -> list[AgentLink]:
         if not attempt.request.key:
@@ -215,7 +181,7 @@
     def _await_grant(
         self,
         attempt: Attempt,
-        progress: _Progress,
+        progress: DispatchProgress,
     ) -> Result[Answer, Refusal] | None:
         while attempt.offers:
             message = attempt.receive()
@@ -232,7 +198,7 @@
     def _await_run(
         self,
         attempt: Attempt,
-        progress: _Progress,
+        progress: DispatchProgress,
         call_id: str,
     ) -> Result[Answer, Refusal] | None:
         answer = Answer(
@@ -250,7 +216,7 @@
     def _after_failed_run(
         self,
         attempt: Attempt,
-        progress: _Progress,
+        progress: DispatchProgress,
         ending: Refused | End | None,
     ) -> Result[Answer, Refusal] | None:
         if ending is None:
@@ -274,7 +240,7 @@
     def _note_refused(
         self,
         attempt: Attempt,
-        progress: _Progress,
+        progress: DispatchProgress,
         refused: Refused,
     ) -> None:
         link = attempt.offers[refused.call_id]
@@ -294,7 +260,7 @@
             progress.refused = refused
             progress.tried.add(link.endpoint.name)
 
-    def _nowhere(self, request: Request, progress: _Progress) -> Refusal:
+    def _nowhere(self, request: Request, progress: DispatchProgress) -> Refusal:
         if progress.refused or progress.failed:
             return progress.refuse()
         if request.key and self._directory.configured(request):
