Few endpoints are drawn for long prompts, more for short ones

Load pattern: the same crowd (tests/patterns/herd.yaml). With gaps modelled (an event of a stream beside a long read comes as late as reading the pieces between two of them) the replay shows the same: a short stream finds an engine that reads nothing long only among many, a long prompt must not meet others of its kind. Ruled out, by the replay: four for both (short answers that pause 66 -> 139 of 1,183), all for both (long prompts late 9 -> 446 of 1,920); a longest gap learned for each engine instead of its pool: no difference, each gateway sees too few. Change: six for a prompt of over 4,096 tokens, 24 for others and plain requests; a pool of up to 24 is weighed whole for those.

--- a/wingfall/gateway/calls/destination.py
+++ b/wingfall/gateway/calls/destination.py
@@ -13,7 +13,8 @@
 from wingfall.gateway.rules.cache_transfer import copied_tokens
 from wingfall.gateway.rules.candidate import Candidate, Demand
 from wingfall.gateway.rules.shortlist import (
-    is_long,
+    count_drawn,
+    is_weighed_whole,
     list_sound,
     prefer_sound,
     shorten,
@@ -207,8 +208,10 @@
 ) -> list[PoolEndpoint]:
     usable = state.knowledge.table.usable(pool)
     is_out = state.knowledge.health.is_out
-    if is_long(usable):
-        shortlist = shorten(usable, _endpoints_that_cache(state, call))
+    prompt = call.head.prompt
+    drawn = count_drawn(prompt.tokens if prompt else 0)
+    if not is_weighed_whole(usable, drawn):
+        shortlist = shorten(usable, _endpoints_that_cache(state, call), drawn)
         sound = list_sound(shortlist, avoided, is_out)
         if sound:
             return sound
--- a/wingfall/gateway/rules/shortlist.py
+++ b/wingfall/gateway/rules/shortlist.py
@@ -3,7 +3,9 @@
 Answers a crowd at many gateways: what each knows of the others' work is some
 tenths of a second old, so that all would find the same endpoint the best, and
 send to it at once. Where each weighs a few that it draws, they choose unlike.
-Engines that cache the prompt are weighed as well; what they spare is known.
+That matters for what takes long; a short prompt does little where many meet,
+and finds an engine that reads nothing long among more of them. Engines that
+cache the prompt are weighed as well; what they spare is known.
 """
 
 from __future__ import annotations
@@ -17,49 +19,66 @@
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 
 # Endpoints of a pool that is weighed whole. A deployment with so few has few
-# gateways, whose news is 0.1 s old: of 5 gateways and engines under the crowd
-# below all prompts were on time, whether 3 or all engines were weighed.
+# gateways, whose news is 0.1 s old: of 5 gateways and engines under a crowd all
+# prompts were on time, whether 3 or all engines were weighed.
 _MOST_WEIGHED: Final = 8
-# Endpoints that are drawn of a larger pool. In a replay of a crowd of long and
-# short prompts (the pattern herd.yaml, three seeds) 39 long and 84 short ones
-# began late at 53 gateways and 60 engines, 577 and 392 when all were weighed;
-# at 25 gateways and 23 engines 1 and 6, instead of 29 and 44. With 2 more are
-# refused, with 6 or 10 more are late.
-_DRAWN: Final = 4
+# Tokens of a prompt that is short: about two pieces that an engine reads at
+# once, so that it holds nothing up for long. Not measured.
+_SHORT_PROMPT_TOKENS: Final = 4096
+# Endpoints that are drawn for a long prompt, and for a short one or a plain
+# request. In a replay of 53 gateways and 60 engines (the pattern herd.yaml,
+# with a crowd of 1.6, three seeds) 9 of 1,920 long prompts began late, and 66
+# of 1,183 short answers paused too long; with all weighed 446 and 42, with four
+# for each 16 and 139.
+_DRAWN_LONG: Final = 6
+_DRAWN_SHORT: Final = 24
 # Endpoints that cache a part of the prompt: few for the same reason, since many
 # engines may cache a part that is asked for often. Not measured by itself.
 _MOST_CACHING: Final = 6
 
 
+def count_drawn(prompt_tokens: int) -> int:
+    """Tell how many endpoints of a large pool are drawn for a call.
+
+    :param prompt_tokens: length of its prompt, 0 without one.
+    :returns: how many.
+    """
+    long = prompt_tokens > _SHORT_PROMPT_TOKENS
+    return _DRAWN_LONG if long else _DRAWN_SHORT
+
+
+def is_weighed_whole(endpoints: list[PoolEndpoint], drawn: int) -> bool:
+    """Tell whether all endpoints of a pool are weighed.
+
+    :param endpoints: endpoints of the pool that take new work.
+    :param drawn: how many would be drawn of a larger pool.
+    :returns: whether none is left out.
+    """
+    return len(endpoints) <= max(drawn, _MOST_WEIGHED)
+
+
 def shorten(
     endpoints: list[PoolEndpoint],
     caching: list[PoolEndpoint],
+    drawn: int,
 ) -> list[PoolEndpoint]:
     """Shorten the list of a large pool.
 
     :param endpoints: endpoints of the pool that take new work.
     :param caching: endpoints that cache the most of the prompt, of any pool.
+    :param drawn: how many are drawn.
     :returns: those to be weighed, all of a small pool.
     """
-    if len(endpoints) <= _MOST_WEIGHED:
+    if is_weighed_whole(endpoints, drawn):
         return endpoints
-    drawn = random.sample(endpoints, _DRAWN)
+    chosen = random.sample(endpoints, drawn)
     pool = endpoints[0].pool
     useful = [
         each for each in caching if each.pool == pool and not each.draining
     ]
     if len(useful) > _MOST_CACHING:
         useful = random.sample(useful, _MOST_CACHING)
-    return list({each.name: each for each in (*useful, *drawn)}.values())
-
-
-def is_long(endpoints: list[PoolEndpoint]) -> bool:
-    """Tell whether a pool's list is shortened.
-
-    :param endpoints: endpoints of the pool that take new work.
-    :returns: whether some of them will not be weighed.
-    """
-    return len(endpoints) > _MOST_WEIGHED
+    return list({each.name: each for each in (*useful, *chosen)}.values())
 
 
 def prefer_sound(
