A call tries eight endpoints that take no connection, not four

Load pattern: a quarter of the engines falls silent at the height of a crowd (tests/patterns/quarter-of-engines-gone.yaml). Cause: engines that are gone run nothing and look like the best to each gateway that has not met them; a call was given up after four, though 45 others were well. Ruled out: no bound (a pool that is gone whole would hold its callers for their whole time); news of failed connects between gateways (not needed here). Change: eight; at 0.3 s each they end within the target of the longest prompts. The table of retries keeps its record with the new bound in its inputs (7, 8 for 3, 4).

--- a/tests/test_call_rules.py
+++ b/tests/test_call_rules.py
@@ -226,7 +226,7 @@
             ENDS,
             (False, True),
             (False, True),
-            (0, 3, 4),
+            (0, 7, 8),
             (0, 1, 2),
             ((False, None), (True, None), (True, '7')),
         )
--- a/tests/test_load_replay.py
+++ b/tests/test_load_replay.py
@@ -50,7 +50,7 @@
 
 def test_loss_of_a_quarter_turns_nobody_away():
     played = replay('quarter-of-engines-gone')
-    # With all weighed 19 in 100 of the long ones begin late, and 6 in 100 are
-    # given up after four engines that take no connection.
+    # With all weighed 19 in 100 of the long ones begin late. If calls are given
+    # up after four engines that take no connection, 2 in 100 are.
     assert share(played.ends['long'], 'late') < 3
-    assert share(played.ends['long'], 'no_endpoint') < 3
+    assert not played.count('no_endpoint')
