--- a/tests/test_endpoint_lives.py
+++ b/tests/test_endpoint_lives.py
@@ -391,12 +391,22 @@
 @contextlib.contextmanager
 def gateway_process(site: GatewaySite, folder: Any) -> Iterator[int]:
     """Run a gateway as a process; gives its port for callers."""
-    port = free_port()
+    with gateway_ports(site, folder) as (port, _admin_port):
+        yield port
+
+
+@contextlib.contextmanager
+def gateway_ports(
+    site: GatewaySite,
+    folder: Any,
+) -> Iterator[tuple[int, int]]:
+    """Run a gateway as a process; gives its ports for callers and status."""
+    port, admin_port = free_port(), free_port()
     settings = {
         **site.settings(),
         'callers': f'{HOST}:{port}',
         'readiness': f'{HOST}:{free_port()}',
-        'admin': {'host': HOST, 'port': free_port()},
+        'admin': {'host': HOST, 'port': admin_port},
         'peers': {'listen': f'{HOST}:{free_port()}'},
     }
     path = folder / 'settings.yaml'
@@ -404,7 +414,7 @@
     command = (sys.executable, '-m', 'wingfall.gateway', '--settings', path)
     with subprocess.Popen(command, stdout=subprocess.DEVNULL) as child:
         try:
-            yield port
+            yield port, admin_port
         finally:
             child.kill()
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -13,8 +13,10 @@
 
 from tests.gateway_site import HOST, known_endpoints
 from tests.local_site import wait_until
+from tests.test_endpoint_lives import gateway_ports, status_of
 
 if TYPE_CHECKING:
+    import pathlib
     from collections.abc import Iterator
 
     from tests.gateway_site import GatewaySite
@@ -254,6 +256,26 @@
         assert gateway_site.ask('/safe/x').status == 200
 
 
+@pytest.mark.processes
+def test_process_that_starts_beside_bad_entries_serves_from_the_sound_ones(
+    gateway_site: GatewaySite,
+    tmp_path: pathlib.Path,
+):
+    sound = [f'sound-{number}' for number in range(7)]
+    for name in sound:
+        gateway_site.add_server(name)
+    entry = gateway_site.entry('sound-0', 'plain')
+    gateway_site.store.put('servers', 'bad-1', None)
+    gateway_site.store.put('servers', 'bad-2', changed(entry, slots='64'))
+    gateway_site.store.put_raw('servers', 'bad-3', {'metadata': 'none'})
+    with gateway_ports(gateway_site, tmp_path) as (port, admin_port):
+        wait_until(lambda: status_of(port) == 200)
+        told = urllib3.request('GET', f'http://{HOST}:{admin_port}/status')
+        assert told.json()['endpoints'] == sound
+        for _request in range(20):
+            assert status_of(port) == 200
+
+
 def test_peers_tell_each_other_of_unreadable_entries(
     gateway_site: GatewaySite,
 ):
