--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -211,7 +211,11 @@
 
 @final
 class LoadReplay:
-    """Plays one pattern; the same seed gives the same figures."""
+    """Plays one pattern; a seed gives the same figures within a process.
+
+    Between processes they differ by some calls in a thousand, with the order
+    of the names of engines in sets.
+    """
 
     def __init__(self, *, pattern: dict[str, Any], seed: int = 1) -> None:
         """Set gateways and engines up.
--- a/tests/test_load_replay.py
+++ b/tests/test_load_replay.py
@@ -35,6 +35,7 @@
     # With all weighed 36 in 100 of the long ones begin late, with four for each
     # 14 in 100 of the short ones pause too long.
     assert share(ends['long'], 'late') < 10
+    assert share(ends['long'], 'too_late') < 15
     assert share(ends['short'], 'late') < 3
     assert share(ends['short'], 'paused') < 10
 
