Sight: lines of attempts and refusals tell which request they are of

Cause: a line of an attempt names the call, and each time that a request comes again it has another id; so logs could not tell one request that ends its endpoints from many that are beside the ends. Change: a fingerprint of method, host, path with query, customer and body (by BLAKE2b, digested as the body is read) stands in 'An attempt ended.' and 'A call was refused.' as 'request'. Ruled out: the API key as the caller (a customer has several, and keys change).

--- /dev/null
+++ b/tests/test_fingerprint.py
@@ -0,0 +1,75 @@
+"""What makes two requests the same, and what doesn't."""
+
+from __future__ import annotations
+
+import hashlib
+
+import pytest
+
+from wingfall.gateway.model.fingerprint import make_fingerprint
+from wingfall.gateway.model.request_body import BodyReader
+from wingfall.platform.headers import read_call
+
+
+def fingerprint(
+    *headers: tuple[bytes, bytes],
+    method: bytes = b'POST',
+    target: bytes = b'/a/b?c=1',
+    host: bytes = b'h.example',
+    customer: str = 'oslo',
+    body: tuple[bytes, ...] = (b'one', b'two'),
+) -> bytes:
+    """Make the fingerprint of a request."""
+    head = read_call(method, target, [(b'Host', host), *headers])
+    reader = BodyReader()
+    for piece in body:
+        reader.add(piece)
+    return make_fingerprint(head, customer, reader.finish().digest)
+
+
+@pytest.mark.parametrize(
+    'header',
+    [
+        (b'X-Attempt-Id', b'r2'),
+        (b'X-Deadline-Ms', b'4711'),
+        (b'Last-Event-Id', b'7'),
+    ],
+)
+def test_what_differs_between_sendings_does_not_count(
+    header: tuple[bytes, bytes],
+):
+    assert fingerprint(header) == fingerprint()
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'method': b'PUT'},
+        {'target': b'/a/b?c=2'},
+        {'host': b'other.example'},
+        {'customer': 'bergen'},
+        {'body': (b'one', b'tw')},
+        {'body': ()},
+    ],
+)
+def test_other_requests_have_other_fingerprints(changed: dict[str, object]):
+    assert fingerprint(**changed) != fingerprint()
+
+
+def test_fields_do_not_run_into_each_other():
+    first = fingerprint(target=b'/ab', customer='c')
+    assert first != fingerprint(target=b'/a', customer='bc')
+
+
+def test_pieces_of_a_body_do_not_matter():
+    assert fingerprint(body=(b'onetwo',)) == fingerprint()
+
+
+def test_body_is_kept_and_digested_whole():
+    reader = BodyReader()
+    reader.add(b'one')
+    reader.add(b'two')
+    body = reader.finish()
+    assert body.whole == b'onetwo'
+    assert body.digest == hashlib.blake2b(b'onetwo', digest_size=16).digest()
+    assert reader.size == 6
--- a/wingfall/gateway/callers/caller_connection.py
+++ b/wingfall/gateway/callers/caller_connection.py
@@ -40,6 +40,7 @@
 
     from wingfall.errors import Refusal
     from wingfall.gateway.model.call import Call, CallHead
+    from wingfall.gateway.model.request_body import RequestBody
     from wingfall.gateway.state import GatewayState
 
 # Milliseconds: a caller that takes nothing for so long has left. The time is
@@ -157,7 +158,12 @@
         self._last_ms = self._state.clock.now_ms()
         return self._can_go_on()
 
-    def _answer(self, head: CallHead, body: bytes, arrived_ms: int) -> None:
+    def _answer(
+        self,
+        head: CallHead,
+        body: RequestBody,
+        arrived_ms: int,
+    ) -> None:
         reply = self._make_reply()
         taken = accept_call(self._state.routes, head, body, arrived_ms)
         call = taken.unwrap() if isinstance(taken, Success) else None
--- a/wingfall/gateway/callers/request_reader.py
+++ b/wingfall/gateway/callers/request_reader.py
@@ -7,12 +7,14 @@
 import h11
 
 from wingfall.clock import MS_PER_S
+from wingfall.gateway.model.request_body import BodyReader
 
 if TYPE_CHECKING:
     import socket
 
     from wingfall.clock import Clock
     from wingfall.gateway.calls.reply import EventWriter
+    from wingfall.gateway.model.request_body import RequestBody
     from wingfall.gateway.model.routes import CallerLimits
 
 # Bytes of one read: what a socket holds.
@@ -96,14 +98,13 @@
             elif not self._read(started_ms + self._limits().head_ms):
                 return None
 
-    def read_body(self) -> bytes | None:
+    def read_body(self) -> RequestBody | None:
         """Read the body of a request.
 
         :returns: the whole body, None if it is too large.
         :raises RequestLateError: if it did not come in time.
         """
-        pieces: list[bytes] = []
-        size = 0
+        body = BodyReader()
         until_ms = self._clock.now_ms() + _BODY_MS
         while True:
             if self._http.they_are_waiting_for_100_continue:
@@ -114,12 +115,11 @@
             if event is h11.NEED_DATA:
                 self._read(until_ms)
             elif isinstance(event, h11.Data):
-                pieces.append(bytes(event.data))
-                size += len(event.data)
-                if size > self._limits().body_bytes:
+                body.add(bytes(event.data))
+                if body.size > self._limits().body_bytes:
                     return None
             else:
-                return b''.join(pieces)
+                return body.finish()
 
     def _wait_for_first_byte(self, started_ms: int) -> None:
         while not self.received:
--- a/wingfall/gateway/calls/attempt_log.py
+++ b/wingfall/gateway/calls/attempt_log.py
@@ -48,6 +48,7 @@
         'dispatch',
         'An attempt ended.',
         call=call.call_id,
+        request=call.fingerprint.hex(),
         route=call.route.name,
         tier=call.priority,
         attempt=number,
--- a/wingfall/gateway/calls/final_answer.py
+++ b/wingfall/gateway/calls/final_answer.py
@@ -53,6 +53,7 @@
         'refusal',
         'A call was refused.',
         call=head.call_id,
+        request=call.fingerprint.hex() if call else None,
         route=call.route.name if call else None,
         status=refusal.status,
         code=refusal.code,
--- a/wingfall/gateway/calls/intake.py
+++ b/wingfall/gateway/calls/intake.py
@@ -12,12 +12,14 @@
 from returns.result import Failure, Result, Success
 
 from wingfall.gateway.model.call import Call
+from wingfall.gateway.model.fingerprint import make_fingerprint
 from wingfall.gateway.rules.engine_priority import engine_priority
 from wingfall.gateway.rules.refusals import refuse_no_routes, refuse_request
 
 if TYPE_CHECKING:
     from wingfall.errors import Refusal
     from wingfall.gateway.model.call import CallHead
+    from wingfall.gateway.model.request_body import RequestBody
     from wingfall.gateway.model.routes import (
         GatewayCustomer,
         Route,
@@ -35,7 +37,7 @@
 def accept_call(
     routes: Routes | None,
     head: CallHead,
-    body: bytes,
+    body: RequestBody,
     arrived_ms: int,
 ) -> Result[Call, Refusal]:
     """Accept a request, or tell why not.
@@ -71,10 +73,15 @@
     return Success(
         Call(
             head=head,
-            body=body,
+            body=body.whole,
             route=route,
             customer=customer,
             arrived_ms=arrived_ms,
+            fingerprint=make_fingerprint(
+                head,
+                customer.name if customer else '',
+                body.digest,
+            ),
             deadline_ms=arrived_ms + left_ms - _ANSWER_MS,
             priority=engine_priority(
                 route.tier,
--- a/wingfall/gateway/model/call.py
+++ b/wingfall/gateway/model/call.py
@@ -80,6 +80,7 @@
         'body',
         'customer',
         'deadline_ms',
+        'fingerprint',
         'head',
         'priority',
         'route',
@@ -95,6 +96,7 @@
         arrived_ms: int,
         deadline_ms: int,
         priority: int | None = None,
+        fingerprint: bytes = b'',
     ) -> None:
         """Accept a request.
 
@@ -106,6 +108,8 @@
         :param deadline_ms: when it must have its final answer.
         :param priority: rank of a prompt at engines, 0 the most urgent; the
             route's tier if it isn't told.
+        :param fingerprint: what it has in common with the same request sent
+            again; empty if nothing is to be learned of it.
         """
         self.head = head
         self.body = body
@@ -113,6 +117,7 @@
         self.customer = customer
         self.arrived_ms = arrived_ms
         self.deadline_ms = deadline_ms
+        self.fingerprint = fingerprint
         self.priority = route.tier if priority is None else priority
 
     @property
