Failing test: a request that ends each endpoint is sent on and on

Real gateway processes, endpoints that reset all connections when one request begins to run and are back after 1.5 s as new incarnations at the same address; the request comes again at random gateways under new ids, beside other callers.

--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -12,6 +12,9 @@
 request), ``garbage`` (no HTTP), ``encoded`` (a content encoding), ``hang``,
 ``cut`` (a stream ends after two events and half of the third), ``crash``
 (it is reset there, and nothing listens any more).
+
+A request for one of ``crash_targets`` ends the endpoint as it begins to run:
+all connections are reset, and nothing listens any more.
 """
 
 from __future__ import annotations
@@ -24,7 +27,8 @@
 import argparse
 import socket
 import struct
-from typing import TYPE_CHECKING, Any, Final, final
+import time
+from typing import TYPE_CHECKING, Any, Callable, Final, final
 
 import gevent
 import h11
@@ -55,6 +59,7 @@
         """
         self.call_id = call_id
         self.headers = headers
+        self.arrived_s = time.monotonic()
         self.method = ''
         self.target = ''
         self.body = b''
@@ -73,13 +78,21 @@
         :param port: port, 0 for a free one.
         """
         self.name = name
+        self.zone = ''
         self.faults: list[str] = []
         self.events = 3
         self.event_ms = 0
         self.delay_ms = 0
+        # Draws the delay of each request, instead of the one above.
+        self.draw_delay_ms: Callable[[], int] | None = None
+        self.crashed = False
         self.runs: list[Run] = []
         self.turned_away = 0
         self.connections = 0
+        # Targets whose requests end the endpoint, and who is told of that.
+        self.crash_targets: frozenset[str] = frozenset()
+        self.on_crash: Callable[[Run], None] | None = None
+        self._open: set[socket.socket] = set()
         # Parts of prompts that it says it keeps: ids and tokens.
         self.held: list[tuple[str, int]] = []
         # What goes wrong when it is asked for them; ``faults`` are for runs.
@@ -96,6 +109,14 @@
         """Refuse connections from now on."""
         self._server.stop(timeout=0)
 
+    def crash(self) -> None:
+        """Reset all connections and refuse new ones."""
+        self.crashed = True
+        self._server.close()
+        for sock in list(self._open):
+            _reset(sock)
+        self._open.clear()
+
     def run_ids(self) -> list[str]:
         """List the requests that ran.
 
@@ -105,6 +126,7 @@
 
     def _serve(self, sock: socket.socket, _peer: Any) -> None:
         self.connections += 1
+        self._open.add(sock)
         http = h11.Connection(h11.SERVER)
         try:
             while self._serve_one(sock, http):
@@ -112,6 +134,7 @@
         except (OSError, h11.ProtocolError):
             return
         finally:
+            self._open.discard(sock)
             sock.close()
 
     def _serve_one(self, sock: socket.socket, http: h11.Connection) -> bool:
@@ -128,8 +151,11 @@
         if fault in {'shed', 'late_shed'}:
             return self._turn_away(sock, http, 503)
         self.runs.append(run)
-        if self.delay_ms:
-            self._work(sock, run)
+        delay_ms = self.draw_delay_ms() if self.draw_delay_ms else self.delay_ms
+        if delay_ms:
+            self._work(sock, run, delay_ms)
+        if run.target in self.crash_targets:
+            self._crash_by(run)
         if 'x-token-count' in run.headers:
             return self._answer_stream(sock, http, run, fault)
         return self._answer_whole(sock, http, run, fault)
@@ -147,13 +173,19 @@
                 run.body += bytes(event.data)
         return run
 
-    def _work(self, sock: socket.socket, run: Run) -> None:
+    def _work(self, sock: socket.socket, run: Run, delay_ms: int) -> None:
         # An endpoint drops a request once its connection closes.
-        with gevent.Timeout(self.delay_ms / _MS, False):  # noqa: FBT003
+        with gevent.Timeout(delay_ms / _MS, False):  # noqa: FBT003
             if not sock.recv(1):
                 run.left = True
                 raise ConnectionError
 
+    def _crash_by(self, run: Run) -> None:
+        self.crash()
+        if self.on_crash is not None:
+            self.on_crash(run)
+        raise ConnectionError
+
     def _next_fault(self, *, listing: bool) -> str:
         if listing:
             return self.held_fault
