A request that ends the endpoints that run it is not sent on, by any gateway

Cause: every bound on sendings is kept for one call at one gateway (max_attempts, the retry budget's part). A request that ends each endpoint that begins to run it comes again as another call at another gateway, so all those bounds began anew. Ruled out: a bound on retries by caller or path (punishes the neighbours); one gateway that counts for all (none is set aside); the store as the place of the count (it has outages, and 3 s is the bound). Change: broken connections make a gateway ask the endpoint once whether it still takes connections; if it refuses them and was not leaving, it has crashed with the requests that were there (endpoints/crash_watch.py). Gateways tell each other of crashes and suspects directly, a new session of all that is known, and whole heartbeats carry a number by which a peer that missed news is told again (peers/crash_exchange.py; three fields at the end of the heartbeat, passed over by programs of before). rules/crash_blame.py finds causes: at three crashes or more, those at most of them first, which explains them; a good answer clears what was before it; a failure of many endpoints at once blames nobody. Such a request gets 503 (502 if this call may have run) with the code request_crashes_endpoints, before each sending, and is tried by one gateway after a minute, then ten.

--- /dev/null
+++ b/tests/test_crash_blame.py
@@ -0,0 +1,134 @@
+"""Which of the requests beside crashes is taken for their cause."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+
+from wingfall.gateway.model.endpoint_crash import EndpointCrash
+from wingfall.gateway.rules.crash_blame import find_causes
+
+CAUSE = b'cause'
+OTHER = b'other'
+
+
+def crash(
+    number: int,
+    *silent: bytes,
+    at_ms: int | None = None,
+    streaming: tuple[bytes, ...] = (),
+) -> EndpointCrash:
+    """Describe a crash; each is a second after the one before."""
+    return EndpointCrash(
+        endpoint=f'e{number}',
+        crashed_ms=number * 1000 if at_ms is None else at_ms,
+        told_by='g',
+        silent=silent,
+        streaming=streaming,
+    )
+
+
+def test_three_crashes_make_a_cause():
+    crashes = [crash(number, CAUSE) for number in range(2)]
+    assert not find_causes(crashes, {})
+    crashes.append(crash(2, CAUSE))
+    (blame,) = find_causes(crashes, {}).values()
+    assert len(blame.crashes) == 3
+    assert blame.excess == 0
+    assert blame.last_ms == 2000
+
+
+def test_neighbour_at_some_of_the_crashes_is_not_blamed():
+    crashes = [crash(number, CAUSE, OTHER) for number in range(3)]
+    crashes.append(crash(3, CAUSE))
+    assert set(find_causes(crashes, {})) == {CAUSE}
+
+
+def test_of_two_at_the_same_crashes_the_one_without_output_is_blamed():
+    crashes = [crash(number, CAUSE, OTHER) for number in range(2)]
+    crashes.append(crash(2, CAUSE, streaming=(OTHER,)))
+    assert set(find_causes(crashes, {})) == {CAUSE}
+
+
+def test_two_causes_at_a_time_are_both_found():
+    first = [crash(number, CAUSE) for number in range(4)]
+    second = [
+        crash(9 + number, OTHER, at_ms=number * 1000) for number in range(3)
+    ]
+    assert set(find_causes([*first, *second], {})) == {CAUSE, OTHER}
+
+
+def test_good_answer_clears_the_crashes_before_it():
+    crashes = [crash(number, OTHER) for number in range(5)]
+    assert set(find_causes(crashes, {})) == {OTHER}
+    assert not find_causes(crashes, {OTHER: 3500})
+
+
+def test_request_that_was_answered_well_needs_more_crashes():
+    served_ms = {OTHER: -1}
+    crashes = [crash(number, OTHER) for number in range(4)]
+    assert not find_causes(crashes, served_ms)
+    crashes.append(crash(4, OTHER))
+    (blame,) = find_causes(crashes, served_ms).values()
+    assert blame.excess == 0
+
+
+def test_failure_of_a_rack_blames_nobody():
+    crashes = [crash(number, at_ms=number * 10) for number in range(15)]
+    for each in crashes[:3]:
+        each.silent.add(OTHER)
+    assert not find_causes(crashes, {})
+
+
+def test_cause_is_found_beside_the_failure_of_a_rack():
+    crashes = [crash(number, at_ms=number * 10) for number in range(15)]
+    crashes += [crash(20 + number, CAUSE) for number in range(3)]
+    assert set(find_causes(crashes, {})) == {CAUSE}
+
+
+def test_one_request_may_end_a_whole_pool_at_once():
+    crashes = [crash(number, CAUSE, at_ms=number * 10) for number in range(5)]
+    assert set(find_causes(crashes, {})) == {CAUSE}
+
+
+def _sendings(chance: random.Random) -> set[int]:
+    """Draw at which crashes from its first on a neighbour is.
+
+    A call goes to two endpoints, its caller comes once more, and each time one
+    of four endpoints that are left is the next to crash.
+    """
+    sendings = (0, 1, 2, 3)
+    met = {sendings[0]}
+    met.update(each for each in sendings[1:] if chance.random() < 1 / 4)
+    return met
+
+
+def _strike_again_and_again(
+    chance: random.Random, crashes: int
+) -> list[EndpointCrash]:
+    """Let one request end endpoints, with ten new neighbours at each."""
+    struck = [crash(number, CAUSE) for number in range(crashes)]
+    for first, neighbour in itertools.product(range(crashes), range(10)):
+        for met in _sendings(chance):
+            if first + met < crashes:
+                struck[first + met].silent.add(b'%d-%d' % (first, neighbour))
+    return struck
+
+
+@pytest.mark.parametrize(
+    ('crashes', 'most_innocent'), [(3, 140), (4, 40), (5, 0), (8, 0)]
+)
+def test_few_neighbours_that_are_sent_again_are_blamed(
+    crashes: int, most_innocent: int
+):
+    # Of 10 neighbours at each crash, in 200 rows of crashes. One that was at
+    # all of them can't be told from the cause, until that has one more.
+    innocent = 0
+    for seed in range(200):
+        struck = _strike_again_and_again(random.Random(seed), crashes)
+        causes = find_causes(struck, {})
+        assert CAUSE in causes
+        innocent += len(causes) - 1
+    assert innocent <= most_innocent
--- /dev/null
+++ b/tests/test_crash_exchange.py
@@ -0,0 +1,145 @@
+"""How far and how soon gateways hear of crashes."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.gateway_site import GatewaySite
+from tests.local_site import wait_until
+from wingfall.clock import ManualClock
+from wingfall.gateway.application import GatewayApplication
+from wingfall.gateway.knowledge.crash_ledger import CrashLedger
+from wingfall.gateway.model.endpoint_crash import EndpointCrash
+from wingfall.gateway.peers.crash_exchange import CrashExchange
+from wingfall.wire.codec import encode
+from wingfall.wire.gateway_messages import GatewayHeartbeat
+
+REQUEST = b'0123456789abcdef'
+SETTLED_MS = 500
+
+
+def ledger_of(gateway: GatewayApplication) -> CrashLedger:
+    """Give the crashes that a gateway knows."""
+    return gateway._state.knowledge.crashes
+
+
+def crash(endpoint: str, *, at_ms: int, told_by: str = 'g1') -> EndpointCrash:
+    """Describe a crash with one suspect."""
+    return EndpointCrash(
+        endpoint=endpoint,
+        crashed_ms=at_ms,
+        told_by=told_by,
+        silent=[REQUEST],
+    )
+
+
+def heartbeat(crashes: int = 0, suspects: int = 1) -> GatewayHeartbeat:
+    """Make a heartbeat with news of some crashes."""
+    silent = [b'%016d' % number for number in range(suspects)]
+    return GatewayHeartbeat(
+        revisions={},
+        loads=[],
+        sent=[],
+        leaving=False,
+        whole=True,
+        watching=False,
+        crashes=[
+            ['i-0123456789', 50, 'front-osl-a-1', silent, []]
+            for _crash in range(crashes)
+        ],
+        crash_sum=2**63 if crashes else 0,
+    )
+
+
+def test_news_reach_gateways_of_all_zones(gateway_site: GatewaySite):
+    gateways = [
+        gateway_site.start_gateway(zone=zone)
+        for zone in ('osl-a', 'osl-a', 'osl-b', 'osl-c')
+    ]
+    first, *others = gateways
+    wait_until(lambda: len(first._peers.names) == 3)
+    now_ms = first._clock.now_ms()
+    ledger_of(first).note_crash(crash('e1', at_ms=now_ms))
+    wait_until(lambda: all(ledger_of(other).crashes for other in others))
+    for other in others:
+        (known,) = ledger_of(other).crashes
+        assert known.silent == {REQUEST}
+        assert known.told_by == 'g1'
+        assert abs(known.crashed_ms - now_ms) < 1000
+
+
+def test_gateway_that_starts_hears_all(gateway_site: GatewaySite):
+    first = gateway_site.start_gateway()
+    now_ms = first._clock.now_ms()
+    ledger_of(first).note_crash(crash('e1', at_ms=now_ms - 3_600_000))
+    second = gateway_site.start_gateway()
+    wait_until(lambda: ledger_of(second).crashes)
+
+
+def test_gateway_that_missed_news_is_told_by_one_that_only_heard(
+    gateway_site: GatewaySite,
+):
+    first = gateway_site.start_gateway()
+    second = gateway_site.start_gateway()
+    wait_until(lambda: second._peers.names)
+    # As if the one that saw it had no session with the other.
+    heard = crash('e1', at_ms=first._clock.now_ms(), told_by='gone')
+    ledger_of(first).take_crash(heard)
+    wait_until(lambda: ledger_of(second).crashes)
+
+
+def test_good_answer_is_told(gateway_site: GatewaySite):
+    first = gateway_site.start_gateway()
+    second = gateway_site.start_gateway()
+    wait_until(lambda: second._peers.names)
+    ledger_of(first).note_crash(crash('e1', at_ms=first._clock.now_ms()))
+    wait_until(lambda: ledger_of(second).crashes)
+    ledger_of(second).note_served(REQUEST)
+    wait_until(lambda: REQUEST in ledger_of(first).served_ms)
+
+
+@pytest.fixture
+def exchange(clock: ManualClock) -> CrashExchange:
+    """Give the exchange of a gateway that knows one crash."""
+    ledger = CrashLedger(clock=clock)
+    ledger.note_crash(crash('e1', at_ms=clock.now_ms()))
+    return CrashExchange(clock=clock, ledger=ledger)
+
+
+def test_peer_that_knows_the_same_is_told_nothing(
+    exchange: CrashExchange, clock: ManualClock
+):
+    clock.advance(SETTLED_MS)
+    assert exchange.answer(exchange.recent_sum, 1).empty
+    assert not exchange.answer(0, 1).empty
+
+
+def test_peer_of_the_last_version_is_told_nothing_again(
+    exchange: CrashExchange, clock: ManualClock
+):
+    clock.advance(SETTLED_MS)
+    assert exchange.answer(-1, 1).empty
+
+
+def test_news_that_are_on_their_way_are_not_told_again(
+    exchange: CrashExchange,
+):
+    assert exchange.answer(0, 1).empty
+
+
+def test_few_of_many_gateways_tell_again(
+    exchange: CrashExchange, clock: ManualClock
+):
+    clock.advance(SETTLED_MS)
+    telling = [exchange.answer(0, 297).empty for _peer in range(297)]
+    assert 0 < telling.count(False) < 20
+
+
+@pytest.mark.parametrize(
+    ('crashes', 'most_bytes'),
+    # One blocked request has three crashes.
+    [(0, 4), (3, 200), (300, 20_000)],
+)
+def test_news_in_a_heartbeat_are_short(crashes: int, most_bytes: int):
+    without = len(encode(heartbeat())) - 3
+    assert len(encode(heartbeat(crashes))) - without <= most_bytes
--- /dev/null
+++ b/tests/test_crash_ledger.py
@@ -0,0 +1,150 @@
+"""What is remembered of crashes, and its bounds."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingfall.clock import ManualClock
+from wingfall.gateway.knowledge.crash_ledger import MOST_SUSPECTS, CrashLedger
+from wingfall.gateway.model.endpoint_crash import EndpointCrash
+
+DAY_MS = 86_400_000
+MOST_CRASHES = 256
+
+
+@pytest.fixture
+def ledger(clock: ManualClock) -> CrashLedger:
+    """Give an empty ledger."""
+    return CrashLedger(clock=clock)
+
+
+def note(
+    ledger: CrashLedger,
+    clock: ManualClock,
+    endpoint: str,
+    *silent: bytes,
+    streaming: tuple[bytes, ...] = (),
+) -> None:
+    """Note a crash that is seen now."""
+    ledger.note_crash(
+        EndpointCrash(
+            endpoint=endpoint,
+            crashed_ms=clock.now_ms(),
+            told_by='g1',
+            silent=silent,
+            streaming=streaming,
+        )
+    )
+
+
+def test_suspects_of_one_crash_are_joined(
+    ledger: CrashLedger, clock: ManualClock
+):
+    note(ledger, clock, 'e1', b'a')
+    note(ledger, clock, 'e1', b'b', streaming=(b'c',))
+    (crash,) = ledger.crashes
+    assert crash.silent == {b'a', b'b'}
+    assert crash.streaming == {b'c'}
+
+
+def test_news_are_told_once(ledger: CrashLedger, clock: ManualClock):
+    note(ledger, clock, 'e1', b'a')
+    note(ledger, clock, 'e1', b'b')
+    (told,) = ledger.take_untold_crashes()
+    assert told.suspects == {b'a', b'b'}
+    assert not ledger.take_untold_crashes()
+    note(ledger, clock, 'e1', b'b', b'c')
+    (told,) = ledger.take_untold_crashes()
+    assert told.suspects == {b'c'}
+
+
+def test_what_a_peer_told_is_not_told_on(
+    ledger: CrashLedger, clock: ManualClock
+):
+    crash = EndpointCrash(
+        endpoint='e1', crashed_ms=clock.now_ms(), told_by='g2', silent=[b'a']
+    )
+    assert ledger.take_crash(crash) is not None
+    assert ledger.take_crash(crash) is None
+    assert not ledger.take_untold_crashes()
+
+
+def test_those_who_know_the_same_have_the_same_sum(clock: ManualClock):
+    one, two = CrashLedger(clock=clock), CrashLedger(clock=clock)
+    note(one, clock, 'e1', b'a', b'b')
+    assert one.recent_sum != two.recent_sum
+    note(two, clock, 'e1', b'b')
+    note(two, clock, 'e1', b'a')
+    assert one.recent_sum == two.recent_sum
+
+
+def test_flood_of_requests_hides_none_that_comes_again(
+    ledger: CrashLedger, clock: ManualClock
+):
+    note(ledger, clock, 'e1', b'again')
+    flood = [b'%03d' % number for number in range(MOST_SUSPECTS * 3)]
+    note(ledger, clock, 'e2', b'again', *flood)
+    crash = ledger.crashes[1]
+    assert b'again' in crash.suspects
+    assert len(crash.suspects) == MOST_SUSPECTS
+
+
+def test_crashes_of_a_day_are_bounded(ledger: CrashLedger, clock: ManualClock):
+    for number in range(MOST_CRASHES + 10):
+        note(ledger, clock, f'e{number}', b'r%d' % number)
+        clock.advance(1)
+    ledger.forget_old({'e0'})
+    left = {crash.endpoint for crash in ledger.crashes}
+    assert len(left) == MOST_CRASHES
+    # What a request is blocked for is forgotten last.
+    assert 'e0' in left
+    assert 'e1' not in left
+
+
+def test_crash_is_forgotten_after_a_day(
+    ledger: CrashLedger, clock: ManualClock
+):
+    note(ledger, clock, 'e1', b'a')
+    clock.advance(DAY_MS)
+    ledger.forget_old({'e1'})
+    assert not ledger.crashes
+    assert not ledger.served_ms
+
+
+def test_good_answer_speaks_for_a_suspect_and_is_told(
+    ledger: CrashLedger, clock: ManualClock
+):
+    note(ledger, clock, 'e1', b'a')
+    clock.advance(5)
+    ledger.note_served(b'a')
+    assert ledger.served_ms == {b'a': clock.now_ms()}
+    assert ledger.take_untold_served() == {b'a': clock.now_ms()}
+    clock.advance(5)
+    ledger.note_served(b'a')
+    assert not ledger.take_untold_served()
+
+
+def test_good_answer_before_a_crash_is_remembered(
+    ledger: CrashLedger, clock: ManualClock
+):
+    ledger.note_served(b'a')
+    served_ms = clock.now_ms()
+    clock.advance(1000)
+    note(ledger, clock, 'e1', b'a')
+    assert ledger.take_untold_served() == {b'a': served_ms}
+
+
+def test_good_answer_of_long_ago_says_nothing(
+    ledger: CrashLedger, clock: ManualClock
+):
+    ledger.note_served(b'a')
+    clock.advance(60_000)
+    note(ledger, clock, 'e1', b'a')
+    assert not ledger.served_ms
+
+
+def test_good_answers_of_others_take_no_room(ledger: CrashLedger):
+    for number in range(5000):
+        ledger.note_served(b'%d' % number)
+    assert not ledger.served_ms
+    assert len(ledger._recently_served_ms) == 2048
--- /dev/null
+++ b/tests/test_crash_watch.py
@@ -0,0 +1,115 @@
+"""Which broken connections are a crash, and who was there."""
+
+from __future__ import annotations
+
+import socket
+
+import gevent
+import pytest
+
+from tests.local_site import wait_until
+from wingfall.clock import ManualClock
+from wingfall.gateway.endpoints.crash_watch import CrashWatch
+from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
+from wingfall.gateway.model.pool_endpoint import PoolEndpoint
+from wingfall.metrics import Metrics
+
+ASKED_S = 0.15
+
+
+@pytest.fixture
+def knowledge(clock: ManualClock) -> EndpointKnowledge:
+    """Give empty tables."""
+    return EndpointKnowledge(clock=clock)
+
+
+@pytest.fixture
+def watch(clock: ManualClock, knowledge: EndpointKnowledge) -> CrashWatch:
+    """Give a watch that has seen nothing."""
+    return CrashWatch(
+        name='g1', clock=clock, knowledge=knowledge, metrics=Metrics()
+    )
+
+
+@pytest.fixture
+def listener() -> socket.socket:
+    """Give a socket that takes connections until it is closed."""
+    with socket.create_server(('127.0.0.1', 0)) as sock:
+        yield sock
+
+
+def endpoint_at(listener: socket.socket, **changes: object) -> PoolEndpoint:
+    """Describe an endpoint."""
+    fields = {
+        'name': 'e1',
+        'pool': 'engines',
+        'host': '127.0.0.1',
+        'port': listener.getsockname()[1],
+        'zone': 'a',
+        'slots': 8,
+        'draining': False,
+        **changes,
+    }
+    return PoolEndpoint(**fields)
+
+
+def test_all_requests_at_a_crash_are_noted(
+    watch: CrashWatch, knowledge: EndpointKnowledge, listener: socket.socket
+):
+    endpoint = endpoint_at(listener)
+    listener.close()
+    watch.note_broken(endpoint, b'waits', None)
+    watch.note_broken(endpoint, b'begun', 10)
+    watch.note_broken(endpoint, b'has run', 1000)
+    wait_until(lambda: knowledge.crashes.crashes)
+    (crash,) = knowledge.crashes.crashes
+    assert crash.silent == {b'waits'}
+    assert crash.streaming == {b'begun'}
+    assert crash.told_by == 'g1'
+
+
+def test_lost_answer_is_no_crash(
+    watch: CrashWatch, knowledge: EndpointKnowledge, listener: socket.socket
+):
+    watch.note_broken(endpoint_at(listener), b'r', None)
+    gevent.sleep(ASKED_S)
+    assert not knowledge.crashes.crashes
+
+
+def test_endpoint_that_left_by_plan_has_not_crashed(
+    watch: CrashWatch, knowledge: EndpointKnowledge, listener: socket.socket
+):
+    endpoint = endpoint_at(listener, draining=True)
+    knowledge.table.put(endpoint)
+    listener.close()
+    watch.note_broken(endpoint, b'r', None)
+    gevent.sleep(ASKED_S)
+    assert not knowledge.crashes.crashes
+
+
+def test_endpoint_that_has_started_again_has_crashed(
+    watch: CrashWatch, knowledge: EndpointKnowledge, listener: socket.socket
+):
+    before = endpoint_at(listener, instance='e', born_ms=1)
+    knowledge.lives.note(endpoint_at(listener, instance='e', born_ms=2))
+    watch.note_broken(before, b'r', None)
+    wait_until(lambda: knowledge.crashes.crashes)
+
+
+def test_request_that_was_given_up_there_is_a_suspect(
+    watch: CrashWatch,
+    knowledge: EndpointKnowledge,
+    listener: socket.socket,
+    clock: ManualClock,
+):
+    endpoint = endpoint_at(listener)
+    other = endpoint_at(listener, name='e2')
+    listener.close()
+    watch.note_left(endpoint, b'long ago')
+    clock.advance(2001)
+    watch.note_left(endpoint, b'left')
+    watch.note_left(other, b'elsewhere')
+    watch.note_broken(endpoint, b'r', None)
+    wait_until(lambda: knowledge.crashes.crashes)
+    (crash,) = knowledge.crashes.crashes
+    assert crash.silent == {b'left', b'r'}
--- /dev/null
+++ b/tests/test_request_blocks.py
@@ -0,0 +1,115 @@
+"""When a request that ends endpoints is refused, and when it is tried."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingfall.clock import ManualClock
+from wingfall.gateway.knowledge.crash_ledger import CrashLedger
+from wingfall.gateway.model.endpoint_crash import EndpointCrash
+from wingfall.gateway.rules.request_blocks import RequestBlocks
+
+REQUEST = b'r'
+FIRST_TRY_MS = 60_000
+SECOND_TRY_MS = 600_000
+
+
+def crash(ledger: CrashLedger, clock: ManualClock, *names: str) -> None:
+    """Let the request end some endpoints."""
+    for name in names:
+        ledger.note_crash(
+            EndpointCrash(
+                endpoint=name,
+                crashed_ms=clock.now_ms(),
+                told_by='g1',
+                silent=[REQUEST],
+            )
+        )
+
+
+@pytest.fixture
+def ledger(clock: ManualClock) -> CrashLedger:
+    """Give an empty ledger."""
+    return CrashLedger(clock=clock)
+
+
+@pytest.fixture
+def blocks(clock: ManualClock, ledger: CrashLedger) -> RequestBlocks:
+    """Give the blocks of the only gateway."""
+    return RequestBlocks(name='g1', clock=clock, ledger=ledger)
+
+
+def test_request_is_refused_after_three_crashes(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    crash(ledger, clock, 'e1', 'e2')
+    assert blocks.find(REQUEST) is None
+    crash(ledger, clock, 'e3')
+    block = blocks.find(REQUEST)
+    assert block is not None
+    assert block.retry_after_ms == FIRST_TRY_MS
+    assert blocks.find(b'other') is None
+    assert blocks.count == 1
+
+
+def test_request_is_tried_once_after_a_minute(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    crash(ledger, clock, 'e1', 'e2', 'e3')
+    assert blocks.find(REQUEST)
+    clock.advance(FIRST_TRY_MS)
+    assert blocks.find(REQUEST) is None
+    blocks.note_sent(REQUEST)
+    assert blocks.find(REQUEST)
+
+
+def test_requests_beyond_the_bound_are_two_in_all(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    crash(ledger, clock, 'e1', 'e2', 'e3')
+    tries = 0
+    for _second in range(3600):
+        clock.advance(1000)
+        if blocks.find(REQUEST) is None:
+            blocks.note_sent(REQUEST)
+            tries += 1
+            crash(ledger, clock, f'tried-{tries}')
+    assert tries == 2
+
+
+def test_request_that_was_served_in_its_try_is_free_again(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    crash(ledger, clock, 'e1', 'e2', 'e3')
+    clock.advance(FIRST_TRY_MS)
+    blocks.note_sent(REQUEST)
+    ledger.note_served(REQUEST)
+    assert blocks.find(REQUEST) is None
+    assert blocks.count == 0
+
+
+def test_one_gateway_tries_of_all_that_hear_each_other(
+    ledger: CrashLedger, clock: ManualClock
+):
+    names = [f'g{number}' for number in range(5)]
+    gateways = [
+        RequestBlocks(name=name, clock=clock, ledger=ledger) for name in names
+    ]
+    for gateway in gateways:
+        gateway.set_peers(names)
+    crash(ledger, clock, 'e1', 'e2', 'e3')
+    clock.advance(FIRST_TRY_MS)
+    trying = [each for each in gateways if each.find(REQUEST) is None]
+    assert len(trying) == 1
+
+
+def test_call_without_a_fingerprint_is_never_refused(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    for name in ('e1', 'e2', 'e3'):
+        ledger.note_crash(
+            EndpointCrash(
+                endpoint=name, crashed_ms=0, told_by='g1', silent=[b'']
+            )
+        )
+    assert blocks.find(b'') is None
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -109,6 +109,7 @@
             clock=self._clock,
             metrics=self._metrics,
             budget=self._state.budget,
+            blocks=self._state.blocks,
             knowledge=self._state.knowledge,
             is_stopping=lambda: self._state.draining,
             replicas=self._replicas,
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from wingfall.clock import MS_PER_S
+from wingfall.gateway.endpoints.crash_watch import CrashWatch
 from wingfall.gateway.endpoints.kept_connections import KeptConnections
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.model.binding import bindings
 from wingfall.gateway.rules.policies import find_policies
+from wingfall.gateway.rules.request_blocks import RequestBlocks
 from wingfall.gateway.rules.retry_budget import RetryBudget
 from wingfall.gateway.state import GatewayState
 from wingfall.platform import binding as fjordgrid
@@ -49,6 +51,7 @@
     :returns: the state.
     """
     make_binding = bindings.find(settings.binding).unwrap()
+    knowledge = EndpointKnowledge(clock=clock)
     return GatewayState(
         zone=settings.zone,
         clock=clock,
@@ -61,6 +64,17 @@
             slack=settings.resend.slack,
             window_ms=int(settings.resend.window_s * MS_PER_S),
         ),
-        knowledge=EndpointKnowledge(clock=clock),
+        knowledge=knowledge,
         connections=KeptConnections(clock=clock),
+        blocks=RequestBlocks(
+            name=settings.name,
+            clock=clock,
+            ledger=knowledge.crashes,
+        ),
+        crash_watch=CrashWatch(
+            name=settings.name,
+            clock=clock,
+            knowledge=knowledge,
+            metrics=metrics,
+        ),
     )
--- a/wingfall/gateway/calls/attempt_outcome.py
+++ b/wingfall/gateway/calls/attempt_outcome.py
@@ -31,7 +31,7 @@
 class AttemptOutcome:
     """How an attempt ended, and the whole answer if there is one."""
 
-    __slots__ = ('answer', 'end', 'reason')
+    __slots__ = ('answer', 'end', 'left', 'reason')
 
     def __init__(
         self,
@@ -39,16 +39,19 @@
         end: AttemptEnd,
         answer: WholeAnswer | None = None,
         reason: str = '',
+        left: bool = False,
     ) -> None:
         """Describe the end.
 
         :param end: how it ended.
         :param answer: an answer that isn't passed on yet.
         :param reason: what was seen, for logs.
+        :param left: whether this side gave it up, not the endpoint.
         """
         self.end = end
         self.answer = answer
         self.reason = reason
+        self.left = left
 
 
 @final
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -24,6 +24,10 @@
 # first event tells exactly, so this only bounds the wait of other prompts for
 # a shared part. Not measured.
 _READ_SLACK: Final = 2
+# Ends by which the endpoint has outlived the run, and those by which it may
+# have crashed.
+_RAN: Final = frozenset((AttemptEnd.answered, AttemptEnd.failed))
+_BROKEN: Final = frozenset((AttemptEnd.lost, AttemptEnd.cut))
 
 
 @final
@@ -36,6 +40,7 @@
         '_gaps',
         '_load_entry',
         '_number',
+        '_output_ms',
         '_started_ms',
         '_state',
     )
@@ -63,6 +68,8 @@
         self._load_entry = knowledge.load.start(name, destination.load)
         self._note_prompt()
         self._started_ms = state.clock.now_ms()
+        # When the first events of this attempt came.
+        self._output_ms: int | None = None
         self._gaps = TokenGapWatch(
             endpoint=name,
             load=knowledge.load,
@@ -73,6 +80,8 @@
     def note_output(self) -> None:
         """Note that events of the stream have come."""
         self._gaps.note_event()
+        if self._output_ms is None:
+            self._output_ms = self._state.clock.now_ms()
         if not self._load_entry.begin_output():
             return
         name, prompt = self._destination.endpoint.name, self._call.head.prompt
@@ -94,6 +103,7 @@
         self._gaps.end()
         if outcome.end is AttemptEnd.answered:
             knowledge.health.note_success(name)
+        self._note_survival(outcome)
         self._state.metrics.decisions.inc(
             {'part': 'dispatch', 'reason': outcome.end},
         )
@@ -108,6 +118,24 @@
             first_byte_ms=reply.first_byte_ms if reply.started else None,
         )
 
+    def _note_survival(self, outcome: AttemptOutcome) -> None:
+        state, endpoint = self._state, self._destination.endpoint
+        fingerprint = self._call.fingerprint
+        gave_up = outcome.left or outcome.end is AttemptEnd.late
+        if outcome.end in _RAN:
+            state.knowledge.crashes.note_served(fingerprint)
+        elif gave_up and self._output_ms is None:
+            state.crash_watch.note_left(endpoint, fingerprint)
+        elif outcome.end in _BROKEN and not gave_up:
+            state.crash_watch.note_broken(
+                endpoint, fingerprint, self._output_for_ms()
+            )
+
+    def _output_for_ms(self) -> int | None:
+        if self._output_ms is None:
+            return None
+        return self._state.clock.now_ms() - self._output_ms
+
     def _note_prompt(self) -> None:
         prompt, destination = self._call.head.prompt, self._destination
         if prompt is None or destination.continues:
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING, final
 
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
 from wingfall.errors import RunState
 from wingfall.gateway.calls.attempt import Attempt
@@ -30,7 +30,11 @@
 )
 from wingfall.gateway.rules.early_refusal import StartEstimate
 from wingfall.gateway.rules.pool_choice import pick_pool
-from wingfall.gateway.rules.refusals import refuse_after, refuse_early
+from wingfall.gateway.rules.refusals import (
+    refuse_after,
+    refuse_blocked,
+    refuse_early,
+)
 from wingfall.gateway.rules.retry import (
     CallProgress,
     RetryTerms,
@@ -99,13 +103,10 @@
         """
         self._state.budget.note_request(self._pool)
         while not is_time_over(self._left_ms()):
-            destination = self._choose()
-            if destination is None:
-                return self._give_up(AttemptEnd.not_sent)
-            refusal = self._refuse_early(destination)
-            if refusal is not None:
-                return refusal
-            destination = self._after_shared_read(destination)
+            placed = self._place()
+            if not isinstance(placed, Success):
+                return placed.failure()
+            destination = placed.unwrap()
             outcome = self._try(destination)
             if outcome.end is AttemptEnd.answered:
                 self._finish(outcome)
@@ -118,6 +119,21 @@
                 return self._give_up(outcome.end)
         return self._give_up(AttemptEnd.late)
 
+    def _place(self) -> Result[Destination, Refusal | None]:
+        refusal = self._refuse_blocked()
+        if refusal is not None:
+            return Failure(refusal)
+        destination = self._choose()
+        if destination is None:
+            return Failure(self._give_up(AttemptEnd.not_sent))
+        refusal = self._refuse_early(destination)
+        if refusal is not None:
+            return Failure(refusal)
+        destination = self._after_shared_read(destination)
+        # While it waited, others may have seen what it does to endpoints.
+        refusal = self._refuse_blocked()
+        return Success(destination) if refusal is None else Failure(refusal)
+
     def _choose(self) -> Destination | None:
         if self._continuation is not None:
             return self._continuation
@@ -130,6 +146,14 @@
             return choose_destination(state, call, self._pool, unreached)
         return destination
 
+    def _refuse_blocked(self) -> Refusal | None:
+        block = self._state.blocks.find(self._call.fingerprint)
+        if block is None:
+            return None
+        if self._reply.started:
+            raise ReplyCutError
+        return refuse_blocked(self._run_state, block.retry_after_ms)
+
     def _refuse_early(self, destination: Destination) -> Refusal | None:
         call, routes = self._call, self._state.routes
         if call.head.prompt is None or self._progress.sent or routes is None:
@@ -164,6 +188,7 @@
 
     def _try(self, destination: Destination) -> AttemptOutcome:
         state = self._state
+        state.blocks.note_sent(self._call.fingerprint)
         tracker = AttemptTracker(
             state=state,
             call=self._call,
@@ -179,7 +204,11 @@
             now_ms=state.clock.now_ms,
             on_output=tracker.note_output,
         )
-        outcome = AttemptOutcome(end=AttemptEnd.cut, reason='the caller left')
+        outcome = AttemptOutcome(
+            end=AttemptEnd.cut,
+            reason='the caller left',
+            left=True,
+        )
         try:
             outcome = attempt.run(self._limits(destination))
         finally:
@@ -243,9 +272,12 @@
         if self._kept_answer is not None:
             self._pass_on(self._kept_answer)
             return None
+        return refuse_after(end, self._run_state, self._left_ms())
+
+    @property
+    def _run_state(self) -> RunState:
         ran = self._progress.may_have_run
-        run = RunState.unknown if ran else RunState.not_run
-        return refuse_after(end, run, self._left_ms())
+        return RunState.unknown if ran else RunState.not_run
 
     def _left_ms(self) -> int:
         return self._call.deadline_ms - self._state.clock.now_ms()
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING, final
 
+from wingfall.gateway.knowledge.crash_ledger import CrashLedger
 from wingfall.gateway.knowledge.endpoint_health import EndpointHealth
 from wingfall.gateway.knowledge.endpoint_lives import EndpointLives
 from wingfall.gateway.knowledge.endpoint_table import EndpointTable
@@ -27,6 +28,7 @@
     __slots__ = (
         '_clock',
         'caches',
+        'crashes',
         'health',
         'lives',
         'load',
@@ -55,6 +57,8 @@
         self.long_reads = LongReads(clock=clock)
         # How often they fail, by the calls of all gateways.
         self.health = EndpointHealth(clock=clock)
+        # Which crashed, and what ran there, by the calls of all gateways.
+        self.crashes = CrashLedger(clock=clock)
 
     def speed(self, name: str) -> EngineSpeed:
         """Give what an engine has shown of its speed.
--- /dev/null
+++ b/wingfall/gateway/model/endpoint_crash.py
@@ -0,0 +1,51 @@
+"""An endpoint that crashed, and the requests that were there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wingfall.gateway.model.fingerprint import Fingerprint
+
+
+@final
+class EndpointCrash:
+    """One endpoint's crash, as all gateways together have seen it."""
+
+    __slots__ = (
+        'crashed_ms',
+        'endpoint',
+        'silent',
+        'streaming',
+        'told_by',
+    )
+
+    def __init__(
+        self,
+        *,
+        endpoint: str,
+        crashed_ms: int,
+        told_by: str,
+        silent: Iterable[Fingerprint] = (),
+        streaming: Iterable[Fingerprint] = (),
+    ) -> None:
+        """Describe a crash.
+
+        :param endpoint: name of the incarnation that crashed.
+        :param crashed_ms: when, a reading of this gateway's clock.
+        :param told_by: the gateway that was the first to tell of it.
+        :param silent: requests there that had no output.
+        :param streaming: requests there whose output had just begun.
+        """
+        self.endpoint = endpoint
+        self.crashed_ms = crashed_ms
+        self.told_by = told_by
+        self.silent = set(silent)
+        self.streaming = set(streaming)
+
+    @property
+    def suspects(self) -> set[Fingerprint]:
+        """All requests that may have been the cause."""
+        return self.silent | self.streaming
--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -41,6 +41,7 @@
     from wingfall.gateway.configuration.replica import ObjectReplica
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
     from wingfall.gateway.peers.parts_transfer import PartsTransfer
+    from wingfall.gateway.rules.request_blocks import RequestBlocks
     from wingfall.gateway.rules.retry_budget import RetryBudget
     from wingfall.metrics import Metrics
     from wingfall.supervisor import Supervisor
@@ -61,6 +62,7 @@
     __slots__ = (
         '_address',
         '_addresses',
+        '_blocks',
         '_budget',
         '_clock',
         '_heartbeats',
@@ -85,6 +87,7 @@
         clock: Clock,
         metrics: Metrics,
         budget: RetryBudget,
+        blocks: RequestBlocks,
         knowledge: EndpointKnowledge,
         replicas: Iterable[ObjectReplica],
         transfer: PartsTransfer,
@@ -101,6 +104,7 @@
         :param clock: the time.
         :param metrics: where connected peers are counted.
         :param budget: the retry budget that peers share.
+        :param blocks: the requests that gateways must not send on.
         :param knowledge: what this gateway knows of endpoints.
         :param replicas: the objects that gateways give each other.
         :param transfer: learns what engines keep from a peer.
@@ -114,6 +118,7 @@
         self._clock = clock
         self._metrics = metrics
         self._budget = budget
+        self._blocks = blocks
         self._transfer = transfer
         self._supervisor = supervisor
         self._sessions: dict[str, PeerSession] = {}
@@ -288,6 +293,7 @@
     def _share_budget(self) -> None:
         # Those that can't be reached may still send, with the same slack.
         self._metrics.links.set({}, len(self._sessions))
+        self._blocks.set_peers(self._sessions)
         known = max(len(self._sessions), self._addresses.count)
         self._budget.share_among(known + 1)
 
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING, Any, Callable, final
 
+from wingfall.gateway.peers.crash_exchange import CrashExchange, CrashNews
 from wingfall.gateway.peers.heartbeat_schedule import (
     HeartbeatDue,
     HeartbeatSchedule,
@@ -41,6 +42,7 @@
 
     __slots__ = (
         '_clock',
+        '_crashes',
         '_exchange',
         '_handlers',
         '_is_stopping',
@@ -94,6 +96,7 @@
             clock=clock,
             knowledge=knowledge,
         )
+        self._crashes = CrashExchange(clock=clock, ledger=knowledge.crashes)
         self._schedule = HeartbeatSchedule()
         self._sent_revisions: dict[str, int] = {}
         self._sent_watching = False
@@ -117,6 +120,7 @@
             Activity(),
             self._is_stopping(),
             whole=True,
+            news=self._crashes.write_all(),
         )
         session.connection.send(heartbeat)
 
@@ -143,6 +147,7 @@
         now_ms = self._clock.now_ms()
         sessions = list(self._sessions.values())
         self._transfer.step(sessions)
+        self._tell_news(self._crashes.take_untold(), sessions)
         near = len(self._loads.near(sessions))
         self._schedule.set_peers(near=near, peers=len(sessions))
         watching = self._watches()
@@ -200,9 +205,29 @@
             Activity(sent=heartbeat.sent, outcomes=heartbeat.outcomes),
             whole=heartbeat.whole,
         )
+        self._crashes.take(
+            CrashNews(crashes=heartbeat.crashes, served=heartbeat.served)
+        )
+        if heartbeat.whole:
+            missed = self._crashes.answer(
+                heartbeat.crash_sum, len(self._sessions)
+            )
+            self._tell_news(missed, [session])
         for kind, revision in heartbeat.revisions.items():
             self._exchange.compare(session, kind, revision)
 
+    def _tell_news(
+        self,
+        news: CrashNews,
+        sessions: Iterable[PeerSession],
+    ) -> None:
+        if news.empty:
+            return
+        heartbeat = self._make_heartbeat(
+            [], Activity(), self._is_stopping(), whole=False, news=news
+        )
+        _send_to_all(sessions, heartbeat)
+
     def _take_zone(self, session: PeerSession, loads: ZoneLoads) -> None:
         self._loads.take_zone(session, loads, self._sessions.values())
 
@@ -216,7 +241,9 @@
         leaving: bool,
         *,
         whole: bool,
+        news: CrashNews | None = None,
     ) -> GatewayHeartbeat:
+        news = news or CrashNews()
         return GatewayHeartbeat(
             revisions=self._exchange.revisions,
             loads=loads,
@@ -227,6 +254,9 @@
             watching=self._watches(),
             knows_caches=self._transfer.knows_caches,
             reach=self._loads.reach(self._sessions.values()),
+            crashes=news.crashes,
+            served=news.served,
+            crash_sum=self._crashes.recent_sum,
         )
 
 
--- a/wingfall/gateway/rules/refusals.py
+++ b/wingfall/gateway/rules/refusals.py
@@ -70,6 +70,28 @@
     )
 
 
+def refuse_blocked(run: RunState, retry_after_ms: int) -> Refusal:
+    """Refuse a request that ends the endpoints that run it.
+
+    :param run: whether this call of it may have run.
+    :param retry_after_ms: when the request may be tried once more.
+    :returns: the refusal.
+    """
+    not_run = run is RunState.not_run
+    return Refusal(
+        status=(
+            http.HTTPStatus.SERVICE_UNAVAILABLE
+            if not_run
+            else http.HTTPStatus.BAD_GATEWAY
+        ),
+        kind='endpoint',
+        code='request_crashes_endpoints',
+        message='Endpoints crash when they run this request.',
+        run=run,
+        retry_after_ms=retry_after_ms if not_run else None,
+    )
+
+
 def refuse_no_routes(left_ms: int) -> Refusal:
     """Refuse a call before there is a configuration.
 
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -9,11 +9,13 @@
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
+    from wingfall.gateway.endpoints.crash_watch import CrashWatch
     from wingfall.gateway.endpoints.kept_connections import KeptConnections
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
     from wingfall.gateway.model.binding import Binding
     from wingfall.gateway.model.routes import Routes
     from wingfall.gateway.rules.policies import Policies
+    from wingfall.gateway.rules.request_blocks import RequestBlocks
     from wingfall.gateway.rules.retry_budget import RetryBudget
     from wingfall.metrics import Metrics
 
@@ -24,9 +26,11 @@
 
     __slots__ = (
         'binding',
+        'blocks',
         'budget',
         'clock',
         'connections',
+        'crash_watch',
         'draining',
         'knowledge',
         'metrics',
@@ -46,6 +50,8 @@
         budget: RetryBudget,
         knowledge: EndpointKnowledge,
         connections: KeptConnections,
+        blocks: RequestBlocks,
+        crash_watch: CrashWatch,
     ) -> None:
         """Join the parts; there is no configuration yet.
 
@@ -57,6 +63,8 @@
         :param budget: bounds the retries of all gateways.
         :param knowledge: what is known of endpoints.
         :param connections: idle connections to endpoints.
+        :param blocks: bounds requests that end their endpoints.
+        :param crash_watch: notices endpoints that crash.
         """
         self.zone = zone
         self.clock = clock
@@ -66,6 +74,8 @@
         self.budget = budget
         self.knowledge = knowledge
         self.connections = connections
+        self.blocks = blocks
+        self.crash_watch = crash_watch
         # The configuration in force; only the object applier replaces it.
         self.routes: Routes | None = None
         # Whether a planned stop has begun; only the application sets it.
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -45,7 +45,9 @@
 
 
 @final
-@message(49, dict, list, list, bool, bool, bool, bool, list, int)
+@message(
+    49, dict, list, list, bool, bool, bool, bool, list, int, list, list, int
+)
 class GatewayHeartbeat(Message):
     """What a gateway tells its peers some times a second."""
 
@@ -59,6 +61,9 @@
         'knows_caches',
         'outcomes',
         'reach',
+        'crashes',
+        'served',
+        'crash_sum',
     )
 
     def __init__(
@@ -73,6 +78,9 @@
         knows_caches: bool = False,
         outcomes: list[list[Any]] | None = None,
         reach: int = 0,
+        crashes: list[list[Any]] | None = None,
+        served: list[list[Any]] | None = None,
+        crash_sum: int = -1,
     ) -> None:
         """Tell the state.
 
@@ -91,6 +99,13 @@
         :param outcomes: how requests ended since the last heartbeat: name of
             the endpoint, how many failed, how many were served.
         :param reach: how many other availability zones the sender hears.
+        :param crashes: endpoints that crashed: name, age in milliseconds, the
+            gateway that told first, fingerprints of the requests there
+            without output, and of those whose output had begun.
+        :param served: fingerprints of requests beside a crash that were
+            answered well, and how many milliseconds ago.
+        :param crash_sum: the same number for gateways that know the same
+            crashes of the last minute; -1 from a program that knows none.
         """
         self.revisions = revisions
         self.loads = loads
@@ -101,6 +116,9 @@
         self.knows_caches = knows_caches
         self.outcomes = outcomes or []
         self.reach = reach
+        self.crashes = crashes or []
+        self.served = served or []
+        self.crash_sum = crash_sum
 
 
 @final
