The clock goes on while a machine is suspended

Cause: time.monotonic stands still during a suspension, so leases, silences of peers and endpoints, retry windows, ages told to peers and the deadlines told to endpoints were off by its length, all on the safe-looking side. Ruled out: the time of day (it jumps); a second clock for the parts that matter (one clock is the rule). Change: Clock reads CLOCK_BOOTTIME.

--- a/wingfall/clock.py
+++ b/wingfall/clock.py
@@ -10,9 +10,13 @@
 
 
 class Clock:
-    """Monotonic time of this process in whole milliseconds.
+    """Monotonic time of this machine in whole milliseconds.
 
-    Readings mean nothing to another process; send the time left instead.
+    It goes on while the machine is suspended, which CLOCK_MONOTONIC does not:
+    by that one leases, deadlines and ages would seem younger than they are.
+    Timers of the event loop stand still meanwhile, so that long waits read this
+    clock from time to time. Readings mean nothing to another process; send the
+    time left instead.
     """
 
     __slots__ = ()
@@ -22,7 +26,7 @@
 
         :returns: milliseconds since an arbitrary fixed start.
         """
-        return time.monotonic_ns() // _NS_PER_MS
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
 
 
 class WallClock(Clock):
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -25,6 +25,10 @@
 
 # Bytes of one read: what a socket holds.
 _READ_BYTES: Final = 65_536
+# Milliseconds of one wait for bytes, after which the clock is read again, since
+# timers stand still while the machine is suspended: a call whose time passed
+# meanwhile has its final answer by so much later. Not measured.
+_WAIT_MS: Final = 1000
 # Bytes of a request that are written without a greenlet of their own: they fit
 # into the buffer of a new socket.
 _DIRECT_BYTES: Final = 4096
@@ -198,28 +202,35 @@
             raise AnswerBrokenError(str(error)) from error
 
     def _read(self, timeout_ms: int) -> None:
-        if timeout_ms <= 0:
-            raise AnswerLateError
+        until_ms = self._clock.now_ms() + timeout_ms
+        received = None
+        while received is None:
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                raise AnswerLateError
+            received = self._receive_within(min(left_ms, _WAIT_MS))
+        try:
+            self._http.receive_data(received)
+        except h11.RemoteProtocolError as error:
+            raise AnswerBrokenError(str(error)) from error
+
+    def _receive_within(self, timeout_ms: int) -> bytes | None:
         self._socket.settimeout(timeout_ms / MS_PER_S)
         try:
-            self._http.receive_data(self._socket.recv(_READ_BYTES))
-        except (OSError, h11.RemoteProtocolError) as error:
-            raise _read_error(error) from error
+            return self._socket.recv(_READ_BYTES)
+        except TimeoutError as error:
+            # One with a number is the kernel's: the machine is silent.
+            if error.errno:
+                raise AnswerBrokenError(str(error)) from error
+            return None
+        except OSError as error:
+            raise AnswerBrokenError(str(error)) from error
 
 
 def _is_interim(event: h11.Event) -> bool:
     return isinstance(event, h11.InformationalResponse)
 
 
-def _read_error(
-    error: OSError | h11.RemoteProtocolError,
-) -> AnswerBrokenError | AnswerLateError:
-    # A time-out with a number is the kernel's: the machine is silent.
-    if isinstance(error, TimeoutError) and not error.errno:
-        return AnswerLateError()
-    return AnswerBrokenError(str(error))
-
-
 def refuses_connections(endpoint: PoolEndpoint) -> bool:
     """Tell whether nothing listens at an endpoint's address any more.
 
--- a/wingfall/loop_lag.py
+++ b/wingfall/loop_lag.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, final
+from typing import TYPE_CHECKING, Final, final
 
 import gevent
 
 from wingfall.clock import MS_PER_S
+from wingfall.log import log_event
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
@@ -14,6 +15,9 @@
 
 _PERIOD_MS = 100
 _PERIODS = 10
+# Milliseconds of lag that are told: the machine was suspended or frozen, since
+# no turn of the loop takes so long.
+_STOOD_STILL_MS: Final = 1000
 
 
 @final
@@ -46,4 +50,7 @@
     def _sample(self) -> int:
         due_ms = self._clock.now_ms() + _PERIOD_MS
         gevent.sleep(_PERIOD_MS / MS_PER_S)
-        return max(0, self._clock.now_ms() - due_ms)
+        lag_ms = max(0, self._clock.now_ms() - due_ms)
+        if lag_ms >= _STOOD_STILL_MS:
+            log_event('loop', 'The process stood still.', ms=lag_ms)
+        return lag_ms
