--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -60,6 +60,20 @@
     assert set(find_causes([*first, *second], {})) == {CAUSE, OTHER}
 
 
+def test_output_speaks_for_a_request_beside_others_without():
+    crashes = [crash(0, OTHER), crash(1, OTHER)]
+    crashes += [
+        crash(2 + number, b'n%d' % number, streaming=(OTHER,))
+        for number in range(3)
+    ]
+    assert not find_causes(crashes, {})
+
+
+def test_output_is_no_proof_where_all_had_some():
+    crashes = [crash(number, streaming=(CAUSE,)) for number in range(3)]
+    assert set(find_causes(crashes, {})) == {CAUSE}
+
+
 def test_good_answer_clears_the_crashes_before_it():
     crashes = [crash(number, OTHER) for number in range(5)]
     assert set(find_causes(crashes, {})) == {OTHER}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,8 @@
 # With other writers and endpoints that start again; 4006 turned red on the code
 # that read a page of the store as a whole.
 WRITER_SEEDS = (4006, 4012)
+# With a caller whose requests end engines; short runs of fresh seeds.
+CRASH_SEEDS = (5001, 5002)
 
 
 @pytest.mark.processes
@@ -104,6 +106,12 @@
     run_soak(tmp_path, seed, '--writers', seconds=10)
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize('seed', CRASH_SEEDS)
+def test_promises_hold_beside_crashes(tmp_path: pathlib.Path, seed: int):
+    run_soak(tmp_path, seed, '--crashes', seconds=12)
+
+
 def run_soak(
     folder: pathlib.Path,
     seed: int,
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -15,10 +15,11 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from tools.fleet import wait_for
 from tools.soak import series
+from tools.soak.crashes import CrashingCaller
 from tools.soak.faults import Fault, faults
 from tools.soak.promises import promises
 from tools.soak.running_faults import RunningFaults
@@ -51,6 +52,11 @@
         action='store_true',
         help='endpoints start again under their id, others write entries',
     )
+    parser.add_argument(
+        '--crashes',
+        action='store_true',
+        help='a caller whose requests end the engines that run them',
+    )
     parser.add_argument('--keep', help='folder for logs that are kept')
     chosen = parser.parse_args()
     seed = chosen.seed
@@ -75,8 +81,10 @@
         for name in writer_faults.names:
             known[name] = writer_faults.find(name).unwrap()
     traffic = Traffic(site=site, seed=seed, callers=_CALLERS)
+    end_crashes = _start_crashes(site, traffic, chosen, seed)
     try:
         struck = _strike(site, chance, chosen.seconds, known)
+        end_crashes()
         broken = _check_recovery(site, traffic)
         traffic.stop()
         broken.extend(
@@ -96,6 +104,17 @@
     return 1 if broken else 0
 
 
+def _start_crashes(
+    site: SoakSite,
+    traffic: Traffic,
+    chosen: argparse.Namespace,
+    seed: int,
+) -> Callable[[], None]:
+    if not chosen.crashes:
+        return lambda: None
+    return CrashingCaller(site=site, traffic=traffic, seed=seed).stop
+
+
 def _strike(
     site: SoakSite,
     chance: random.Random,
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -6,7 +6,7 @@
 import re
 from typing import TYPE_CHECKING, Callable, Final
 
-from tools.soak.site import EVENTS, STEADY_KEY
+from tools.soak.site import CRASH_ROUTE, EVENTS, STEADY_KEY
 from wingfall.registry import Registry
 
 if TYPE_CHECKING:
@@ -29,6 +29,10 @@
 _CONTACT_S: Final = 3
 _LEARNED_S: Final = _CONTACT_S + 2.5
 _CALM_S: Final = 5
+# Crashes after which a request is known, and sendings that may follow.
+_CRASHES: Final = 3
+_MOST_TRIES: Final = 3
+_BLAMED: Final = b'request_crashes_endpoints'
 _DENIED: Final = frozenset((401, 403, 404))
 _EVENT_ID: Final = re.compile(rb'^id: (\d+)$', re.MULTILINE)
 
@@ -166,6 +170,41 @@
             yield f'{each.call_id} ran and got no answer at {each.gateway}'
 
 
+@promises.register('crashing_requests_are_not_sent_on')
+def crashing_requests_are_not_sent_on(
+    site: SoakSite,
+    outcomes: list[Outcome],
+) -> Iterator[str]:
+    """A request that ended three engines reaches few after that is known."""
+    sent = {each.call_id: each for each in outcomes}
+    for target, crashed_s in site.crashed_s.items():
+        if len(crashed_s) < _CRASHES:
+            continue
+        known_s = crashed_s[_CRASHES - 1] + _CONTACT_S
+        late = [
+            run.call_id
+            for server in site.servers
+            for run in server.standin.runs
+            if run.target == target
+            and run.arrived_s > known_s
+            and not _gateway_disturbed(site, sent[run.call_id])
+        ]
+        if len(late) > _MOST_TRIES:
+            yield f'{target} ended {len(crashed_s)} and came as {late}'
+
+
+@promises.register('others_are_not_blamed')
+def others_are_not_blamed(
+    site: SoakSite,
+    outcomes: list[Outcome],
+) -> Iterator[str]:
+    """No request is refused for crashes that another one caused."""
+    for each in outcomes:
+        blamed = _BLAMED in each.body
+        if blamed and not each.route.startswith(CRASH_ROUTE):
+            yield f'{each.call_id} on {each.route} is blamed for crashes'
+
+
 def _compare_plain(outcome: Outcome) -> Iterator[str]:
     words = outcome.body.split(b' ')
     seal = outcome.headers.get('x-response-seal', '')
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -28,6 +28,8 @@
 ZONES: Final = ('a', 'b')
 POOLS: Final = ('plain', 'engines')
 EVENTS: Final = 6
+# Requests on it end the engines that run them, in a soak that has such.
+CRASH_ROUTE: Final = 'crash'
 _SLOTS: Final = 8
 _FIRST_PORT: Final = 20_000
 # Four for each gateway, of which a soak has 29 at most.
@@ -98,6 +100,8 @@
         self.revoked_s: dict[str, float] = {}
         # From when to when the store or the way to it was disturbed.
         self.store_disturbed: list[tuple[float, float]] = []
+        # When requests ended engines, by their targets.
+        self.crashed_s: dict[str, list[float]] = {}
         self.version = 0
         # Routes that were added, and when they came in force at the store.
         self.added_s: dict[str, float] = {}
@@ -125,6 +129,7 @@
             _route('unsafe', 'plain', kind='unsafe'),
             _route('stream', 'engines', kind='stream', resumable=True),
             _route('oneway', 'engines', kind='stream'),
+            _route(CRASH_ROUTE, 'engines', kind='stream', resumable=True),
             *(_route(name, 'plain', kind='safe') for name in self.added_s),
         ]
         services = [
--- a/wingfall/gateway/knowledge/crash_ledger.py
+++ b/wingfall/gateway/knowledge/crash_ledger.py
@@ -13,6 +13,8 @@
 import itertools
 from typing import TYPE_CHECKING, Final, final
 
+from gevent.event import Event
+
 from wingfall.gateway.model.endpoint_crash import EndpointCrash
 
 if TYPE_CHECKING:
@@ -52,6 +54,7 @@
         '_served_ms',
         '_untold_crashes',
         '_untold_served',
+        'news',
         'revision',
     )
 
@@ -71,6 +74,8 @@
         # What peers have not heard of.
         self._untold_crashes: dict[str, EndpointCrash] = {}
         self._untold_served: set[Fingerprint] = set()
+        # Set while there is something that peers have not heard of.
+        self.news = Event()
         # Counts the changes.
         self.revision = 0
 
@@ -115,6 +120,7 @@
             told = self._untold_crashes.setdefault(crash.endpoint, added)
             told.silent |= added.silent
             told.streaming |= added.streaming
+            self.news.set()
 
     def take_crash(self, crash: EndpointCrash) -> EndpointCrash | None:
         """Add what is not known of a crash.
@@ -156,7 +162,7 @@
         # One good answer after a crash says all.
         if self._served_ms.get(fingerprint, crashed_ms - 1) < crashed_ms:
             self._speak_for(fingerprint, now_ms)
-            self._untold_served.add(fingerprint)
+            self._tell_served(fingerprint)
 
     def take_served(self, fingerprint: Fingerprint, served_ms: int) -> None:
         """Take a good answer that a peer tells of.
@@ -250,7 +256,7 @@
             return
         if self._clock.now_ms() - served_ms < _SERVED_MS:
             self._speak_for(suspect, served_ms)
-            self._untold_served.add(suspect)
+            self._tell_served(suspect)
 
     def _speak_for(self, fingerprint: Fingerprint, served_ms: int) -> None:
         known_ms = self._served_ms.get(fingerprint)
@@ -258,6 +264,10 @@
             self._served_ms[fingerprint] = served_ms
             self.revision += 1
 
+    def _tell_served(self, fingerprint: Fingerprint) -> None:
+        self._untold_served.add(fingerprint)
+        self.news.set()
+
     def _drop(self, endpoints: Iterable[str]) -> None:
         for name in endpoints:
             self._crashes.pop(name)
--- a/wingfall/gateway/peers/crash_exchange.py
+++ b/wingfall/gateway/peers/crash_exchange.py
@@ -80,11 +80,16 @@
         """The number that stands for the crashes of the last minute."""
         return self._ledger.recent_sum
 
+    def wait(self) -> None:
+        """Wait until there is something that no peer has heard from here."""
+        self._ledger.news.wait()
+
     def take_untold(self) -> CrashNews:
         """Take what no peer has heard from here.
 
         :returns: the news.
         """
+        self._ledger.news.clear()
         return self._write(
             self._ledger.take_untold_crashes(),
             self._ledger.take_untold_served(),
--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -176,6 +176,7 @@
         self._share_budget()
         self._server.start()
         self._supervisor.start('heartbeats', self._send_heartbeats)
+        self._supervisor.start('crashes', self._tell_crashes)
         self._supervisor.start('dials', self._dial_forever)
 
     def learn(self, addresses: Iterable[str]) -> None:
@@ -302,6 +303,10 @@
             self._heartbeats.step()
             gevent.sleep(TICK_MS / MS_PER_S)
 
+    def _tell_crashes(self) -> None:
+        while not self._supervisor.stopped:
+            self._heartbeats.tell_crashes()
+
     def _hello(self) -> GatewayHello:
         return GatewayHello(
             name=self._name,
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -147,7 +147,6 @@
         now_ms = self._clock.now_ms()
         sessions = list(self._sessions.values())
         self._transfer.step(sessions)
-        self._tell_news(self._crashes.take_untold(), sessions)
         near = len(self._loads.near(sessions))
         self._schedule.set_peers(near=near, peers=len(sessions))
         watching = self._watches()
@@ -168,6 +167,12 @@
             )
         self._loads.relay(sessions, whole=due is HeartbeatDue.whole)
 
+    def tell_crashes(self) -> None:
+        """Wait for news of crashes and tell all peers, in every zone."""
+        self._crashes.wait()
+        news = self._crashes.take_untold()
+        self._tell_news(news, list(self._sessions.values()))
+
     def tell(self, *, leaving: bool, whole: bool) -> None:
         """Tell all peers: loads to the near ones, the rest to all.
 
--- a/wingfall/gateway/rules/crash_blame.py
+++ b/wingfall/gateway/rules/crash_blame.py
@@ -9,20 +9,24 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final, TypeAlias, final
+from typing import TYPE_CHECKING, Final, final
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Iterator, Mapping, Sequence
 
     from wingfall.gateway.model.endpoint_crash import EndpointCrash
     from wingfall.gateway.model.fingerprint import Fingerprint
 
-# Crashes that a request must have been at to be their cause. A call goes to two
-# endpoints at most, so a request that was unlucky once is at two.
-CRASHES_TO_BLAME: Final = 3
+# What a crash weighs against a request that was there. One that had output
+# already has run well so far; it weighs less if others there had none.
+_WEIGHT: Final = 4
+_WEIGHT_OF_STREAMING: Final = 1
+# The weight by which a request is the cause: three crashes without output. A
+# call goes to two endpoints, so a request that was unlucky once is at two.
+_NEEDED: Final = 3 * _WEIGHT
 # The same for one that an endpoint has answered well: it was beside the cause
 # often, and a popular request is at many endpoints at any time.
-_CRASHES_OF_SERVED: Final = 5
+_NEEDED_OF_SERVED: Final = 5 * _WEIGHT
 # Milliseconds around a crash in which others belong to the same failure of a
 # rack or a zone. Not measured: they end together, callers see it within a few
 # tens of milliseconds.
@@ -32,31 +36,51 @@
 # with as many crashes, must not hide a third.
 _UNRELATED: Final = 3
 
-_Counts: TypeAlias = 'dict[Fingerprint, list[EndpointCrash]]'
-
 
 @final
 class Blame:
-    """What a request has done."""
+    """What speaks against a request."""
 
-    __slots__ = ('crashes', 'excess', 'last_ms')
+    __slots__ = ('_weight', 'crashes', 'needed')
 
-    def __init__(
-        self,
-        *,
-        crashes: Sequence[EndpointCrash],
-        needed: int,
-    ) -> None:
-        """Blame a request.
+    def __init__(self, *, needed: int) -> None:
+        """Start with nothing.
 
-        :param crashes: those that it is the cause of.
-        :param needed: how many were enough.
+        :param needed: the weight by which it is the cause.
+        """
+        self.needed = needed
+        self._weight = 0
+        # The crashes that count against it.
+        self.crashes: list[EndpointCrash] = []
+
+    @property
+    def is_enough(self) -> bool:
+        """Whether it is the cause."""
+        return self._weight >= self.needed
+
+    @property
+    def excess(self) -> int:
+        """Crashes beyond those that were enough."""
+        return (self._weight - self.needed) // _WEIGHT
+
+    @property
+    def last_ms(self) -> int:
+        """When the last crash was, by the clock."""
+        return max(crash.crashed_ms for crash in self.crashes)
+
+    @property
+    def weight(self) -> int:
+        """All that counts against it."""
+        return self._weight
+
+    def add(self, crash: EndpointCrash, weight: int) -> None:
+        """Count a crash.
+
+        :param crash: the crash.
+        :param weight: what it weighs.
         """
-        self.crashes = crashes
-        # Crashes after those that were enough.
-        self.excess = len(crashes) - needed
-        # When the last was, by the clock.
-        self.last_ms = max(crash.crashed_ms for crash in crashes)
+        self.crashes.append(crash)
+        self._weight += weight
 
 
 def find_causes(
@@ -65,89 +89,86 @@
 ) -> dict[Fingerprint, Blame]:
     """Find the requests that end endpoints.
 
-    The one that was at the most crashes is the cause of them; the others that
-    were there are judged by the crashes that are left.
+    The one that the most speaks against is the cause of the crashes that it was
+    at; the others that were there are judged by the crashes that are left.
 
     :param crashes: the crashes and who was there.
     :param served_ms: when requests were last answered well; crashes before
         that don't count against them.
     :returns: what each of them has done.
     """
-    blamed: dict[Fingerprint, Blame] = {}
+    causes: dict[Fingerprint, Blame] = {}
     unexplained = list(crashes)
     while True:
-        counts = _count(unexplained, served_ms)
-        causes = _choose_causes(counts, served_ms)
-        if not causes:
-            return blamed
-        for cause in causes:
-            blamed[cause] = Blame(
-                crashes=counts[cause],
-                needed=_needed(cause, served_ms),
-            )
+        first = _find_first(unexplained, served_ms)
+        if not first:
+            return causes
+        causes.update(first)
         unexplained = [
-            crash for crash in unexplained if causes.isdisjoint(crash.suspects)
+            crash
+            for crash in unexplained
+            if first.keys().isdisjoint(crash.suspects)
         ]
 
 
-def _needed(
-    fingerprint: Fingerprint,
+def _find_first(
+    crashes: Sequence[EndpointCrash],
     served_ms: Mapping[Fingerprint, int],
-) -> int:
-    if fingerprint in served_ms:
-        return _CRASHES_OF_SERVED
-    return CRASHES_TO_BLAME
+) -> dict[Fingerprint, Blame]:
+    blames = {
+        suspect: blame
+        for suspect, blame in _weigh(crashes, served_ms).items()
+        if blame.is_enough
+    }
+    most = max((blame.weight for blame in blames.values()), default=0)
+    return {
+        suspect: blame
+        for suspect, blame in blames.items()
+        if blame.weight == most
+    }
 
 
-def _count(
+def _weigh(
     crashes: Sequence[EndpointCrash],
     served_ms: Mapping[Fingerprint, int],
-) -> _Counts:
-    counts: _Counts = {}
+) -> dict[Fingerprint, Blame]:
+    blames: dict[Fingerprint, Blame] = {}
     for crash in crashes:
         together = [
             other
             for other in crashes
             if abs(other.crashed_ms - crash.crashed_ms) <= _TOGETHER_MS
         ]
-        for suspect in crash.suspects:
-            if served_ms.get(suspect, crash.crashed_ms - 1) >= crash.crashed_ms:
-                continue
-            if not _has_another_cause(suspect, together):
-                counts.setdefault(suspect, []).append(crash)
-    return counts
+        for suspect in _find_suspects(crash, together, served_ms):
+            served = suspect in served_ms
+            needed = _NEEDED_OF_SERVED if served else _NEEDED
+            blame = blames.setdefault(suspect, Blame(needed=needed))
+            blame.add(crash, _weight(suspect, crash))
+    return blames
 
 
-def _has_another_cause(
-    suspect: Fingerprint,
+def _find_suspects(
+    crash: EndpointCrash,
     together: Sequence[EndpointCrash],
-) -> bool:
-    own = sum(suspect in crash.suspects for crash in together)
-    return len(together) - own >= own * _UNRELATED
+    served_ms: Mapping[Fingerprint, int],
+) -> Iterator[Fingerprint]:
+    for suspect in crash.suspects:
+        served_at_ms = served_ms.get(suspect)
+        if served_at_ms is not None and served_at_ms >= crash.crashed_ms:
+            continue
+        if not _has_another_cause(suspect, together):
+            yield suspect
 
 
-def _choose_causes(
-    counts: _Counts,
-    served_ms: Mapping[Fingerprint, int],
-) -> set[Fingerprint]:
-    enough = {
-        suspect: crashes
-        for suspect, crashes in counts.items()
-        if len(crashes) >= _needed(suspect, served_ms)
-    }
-    if not enough:
-        return set()
-    ranks = {
-        suspect: _rank(suspect, crashes) for suspect, crashes in enough.items()
-    }
-    first = max(ranks.values())
-    return {suspect for suspect, rank in ranks.items() if rank == first}
+def _weight(suspect: Fingerprint, crash: EndpointCrash) -> int:
+    if crash.silent and suspect not in crash.silent:
+        return _WEIGHT_OF_STREAMING
+    return _WEIGHT
 
 
-def _rank(
+def _has_another_cause(
     suspect: Fingerprint,
-    crashes: Sequence[EndpointCrash],
-) -> tuple[int, int]:
-    # Of two that were at the same crashes, the one without output.
-    silent = sum(suspect in crash.silent for crash in crashes)
-    return len(crashes), silent
+    together: Sequence[EndpointCrash],
+) -> bool:
+    own = sum(suspect in crash.suspects for crash in together)
+    return len(together) - own >= own * _UNRELATED
