A popular request is not blamed for a rack or a zone that ends at once

Cause (new test, half of 12 endpoints ended at once, before): a popular stream with good answers was on five of the six that ended within 48 ms, so it was blocked, and stayed so since no endpoint ran it any more.

--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -89,6 +89,11 @@
     assert blame.excess == 0
 
 
+def test_failure_of_half_a_pool_does_not_blame_a_popular_request():
+    crashes = [crash(number, OTHER, at_ms=number * 10) for number in range(6)]
+    assert not find_causes(crashes, {OTHER: -1})
+
+
 def test_failure_of_a_rack_blames_nobody():
     crashes = [crash(number, at_ms=number * 10) for number in range(15)]
     for each in crashes[:3]:
--- a/wingfall/gateway/rules/crash_blame.py
+++ b/wingfall/gateway/rules/crash_blame.py
@@ -73,6 +73,20 @@
         """All that counts against it."""
         return self._weight
 
+    def has_one_with(self, crash: EndpointCrash) -> bool:
+        """Tell whether a crash belongs to one that counts already.
+
+        Copies of a request begin to run at unlike times, so endpoints that end
+        together were not ended by it; a popular request was on most of them.
+
+        :param crash: a later crash.
+        :returns: whether they were together.
+        """
+        if not self.crashes:
+            return False
+        since_ms = crash.crashed_ms - self.crashes[-1].crashed_ms
+        return since_ms <= _TOGETHER_MS
+
     def add(self, crash: EndpointCrash, weight: int) -> None:
         """Count a crash.
 
@@ -133,7 +147,7 @@
     served_ms: Mapping[Fingerprint, int],
 ) -> dict[Fingerprint, Blame]:
     blames: dict[Fingerprint, Blame] = {}
-    for crash in crashes:
+    for crash in sorted(crashes, key=_by_time):
         together = [
             other
             for other in crashes
@@ -143,7 +157,8 @@
             served = suspect in served_ms
             needed = _NEEDED_OF_SERVED if served else _NEEDED
             blame = blames.setdefault(suspect, Blame(needed=needed))
-            blame.add(crash, _weight(suspect, crash))
+            if not (served and blame.has_one_with(crash)):
+                blame.add(crash, _weight(suspect, crash))
     return blames
 
 
@@ -160,6 +175,10 @@
             yield suspect
 
 
+def _by_time(crash: EndpointCrash) -> int:
+    return crash.crashed_ms
+
+
 def _weight(suspect: Fingerprint, crash: EndpointCrash) -> int:
     if crash.silent and suspect not in crash.silent:
         return _WEIGHT_OF_STREAMING
