--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -13,6 +13,7 @@
 from wingfall.gateway.peers.crash_exchange import CrashExchange
 from wingfall.wire.codec import encode
 from wingfall.wire.gateway_messages import GatewayHeartbeat
+from wingfall.wire.message import build_message
 
 REQUEST = b'0123456789abcdef'
 SETTLED_MS = 500
@@ -137,6 +138,17 @@
     assert 2 * rounds < telling.count(False) < 6 * rounds
 
 
+def test_last_version_and_this_one_read_each_other():
+    sent = heartbeat(3)
+    before = sent.fields()[:-3]
+    read = build_message(before)
+    assert read.crash_sum == -1
+    assert not read.crashes
+    # Fields that a program doesn't know are passed over.
+    more = build_message([*sent.fields(), 'of a later version'])
+    assert more.fields() == sent.fields()
+
+
 @pytest.mark.parametrize(
     ('crashes', 'most_bytes'),
     # One blocked request has three crashes.
--- a/tests/test_log_trace.py
+++ b/tests/test_log_trace.py
@@ -44,6 +44,18 @@
     ]
 
 
+def test_story_has_the_crashes_that_the_request_was_at():
+    lines = (
+        line(10, 'crash: An endpoint has crashed.', requests=['f1', 'f2']),
+        line(11, 'crash: An endpoint has crashed.', requests=['f2']),
+        line(20, 'blocks: A request is blocked.', request='f1', process='b'),
+        line(21, 'blocks: A request is blocked.', request='f2'),
+        line(90, 'refusal: A call was refused.', call='c1', request='f1'),
+    )
+    story = trace_call('c1', read_lines(lines))
+    assert [each.time_s for each in story] == [10, 20, 90]
+
+
 def test_command_prints_it(
     tmp_path: pathlib.Path,
     capsys: pytest.CaptureFixture[str],
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -231,6 +231,7 @@
             'endpoints': sorted(self._state.knowledge.table.names),
             'peers': self._peers.names,
             'calls': self._busy(),
+            'blocked_requests': self._state.blocks.count,
         }
 
     def _make_follower(
--- a/wingfall/log_trace.py
+++ b/wingfall/log_trace.py
@@ -14,6 +14,8 @@
 _CONTEXT_S: Final = 5
 _HIDDEN: Final = frozenset(('time', 'level', 'message', 'process', 'call'))
 _CONFIG: Final = 'config: '
+# Lines on endpoints that crashed and on requests that are blocked for it.
+_CRASHES: Final = ('crash: ', 'blocks: ')
 
 
 @final
@@ -73,7 +75,8 @@
     :param lines: lines of one or more gateways.
     :returns: the call's own lines, and of the gateways that served it those
         on its endpoints, the store and peers some seconds around it and the
-        last configuration before; in the order of their times.
+        last configuration before; of all gateways those on crashes that its
+        request was at and on its being blocked; in the order of their times.
     """
     known = sorted(lines, key=_by_time)
     own = [line for line in known if line.fields.get('call') == call_id]
@@ -87,10 +90,21 @@
         and line.process == own[0].process
         and line.time_s <= own[0].time_s
     ]
-    chosen = {id(line): line for line in last_config[-1:] + own + beliefs}
+    crashes = [line for line in known if _is_on_crashes(line, own)]
+    chosen = {
+        id(line): line for line in last_config[-1:] + own + beliefs + crashes
+    }
     return sorted(chosen.values(), key=_by_time)
 
 
+def _is_on_crashes(line: LogLine, own: list[LogLine]) -> bool:
+    if not line.message.startswith(_CRASHES):
+        return False
+    named = {line.fields.get('request'), *line.fields.get('requests', ())}
+    requests = {each.fields.get('request') for each in own}
+    return not named.isdisjoint(requests - {None, ''})
+
+
 def _parse(text: str) -> Any:
     _before, brace, rest = text.partition('{')
     try:
@@ -104,7 +118,7 @@
 
 
 def _concerns(line: LogLine, own: list[LogLine]) -> bool:
-    if 'call' in line.fields:
+    if 'call' in line.fields or line.message.startswith(_CRASHES):
         return False
     if line.process not in {each.process for each in own}:
         return False
