--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -5,7 +5,11 @@
 import pytest
 
 from wingfall.clock import ManualClock
-from wingfall.gateway.knowledge.crash_ledger import MOST_SUSPECTS, CrashLedger
+from wingfall.gateway.knowledge.crash_ledger import (
+    MOST_SUSPECTS,
+    MOST_TOLD,
+    CrashLedger,
+)
 from wingfall.gateway.model.endpoint_crash import EndpointCrash
 
 DAY_MS = 86_400_000
@@ -82,18 +86,42 @@
     ledger: CrashLedger, clock: ManualClock
 ):
     note(ledger, clock, 'e1', b'again')
-    flood = [b'%03d' % number for number in range(MOST_SUSPECTS * 3)]
+    flood = [b'%03d' % number for number in range(MOST_TOLD * 3)]
     note(ledger, clock, 'e2', b'again', *flood)
     crash = ledger.crashes[1]
     assert b'again' in crash.suspects
-    assert len(crash.suspects) == MOST_SUSPECTS
+    assert len(crash.suspects) == MOST_TOLD
+
+
+def test_flood_at_one_gateway_leaves_room_for_others(
+    ledger: CrashLedger, clock: ManualClock
+):
+    flood = [b'%03d' % number for number in range(MOST_TOLD * 3)]
+    note(ledger, clock, 'e1', *flood)
+    ledger.take_crash(
+        EndpointCrash(
+            endpoint='e1',
+            crashed_ms=clock.now_ms(),
+            told_by='g2',
+            silent=[b'seen by another'],
+        )
+    )
+    assert b'seen by another' in ledger.crashes[0].suspects
+
+
+def test_suspects_of_one_crash_are_bounded(
+    ledger: CrashLedger, clock: ManualClock
+):
+    for number in range(MOST_SUSPECTS * 2):
+        note(ledger, clock, 'e1', b'%03d' % number)
+    assert len(ledger.crashes[0].suspects) == MOST_SUSPECTS
 
 
 def test_crashes_of_a_day_are_bounded(ledger: CrashLedger, clock: ManualClock):
     for number in range(MOST_CRASHES + 10):
         note(ledger, clock, f'e{number}', b'r%d' % number)
         clock.advance(1)
-    ledger.forget_old({'e0'})
+    ledger.trim({'e0'})
     left = {crash.endpoint for crash in ledger.crashes}
     assert len(left) == MOST_CRASHES
     # What a request is blocked for is forgotten last.
@@ -106,7 +134,7 @@
 ):
     note(ledger, clock, 'e1', b'a')
     clock.advance(DAY_MS)
-    ledger.forget_old({'e1'})
+    ledger.forget_old()
     assert not ledger.crashes
     assert not ledger.served_ms
 
--- a/wingfall/gateway/knowledge/crash_ledger.py
+++ b/wingfall/gateway/knowledge/crash_ledger.py
@@ -11,6 +11,7 @@
 
 import hashlib
 import itertools
+import random
 from typing import TYPE_CHECKING, Final, final
 
 from gevent.event import Event
@@ -24,10 +25,13 @@
     from wingfall.gateway.model.fingerprint import Fingerprint
 
 # Crashes that are remembered. Some 170 VMs fail a day at the size in two years,
-# with 12,000 endpoints. With all suspects below, 1.6 MB.
+# with 12,000 endpoints. With all suspects below, 3 MB.
 _MOST_CRASHES: Final = 256
-# Requests that are remembered of one crash: the slots of a large engine.
-MOST_SUSPECTS: Final = 64
+# Requests that are remembered of one crash: twice the slots of a large engine.
+MOST_SUSPECTS: Final = 128
+# Requests that one gateway tells of one crash, so that a flood of unlike ones at
+# some gateways leaves room for what others have seen.
+MOST_TOLD: Final = 32
 # Milliseconds for which a crash is remembered: a day, so that a request that
 # comes again each night ends no more endpoints than in one night.
 _REMEMBERED_MS: Final = 86_400_000
@@ -115,7 +119,8 @@
 
         :param crash: the crash, with this gateway's suspects.
         """
-        added = self.take_crash(crash)
+        chosen = self._choose(crash, crash.suspects, MOST_TOLD)
+        added = self.take_crash(_narrow(crash, chosen))
         if added is not None:
             told = self._untold_crashes.setdefault(crash.endpoint, added)
             told.silent |= added.silent
@@ -133,16 +138,10 @@
         known = self._crashes.get(crash.endpoint)
         suspects = known.suspects if known else set()
         room = MOST_SUSPECTS - len(suspects)
-        new = self._choose_new(crash, suspects, room)
+        new = self._choose(crash, crash.suspects - suspects, room)
         if known is not None and not new:
             return None
-        added = EndpointCrash(
-            endpoint=crash.endpoint,
-            crashed_ms=crash.crashed_ms,
-            told_by=crash.told_by,
-            silent=crash.silent & new,
-            streaming=crash.streaming & new - crash.silent,
-        )
+        added = _narrow(crash, new)
         self._merge(known, added)
         return added
 
@@ -191,55 +190,54 @@
         self._untold_served = set()
         return {each: self._served_ms[each] for each in untold}
 
-    def forget_old(self, kept: set[str]) -> None:
-        """Keep the bounds of number and age.
-
-        :param kept: endpoints whose crashes are forgotten last, since a
-            request is blocked for them.
-        """
+    def forget_old(self) -> None:
+        """Forget the crashes of more than a day ago."""
         oldest_ms = self._clock.now_ms() - _REMEMBERED_MS
-        old = {
+        old = [
             name
             for name, crash in self._crashes.items()
             if crash.crashed_ms <= oldest_ms
-        }
+        ]
+        if old:
+            self._drop(old)
+
+    def trim(self, kept: set[str]) -> None:
+        """Keep the bound of number.
+
+        :param kept: endpoints whose crashes are forgotten last, since a
+            request is blocked for them.
+        """
+        beyond = len(self._crashes) - _MOST_CRASHES
+        if beyond <= 0:
+            return
         order = sorted(
-            self._crashes.keys() - old,
+            self._crashes,
             key=lambda name: (name in kept, self._crashes[name].crashed_ms),
         )
-        beyond = len(order) - _MOST_CRASHES
-        old.update(order[: max(0, beyond)])
-        if old:
-            self._drop(old)
+        self._drop(order[:beyond])
 
-    def _choose_new(
+    def _choose(
         self,
         crash: EndpointCrash,
-        known: set[Fingerprint],
+        suspects: set[Fingerprint],
         room: int,
     ) -> set[Fingerprint]:
-        # Those that were at other crashes first, so that a flood of unlike
-        # requests can't hide one that comes again.
-        new = sorted(
-            crash.suspects - known,
+        # Those that were at other crashes first, then by chance, so that a
+        # flood of unlike requests can't hide one that comes again.
+        order = sorted(
+            suspects,
             key=lambda each: (
                 each not in self._last_crash_ms,
                 each not in crash.silent,
-                each,
+                random.random(),  # noqa: S311
             ),
         )
-        return set(new[: max(0, room)])
+        return set(order[: max(0, room)])
 
     def _merge(self, known: EndpointCrash | None, added: EndpointCrash) -> None:
         if known is None:
-            # The ledger changes its own entry later on.
-            self._crashes[added.endpoint] = EndpointCrash(
-                endpoint=added.endpoint,
-                crashed_ms=added.crashed_ms,
-                told_by=added.told_by,
-                silent=added.silent,
-                streaming=added.streaming,
-            )
+            # A copy, since the ledger's own entry changes later on.
+            self._crashes[added.endpoint] = _narrow(added, added.suspects)
         else:
             known.silent |= added.silent
             known.streaming |= added.streaming - known.silent
@@ -283,6 +281,16 @@
         self.revision += 1
 
 
+def _narrow(crash: EndpointCrash, suspects: set[Fingerprint]) -> EndpointCrash:
+    return EndpointCrash(
+        endpoint=crash.endpoint,
+        crashed_ms=crash.crashed_ms,
+        told_by=crash.told_by,
+        silent=crash.silent & suspects,
+        streaming=crash.streaming & suspects - crash.silent,
+    )
+
+
 def _pair_sum(endpoint: str, suspect: Fingerprint) -> int:
     digest = hashlib.blake2b(
         endpoint.encode() + suspect,
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -90,7 +90,8 @@
             self.long_reads.note(name, beyond)
 
     def forget_departed(self) -> None:
-        """Forget endpoints that are not listed any more."""
+        """Forget endpoints that are not listed any more, and old crashes."""
+        self.crashes.forget_old()
         names = self.table.names
         self.health.forget(names)
         self.caches.forget(names)
--- a/wingfall/gateway/rules/request_blocks.py
+++ b/wingfall/gateway/rules/request_blocks.py
@@ -124,7 +124,7 @@
             return self._blamed
         before = self._blamed
         self._blamed = find_causes(self._ledger.crashes, self._ledger.served_ms)
-        self._ledger.forget_old(
+        self._ledger.trim(
             {
                 crash.endpoint
                 for blame in self._blamed.values()
