--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -35,7 +35,7 @@
 from wingfall.gateway.model.prompt import Prompt, PromptPart
 from wingfall.gateway.model.routes import CallerLimits, Pool, Routes
 from wingfall.gateway.peers.heartbeat_schedule import interval_ms
-from wingfall.gateway.peers.load_exchange import LoadExchange
+from wingfall.gateway.peers.loads.load_exchange import LoadExchange
 from wingfall.gateway.rules.cache_transfer import copy_nothing
 from wingfall.gateway.rules.early_refusal import StartEstimate, admit_by_target
 from wingfall.gateway.rules.placement import place_by_reading
--- a/tests/peer_standin.py
+++ b/tests/peer_standin.py
@@ -14,7 +14,7 @@
 from wingfall.gateway.configuration.replica import ROUTES_KIND, ObjectReplica
 from wingfall.gateway.model.object_store import StoredObject, StoreReading
 from wingfall.gateway.peers.heartbeat_schedule import silence_ms
-from wingfall.gateway.peers.object_exchange import ObjectExchange
+from wingfall.gateway.peers.objects.object_exchange import ObjectExchange
 from wingfall.gateway.peers.peer_session import PeerSession
 from wingfall.wire.connection import Connection
 from wingfall.wire.gateway_messages import (
--- a/tests/test_endpoint_lives.py
+++ b/tests/test_endpoint_lives.py
@@ -36,8 +36,8 @@
 from wingfall.gateway.knowledge.prefix_caches import SentPrompt
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 from wingfall.gateway.model.prompt import PromptPart
-from wingfall.gateway.peers.load_entries import Activity
-from wingfall.gateway.peers.load_exchange import LoadExchange
+from wingfall.gateway.peers.loads.load_entries import Activity
+from wingfall.gateway.peers.loads.load_exchange import LoadExchange
 from wingfall.platform.endpoint_entry import read_endpoint
 
 if TYPE_CHECKING:
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -12,7 +12,7 @@
 from wingfall.gateway.knowledge.load import EndpointLoad, LoadTable
 from wingfall.gateway.model.object_store import StoredObject, StoreReading
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
-from wingfall.gateway.peers.load_entries import (
+from wingfall.gateway.peers.loads.load_entries import (
     read_loads,
     write_loads,
     write_work,
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -13,9 +13,9 @@
 from wingfall.gateway.knowledge.load import EndpointLoad, LoadTable
 from wingfall.gateway.knowledge.prefix_caches import PrefixCaches, SentPrompt
 from wingfall.gateway.model.prompt import PromptPart
-from wingfall.gateway.peers.load_exchange import LoadExchange
+from wingfall.gateway.peers.loads.load_exchange import LoadExchange
+from wingfall.gateway.peers.loads.relay_choice import find_relay
 from wingfall.gateway.peers.peer_session import PeerSession
-from wingfall.gateway.peers.relay_choice import find_relay
 from wingfall.wire.gateway_messages import GatewayHello, ZoneLoads
 
 TICK_MS = 100
@@ -262,7 +262,7 @@
 ):
     told: list[tuple[str, str]] = []
     monkeypatch.setattr(
-        'wingfall.gateway.peers.load_exchange.log_event',
+        'wingfall.gateway.peers.loads.load_exchange.log_event',
         lambda part, sentence, **fields: told.append(
             (sentence, fields.get('relay') or fields['zone']),
         ),
--- a/tests/test_object_exchange.py
+++ b/tests/test_object_exchange.py
@@ -12,8 +12,8 @@
 from wingfall.errors import WireError
 from wingfall.gateway.configuration.replica import ROUTES_KIND, ObjectReplica
 from wingfall.gateway.model.object_store import StoredObject, StoreReading
-from wingfall.gateway.peers.object_exchange import ObjectExchange
-from wingfall.gateway.peers.object_transfer import CHUNK_BYTES
+from wingfall.gateway.peers.objects.object_exchange import ObjectExchange
+from wingfall.gateway.peers.objects.object_transfer import CHUNK_BYTES
 from wingfall.wire.gateway_messages import ObjectsFetch, ObjectsPage
 
 if TYPE_CHECKING:
--- a/tests/test_stored_objects.py
+++ b/tests/test_stored_objects.py
@@ -25,7 +25,7 @@
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.model.object_store import StoredObject, StoreReading
 from wingfall.gateway.model.prompt import PromptPart
-from wingfall.gateway.peers.object_transfer import (
+from wingfall.gateway.peers.objects.object_transfer import (
     pack_objects,
     read_objects,
     unpack_objects,
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -25,9 +25,9 @@
     ROUTES_KIND,
     ObjectReplica,
 )
+from wingfall.gateway.peers.caches.memory_survey import MemorySurvey
+from wingfall.gateway.peers.caches.parts_transfer import PartsTransfer
 from wingfall.gateway.peers.gateway_peers import GatewayPeers
-from wingfall.gateway.peers.memory_survey import MemorySurvey
-from wingfall.gateway.peers.parts_transfer import PartsTransfer
 from wingfall.gateway.rules.planned_stop import StopSchedule
 from wingfall.http_server import HttpServer
 from wingfall.log import log_event
--- a/wingfall/gateway/knowledge/crash_ledger.py
+++ b/wingfall/gateway/knowledge/crash_ledger.py
@@ -29,8 +29,8 @@
 _MOST_CRASHES: Final = 256
 # Requests that are remembered of one crash: twice the slots of a large engine.
 MOST_SUSPECTS: Final = 128
-# Requests that one gateway tells of one crash, so that a flood of unlike ones at
-# some gateways leaves room for what others have seen.
+# Requests that one gateway tells of one crash, so that a flood of unlike ones
+# at some gateways leaves room for what others have seen.
 MOST_TOLD: Final = 32
 # Milliseconds for which a crash is remembered: a day, so that a request that
 # comes again each night ends no more endpoints than in one night.
@@ -158,9 +158,9 @@
         crashed_ms = self._last_crash_ms.get(fingerprint)
         if crashed_ms is None:
             return
-        # One good answer after a crash says all.
+        # One good answer after a crash clears it; more tell nothing new.
         if self._served_ms.get(fingerprint, crashed_ms - 1) < crashed_ms:
-            self._speak_for(fingerprint, now_ms)
+            self._set_served(fingerprint, now_ms)
             self._tell_served(fingerprint)
 
     def take_served(self, fingerprint: Fingerprint, served_ms: int) -> None:
@@ -170,7 +170,7 @@
         :param served_ms: when it was, by this gateway's clock.
         """
         if fingerprint in self._last_crash_ms:
-            self._speak_for(fingerprint, served_ms)
+            self._set_served(fingerprint, served_ms)
 
     def take_untold_crashes(self) -> list[EndpointCrash]:
         """Take the crashes that peers have not heard of.
@@ -253,10 +253,10 @@
         if served_ms is None or suspect in self._served_ms:
             return
         if self._clock.now_ms() - served_ms < _SERVED_MS:
-            self._speak_for(suspect, served_ms)
+            self._set_served(suspect, served_ms)
             self._tell_served(suspect)
 
-    def _speak_for(self, fingerprint: Fingerprint, served_ms: int) -> None:
+    def _set_served(self, fingerprint: Fingerprint, served_ms: int) -> None:
         known_ms = self._served_ms.get(fingerprint)
         if known_ms is None or known_ms < served_ms:
             self._served_ms[fingerprint] = served_ms
--- a/wingfall/gateway/peers/memory_survey.py
+++ b/wingfall/gateway/peers/caches/memory_survey.py
@@ -38,7 +38,7 @@
     from wingfall.gateway.model.binding import Binding
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.model.routes import Routes
-    from wingfall.gateway.peers.parts_transfer import PartsTransfer
+    from wingfall.gateway.peers.caches.parts_transfer import PartsTransfer
 
 # What is learned is told to peers: so many gateways ask the same engine.
 _ASKED_BY: Final = 2
--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -22,7 +22,7 @@
     silence_ms,
 )
 from wingfall.gateway.peers.heartbeats import Heartbeats
-from wingfall.gateway.peers.object_exchange import ObjectExchange
+from wingfall.gateway.peers.objects.object_exchange import ObjectExchange
 from wingfall.gateway.peers.peer_addresses import PeerAddresses
 from wingfall.gateway.peers.peer_session import PeerSession
 from wingfall.gateway.peers.watch_duty import (
@@ -40,7 +40,7 @@
     from wingfall.clock import Clock
     from wingfall.gateway.configuration.replica import ObjectReplica
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
-    from wingfall.gateway.peers.parts_transfer import PartsTransfer
+    from wingfall.gateway.peers.caches.parts_transfer import PartsTransfer
     from wingfall.gateway.rules.request_blocks import RequestBlocks
     from wingfall.gateway.rules.retry_budget import RetryBudget
     from wingfall.metrics import Metrics
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -13,8 +13,8 @@
     HeartbeatDue,
     HeartbeatSchedule,
 )
-from wingfall.gateway.peers.load_entries import Activity
-from wingfall.gateway.peers.load_exchange import LoadExchange
+from wingfall.gateway.peers.loads.load_entries import Activity
+from wingfall.gateway.peers.loads.load_exchange import LoadExchange
 from wingfall.wire.codec import encode
 from wingfall.wire.gateway_messages import (
     GatewayHeartbeat,
@@ -30,8 +30,8 @@
 
     from wingfall.clock import Clock
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
-    from wingfall.gateway.peers.object_exchange import ObjectExchange
-    from wingfall.gateway.peers.parts_transfer import PartsTransfer
+    from wingfall.gateway.peers.caches.parts_transfer import PartsTransfer
+    from wingfall.gateway.peers.objects.object_exchange import ObjectExchange
     from wingfall.gateway.peers.peer_session import PeerSession
     from wingfall.wire.message import Message
 
--- a/wingfall/gateway/peers/load_entries.py
+++ b/wingfall/gateway/peers/loads/load_entries.py
@@ -11,7 +11,7 @@
 
 from wingfall.gateway.knowledge.endpoint_health import Outcomes
 from wingfall.gateway.knowledge.load import EndpointLoad
-from wingfall.gateway.peers.parts_transfer import read_parts
+from wingfall.gateway.peers.caches.parts_transfer import read_parts
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/wingfall/gateway/peers/load_exchange.py
+++ b/wingfall/gateway/peers/loads/load_exchange.py
@@ -15,7 +15,7 @@
     interval_ms,
     seen_within_ms,
 )
-from wingfall.gateway.peers.load_entries import (
+from wingfall.gateway.peers.loads.load_entries import (
     IDLE,
     Activity,
     Work,
@@ -26,7 +26,7 @@
     write_sent,
     write_work,
 )
-from wingfall.gateway.peers.relay_choice import find_relay, relay_rank
+from wingfall.gateway.peers.loads.relay_choice import find_relay, relay_rank
 from wingfall.log import log_event
 from wingfall.wire.gateway_messages import ZoneLoads
 
--- a/wingfall/gateway/peers/object_exchange.py
+++ b/wingfall/gateway/peers/objects/object_exchange.py
@@ -9,8 +9,8 @@
 from typing import TYPE_CHECKING, Final, final
 
 from wingfall.gateway.model.object_store import StoreReading
-from wingfall.gateway.peers.object_fetch import ObjectFetch
-from wingfall.gateway.peers.object_transfer import (
+from wingfall.gateway.peers.objects.object_fetch import ObjectFetch
+from wingfall.gateway.peers.objects.object_transfer import (
     OutgoingTransfer,
     pack_objects,
     read_objects,
--- a/wingfall/gateway/peers/object_fetch.py
+++ b/wingfall/gateway/peers/objects/object_fetch.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, final
 
-from wingfall.gateway.peers.object_transfer import (
+from wingfall.gateway.peers.objects.object_transfer import (
     CHUNK_BYTES,
     IncomingTransfer,
 )
--- a/wingfall/gateway/peers/peer_session.py
+++ b/wingfall/gateway/peers/peer_session.py
@@ -10,7 +10,7 @@
 from wingfall.gateway.peers.ranking import rank
 
 if TYPE_CHECKING:
-    from wingfall.gateway.peers.object_transfer import OutgoingTransfer
+    from wingfall.gateway.peers.objects.object_transfer import OutgoingTransfer
     from wingfall.wire.connection import Connection
     from wingfall.wire.gateway_messages import GatewayHello
 
