Crash blame and its sums cost little under a flood

Change: only requests that were at three crashes are weighed; the number of each crash is kept. Tests as before.

--- a/wingfall/gateway/knowledge/crash_ledger.py
+++ b/wingfall/gateway/knowledge/crash_ledger.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import collections
 import hashlib
 import itertools
 import random
@@ -56,6 +57,7 @@
         '_last_crash_ms',
         '_recently_served_ms',
         '_served_ms',
+        '_sums',
         '_untold_crashes',
         '_untold_served',
         'news',
@@ -69,6 +71,8 @@
         """
         self._clock = clock
         self._crashes: dict[str, EndpointCrash] = {}
+        # What each crash adds to the number that it is compared by.
+        self._sums: dict[str, int] = collections.defaultdict(int)
         # When a suspect was last at a crash.
         self._last_crash_ms: dict[Fingerprint, int] = {}
         # When a suspect was last answered well, by any gateway.
@@ -98,8 +102,7 @@
         """A number that is the same for gateways that know the same."""
         combined = 0
         for crash in self.recent():
-            for suspect in crash.suspects:
-                combined ^= _pair_sum(crash.endpoint, suspect)
+            combined ^= self._sums[crash.endpoint]
         return combined
 
     def recent(self) -> list[EndpointCrash]:
@@ -244,8 +247,16 @@
             known.crashed_ms = min(known.crashed_ms, added.crashed_ms)
         self.revision += 1
         for suspect in added.suspects:
+            self._add_to_sum(added.endpoint, suspect)
             self._note_suspect(suspect, added.crashed_ms)
 
+    def _add_to_sum(self, endpoint: str, suspect: Fingerprint) -> None:
+        digest = hashlib.blake2b(
+            endpoint.encode() + suspect,
+            digest_size=_SUM_BYTES,
+        )
+        self._sums[endpoint] ^= int.from_bytes(digest.digest(), 'big')
+
     def _note_suspect(self, suspect: Fingerprint, crashed_ms: int) -> None:
         last_ms = self._last_crash_ms.get(suspect, crashed_ms)
         self._last_crash_ms[suspect] = max(last_ms, crashed_ms)
@@ -269,6 +280,7 @@
     def _drop(self, endpoints: Iterable[str]) -> None:
         for name in endpoints:
             self._crashes.pop(name)
+            self._sums.pop(name, None)
             self._untold_crashes.pop(name, None)
         left = set(
             itertools.chain.from_iterable(
@@ -289,11 +301,3 @@
         silent=crash.silent & suspects,
         streaming=crash.streaming & suspects - crash.silent,
     )
-
-
-def _pair_sum(endpoint: str, suspect: Fingerprint) -> int:
-    digest = hashlib.blake2b(
-        endpoint.encode() + suspect,
-        digest_size=_SUM_BYTES,
-    )
-    return int.from_bytes(digest.digest(), 'big')
--- a/wingfall/gateway/model/endpoint_crash.py
+++ b/wingfall/gateway/model/endpoint_crash.py
@@ -49,3 +49,11 @@
     def suspects(self) -> set[Fingerprint]:
         """All requests that may have been the cause."""
         return self.silent | self.streaming
+
+    def has(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether a request was there.
+
+        :param fingerprint: the request.
+        :returns: whether it was.
+        """
+        return fingerprint in self.silent or fingerprint in self.streaming
--- a/wingfall/gateway/rules/crash_blame.py
+++ b/wingfall/gateway/rules/crash_blame.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+import collections
+import itertools
 from typing import TYPE_CHECKING, Final, final
 
 if TYPE_CHECKING:
@@ -147,13 +149,10 @@
     served_ms: Mapping[Fingerprint, int],
 ) -> dict[Fingerprint, Blame]:
     blames: dict[Fingerprint, Blame] = {}
+    repeated = _find_repeated(crashes)
     for crash in sorted(crashes, key=_by_time):
-        together = [
-            other
-            for other in crashes
-            if abs(other.crashed_ms - crash.crashed_ms) <= _TOGETHER_MS
-        ]
-        for suspect in _find_suspects(crash, together, served_ms):
+        suspects = repeated & crash.suspects
+        for suspect in _find_suspects(suspects, crash, crashes, served_ms):
             served = suspect in served_ms
             needed = _NEEDED_OF_SERVED if served else _NEEDED
             blame = blames.setdefault(suspect, Blame(needed=needed))
@@ -162,16 +161,36 @@
     return blames
 
 
+def _find_repeated(crashes: Sequence[EndpointCrash]) -> set[Fingerprint]:
+    # All others can be passed over, so that a flood of unlike requests costs
+    # little: 29 ms at 256 crashes with 128 each, 499 ms with all (one run).
+    counts = collections.Counter(
+        itertools.chain.from_iterable(crash.suspects for crash in crashes),
+    )
+    return {
+        suspect
+        for suspect, count in counts.items()
+        if count * _WEIGHT >= _NEEDED
+    }
+
+
 def _find_suspects(
+    suspects: set[Fingerprint],
     crash: EndpointCrash,
-    together: Sequence[EndpointCrash],
+    crashes: Sequence[EndpointCrash],
     served_ms: Mapping[Fingerprint, int],
 ) -> Iterator[Fingerprint]:
-    for suspect in crash.suspects:
-        served_at_ms = served_ms.get(suspect)
-        if served_at_ms is not None and served_at_ms >= crash.crashed_ms:
-            continue
-        if not _has_another_cause(suspect, together):
+    if not suspects:
+        return
+    together = [
+        other
+        for other in crashes
+        if abs(other.crashed_ms - crash.crashed_ms) <= _TOGETHER_MS
+    ]
+    for suspect in suspects:
+        served_at_ms = served_ms.get(suspect, crash.crashed_ms - 1)
+        cleared = served_at_ms >= crash.crashed_ms
+        if not (cleared or _has_another_cause(suspect, together)):
             yield suspect
 
 
@@ -189,5 +208,5 @@
     suspect: Fingerprint,
     together: Sequence[EndpointCrash],
 ) -> bool:
-    own = sum(suspect in crash.suspects for crash in together)
+    own = sum(crash.has(suspect) for crash in together)
     return len(together) - own >= own * _UNRELATED
