Only success speaks for a request; missed news are told within half a second

Cause (read): a 500 cleared a request, though endpoints that fail requests unread answer so, and a request that ends endpoints would have been free again; and what a peer missed was told with whole heartbeats only, each 3 s at 298 gateways, but to a peer without room for it at each. Change: only answers below 400 and whole streams count; every heartbeat is compared, a peer is told again at most each 3 s. Measured: test_only_success_speaks_for_a_request (red before), test_peer_without_room_is_not_told_at_each_heartbeat.

--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.fake_connection import FakeConnection
 from tests.gateway_site import GatewaySite
 from tests.local_site import wait_until
 from wingfall.clock import ManualClock
@@ -11,8 +12,9 @@
 from wingfall.gateway.knowledge.crash_ledger import CrashLedger
 from wingfall.gateway.model.endpoint_crash import EndpointCrash
 from wingfall.gateway.peers.crash_exchange import CrashExchange
+from wingfall.gateway.peers.peer_session import PeerSession
 from wingfall.wire.codec import encode
-from wingfall.wire.gateway_messages import GatewayHeartbeat
+from wingfall.wire.gateway_messages import GatewayHeartbeat, GatewayHello
 from wingfall.wire.message import build_message
 
 REQUEST = b'0123456789abcdef'
@@ -99,6 +101,12 @@
     wait_until(lambda: REQUEST in ledger_of(first).served_ms)
 
 
+def session() -> PeerSession:
+    """Give a session with a peer."""
+    hello = GatewayHello(name='g2', address='', known=[])
+    return PeerSession(hello=hello, connection=FakeConnection())
+
+
 @pytest.fixture
 def exchange(clock: ManualClock) -> CrashExchange:
     """Give the exchange of a gateway that knows one crash."""
@@ -111,21 +119,33 @@
     exchange: CrashExchange, clock: ManualClock
 ):
     clock.advance(SETTLED_MS)
-    assert exchange.answer(exchange.recent_sum, 1).empty
-    assert not exchange.answer(0, 1).empty
+    assert exchange.answer(session(), exchange.recent_sum, 1).empty
+    assert not exchange.answer(session(), 0, 1).empty
 
 
 def test_peer_of_the_last_version_is_told_nothing_again(
     exchange: CrashExchange, clock: ManualClock
 ):
     clock.advance(SETTLED_MS)
-    assert exchange.answer(-1, 1).empty
+    assert exchange.answer(session(), -1, 1).empty
 
 
 def test_news_that_are_on_their_way_are_not_told_again(
     exchange: CrashExchange,
 ):
-    assert exchange.answer(0, 1).empty
+    assert exchange.answer(session(), 0, 1).empty
+
+
+def test_peer_without_room_is_not_told_at_each_heartbeat(
+    exchange: CrashExchange, clock: ManualClock
+):
+    peer = session()
+    clock.advance(SETTLED_MS)
+    told = []
+    for _heartbeat in range(100):
+        told.append(not exchange.answer(peer, 0, 1).empty)
+        clock.advance(100)
+    assert told.count(True) == 4
 
 
 def test_few_of_many_gateways_tell_again(
@@ -134,7 +154,10 @@
     clock.advance(SETTLED_MS)
     # Four are drawn on the average; by chance it may be none.
     rounds = 50
-    telling = [exchange.answer(0, 297).empty for _peer in range(297 * rounds)]
+    telling = [
+        exchange.answer(session(), 0, 297).empty
+        for _peer in range(297 * rounds)
+    ]
     assert 2 * rounds < telling.count(False) < 6 * rounds
 
 
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -339,3 +339,15 @@
     assert late.receive().status == 200
     assert idle.closed()
     stopping.join()
+
+
+def test_only_success_speaks_for_a_request(gateway_site: GatewaySite):
+    # A failing endpoint answers 500 without having run what crashes others.
+    server = gateway_site.add_server('one')
+    gateway = gateway_site.add_gateway()
+    server.faults = ['error', 'error']
+    assert gateway_site.ask('/safe/x').status == 500
+    served = gateway._state.knowledge.crashes._recently_served_ms
+    assert not served
+    assert gateway_site.ask('/safe/x').status == 200
+    assert len(served) == 1
--- a/wingfall/gateway/calls/attempt_outcome.py
+++ b/wingfall/gateway/calls/attempt_outcome.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, final
+import http
+from typing import TYPE_CHECKING, Final, final
+
+from wingfall.gateway.model.attempt_end import AttemptEnd
 
 if TYPE_CHECKING:
-    from wingfall.gateway.model.attempt_end import AttemptEnd
     from wingfall.gateway.model.call import Headers
 
 
+_FIRST_ERROR: Final = http.HTTPStatus.BAD_REQUEST
+
+
 @final
 class WholeAnswer:
     """An answer read to its end."""
@@ -53,6 +58,16 @@
         self.reason = reason
         self.left = left
 
+    @property
+    def succeeded(self) -> bool:
+        """Whether the endpoint has run the request to a good end.
+
+        A failure is no proof of that: an endpoint may fail requests unread.
+        """
+        if self.end is not AttemptEnd.answered:
+            return False
+        return self.answer is None or self.answer.status < _FIRST_ERROR
+
 
 @final
 class AttemptLimits:
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -24,9 +24,7 @@
 # first event tells exactly, so this only bounds the wait of other prompts for
 # a shared part. Not measured.
 _READ_SLACK: Final = 2
-# Ends by which the endpoint has outlived the run, and those by which it may
-# have crashed.
-_RAN: Final = frozenset((AttemptEnd.answered, AttemptEnd.failed))
+# Ends by which the endpoint may have crashed.
 _BROKEN: Final = frozenset((AttemptEnd.lost, AttemptEnd.cut))
 
 
@@ -122,7 +120,7 @@
         state, endpoint = self._state, self._destination.endpoint
         fingerprint = self._call.fingerprint
         gave_up = outcome.left or outcome.end is AttemptEnd.late
-        if outcome.end in _RAN:
+        if outcome.succeeded:
             state.knowledge.crashes.note_served(fingerprint)
         elif gave_up and self._output_ms is None:
             state.crash_watch.note_left(endpoint, fingerprint)
--- a/wingfall/gateway/peers/crash_exchange.py
+++ b/wingfall/gateway/peers/crash_exchange.py
@@ -21,10 +21,14 @@
     from wingfall.clock import Clock
     from wingfall.gateway.knowledge.crash_ledger import CrashLedger
     from wingfall.gateway.model.fingerprint import Fingerprint
+    from wingfall.gateway.peers.peer_session import PeerSession
 
 # Milliseconds without a change after which a peer that knows other crashes has
 # missed some: news and heartbeats of a moment ago may have crossed.
 _SETTLED_MS: Final = 500
+# Milliseconds between two such tellings to one peer: what it has no room for
+# must not be told at each heartbeat.
+_TOLD_AGAIN_MS: Final = 3000
 # Gateways that tell a peer again, of all that see that it missed news. Not
 # measured: one may be cut off from it.
 _TELLING: Final = 4
@@ -102,21 +106,30 @@
         """
         return self._write(self._ledger.crashes, self._ledger.served_ms)
 
-    def answer(self, recent_sum: int, sessions: int) -> CrashNews:
+    def answer(
+        self,
+        session: PeerSession,
+        recent_sum: int,
+        sessions: int,
+    ) -> CrashNews:
         """Write what a peer may have missed.
 
+        :param session: the session with the peer.
         :param recent_sum: the number that it told, negative if it told none.
         :param sessions: how many peers see what it told.
         :returns: the news, empty if it has missed nothing or others tell it.
         """
         self._note_changes()
-        settled_ms = self._clock.now_ms() - self._changed_ms
-        if recent_sum < 0 or settled_ms < _SETTLED_MS:
+        now_ms = self._clock.now_ms()
+        if recent_sum < 0 or now_ms - self._changed_ms < _SETTLED_MS:
+            return CrashNews()
+        if now_ms - session.crashes_told_ms < _TOLD_AGAIN_MS:
             return CrashNews()
         if recent_sum == self._ledger.recent_sum:
             return CrashNews()
         if random.random() * sessions > _TELLING:  # noqa: S311
             return CrashNews()
+        session.crashes_told_ms = now_ms
         return self._write(self._ledger.recent(), self._ledger.served_ms)
 
     def take(self, news: CrashNews) -> None:
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -213,11 +213,10 @@
         self._crashes.take(
             CrashNews(crashes=heartbeat.crashes, served=heartbeat.served)
         )
-        if heartbeat.whole:
-            missed = self._crashes.answer(
-                heartbeat.crash_sum, len(self._sessions)
-            )
-            self._tell_news(missed, [session])
+        missed = self._crashes.answer(
+            session, heartbeat.crash_sum, len(self._sessions)
+        )
+        self._tell_news(missed, [session])
         for kind, revision in heartbeat.revisions.items():
             self._exchange.compare(session, kind, revision)
 
--- a/wingfall/gateway/peers/peer_session.py
+++ b/wingfall/gateway/peers/peer_session.py
@@ -23,6 +23,7 @@
         'address',
         'behind_since_ms',
         'connection',
+        'crashes_told_ms',
         'dialed',
         'last_seen_ms',
         'incarnation',
@@ -59,6 +60,8 @@
         # Whether the peer knows what engines keep.
         self.knows_caches = False
         self.last_seen_ms = 0
+        # When the peer was last told again of crashes that it had missed.
+        self.crashes_told_ms: float = float('-inf')
         # How many other zones the peer hears.
         self.reach = 0
         # What the peer is being given, by kind.
