--- a/wingfall/gateway/knowledge/crash_ledger.py
+++ b/wingfall/gateway/knowledge/crash_ledger.py
@@ -3,8 +3,8 @@
 What one request does to endpoints is seen in parts by all gateways, since it
 comes again at any of them; each tells the others (see
 :mod:`wingfall.gateway.peers.crash_exchange`). Owns the crashes, and the good
-answers that speak for requests that were beside them. Only crashes are
-remembered, so requests that end nothing can't fill it.
+answers that clear requests that were beside them. Only crashes are remembered,
+so requests that crash nothing can't fill it.
 """
 
 from __future__ import annotations
@@ -49,7 +49,7 @@
 
 @final
 class CrashLedger:
-    """The crashes of a day, their suspects, and what speaks for those."""
+    """The crashes of a day, the requests there, and what clears these."""
 
     __slots__ = (
         '_clock',
--- a/wingfall/gateway/rules/crash_blame.py
+++ b/wingfall/gateway/rules/crash_blame.py
@@ -41,7 +41,7 @@
 
 @final
 class Blame:
-    """What speaks against a request."""
+    """The evidence that a request crashes endpoints."""
 
     __slots__ = ('_weight', 'crashes', 'needed')
 
@@ -72,7 +72,7 @@
 
     @property
     def weight(self) -> int:
-        """All that counts against it."""
+        """The sum of what its crashes weigh."""
         return self._weight
 
     def has_one_with(self, crash: EndpointCrash) -> bool:
@@ -105,8 +105,8 @@
 ) -> dict[Fingerprint, Blame]:
     """Find the requests that end endpoints.
 
-    The one that the most speaks against is the cause of the crashes that it was
-    at; the others that were there are judged by the crashes that are left.
+    The request with the most evidence is the cause of its crashes;
+    the others that were there are judged by the crashes that are left.
 
     :param crashes: the crashes and who was there.
     :param served_ms: when requests were last answered well; crashes before
