Requests at the same crashes get a second before both are refused

It fits that all gateways had just been killed and knew of no good answer: a request that was at the same three crashes as their cause can't be told from it, and both were refused at once. Change: of requests that share crashes with one as suspect each is sent on for a second after the last crash; a good answer clears the one, the next crash names the other. Two causes that share no crash are refused at once as before. Ruled out: trying such requests soon after (ends an engine each time); leaving them unblocked (three seconds are the bound).

--- a/tests/test_request_blocks.py
+++ b/tests/test_request_blocks.py
@@ -52,6 +52,46 @@
     assert blocks.count == 1
 
 
+def test_requests_at_the_same_crashes_get_a_second(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    other = b'was there too'
+    for name in ('e1', 'e2', 'e3'):
+        ledger.note_crash(
+            EndpointCrash(
+                endpoint=name,
+                crashed_ms=clock.now_ms(),
+                told_by='g1',
+                silent=[REQUEST, other],
+            )
+        )
+    assert blocks.find(REQUEST) is None
+    assert blocks.find(other) is None
+    # A good answer leaves one.
+    ledger.note_served(other)
+    assert blocks.find(REQUEST)
+    assert blocks.find(other) is None
+
+
+def test_requests_that_nothing_tells_apart_are_refused_after_a_second(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    for name in ('e1', 'e2', 'e3'):
+        ledger.note_crash(
+            EndpointCrash(
+                endpoint=name,
+                crashed_ms=clock.now_ms(),
+                told_by='g1',
+                silent=[REQUEST, b'was there too'],
+            )
+        )
+    clock.advance(999)
+    assert blocks.find(REQUEST) is None
+    clock.advance(1)
+    assert blocks.find(REQUEST)
+    assert blocks.find(b'was there too')
+
+
 def test_request_is_tried_once_after_a_minute(
     blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
 ):
--- a/wingfall/gateway/rules/crash_blame.py
+++ b/wingfall/gateway/rules/crash_blame.py
@@ -43,7 +43,7 @@
 class Blame:
     """The evidence that a request crashes endpoints."""
 
-    __slots__ = ('_weight', 'crashes', 'needed')
+    __slots__ = ('_weight', 'alone', 'crashes', 'needed')
 
     def __init__(self, *, needed: int) -> None:
         """Start with nothing.
@@ -52,6 +52,8 @@
         """
         self.needed = needed
         self._weight = 0
+        # Whether no other request with as much evidence was at its crashes.
+        self.alone = True
         # The crashes that count against it.
         self.crashes: list[EndpointCrash] = []
 
@@ -137,11 +139,18 @@
         if blame.is_enough
     }
     most = max((blame.weight for blame in blames.values()), default=0)
-    return {
+    first = {
         suspect: blame
         for suspect, blame in blames.items()
         if blame.weight == most
     }
+    for suspect, blame in first.items():
+        blame.alone = not any(
+            crash.has(other)
+            for crash in blame.crashes
+            for other in first.keys() - {suspect}
+        )
+    return first
 
 
 def _weigh(
--- a/wingfall/gateway/rules/request_blocks.py
+++ b/wingfall/gateway/rules/request_blocks.py
@@ -26,6 +26,10 @@
 # ends endpoints ends two more at most. Not measured: a restart and a repair by
 # hand.
 _TRY_AFTER_MS: Final = (60_000, 600_000)
+# Milliseconds for which requests that were at the same crashes are all sent on:
+# a good answer or the next crash tells them apart. Not measured: a third of the
+# three seconds in which the request must be blocked everywhere.
+_UNDECIDED_MS: Final = 1000
 # Milliseconds that a caller is told to wait if the request isn't tried again:
 # the longest of the above.
 _NO_TRY_MS: Final = 600_000
@@ -98,7 +102,7 @@
         :returns: why not, None if it may be sent.
         """
         blame = self._find_causes().get(fingerprint)
-        if blame is None or not fingerprint:
+        if blame is None or not fingerprint or self._is_undecided(blame):
             return None
         wait_ms = self._wait_ms(fingerprint, blame)
         if wait_ms == 0:
@@ -110,13 +114,14 @@
 
         :param fingerprint: the request.
         """
-        if fingerprint in self._find_causes():
+        blame = self._find_causes().get(fingerprint)
+        if blame is not None and not self._is_undecided(blame):
             self._tried_ms[fingerprint] = self._clock.now_ms()
             log_event(
                 'blocks',
                 'A blocked request is tried once more.',
                 request=fingerprint.hex(),
-                crashes=len(self._blamed[fingerprint].crashes),
+                crashes=len(blame.crashes),
             )
 
     def _find_causes(self) -> dict[Fingerprint, Blame]:
@@ -135,6 +140,10 @@
         self._log_changes(before)
         return self._blamed
 
+    def _is_undecided(self, blame: Blame) -> bool:
+        age_ms = self._clock.now_ms() - blame.last_ms
+        return not blame.alone and age_ms < _UNDECIDED_MS
+
     def _wait_ms(self, fingerprint: Fingerprint, blame: Blame) -> int | None:
         if blame.excess >= len(_TRY_AFTER_MS):
             return None
@@ -164,6 +173,7 @@
                 'blocks',
                 'A request is blocked: it ends the endpoints that run it.',
                 request=fingerprint.hex(),
+                alone=self._blamed[fingerprint].alone,
                 crashes=len(crashes),
                 endpoints=[crash.endpoint for crash in crashes],
                 ages_ms=[now_ms - crash.crashed_ms for crash in crashes],
