--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,8 +24,8 @@
 # With other writers and endpoints that start again; 4006 turned red on the code
 # that read a page of the store as a whole.
 WRITER_SEEDS = (4006, 4012)
-# With a caller whose requests end engines. In one run each, 2 and 6042 had other
-# requests refused for it.
+# With a caller whose requests end engines. In one run each, seeds 2 and 6042
+# had other requests refused for it.
 CRASH_SEEDS = ((2, 20), (6042, 20), (5001, 12), (5002, 12))
 
 
