Tests: a started router has the configuration of its platform

Cause: test_status_counts_where_it_is_in_force asked a router for its version right after start; a site without endpoints has no links that start could wait for, so the list was sometimes still under way ('assert 1 == 0'). Ruled out: the command; it counted what the router told. Change: add_router waits until what the platform holds is in force. A test with a platform that answers after 300 ms fails each time without it.

--- a/tests/local_site.py
+++ b/tests/local_site.py
@@ -111,7 +111,7 @@
         wait: bool = True,
         **sections: dict[str, Any],
     ) -> RouterApplication:
-        """Start a router and wait until it has its links.
+        """Start a router; wait until it has the configuration and its links.
 
         :param wait: whether to wait.
         :param sections: settings that differ, by section.
@@ -131,9 +131,19 @@
         router.start()
         self.routers.append(router)
         if wait:
+            self.wait_configured(router)
             self.wait_links(router)
         return router
 
+    def wait_configured(self, router: RouterApplication) -> None:
+        """Wait until all that the platform holds is in force at a router.
+
+        A site without endpoints has no links that could be waited for.
+
+        :param router: the router.
+        """
+        wait_until(lambda: router.copy.version >= self.platform.version)
+
     def wait_links(self, router: RouterApplication) -> None:
         """Wait until a router can use all declared endpoints.
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -167,6 +167,13 @@
     assert 'in force at 1 of 2 routers' in capsys.readouterr().out
 
 
+def test_started_router_has_the_configuration_of_a_slow_platform(site):
+    site.add_class('plain')
+    site.platform.script = {'delay_ms': 300}
+    router = site.add_router()
+    assert router.copy.version == site.platform.version
+
+
 def test_explain_tells_why_not(site, capsys):
     site.add_class('chat', requests='use=chat', endpoints='pool=chat')
     site.add_engine('other')
