Soak: engines that other faults add are armed before they are listed

Change: each endpoint is armed as it is set up, before it is listed; stricter, since all engines now end. A test adds an engine after the last sending.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,9 +15,11 @@
 from gevent.lock import RLock
 
 from tools.fleet import ChildEndedError, Process, free_port
+from tools.soak.crashes import CrashingCaller
 from tools.soak.faults import reload_gateway
 from tools.soak.running_faults import RunningFaults
 from tools.soak.site import SoakSite
+from tools.soak.traffic import Traffic
 
 # Seeds that once broke a promise; their causes stand in docs/FINDINGS.md.
 SEEDS = (1, 106, 112, 136)
@@ -80,6 +82,27 @@
         running.join()
 
 
+def test_engine_that_is_added_is_ended_by_crashing_requests(
+    tmp_path: pathlib.Path,
+):
+    site = SoakSite(folder=tmp_path, gateways=0, servers=1)
+    try:
+        _check_added_engine(site)
+    finally:
+        site.close()
+
+
+def _check_added_engine(site: SoakSite) -> None:
+    traffic = Traffic(site=site, seed=1, callers=0)
+    caller = CrashingCaller(site=site, traffic=traffic, seed=1)
+    caller.stop()
+    # Nothing is sent any more that could arm it later.
+    added = site.add_server('engines')
+    for server in (*site.listed('engines'), added):
+        assert server.standin.ends_by('/crash/1/x')
+        assert not server.standin.ends_by('/stream/x')
+
+
 @pytest.mark.processes
 def test_child_that_ends_is_told_at_once(tmp_path: pathlib.Path):
     with pytest.raises(ChildEndedError, match=r'ended with 3[\s\S]*farewell'):
--- a/tools/soak/crashes.py
+++ b/tools/soak/crashes.py
@@ -49,10 +49,14 @@
         self._chance = random.Random(seed)
         self._stopped = False
         self._back: list[Greenlet] = []
+        # Each engine, also one that another fault adds, before it is listed:
+        # one that answered such a request would prove it harmless.
+        site.arm = self._arm
+        for server in site.servers:
+            server.arm = self._arm
+            server.set_up()
         for _engine in range(_MORE_ENGINES):
             site.add_server(_POOL)
-        for server in site.servers:
-            self._arm(server)
         self._calling = gevent.spawn(self._call)
 
     def stop(self) -> None:
@@ -71,15 +75,12 @@
                 gevent.sleep(_PAUSE_S)
 
     def _send(self, route: str) -> None:
-        # Engines that came since are armed too.
-        for server in self._site.servers:
-            self._arm(server)
         gateway = self._chance.choice(list(self._site.gateways))
         self._traffic.ask('stream', gateway, STEADY_KEY, route=route)
 
     def _arm(self, server: Server) -> None:
         standin = server.standin
-        if server.pool == _POOL and standin.on_crash is None:
+        if server.pool == _POOL:
             standin.ends_by = lambda target: target.startswith(
                 f'/{CRASH_ROUTE}/'
             )
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -8,7 +8,7 @@
 import socket
 import sys
 import time
-from typing import TYPE_CHECKING, Any, Final, final
+from typing import TYPE_CHECKING, Any, Callable, Final, final
 
 import yaml
 from gevent.lock import BoundedSemaphore, RLock
@@ -42,14 +42,22 @@
 class Server:
     """An endpoint stand-in, its link and what was told of it."""
 
-    def __init__(self, *, name: str, pool: str) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        pool: str,
+        arm: Callable[[Server], None],
+    ) -> None:
         """Start it.
 
         :param name: its id, which it keeps if it starts again.
         :param pool: its pool.
+        :param arm: what is done to its stand-in before each start.
         """
         self.name = name
         self.pool = pool
+        self.arm = arm
         self.standin = PoolServerStandIn(name=name)
         self.set_up()
         self.link = Link(target=self.standin.address)
@@ -64,6 +72,7 @@
         self.standin.events = EVENTS
         self.standin.event_ms = 40
         self.standin.delay_ms = 30
+        self.arm(self)
 
 
 @final
@@ -89,6 +98,8 @@
         """
         self._folder = folder
         self._tells_starts = tells_starts
+        # What is done to each endpoint before it is listed.
+        self.arm: Callable[[Server], None] = _leave_as_it_is
         self._changes = changes or {}
         self._guard = _claim_block()
         self._ports = _ports_after(self._guard)
@@ -169,7 +180,11 @@
         :param pool: its pool.
         :returns: the endpoint.
         """
-        server = Server(name=f'server-{next(self._numbers)}', pool=pool)
+        server = Server(
+            name=f'server-{next(self._numbers)}',
+            pool=pool,
+            arm=self.arm,
+        )
         self.servers.append(server)
         self.list_server(server, 'ready')
         return server
@@ -277,6 +292,10 @@
         )
 
 
+def _leave_as_it_is(_server: Server) -> None:
+    """Change nothing at an endpoint."""
+
+
 def _claim_block() -> socket.socket:
     # Gateways take their ports late and again after a restart, so each soak
     # that runs at the same time has a block of its own, which it holds by
