Crash blame: a popular request beside all crashes does not hide the cause

Cause: of the requests with enough evidence the one with the most weight was taken first; a popular one, answered well before, is beside the cause at nearly all crashes and at others too, so it was blamed and the cause went free. Change: compared by the multiple of what each needs (three crashes, five if answered well before). Test first: five crashes of both and a sixth of the popular one blamed the popular one alone.

--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -97,6 +97,12 @@
     assert blame.excess == 0
 
 
+def test_request_that_was_answered_well_does_not_hide_the_cause():
+    crashes = [crash(number, CAUSE, OTHER) for number in range(5)]
+    crashes.append(crash(5, OTHER))
+    assert set(find_causes(crashes, {OTHER: -1})) == {CAUSE}
+
+
 def test_failure_of_half_a_pool_does_not_blame_a_popular_request():
     crashes = [crash(number, OTHER, at_ms=number * 10) for number in range(6)]
     assert not find_causes(crashes, {OTHER: -1})
--- a/wingfall/gateway/rules/crash_blame.py
+++ b/wingfall/gateway/rules/crash_blame.py
@@ -73,9 +73,13 @@
         return max(crash.crashed_ms for crash in self.crashes)
 
     @property
-    def weight(self) -> int:
-        """The sum of what its crashes weigh."""
-        return self._weight
+    def strength(self) -> float:
+        """How much evidence there is, as a multiple of what is enough.
+
+        One that was answered well needs more, so that a popular request, which
+        is beside the cause at most crashes and at others too, does not hide it.
+        """
+        return self._weight / self.needed
 
     def has_one_with(self, crash: EndpointCrash) -> bool:
         """Tell whether a crash belongs to one that counts already.
@@ -138,11 +142,11 @@
         for suspect, blame in _weigh(crashes, served_ms).items()
         if blame.is_enough
     }
-    most = max((blame.weight for blame in blames.values()), default=0)
+    most = max((blame.strength for blame in blames.values()), default=0)
     first = {
         suspect: blame
         for suspect, blame in blames.items()
-        if blame.weight == most
+        if blame.strength == most
     }
     for suspect, blame in first.items():
         blame.alone = not any(
