Crash watch: an endpoint whose connections are closed at once has crashed

Cause: a forwarder before an endpoint takes connections while its endpoint is away and closes them; only a refusal was taken for a crash, so a request that ended such endpoints was never blamed. Streams go on at their backup only on a refusal as before, since an endpoint with too many connections closes new ones too and still works. Left: a forwarder that holds the connection, and an endpoint that falls silent.

--- a/tests/crash_site.py
+++ b/tests/crash_site.py
@@ -15,6 +15,7 @@
 import gevent
 import orjson
 
+from standins.link import Link
 from standins.pool_server import PoolServerStandIn
 from tests.gateway_site import CallerStandIn
 from tools.soak.site import STEADY_KEY, ZONES, SoakSite
@@ -66,6 +67,7 @@
         endpoints: int = 5,
         seed: int = 1,
         crash_targets: tuple[str, ...] = (),
+        forwarded: bool = False,
     ) -> None:
         """Start everything.
 
@@ -74,9 +76,13 @@
         :param endpoints: how many endpoints in each pool.
         :param seed: what callers draw from.
         :param crash_targets: targets whose requests end their endpoint.
+        :param forwarded: whether a forwarder stands before each endpoint,
+            which takes connections also while its endpoint is away.
         """
         self.chance = random.Random(seed)
         self._crash_targets = frozenset(crash_targets)
+        # Forwarders by the address that they lead to, None without them.
+        self._forwarders: dict[str, Link] | None = {} if forwarded else None
         self._numbers = itertools.count()
         self._calls = itertools.count()
         self._background: list[Greenlet] = []
@@ -183,6 +189,8 @@
         self._stopped = True
         gevent.killall(self._background)
         self.site.close()
+        for link in (self._forwarders or {}).values():
+            link.close()
         for endpoint in self.endpoints:
             endpoint.stop()
 
@@ -217,7 +225,7 @@
             name,
             {
                 'service': pool,
-                'address': endpoint.address,
+                'address': self._listed_address(endpoint),
                 'zone': zone,
                 'version': 'v1',
                 'slots': 8,
@@ -225,6 +233,15 @@
             },
         )
 
+    def _listed_address(self, endpoint: PoolServerStandIn) -> str:
+        if self._forwarders is None:
+            return endpoint.address
+        link = self._forwarders.get(endpoint.address)
+        if link is None:
+            link = Link(target=endpoint.address)
+            self._forwarders[endpoint.address] = link
+        return link.address
+
     def _note_crash(
         self,
         endpoint: PoolServerStandIn,
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 
 import gevent
 import pytest
@@ -68,6 +69,28 @@
     assert crash.told_by == 'g1'
 
 
+@pytest.mark.parametrize('linger_s', [None, 0], ids=['closes', 'resets'])
+def test_endpoint_that_closes_connections_at_once_has_crashed(
+    watch: CrashWatch,
+    knowledge: EndpointKnowledge,
+    listener: socket.socket,
+    linger_s: int | None,
+):
+    closing = gevent.spawn(close_next, listener, linger_s)
+    watch.note_broken(endpoint_at(listener), b'r', None)
+    wait_until(lambda: knowledge.crashes.crashes)
+    closing.join()
+
+
+def close_next(listener: socket.socket, linger_s: int | None) -> None:
+    """Take a connection and close it."""
+    taken, _peer = listener.accept()
+    if linger_s is not None:
+        linger = struct.pack('ii', 1, linger_s)
+        taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    taken.close()
+
+
 def test_lost_answer_is_no_crash(
     watch: CrashWatch, knowledge: EndpointKnowledge, listener: socket.socket
 ):
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -69,3 +69,22 @@
         site.close()
     assert late <= MOST_TRIES
     assert not site.refused(but=(crashing.target,))
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize('crashing', [STREAM, GET], ids=['stream', 'get'])
+def test_request_that_ends_endpoints_behind_forwarders_is_not_sent_on(
+    tmp_path: pathlib.Path, crashing: Ask
+):
+    # A forwarder takes connections while its endpoint is away and closes them,
+    # so no connection is refused: 58 sendings of a stream and of a GET were
+    # later than three seconds after the third end.
+    site = CrashSite(
+        folder=tmp_path, crash_targets=(crashing.target,), forwarded=True
+    )
+    try:
+        late = count_late(site, crashing)
+    finally:
+        site.close()
+    assert late <= MOST_TRIES
+    assert not site.refused(but=(crashing.target,))
--- a/wingfall/gateway/endpoints/crash_watch.py
+++ b/wingfall/gateway/endpoints/crash_watch.py
@@ -2,7 +2,7 @@
 
 A connection that breaks may only be a lost answer. So once requests at an
 endpoint break, it is asked whether it still takes connections; one that refuses
-them has ended with all that ran there. An endpoint that is leaving by plan has
+them, or closes them at once, has ended with all that ran there. An endpoint that is leaving by plan has
 not crashed.
 """
 
@@ -13,7 +13,7 @@
 import gevent
 
 from wingfall.clock import MS_PER_S
-from wingfall.gateway.endpoints.endpoint_connection import refuses_connections
+from wingfall.gateway.endpoints.endpoint_connection import closes_connections
 from wingfall.gateway.model.endpoint_crash import EndpointCrash
 from wingfall.log import log_event
 
@@ -164,4 +164,4 @@
             return False
         if self._knowledge.lives.has_ended(endpoint):
             return True
-        return refuses_connections(endpoint)
+        return closes_connections(endpoint)
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -245,6 +245,34 @@
     return False
 
 
+def closes_connections(endpoint: PoolEndpoint) -> bool:
+    """Tell whether an endpoint takes no connection, or closes it at once.
+
+    A forwarder before an endpoint that has ended takes connections and closes
+    them. An endpoint with too many connections does so too, so that this is a
+    sign only where connections in use broke as well.
+
+    :param endpoint: the endpoint.
+    :returns: False also if nothing is known since no answer came.
+    """
+    address = (endpoint.host, endpoint.port)
+    try:
+        with socket.create_connection(address, _PROBE_MS / MS_PER_S) as sock:
+            return _is_closed(sock)
+    except OSError as error:
+        return error.errno in _REFUSED
+
+
+def _is_closed(sock: socket.socket) -> bool:
+    # Nothing was asked, so that an endpoint that is there says nothing.
+    try:
+        return not sock.recv(1)
+    except TimeoutError:
+        return False
+    except ConnectionError:
+        return True
+
+
 def connect(
     endpoint: PoolEndpoint,
     clock: Clock,
