One gateway at a time reports usage, under a lease in the platform's store

Change: gateway/duties/ (lease, standing, usage), knowledge/true_time.py and usage_counts.py, peers/duty_exchange.py; platform/ writes objects and makes the call. A write that decides a report is the renewal; the token is the revision of the write that took the lease; reports stand in the lease before they are sent. Heartbeats got a field at their end, settings a section: both neighbours read. Model: the real rules under any order of steps, pauses, restarts, failed, lost and late calls (hypothesis).

--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -4,7 +4,8 @@
 watches that wait. ``POST /script`` sets ``{"status": N, "delay_ms": N,
 "page": N}``: a status for all calls, how late it answers, how many objects a
 page holds. ``{"forget": 1}`` forgets the history, so that a watch from before
-gets 410.
+gets 410. ``{"lose_answers": N}`` lets writes take effect whose answers never
+come, ``{"late_ms": N}`` has them take effect so much later.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 if __name__ == '__main__':
     monkey.patch_all()
 
+import socket
 from typing import Any, Final, final
 
 import bottle
@@ -22,7 +24,9 @@
 from gevent.event import Event
 
 from standins.serving import answer_json, parse_port, serve
+from wingfall.http_server import SOCKET_KEY
 
+_CONFLICT: Final = 409
 _GONE: Final = 410
 _NOT_FOUND: Final = 404
 _MS: Final = 1000
@@ -47,6 +51,9 @@
         app = bottle.Bottle()
         app.post('/script', callback=self._set_script)
         app.get('/wingfall/objects/<kind>', callback=self._read)
+        app.post('/wingfall/objects/<kind>', callback=self._create)
+        app.get('/wingfall/objects/<kind>/<name>', callback=self._read_one)
+        app.put('/wingfall/objects/<kind>/<name>', callback=self._replace)
         self.app = app
 
     def put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
@@ -105,16 +112,59 @@
         return answer_json(self.script)
 
     def _read(self, kind: str) -> bottle.HTTPResponse:
-        self.calls += 1
-        gevent.sleep(self.script.get('delay_ms', 0) / _MS)
-        if 'status' in self.script:
-            return answer_json({}, self.script['status'])
+        self._behave()
         query = bottle.request.query
         if query.get('watch'):
             wait_ms = int(query.get('wait_ms', 0))
             return self._watch(kind, int(query['watch']), wait_ms)
         return self._list(kind, query.get('since_rev', ''))
 
+    def _create(self, kind: str) -> bottle.HTTPResponse:
+        return self._write(kind, None)
+
+    def _replace(self, kind: str, name: str) -> bottle.HTTPResponse:
+        return self._write(kind, name)
+
+    def _read_one(self, kind: str, name: str) -> bottle.HTTPResponse:
+        self._behave()
+        known = self.objects.get(kind, {})
+        if name not in known:
+            return answer_json({}, _NOT_FOUND)
+        return answer_json(known[name])
+
+    def _write(self, kind: str, name: str | None) -> bottle.HTTPResponse:
+        self._behave()
+        raw = orjson.loads(bottle.request.body.read())
+        if self.script.get('lose_answers', 0) > 0:
+            self.script['lose_answers'] -= 1
+            gevent.sleep(self.script.get('late_ms', 0) / _MS)
+            self._apply(kind, name, raw)
+            bottle.request.environ[SOCKET_KEY].shutdown(socket.SHUT_RDWR)
+            return answer_json({})
+        return self._apply(kind, name, raw)
+
+    def _apply(
+        self,
+        kind: str,
+        name: str | None,
+        raw: dict[str, Any],
+    ) -> bottle.HTTPResponse:
+        wanted = raw['metadata'].get('revision')
+        name = name or raw['metadata']['name']
+        stored = self.objects.get(kind, {}).get(name)
+        known = stored['metadata']['revision'] if stored else None
+        if known != wanted:
+            return answer_json(stored or {}, _CONFLICT)
+        if stored is None or stored['spec'] != raw['spec']:
+            self.put(kind, name, raw['spec'])
+        return answer_json(self.objects[kind][name])
+
+    def _behave(self) -> None:
+        self.calls += 1
+        gevent.sleep(self.script.get('delay_ms', 0) / _MS)
+        if 'status' in self.script:
+            raise answer_json({}, self.script['status'])
+
     def _list(self, kind: str, since: str) -> bottle.HTTPResponse:
         page = self.script.get('page', _PAGE)
         names = sorted(self.objects.get(kind, {}))
--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -60,6 +60,8 @@
         self.call_id = call_id
         self.headers = headers
         self.arrived_s = time.monotonic()
+        # When it began to run, of a stream with its first event; 0 if not yet.
+        self.began_s: float = 0
         self.method = ''
         self.target = ''
         self.body = b''
@@ -151,6 +153,8 @@
         if fault in {'shed', 'late_shed'}:
             return self._turn_away(sock, http, 503)
         self.runs.append(run)
+        if 'x-token-count' not in run.headers:
+            run.began_s = run.arrived_s
         delay_ms = self.draw_delay_ms() if self.draw_delay_ms else self.delay_ms
         if delay_ms:
             self._work(sock, run, delay_ms)
@@ -317,6 +321,7 @@
         first = int(run.headers.get('last-event-id', '0')) + 1
         for number in range(first, self.events + 1):
             gevent.sleep(self.event_ms / _MS)
+            run.began_s = run.began_s or time.monotonic()
             event = f'id: {number}\ndata: {run.call_id} {number}\n\n'.encode()
             if fault == 'crash' and number > _CUT_AFTER:
                 self._server.close()
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -136,6 +136,25 @@
     assert read.fields() == sent.fields()
 
 
+# A heartbeat of a gateway that knows no duties.
+EARLIER_HEARTBEAT = (
+    '000000719d3181a36b6579009294a46e616d6501020393a56f7468657200'
+    'ff9294a46e616d6502020393a56f7468657200ffc3c2c3c29294a46e616d'
+    '6507020393a56f7468657200ffcd1f479294a46e616d6509020393a56f74'
+    '68657200ff9294a46e616d650a020393a56f7468657200ffcd2aff'
+)
+
+
+def test_heartbeat_without_duties_is_understood_both_ways():
+    earlier = bytes.fromhex(EARLIER_HEARTBEAT)
+    (read,) = codec.FrameDecoder(max_bytes=10_000).feed(earlier)
+    assert read.duties == []
+    # An earlier program reads the fields that it knows and no more.
+    known = read.fields()[:-1]
+    sent = make_message(type(read)).fields()
+    assert sent[: len(known)] == known
+
+
 def test_no_message_came_or_went():
     assert {str(tag) for tag in message_kinds()} == set(record('messages'))
 
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -44,6 +44,7 @@
     'endpoints',
     'state',
     'configuration',
+    'duties',
     'peers',
     'calls',
     'callers',
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,310 @@
+"""At most one gateway acts at a time, whatever happens to it and its calls."""
+
+from __future__ import annotations
+
+import functools
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tests.lease_world import (
+    LATE_MS,
+    LEASE_MS,
+    WINDOW_MS,
+    GatewayModel,
+    LeaseWorld,
+)
+from wingfall.gateway.model.duty import LeaseRecord, read_lease_record
+
+GATEWAYS = st.integers(min_value=0, max_value=2)
+DELAYS_MS = st.sampled_from([1, 50, 200, 700, 1000, 1400, 2000, 3100, 6000])
+FAULTS = st.sampled_from(['ok', 'down', 'lost', 'late'])
+
+
+@pytest.fixture
+def world() -> LeaseWorld:
+    """Give three gateways."""
+    return LeaseWorld()
+
+
+def run_for(world: LeaseWorld, ms: int, *, but: tuple[int, ...] = ()) -> None:
+    """Let all gateways do what is due each 200 ms."""
+    for _turn in range(ms // 200):
+        world.clock.advance(200)
+        for number, gateway in enumerate(world.gateways):
+            if number not in but:
+                gateway.step()
+        world.tell(but)
+
+
+def test_each_window_is_reported_once_by_one(world: LeaseWorld):
+    run_for(world, 6 * WINDOW_MS)
+    assert not world.platform.breaches
+    assert len(world.platform.reports) == len(world.platform.acts)
+    assert len(world.platform.reports) >= 4
+    assert len({machine for _ms, machine, _token in world.platform.acts}) == 1
+
+
+def test_a_window_costs_one_call_to_the_store(world: LeaseWorld):
+    run_for(world, 2 * WINDOW_MS)
+    holder = next(each for each in world.gateways if each.lease.held)
+    before, reported = world.store.calls, len(world.platform.reports)
+    for _turn in range(2 * WINDOW_MS // 200):
+        world.clock.advance(200)
+        holder.step()
+    calls = world.store.calls - before
+    assert calls == len(world.platform.reports) - reported == 2
+
+
+def test_holder_that_falls_silent_is_replaced_in_time(world: LeaseWorld):
+    run_for(world, 2 * WINDOW_MS)
+    holder = next(
+        number for number, each in enumerate(world.gateways) if each.lease.held
+    )
+    run_for(world, 4 * WINDOW_MS, but=(holder,))
+    windows = sorted(world.platform.reports)
+    assert windows == list(range(windows[0], windows[-1] + 1))
+    for at_ms, _machine, _token in world.platform.acts:
+        assert at_ms - (windows[-1] + 1) * WINDOW_MS <= LATE_MS
+    assert not world.platform.breaches
+    # The one that was silent finds out by its next write.
+    world.gateways[holder].step()
+    run_for(world, 2 * WINDOW_MS)
+    assert not world.platform.breaches
+
+
+def test_lease_that_was_given_back_needs_no_wait(world: LeaseWorld):
+    run_for(world, 2 * WINDOW_MS)
+    holder = next(each for each in world.gateways if each.lease.held)
+    holder.stop()
+    assert not holder.lease.held
+    follower = next(each for each in world.gateways if each is not holder)
+    world.clock.advance(WINDOW_MS)
+    follower.step()
+    assert world.platform.acts[-1][1] == follower.name
+    assert not world.platform.breaches
+
+
+def test_token_rises_when_the_object_is_made_anew(world: LeaseWorld):
+    run_for(world, 2 * WINDOW_MS)
+    before = world.platform.acts[-1][2]
+    world.store.delete()
+    run_for(world, 3 * WINDOW_MS)
+    assert world.platform.acts[-1][2] > before
+    assert not world.platform.breaches
+
+
+def test_late_write_of_the_lease_is_found_again(world: LeaseWorld):
+    world.faults = ['ok', 'late', 'down']
+    first = world.gateways[0]
+    world.clock.advance(WINDOW_MS + 2500)
+    first.step()
+    assert not first.lease.held
+    world.store.apply_late()
+    world.clock.advance(500)
+    first.step()
+    assert first.lease.held
+    assert first.lease.fence.token == world.store.revision
+
+
+def due_for_long(world: LeaseWorld) -> tuple[GatewayModel, GatewayModel]:
+    """Give the holder and another one, when a window is overdue."""
+    run_for(world, 2 * WINDOW_MS)
+    holder = next(each for each in world.gateways if each.lease.held)
+    other = next(each for each in world.gateways if each is not holder)
+    world.clock.advance(WINDOW_MS + 6000)
+    world.heard.remove(holder.name)
+    return holder, other
+
+
+def test_next_holder_waits_for_what_is_on_its_way(world: LeaseWorld):
+    holder, other = due_for_long(world)
+    # The write's effect and answer, then the sending of the report.
+    world.meanwhile = [wait, wait, other.step]
+    holder.step()
+    assert other.lease.held
+    assert not other.lease.ready
+    run_for(world, WINDOW_MS)
+    assert world.platform.acts[-1][1] == other.name
+    assert not world.platform.breaches
+
+
+def test_holder_that_waits_is_left_alone(world: LeaseWorld):
+    run_for(world, 2 * WINDOW_MS)
+    (holder,) = [
+        number for number, each in enumerate(world.gateways) if each.lease.held
+    ]
+    world.heard.remove(world.gateways[holder].name)
+    before = len(world.platform.acts)
+    taken = set()
+    for _turn in range(2 * WINDOW_MS // 200):
+        run_for(world, 200, but=(holder,))
+        taken |= {each.name for each in world.gateways if each.lease.held}
+    assert len(taken - {world.gateways[holder].name}) == 1
+    assert len(world.platform.acts) > before
+
+
+def test_report_that_is_on_its_way_for_too_long_is_reset(world: LeaseWorld):
+    holder, other = due_for_long(world)
+
+    def take_over() -> None:
+        other.step()
+        world.clock.advance(LEASE_MS)
+        other.step()
+
+    world.meanwhile = [wait, wait, take_over]
+    holder.step()
+    assert world.platform.acts[-1][1] == other.name
+    assert not world.platform.breaches
+
+
+def test_holder_that_comes_back_waits_for_a_whole_lease(world: LeaseWorld):
+    holder, other = due_for_long(world)
+    holder.step()
+    acted_ms = world.platform.acts[-1][0]
+    other.lease.refresh()
+    assert other.lease.take(decided=0)
+    world.clock.advance(LEASE_MS * 2 // 3)
+    other.step()
+    assert world.platform.acts[-1][1] == other.name
+    other.lease.give_back()
+    holder.lease.refresh()
+    assert holder.lease.take(decided=0)
+    assert holder.lease.act_ms == 0
+    world.clock.advance(acted_ms + LEASE_MS - world.clock.now_ms() + 10)
+    assert holder.lease.ready
+
+
+def test_process_that_has_started_stands_after_a_whole_lease(
+    world: LeaseWorld,
+):
+    holder, _other = due_for_long(world)
+    holder.step()
+    holder.stop()
+    holder.restart()
+    world.clock.advance(LEASE_MS - 10)
+    calls = world.store.calls
+    holder.step()
+    assert world.store.calls == calls
+    assert not holder.lease.held
+
+
+def wait() -> None:
+    """Let nothing happen."""
+
+
+@pytest.mark.parametrize('spec', [None, 7, {}, {'holder': 'x'}, 'text'])
+def test_what_is_no_lease_is_held_by_nobody_that_acts(spec: object):
+    record = read_lease_record(spec)
+    assert not record.given_back
+    assert not record.reports
+
+
+def test_record_survives_the_store():
+    record = LeaseRecord(
+        holder='g/1', name='g', token=4, decided=8, reports={8: {'a': 2}}
+    )
+    read = read_lease_record(record.to_spec())
+    assert read.to_spec() == record.to_spec()
+    assert read.reports == {8: {'a': 2}}
+
+
+def has_late_writes(machine: LeaseMachine) -> bool:
+    """Tell whether writes are under way whose answers were lost."""
+    return bool(machine.world.store.late)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Any order of steps, pauses, restarts, and calls that fail or are late."""
+
+    def __init__(self) -> None:
+        """Start the world."""
+        super().__init__()
+        self.world = LeaseWorld()
+
+    @rule(gateway=GATEWAYS)
+    def step(self, gateway: int) -> None:
+        """Let a gateway do what is due."""
+        self.world.gateways[gateway].step()
+
+    @rule(delay_ms=DELAYS_MS)
+    def wait(self, delay_ms: int) -> None:
+        """Let time pass, in which all are paused."""
+        self.world.clock.advance(delay_ms)
+
+    @rule(windows=st.integers(1, 2), but=st.sets(GATEWAYS, max_size=2))
+    def run_on(self, windows: int, but: set[int]) -> None:
+        """Let gateways run while others are paused."""
+        run_for(self.world, windows * WINDOW_MS // 2, but=tuple(but))
+
+    @rule(faults=st.lists(FAULTS, max_size=4))
+    def fail(self, faults: list[str]) -> None:
+        """Tell what happens to the next calls."""
+        self.world.faults = faults
+
+    @rule(steps=st.lists(st.tuples(GATEWAYS, DELAYS_MS, DELAYS_MS), max_size=4))
+    def run_meanwhile(self, steps: list[tuple[int, int, int]]) -> None:
+        """Tell who runs while the next calls are under way."""
+        self.world.meanwhile = [
+            functools.partial(self._interrupt, *step) for step in steps
+        ]
+
+    @rule(gateway=GATEWAYS)
+    def restart(self, gateway: int) -> None:
+        """Kill a gateway and start it again at once."""
+        if not self.world.gateways[gateway].busy:
+            self.world.gateways[gateway].restart()
+
+    @rule(gateway=GATEWAYS)
+    def stop(self, gateway: int) -> None:
+        """Stop a gateway by plan and start it again."""
+        self.world.gateways[gateway].stop()
+        self.world.gateways[gateway].restart()
+
+    @rule(heard=st.booleans())
+    def hear_holder(self, heard: bool) -> None:
+        """Tell whether gateways hear the holder."""
+        self.world.holder_heard = heard
+
+    @rule(gateways=st.sets(st.sampled_from(['g0', 'g1', 'g2'])))
+    def hear(self, gateways: set[str]) -> None:
+        """Tell which gateways the others hear."""
+        self.world.heard = set(gateways)
+
+    @precondition(has_late_writes)
+    @rule()
+    def apply_late(self) -> None:
+        """Let writes take effect whose answers were lost."""
+        self.world.store.apply_late()
+
+    @rule()
+    def delete(self) -> None:
+        """Delete the lease."""
+        self.world.store.delete()
+
+    @invariant()
+    def one_acts(self) -> None:
+        """Nothing that reached the platform broke a promise."""
+        assert not self.world.platform.breaches
+
+    def _interrupt(self, gateway: int, before_ms: int, after_ms: int) -> None:
+        self.world.clock.advance(before_ms)
+        self.world.gateways[gateway].step()
+        self.world.clock.advance(after_ms)
+
+
+TestLeaseMachine = LeaseMachine.TestCase
+TestLeaseMachine.settings = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,6 +30,9 @@
 # had other requests refused for it.
 CRASH_SEEDS = ((2, 20), (6042, 20), (5001, 12), (5002, 12))
 
+# With gateways of which one at a time reports usage.
+DUTY_SEEDS = (1, 2)
+
 
 @pytest.mark.processes
 def test_gateways_lead_sessions_of_their_own(tmp_path: pathlib.Path):
@@ -138,6 +141,14 @@
     run_soak(tmp_path, seed, '--crashes', seconds=seconds)
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize('seed', DUTY_SEEDS)
+def test_promises_hold_beside_faults_of_duties(
+    tmp_path: pathlib.Path, seed: int
+):
+    run_soak(tmp_path, seed, '--duties', seconds=15)
+
+
 def run_soak(
     folder: pathlib.Path,
     seed: int,
--- /dev/null
+++ b/tests/test_true_time.py
@@ -0,0 +1,75 @@
+"""The time of day that windows are told by."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingfall.clock import ManualClock
+from wingfall.gateway.knowledge.true_time import TrueTime
+
+START_MS = 1_700_000_000_000
+
+
+@pytest.fixture
+def wall() -> ManualClock:
+    """Give a time of day."""
+    return ManualClock(start_ms=START_MS)
+
+
+@pytest.fixture
+def true_time(clock: ManualClock, wall: ManualClock) -> TrueTime:
+    """Give an estimate without peers."""
+    return TrueTime(clock=clock, wall=wall)
+
+
+def pass_ms(ms: int, *clocks: ManualClock) -> None:
+    """Let time pass on all clocks."""
+    for each in clocks:
+        each.advance(ms)
+
+
+def test_alone_it_is_the_own_time_of_day(
+    clock: ManualClock, wall: ManualClock, true_time: TrueTime
+):
+    pass_ms(5000, clock, wall)
+    assert true_time.now_ms() == START_MS + 5000
+    assert true_time.at(clock.now_ms() - 1000) == START_MS + 4000
+
+
+@pytest.mark.parametrize('jump_ms', [2000, -2000, 101])
+def test_jump_is_not_followed(
+    clock: ManualClock, wall: ManualClock, true_time: TrueTime, jump_ms: int
+):
+    pass_ms(1000, clock, wall)
+    wall.advance(jump_ms)
+    assert true_time.look() == jump_ms
+    pass_ms(1000, clock, wall)
+    assert true_time.look() == jump_ms
+    assert true_time.now_ms() == START_MS + 2000
+    wall.advance(-jump_ms)
+    assert true_time.look() == 0
+
+
+def test_drift_is_followed(
+    clock: ManualClock, wall: ManualClock, true_time: TrueTime
+):
+    for _second in range(100):
+        clock.advance(1000)
+        wall.advance(1002)
+        assert true_time.look() == 0
+    assert true_time.now_ms() == START_MS + 100_200
+
+
+def test_one_that_starts_while_it_is_wrong_is_outvoted(
+    clock: ManualClock, wall: ManualClock
+):
+    wrong = ManualClock(start_ms=START_MS + 2000)
+    started = TrueTime(clock=clock, wall=wrong)
+    started.note_peer('a', START_MS)
+    started.note_peer('b', START_MS + 3)
+    assert started.now_ms() == START_MS + 3
+    # Its own reading is told as it is: medians of medians would drift.
+    assert started.own_ms == START_MS + 2000
+    started.forget('a')
+    started.forget('b')
+    assert started.now_ms() == START_MS + 2000
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -16,16 +16,22 @@
 import tempfile
 import time
 from collections.abc import Callable, Iterator
+from typing import Any
 
-from tools.fleet import wait_for
+from standins.duty_platform import DutyPlatformStandIn
+from standins.serving import start_server
+from tools.fleet import HOST, wait_for
 from tools.soak import series
 from tools.soak.crashes import CrashingCaller
+from tools.soak.duties import LATE_S, LEASE_S, WINDOW_S, duty_faults
 from tools.soak.faults import Fault, faults
 from tools.soak.promises import promises
 from tools.soak.running_faults import RunningFaults
 from tools.soak.site import STEADY_KEY, SoakSite
 from tools.soak.traffic import KINDS, Traffic
 from tools.soak.writers import writer_faults
+from wingfall.clock import MS_PER_S
+from wingfall.http_server import HttpServer
 
 # Faults are known once their modules are imported.
 FAULTS = (series,)
@@ -57,6 +63,11 @@
         action='store_true',
         help='a caller whose requests end the engines that run them',
     )
+    parser.add_argument(
+        '--duties',
+        action='store_true',
+        help='gateways report usage, and faults strike who does',
+    )
     parser.add_argument('--keep', help='folder for logs that are kept')
     chosen = parser.parse_args()
     seed = chosen.seed
@@ -70,16 +81,20 @@
 
 def _soak(seed: int, chosen: argparse.Namespace, folder: pathlib.Path) -> int:
     chance = random.Random(seed)
+    duty_platform = None
+    changes: dict[str, Any] = {}
+    if chosen.duties:
+        duty_platform = DutyPlatformStandIn(lease_s=LEASE_S)
+        changes['duties'] = _describe_duties(start_server(duty_platform.app))
     site = SoakSite(
         folder=folder,
         gateways=chosen.gateways,
         servers=3,
+        changes=changes,
         tells_starts=chosen.writers,
+        duty_platform=duty_platform,
     )
-    known = {name: faults.find(name).unwrap() for name in faults.names}
-    if chosen.writers:
-        for name in writer_faults.names:
-            known[name] = writer_faults.find(name).unwrap()
+    known = _find_faults(chosen)
     traffic = Traffic(site=site, seed=seed, callers=_CALLERS)
     end_crashes = _start_crashes(site, traffic, chosen, seed)
     try:
@@ -104,6 +119,29 @@
     return 1 if broken else 0
 
 
+def _find_faults(chosen: argparse.Namespace) -> dict[str, Fault]:
+    registries = [faults]
+    if chosen.writers:
+        registries.append(writer_faults)
+    if chosen.duties:
+        registries.append(duty_faults)
+    return {
+        name: registry.find(name).unwrap()
+        for registry in registries
+        for name in registry.names
+    }
+
+
+def _describe_duties(server: HttpServer) -> dict[str, Any]:
+    return {
+        'address': f'{HOST}:{server.port}',
+        'names': ['usage'],
+        'lease_ms': int(LEASE_S * MS_PER_S),
+        'window_s': WINDOW_S,
+        'late_s': LATE_S,
+    }
+
+
 def _start_crashes(
     site: SoakSite,
     traffic: Traffic,
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -23,6 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from standins.duty_platform import DutyPlatformStandIn
+
 STEADY_KEY: Final = 'key-that-stays'
 # Gateways are spread over them, so that some speak by relays.
 ZONES: Final = ('a', 'b')
@@ -87,6 +89,7 @@
         servers: int,
         changes: dict[str, Any] | None = None,
         tells_starts: bool = False,
+        duty_platform: DutyPlatformStandIn | None = None,
     ) -> None:
         """Start everything and wait until the gateways listen.
 
@@ -95,12 +98,15 @@
         :param servers: how many endpoints in each pool.
         :param changes: settings of the gateways that differ.
         :param tells_starts: whether entries tell when an endpoint started.
+        :param duty_platform: takes what one gateway does for all, None without
+            duties.
         """
         self._folder = folder
         self._tells_starts = tells_starts
         # What is done to each endpoint before it is listed.
         self.arm: Callable[[Server], None] = _leave_as_it_is
         self._changes = changes or {}
+        self.duty_platform = duty_platform
         self._guard = _claim_block()
         self._ports = _ports_after(self._guard)
         self._numbers = itertools.count()
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -25,8 +25,10 @@
     ROUTES_KIND,
     ObjectReplica,
 )
+from wingfall.gateway.duties.assembly import GatewayDuties
 from wingfall.gateway.peers.caches.memory_survey import MemorySurvey
 from wingfall.gateway.peers.caches.parts_transfer import PartsTransfer
+from wingfall.gateway.peers.duty_exchange import DutyExchange
 from wingfall.gateway.peers.gateway_peers import GatewayPeers
 from wingfall.gateway.rules.planned_stop import StopSchedule
 from wingfall.http_server import HttpServer
@@ -62,6 +64,7 @@
 
     __slots__ = (
         '_callers',
+        '_duties',
         '_followers',
         '_open',
         '_peers',
@@ -101,6 +104,7 @@
             clock=self._clock,
             caches=self._state.knowledge.caches,
         )
+        self._duties = self._make_duties()
         self._peers = GatewayPeers(
             name=settings.name,
             address=settings.peers.listen,
@@ -116,6 +120,7 @@
             transfer=self._transfer,
             supervisor=self._supervisor,
             watches=self._watches,
+            duties=self._duties and self._make_duty_exchange(self._duties),
         )
         self._ready_server = HttpServer(
             app=make_ready_app(
@@ -170,6 +175,9 @@
             self._supervisor.start(follower.kind, body)
         self._supervisor.start('forget_departed', self._forget_departed)
         self._peers.start()
+        if self._duties is not None:
+            body = functools.partial(self._duties.run, self._stop)
+            self._supervisor.start('duties', body)
         self._ready_server.start()
         self._supervisor.spawn(self._start_accepting)
         survey = MemorySurvey(
@@ -197,6 +205,7 @@
             for connection in list(self._open):
                 connection.close_idle()
             gevent.sleep(_POLL_MS / MS_PER_S)
+        self._peers.tell_last_counts()
         log_event('gateway', 'Stopped.', calls=self._busy())
 
     def close(self) -> None:
@@ -232,8 +241,31 @@
             'peers': self._peers.names,
             'calls': self._busy(),
             'blocked_requests': self._state.blocks.count,
+            'duties': self._duties.status() if self._duties else None,
         }
 
+    def _make_duties(self) -> GatewayDuties | None:
+        if not self._settings.duties.address:
+            return None
+        duties = GatewayDuties(
+            settings=self._settings,
+            clock=self._clock,
+            metrics=self._metrics,
+            binding=self._state.binding,
+            look=lambda: self._peers.look(),  # noqa: PLW0108
+            is_stopping=lambda: self._state.draining,
+        )
+        self._state.usage = duties.counts
+        return duties
+
+    def _make_duty_exchange(self, duties: GatewayDuties) -> DutyExchange:
+        return DutyExchange(
+            clock=self._clock,
+            true_time=duties.true_time,
+            counts=duties.counts,
+            lease=duties.lease,
+        )
+
     def _make_follower(
         self,
         store: ObjectStore,
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -26,6 +26,11 @@
 _READ_SLACK: Final = 2
 # Ends by which the endpoint may have crashed.
 _BROKEN: Final = frozenset((AttemptEnd.lost, AttemptEnd.cut))
+# Ends by which a plain endpoint has begun to run the request, as far as can be
+# told: it answered, or its answer was lost.
+_MAY_HAVE_RUN: Final = frozenset(
+    (AttemptEnd.answered, AttemptEnd.failed, AttemptEnd.lost),
+)
 
 
 @final
@@ -80,6 +85,7 @@
         self._gaps.note_event()
         if self._output_ms is None:
             self._output_ms = self._state.clock.now_ms()
+            self._note_begun(self._output_ms)
         if not self._load_entry.begin_output():
             return
         name, prompt = self._destination.endpoint.name, self._call.head.prompt
@@ -101,6 +107,8 @@
         self._gaps.end()
         if outcome.end is AttemptEnd.answered:
             knowledge.health.note_success(name)
+        if self._call.head.prompt is None and outcome.end in _MAY_HAVE_RUN:
+            self._note_begun(self._started_ms)
         self._note_survival(outcome)
         self._state.metrics.decisions.inc(
             {'part': 'dispatch', 'reason': outcome.end},
@@ -116,6 +124,14 @@
             first_byte_ms=reply.first_byte_ms if reply.started else None,
         )
 
+    def _note_begun(self, began_ms: int) -> None:
+        # Once a call, however many endpoints run it.
+        call, usage = self._call, self._state.usage
+        if usage is None or call.begun or call.customer is None:
+            return
+        call.begun = True
+        usage.note(call.customer.name, began_ms)
+
     def _note_survival(self, outcome: AttemptOutcome) -> None:
         state, endpoint = self._state, self._destination.endpoint
         fingerprint = self._call.fingerprint
--- /dev/null
+++ b/wingfall/gateway/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties that one gateway at a time does for all."""
--- a/wingfall/gateway/endpoints/crash_watch.py
+++ b/wingfall/gateway/endpoints/crash_watch.py
@@ -2,8 +2,8 @@
 
 A connection that breaks may only be a lost answer. So once requests at an
 endpoint break, it is asked whether it still takes connections; one that refuses
-them, or closes them at once, has ended with all that ran there. An endpoint that is leaving by plan has
-not crashed.
+them, or closes them at once, has ended with all that ran there. One that is
+leaving by plan has not crashed.
 """
 
 from __future__ import annotations
--- a/wingfall/gateway/model/binding.py
+++ b/wingfall/gateway/model/binding.py
@@ -17,7 +17,8 @@
 
     from wingfall.errors import ObjectFault
     from wingfall.gateway.model.call import Call, CallHead, Headers
-    from wingfall.gateway.model.object_store import ObjectStore
+    from wingfall.gateway.model.duty import DutyCalls
+    from wingfall.gateway.model.object_store import ObjectStore, ObjectWriter
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.model.prompt import PromptPart
     from wingfall.gateway.model.routes import Routes
@@ -140,6 +141,12 @@
     def endpoints_store(self) -> ObjectStore:
         """Give the store of the endpoints."""
 
+    def leases_store(self) -> ObjectWriter:
+        """Give the store of the leases."""
+
+    def duty_calls(self, address: str) -> DutyCalls:
+        """Give the calls that only the holder of a duty makes."""
+
 
 class BindingFactory(Protocol):
     """How a binding is made."""
--- a/wingfall/gateway/model/call.py
+++ b/wingfall/gateway/model/call.py
@@ -77,6 +77,7 @@
 
     __slots__ = (
         'arrived_ms',
+        'begun',
         'body',
         'customer',
         'deadline_ms',
@@ -119,6 +120,8 @@
         self.deadline_ms = deadline_ms
         self.fingerprint = fingerprint
         self.priority = route.tier if priority is None else priority
+        # Whether an endpoint is known to have begun to run it.
+        self.begun = False
 
     @property
     def call_id(self) -> str:
--- a/wingfall/gateway/model/object_store.py
+++ b/wingfall/gateway/model/object_store.py
@@ -83,3 +83,22 @@
         brief: bool = False,
     ) -> Result[StoreReading, PlatformError]:
         """Wait a bounded time, or not at all, for changes after a revision."""
+
+
+class ObjectWriter(Protocol):
+    """Reads and writes single objects of one kind by condition."""
+
+    def read(self, name: str) -> Result[StoredObject | None, PlatformError]:
+        """Read an object as it is now, None if there is none."""
+
+    def write(
+        self,
+        name: str,
+        spec: Any,
+        revision: int | None,
+    ) -> Result[StoredObject, PlatformError]:
+        """Make an object, or replace the one that has a revision.
+
+        A failure with status 409 proves that nothing was written; one without
+        an answer proves nothing, and the write may still take effect.
+        """
--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -16,6 +16,7 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.errors import WireError
+from wingfall.gateway.duties.standing import Peering
 from wingfall.gateway.peers.heartbeat_schedule import (
     TICK_MS,
     seen_within_ms,
@@ -41,6 +42,7 @@
     from wingfall.gateway.configuration.replica import ObjectReplica
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
     from wingfall.gateway.peers.caches.parts_transfer import PartsTransfer
+    from wingfall.gateway.peers.duty_exchange import DutyExchange
     from wingfall.gateway.rules.request_blocks import RequestBlocks
     from wingfall.gateway.rules.retry_budget import RetryBudget
     from wingfall.metrics import Metrics
@@ -94,6 +96,7 @@
         supervisor: Supervisor,
         watches: Callable[[], bool],
         is_stopping: Callable[[], bool],
+        duties: DutyExchange | None = None,
     ) -> None:
         """Bind the address.
 
@@ -111,6 +114,7 @@
         :param supervisor: keeps the connections.
         :param watches: whether this gateway hears the store's changes.
         :param is_stopping: whether a planned stop has begun.
+        :param duties: tells what the duties need, None without duties.
         """
         self._name = name
         self._incarnation = random.getrandbits(_INCARNATION_BITS)
@@ -137,6 +141,7 @@
             transfer=transfer,
             watches=watches,
             is_stopping=is_stopping,
+            duties=duties,
         )
         host, _colon, port = address.rpartition(':')
         self._server = StreamServer((host, int(port)), self._accept)
@@ -171,6 +176,21 @@
         within_ms = seen_within_ms(len(self._sessions))
         return len(self._peers_before(within_ms)) < WATCHERS
 
+    def look(self) -> Peering:
+        """Tell what is seen of the others, for who stands for the lease.
+
+        :returns: how many go before this gateway, are heard, and are known.
+        """
+        within_ms = seen_within_ms(len(self._sessions))
+        return Peering(
+            before=len(self._peers_before(within_ms)),
+            heard=frozenset(self._sessions),
+            known=self._addresses.count,
+            holder_heard=any(
+                each.holds_lease for each in self._sessions.values()
+            ),
+        )
+
     def start(self) -> None:
         """Accept and connect from now on."""
         self._share_budget()
@@ -191,6 +211,11 @@
         """Tell the peers that this gateway is stopping."""
         self._heartbeats.tell(leaving=True, whole=True)
 
+    def tell_last_counts(self) -> None:
+        """Tell what this gateway has counted, before it ends."""
+        sessions = list(self._sessions.values())
+        self._heartbeats.tell_duties(sessions, at_once=True)
+
     def stop(self) -> None:
         """End all connections."""
         self._server.stop(timeout=0)
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -26,11 +26,12 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from wingfall.clock import Clock
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
     from wingfall.gateway.peers.caches.parts_transfer import PartsTransfer
+    from wingfall.gateway.peers.duty_exchange import DutyExchange
     from wingfall.gateway.peers.objects.object_exchange import ObjectExchange
     from wingfall.gateway.peers.peer_session import PeerSession
     from wingfall.wire.message import Message
@@ -43,6 +44,7 @@
     __slots__ = (
         '_clock',
         '_crashes',
+        '_duties',
         '_exchange',
         '_handlers',
         '_is_stopping',
@@ -69,6 +71,7 @@
         transfer: PartsTransfer,
         watches: Callable[[], bool],
         is_stopping: Callable[[], bool],
+        duties: DutyExchange | None,
     ) -> None:
         """Start with nothing told.
 
@@ -81,12 +84,14 @@
         :param transfer: gives and takes what engines keep.
         :param watches: whether this gateway hears the store's changes.
         :param is_stopping: whether a planned stop has begun.
+        :param duties: tells what the duties need, None without duties.
         """
         self._zone = zone
         self._clock = clock
         self._load = knowledge.load
         self._is_stopping = is_stopping
         self._sessions = sessions
+        self._duties = duties
         self._exchange = exchange
         self._transfer = transfer
         self._watches = watches
@@ -121,6 +126,7 @@
             self._is_stopping(),
             whole=True,
             news=self._crashes.write_all(),
+            duties=self._duties.greet() if self._duties else None,
         )
         session.connection.send(heartbeat)
 
@@ -131,6 +137,8 @@
         """
         self._exchange.forget(session)
         self._load.forget(session.name)
+        if self._duties is not None:
+            self._duties.forget(session)
 
     def receive(self, session: PeerSession, message: Message) -> None:
         """Take a message.
@@ -166,6 +174,7 @@
                 whole=due is HeartbeatDue.whole,
             )
         self._loads.relay(sessions, whole=due is HeartbeatDue.whole)
+        self.tell_duties(sessions)
 
     def tell_crashes(self) -> None:
         """Wait for news of crashes and tell all peers, in every zone."""
@@ -196,6 +205,29 @@
         self._sent_revisions = self._exchange.revisions
         self._sent_watching = heartbeat.watching
 
+    def tell_duties(
+        self,
+        sessions: Collection[PeerSession],
+        *,
+        at_once: bool = False,
+    ) -> None:
+        """Tell what the duties need, if any is due.
+
+        :param sessions: the connected peers.
+        :param at_once: whether to tell counts that are not due yet.
+        """
+        if self._duties is None:
+            return
+        for session, told in self._duties.due(sessions, at_once=at_once):
+            heartbeat = self._make_heartbeat(
+                [],
+                Activity(),
+                self._is_stopping(),
+                whole=False,
+                duties=told,
+            )
+            session.connection.send(heartbeat)
+
     def _take_heartbeat(
         self, session: PeerSession, heartbeat: GatewayHeartbeat
     ) -> None:
@@ -217,6 +249,8 @@
             session, heartbeat.crash_sum, len(self._sessions)
         )
         self._tell_news(missed, [session])
+        if self._duties is not None and heartbeat.duties:
+            self._duties.take(session, heartbeat.duties)
         for kind, revision in heartbeat.revisions.items():
             self._exchange.compare(session, kind, revision)
 
@@ -246,6 +280,7 @@
         *,
         whole: bool,
         news: CrashNews | None = None,
+        duties: list[Any] | None = None,
     ) -> GatewayHeartbeat:
         news = news or CrashNews()
         return GatewayHeartbeat(
@@ -261,6 +296,7 @@
             crashes=news.crashes,
             served=news.served,
             crash_sum=self._crashes.recent_sum,
+            duties=duties,
         )
 
 
--- a/wingfall/gateway/peers/peer_session.py
+++ b/wingfall/gateway/peers/peer_session.py
@@ -23,8 +23,10 @@
         'address',
         'behind_since_ms',
         'connection',
+        'counts_told',
         'crashes_told_ms',
         'dialed',
+        'holds_lease',
         'last_seen_ms',
         'incarnation',
         'knows_caches',
@@ -62,6 +64,10 @@
         self.last_seen_ms = 0
         # When the peer was last told again of crashes that it had missed.
         self.crashes_told_ms: float = float('-inf')
+        # Whether the peer tells that it holds the lease of the duties.
+        self.holds_lease = False
+        # The revision up to which the peer was told this gateway's counts.
+        self.counts_told = 0
         # How many other zones the peer hears.
         self.reach = 0
         # What the peer is being given, by kind.
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -12,6 +12,7 @@
     from wingfall.gateway.endpoints.crash_watch import CrashWatch
     from wingfall.gateway.endpoints.kept_connections import KeptConnections
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
+    from wingfall.gateway.knowledge.usage_counts import UsageCounts
     from wingfall.gateway.model.binding import Binding
     from wingfall.gateway.model.routes import Routes
     from wingfall.gateway.rules.policies import Policies
@@ -36,6 +37,7 @@
         'metrics',
         'policies',
         'routes',
+        'usage',
         'zone',
     )
 
@@ -80,3 +82,6 @@
         self.routes: Routes | None = None
         # Whether a planned stop has begun; only the application sets it.
         self.draining = False
+        # Counts requests for the duty to report them, None without that duty;
+        # only the application sets it.
+        self.usage: UsageCounts | None = None
--- a/wingfall/platform/binding.py
+++ b/wingfall/platform/binding.py
@@ -9,6 +9,7 @@
 from wingfall.errors import ObjectFault
 from wingfall.gateway.model.binding import bindings
 from wingfall.platform.documents import read_memory, read_routes
+from wingfall.platform.duty_calls import HttpDutyCalls
 from wingfall.platform.endpoint_entry import read_endpoint
 from wingfall.platform.headers import (
     caller_headers,
@@ -38,6 +39,8 @@
 # The one object of its kind that is in force.
 _CONFIG_NAME: Final = 'main'
 _ENDPOINT_KIND: Final = 'servers'
+# A kind of wingfall's own.
+_LEASE_KIND: Final = 'wingfall-leases'
 
 
 @final
@@ -122,6 +125,14 @@
         """Give the store of the endpoints."""
         return self._store(_ENDPOINT_KIND)
 
+    def leases_store(self) -> HttpObjectStore:
+        """Give the store of the leases."""
+        return self._store(_LEASE_KIND)
+
+    def duty_calls(self, address: str) -> HttpDutyCalls:
+        """Give the calls that only the holder of a duty makes."""
+        return HttpDutyCalls(address=address, metrics=self._metrics)
+
     def _store(self, kind: str) -> HttpObjectStore:
         return HttpObjectStore(
             address=self._settings.address,
--- a/wingfall/platform/store.py
+++ b/wingfall/platform/store.py
@@ -1,4 +1,4 @@
-"""The platform's object store over HTTP: lists by page, watches that wait.
+"""The platform's object store over HTTP: lists, watches, single objects.
 
 Owns the connections to it; each call is counted, each failure is a value.
 """
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import http
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final, final
 
+import orjson
 import urllib3
 from returns.result import Failure, Result, Success
 
@@ -18,6 +20,7 @@
 from wingfall.platform.store_answers import (
     parse_answer,
     read_changes,
+    read_object,
     read_page,
 )
 from wingfall.tcp import silence_options
@@ -28,6 +31,8 @@
     from wingfall.gateway.model.object_store import StoredObject
     from wingfall.metrics import Metrics
 
+_JSON_HEADERS: Final = MappingProxyType({'Content-Type': 'application/json'})
+_DONE: Final = frozenset((http.HTTPStatus.OK, http.HTTPStatus.CREATED))
 _OBJECTS: Final = '/wingfall/objects'
 # Milliseconds by which the answer of a watch may be late.
 _SLACK_MS: Final = 1000
@@ -42,9 +47,13 @@
 _UNANSWERED_PROBES: Final = 1
 
 
+def _pass_over() -> None:
+    """Take no note of the progress of a short answer."""
+
+
 @final
 class HttpObjectStore:
-    """Reads the objects of one kind."""
+    """Reads and writes the objects of one kind."""
 
     __slots__ = (
         '_kind',
@@ -133,35 +142,91 @@
         changes.map(self._note_nameless)
         return changes
 
+    def read(self, name: str) -> Result[StoredObject | None, PlatformError]:
+        """Read one object as it is now.
+
+        :param name: its name.
+        :returns: the object, None if there is none, or the failure.
+        """
+        answer = self._request('GET', f'{self._url}/{name}', self._timeout_ms)
+        answer = answer.bind(read_object)
+        if isinstance(answer, Success):
+            return answer
+        absent = answer.failure().status == http.HTTPStatus.NOT_FOUND
+        return Success(None) if absent else answer
+
+    def write(
+        self,
+        name: str,
+        spec: Any,
+        revision: int | None,
+    ) -> Result[StoredObject, PlatformError]:
+        """Make an object, or replace the one that has a revision.
+
+        :param name: its name.
+        :param spec: what it shall say, as JSON.
+        :param revision: the object's revision, None if there is no object.
+        :returns: the object as it stands now, or the failure; nothing was
+            written only if that is a conflict.
+        """
+        metadata: dict[str, Any] = {'name': name}
+        verb, url = 'POST', self._url
+        if revision is not None:
+            metadata['revision'] = revision
+            verb, url = 'PUT', f'{self._url}/{name}'
+        body = orjson.dumps({'metadata': metadata, 'spec': spec})
+        written = self._request(verb, url, self._timeout_ms, body=body)
+        return written.bind(read_object)
+
     def _call(
         self,
         query: Mapping[str, str],
         timeout_ms: int,
         progress: Callable[[], None],
+    ) -> Result[Any, PlatformError]:
+        return self._request(
+            'GET',
+            self._url,
+            timeout_ms,
+            query=query,
+            progress=progress,
+        )
+
+    def _request(
+        self,
+        verb: str,
+        url: str,
+        timeout_ms: int,
+        *,
+        query: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+        progress: Callable[[], None] = _pass_over,
     ) -> Result[Any, PlatformError]:
         status = 0
         try:
             response = self._pool.request(
-                'GET',
-                self._url,
-                fields=dict(query),
+                verb,
+                url,
+                fields=dict(query) if query else None,
+                body=body,
+                headers=_JSON_HEADERS if body else None,
                 timeout=urllib3.Timeout(
                     connect=self._timeout_ms / MS_PER_S,
                     read=timeout_ms / MS_PER_S,
                 ),
                 preload_content=False,
             )
-            body = _read_body(response, progress)
+            received = _read_body(response, progress)
             status = response.status
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Failure(PlatformError(status=0, message=str(error)))
         finally:
-            labels = {'verb': 'GET', 'status': str(status)}
+            labels = {'verb': verb, 'status': str(status)}
             self._metrics.platform_calls.inc(labels)
-        if status != http.HTTPStatus.OK:
-            text = body.decode(errors='replace')[:_MAX_MESSAGE]
+        if status not in _DONE:
+            text = received.decode(errors='replace')[:_MAX_MESSAGE]
             return Failure(PlatformError(status=status, message=text))
-        return parse_answer(body)
+        return parse_answer(received)
 
     def _note_nameless(self, reading: StoreReading) -> None:
         # Nothing can be done about them; a list tells of them each time.
--- a/wingfall/platform/store_answers.py
+++ b/wingfall/platform/store_answers.py
@@ -76,6 +76,20 @@
     return Success(_make_reading(found, body['at']))
 
 
+def read_object(body: Any) -> Result[StoredObject, PlatformError]:
+    """Read the answer to a call for a single object.
+
+    :param body: the answer's JSON.
+    :returns: the object, or a failure if it has no name and revision.
+    """
+    metadata = body.get('metadata') if isinstance(body, dict) else None
+    revision = metadata.get('revision') if isinstance(metadata, dict) else None
+    if not _is_whole(revision):
+        return _unreadable('not an object')
+    found = _read_object(body, revision, gone=False)
+    return _unreadable('not an object') if found is None else Success(found)
+
+
 def _parse_text(text: str) -> Result[Any, PlatformError]:
     try:
         return Success(orjson.loads(text))
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -57,6 +57,32 @@
         slack=_real(10, 'Second sendings a window beyond that.'),
         window_s=_real(10, 'Length of the window in seconds.'),
     ),
+    duties=section(
+        'What one gateway at a time does for all; nothing without an address.',
+        address={
+            'type': 'string',
+            'pattern': HOST_PORT,
+            'default': '',
+            'description': 'host:port that takes what is done.',
+        },
+        names={
+            'type': 'array',
+            'items': {'type': 'string'},
+            'default': [],
+            'description': 'Names of the duties.',
+        },
+        lease_ms=number(
+            3000,
+            300,
+            60_000,
+            'How long one must not act again after another has acted.',
+        ),
+        window_s=_real(5, 'Length of a window of usage in seconds.'),
+        late_s=_real(
+            10,
+            'Seconds after the end of a window in which usage is reported.',
+        ),
+    ),
     policy=section(
         'The decisions.',
         placement=text('Which endpoint serves.', 'least_read'),
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -46,7 +46,20 @@
 
 @final
 @message(
-    49, dict, list, list, bool, bool, bool, bool, list, int, list, list, int
+    49,
+    dict,
+    list,
+    list,
+    bool,
+    bool,
+    bool,
+    bool,
+    list,
+    int,
+    list,
+    list,
+    int,
+    list,
 )
 class GatewayHeartbeat(Message):
     """What a gateway tells its peers some times a second."""
@@ -64,6 +77,7 @@
         'crashes',
         'served',
         'crash_sum',
+        'duties',
     )
 
     def __init__(
@@ -81,6 +95,7 @@
         crashes: list[list[Any]] | None = None,
         served: list[list[Any]] | None = None,
         crash_sum: int = -1,
+        duties: list[Any] | None = None,
     ) -> None:
         """Tell the state.
 
@@ -106,6 +121,10 @@
             answered well, and how many milliseconds ago.
         :param crash_sum: the same number for gateways that know the same
             crashes of the last minute; -1 from a program that knows none.
+        :param duties: empty if nothing is told of them, else the last window
+            that is reported, whether the sender holds the lease, its time of
+            day in milliseconds, and its counts that have risen, each as
+            window, customer and count.
         """
         self.revisions = revisions
         self.loads = loads
@@ -119,6 +138,7 @@
         self.crashes = crashes or []
         self.served = served or []
         self.crash_sum = crash_sum
+        self.duties = duties or []
 
 
 @final
