Duties: a gateway that starts tells of no window that it does not know

Cause: a gateway began with the window before its start as the last delivered one and told that in its greeting, so that the holder took what it still had to report for reported. Ruled out: a call that hung (no line of a failed call, all have bounds). Change: unknown until known. Beside it: calls to a store that fails back off from 0.2 to 1 s, and only the first failure and the next answer are logged (the holder made ten calls and lines a second).

--- a/wingfall/gateway/duties/lease.py
+++ b/wingfall/gateway/duties/lease.py
@@ -19,6 +19,7 @@
 
 from wingfall.gateway.model.duty import Fence, LeaseRecord, read_lease_record
 from wingfall.log import log_event
+from wingfall.supervisor import Backoff
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
@@ -30,6 +31,12 @@
 # Part of the lease's length for which a write or read allows to act: two such
 # spans pass before the next holder acts, which leaves one for late timers.
 _ACT_PART: Final = 3
+# Milliseconds between two calls to a store that fails; the time doubles with
+# each. Chosen so that a report goes out within a second of its return.
+_MIN_RETRY_MS: Final = 200
+_MAX_RETRY_MS: Final = 1000
+# Before all readings of the clock.
+_NEVER: Final = float('-inf')
 
 
 @final
@@ -38,12 +45,15 @@
 
     __slots__ = (
         '_acted_ms',
+        '_backoff',
         '_changed_ms',
         '_clock',
         '_confirmed_ms',
         '_holder',
         '_lease_ms',
         '_name',
+        '_failing',
+        '_next_call_ms',
         '_not_before_ms',
         '_revision',
         '_store',
@@ -78,15 +88,19 @@
         self.record = LeaseRecord(known=False)
         self._revision: int | None = None
         # When a read or write first showed this revision.
-        self._changed_ms: float = float('-inf')
+        self._changed_ms: float = _NEVER
         # 0 while another holds it, as far as is known.
         self._token = 0
         # When the call was sent that last showed this gateway as the holder.
-        self._confirmed_ms: float = float('-inf')
+        self._confirmed_ms: float = _NEVER
         # Before when this gateway does not act.
-        self._not_before_ms: float = float('-inf')
+        self._not_before_ms: float = _NEVER
         # When this gateway last acted.
-        self._acted_ms: float = float('-inf')
+        self._acted_ms: float = _NEVER
+        # Whether the last call failed, and before when none is made.
+        self._failing = False
+        self._next_call_ms: float = _NEVER
+        self._backoff = Backoff(min_ms=_MIN_RETRY_MS, max_ms=_MAX_RETRY_MS)
 
     @property
     def held(self) -> bool:
@@ -127,10 +141,13 @@
         :returns: whether the store has answered.
         """
         sent_ms = self._clock.now_ms()
+        if sent_ms < self._next_call_ms:
+            return False
         found = self._store.read(_OBJECT)
         if not isinstance(found, Success):
             self._note_failed('read', found.failure())
             return False
+        self._note_answered()
         self._take_stored(found.unwrap(), sent_ms)
         return True
 
@@ -193,15 +210,21 @@
 
     def _write(self, record: LeaseRecord) -> bool:
         sent_ms = self._clock.now_ms()
+        if sent_ms < self._next_call_ms:
+            return False
         written = self._store.write(_OBJECT, record.to_spec(), self._revision)
         if isinstance(written, Success):
+            self._note_answered()
             self._take_stored(written.unwrap(), sent_ms)
             return True
         failure = written.failure()
-        self._note_failed('write', failure)
-        # The write may have taken effect, or may do so later: only what the
-        # store says from now on counts.
-        self.refresh()
+        if failure.status == http.HTTPStatus.CONFLICT:
+            self._note_answered()
+            self.refresh()
+        else:
+            # It may have taken effect, or may do so later; the condition of the
+            # next write finds out.
+            self._note_failed('write', failure)
         return False
 
     def _take_stored(self, stored: StoredObject | None, sent_ms: int) -> None:
@@ -241,12 +264,22 @@
             )
         self._token = 0
 
+    def _note_answered(self) -> None:
+        self._backoff.reset()
+        self._next_call_ms = _NEVER
+        if self._failing:
+            self._failing = False
+            log_event('lease', 'The store answers again.', held=self.held)
+
     def _note_failed(self, call: str, failure: PlatformError) -> None:
+        self._next_call_ms = self._clock.now_ms() + self._backoff.take_ms()
+        if self._failing:
+            return
+        self._failing = True
         log_event(
             'lease',
             'A call for the lease failed.',
             call=call,
-            conflict=failure.status == http.HTTPStatus.CONFLICT,
             reason=str(failure),
             held=self.held,
         )
--- a/wingfall/gateway/duties/usage_duty.py
+++ b/wingfall/gateway/duties/usage_duty.py
@@ -85,7 +85,7 @@
             self._report(due)
 
     def _drop_late(self) -> None:
-        late = self._counts.delivered + 1
+        late = self._counts.next_window
         while self._counts.end_ms(late) > self._terms.late_ms:
             log_event(
                 'usage',
@@ -98,10 +98,9 @@
             late += 1
 
     def _find_due(self) -> list[int]:
-        first = self._counts.delivered + 1
         return [
             window
-            for window in range(first, self._counts.window)
+            for window in range(self._counts.next_window, self._counts.window)
             if self._counts.end_ms(window) >= _SETTLE_MS
         ]
 
--- a/wingfall/gateway/knowledge/usage_counts.py
+++ b/wingfall/gateway/knowledge/usage_counts.py
@@ -29,6 +29,7 @@
 
     __slots__ = (
         '_changed',
+        '_first',
         '_others',
         '_own',
         '_time',
@@ -52,14 +53,24 @@
         self._others: dict[str, dict[_Key, int]] = {}
         # Rises with each request.
         self.revision = 0
-        # The last window up to which each is reported or counts no more.
-        self.delivered = self.window - 1
+        # The last window up to which each is reported or counts no more; 0 as
+        # long as that is not known.
+        self.delivered = 0
+        self._first = self.window
 
     @property
     def window(self) -> int:
         """The window that is now."""
         return self._time.now_ms() // self._window_ms
 
+    @property
+    def next_window(self) -> int:
+        """The first window that may have to be reported still.
+
+        A gateway that starts knows nothing of those before, unless peers tell.
+        """
+        return self.delivered + 1 if self.delivered else self._first
+
     def end_ms(self, window: int) -> int:
         """Tell how long ago a window has ended.
 
