Soak: gateways are rolled from the version in production to this one and back

Reports are not judged while versions are mixed, since an earlier gateway counts for none of them; that one gateway acts is judged all the while.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
 from tools.soak.running_faults import RunningFaults
 from tools.soak.site import SoakSite
 from tools.soak.traffic import Traffic
+from tools.soak.upgrade import production_commit
 
 # Seeds that once broke a promise; their causes stand in docs/FINDINGS.md.
 SEEDS = (1, 106, 112, 136)
@@ -149,6 +150,20 @@
     run_soak(tmp_path, seed, '--duties', seconds=15)
 
 
+@pytest.mark.processes
+def test_promises_hold_while_gateways_are_of_two_versions(
+    tmp_path: pathlib.Path,
+):
+    run_soak(
+        tmp_path,
+        1,
+        '--duties',
+        '--previous',
+        production_commit(),
+        seconds=15,
+    )
+
+
 def run_soak(
     folder: pathlib.Path,
     seed: int,
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -52,6 +52,7 @@
         'admin_port',
         'child',
         'command',
+        'folder',
         'log',
         'name',
         'port',
@@ -66,6 +67,7 @@
         port: int,
         admin_port: int = 0,
         own_session: bool = False,
+        folder: pathlib.Path = _ROOT,
     ) -> None:
         """Start a child.
 
@@ -77,10 +79,12 @@
         :param own_session: whether it leads a session of its own; a child
             that is going to be stopped must, since the kernel hangs up a
             process group that loses its parent while a member is stopped.
+        :param folder: where it runs, and is taken from if it is a module.
         """
         self.name = name
         self.log = log
         self.command = command
+        self.folder = folder
         self.port = port
         self.admin_port = admin_port
         self._own_session = own_session
@@ -147,7 +151,7 @@
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
-                cwd=_ROOT,
+                cwd=self.folder,
                 env={**os.environ, 'PYTHONDONTWRITEBYTECODE': '1'},
                 start_new_session=self._own_session,
             )
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -28,7 +28,8 @@
 from tools.soak.promises import promises
 from tools.soak.running_faults import RunningFaults
 from tools.soak.site import STEADY_KEY, SoakSite
-from tools.soak.traffic import KINDS, Traffic
+from tools.soak.traffic import KINDS, Outcome, Traffic
+from tools.soak.upgrade import Upgrade, unpack_version
 from tools.soak.writers import writer_faults
 from wingfall.clock import MS_PER_S
 from wingfall.http_server import HttpServer
@@ -68,6 +69,10 @@
         action='store_true',
         help='gateways report usage, and faults strike who does',
     )
+    parser.add_argument(
+        '--previous',
+        help='commit that gateways are rolled from, and back to',
+    )
     parser.add_argument('--keep', help='folder for logs that are kept')
     chosen = parser.parse_args()
     seed = chosen.seed
@@ -93,25 +98,15 @@
         changes=changes,
         tells_starts=chosen.writers,
         duty_platform=duty_platform,
+        earlier=_unpack_previous(chosen, folder),
     )
-    known = _find_faults(chosen)
-    traffic = Traffic(site=site, seed=seed, callers=_CALLERS)
-    end_crashes = _start_crashes(site, traffic, chosen, seed)
     try:
-        struck = _strike(site, chance, chosen.seconds, known)
-        end_crashes()
-        broken = _check_recovery(site, traffic)
-        traffic.stop()
-        broken.extend(
-            f'{name}: {told}'
-            for name in promises.names
-            for told in promises.find(name).unwrap()(site, traffic.outcomes)
-        )
+        struck, broken, outcomes = _run(seed, chance, chosen, site)
     finally:
         site.close()
-    served = sum(each.status == 200 for each in traffic.outcomes)
+    served = sum(each.status == 200 for each in outcomes)
     print(
-        f'soak seed {seed}: {len(traffic.outcomes)} requests, {served} served,'
+        f'soak seed {seed}: {len(outcomes)} requests, {served} served,'
         f' {len(struck)} faults, {len(broken)} broken',
     )
     for told in broken[:_MOST_SHOWN]:
@@ -119,6 +114,47 @@
     return 1 if broken else 0
 
 
+def _run(
+    seed: int,
+    chance: random.Random,
+    chosen: argparse.Namespace,
+    site: SoakSite,
+) -> tuple[list[str], list[str], list[Outcome]]:
+    traffic = Traffic(site=site, seed=seed, callers=_CALLERS)
+    end_crashes = _start_crashes(site, traffic, chosen, seed)
+    join_upgrade = _start_upgrade(site, chosen, seed)
+    struck = _strike(site, chance, chosen.seconds, _find_faults(chosen))
+    join_upgrade()
+    end_crashes()
+    broken = _check_recovery(site, traffic)
+    traffic.stop()
+    broken.extend(
+        f'{name}: {told}'
+        for name in promises.names
+        for told in promises.find(name).unwrap()(site, traffic.outcomes)
+    )
+    return struck, broken, traffic.outcomes
+
+
+def _start_upgrade(
+    site: SoakSite,
+    chosen: argparse.Namespace,
+    seed: int,
+) -> Callable[[], None]:
+    if not chosen.previous:
+        return lambda: None
+    return Upgrade(site=site, chance=random.Random(seed)).join
+
+
+def _unpack_previous(
+    chosen: argparse.Namespace,
+    folder: pathlib.Path,
+) -> pathlib.Path | None:
+    if not chosen.previous:
+        return None
+    return unpack_version(chosen.previous, folder / 'previous')
+
+
 def _find_faults(chosen: argparse.Namespace) -> dict[str, Fault]:
     registries = [faults]
     if chosen.writers:
--- a/tools/soak/duties.py
+++ b/tools/soak/duties.py
@@ -188,7 +188,7 @@
     from_s = window * WINDOW_S - epoch_s - _CALM_S
     until_s = (window + 1) * WINDOW_S - epoch_s + _CALM_S
     disturbed = [at_s for times in site.disturbed.values() for at_s in times]
+    spans = (*site.store_disturbed, *site.mixed_s)
     return not any(from_s < at_s < until_s for at_s in disturbed) and not any(
-        started_s < until_s and ended_s > from_s
-        for started_s, ended_s in site.store_disturbed
+        started_s < until_s and ended_s > from_s for started_s, ended_s in spans
     )
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -37,6 +37,7 @@
 # Four for each gateway, of which a soak has 29 at most.
 _BLOCK_PORTS: Final = 120
 _BLOCKS: Final = 100
+_ROOT: Final = pathlib.Path(__file__).resolve().parent.parent.parent
 _MEMORY_TOKENS: Final = 100_000
 
 
@@ -90,6 +91,7 @@
         changes: dict[str, Any] | None = None,
         tells_starts: bool = False,
         duty_platform: DutyPlatformStandIn | None = None,
+        earlier: pathlib.Path | None = None,
     ) -> None:
         """Start everything and wait until the gateways listen.
 
@@ -98,6 +100,8 @@
         :param servers: how many endpoints in each pool.
         :param changes: settings of the gateways that differ.
         :param tells_starts: whether entries tell when an endpoint started.
+        :param earlier: the folder of the version that gateways begin with,
+            None for this one.
         :param duty_platform: takes what one gateway does for all, None without
             duties.
         """
@@ -107,6 +111,9 @@
         self.arm: Callable[[Server], None] = _leave_as_it_is
         self._changes = changes or {}
         self.duty_platform = duty_platform
+        self._earlier = earlier
+        # From when to when gateways of two versions ran.
+        self.mixed_s: list[tuple[float, float]] = []
         self._guard = _claim_block()
         self._ports = _ports_after(self._guard)
         self._numbers = itertools.count()
@@ -138,6 +145,17 @@
         for number in range(gateways):
             self._start_gateway(number)
 
+    def choose_version(self, name: str, *, earlier: bool) -> None:
+        """Choose the version of which a gateway is when it starts next.
+
+        :param name: the gateway.
+        :param earlier: whether it is the earlier one.
+        """
+        gateway = self.gateways[name]
+        use_earlier = earlier and self._earlier is not None
+        gateway.folder = self._earlier if use_earlier else _ROOT
+        gateway.command = _command(self._settings_path(name, use_earlier))
+
     def write_config(self) -> None:
         """Write the configuration with the next version."""
         self.version += 1
@@ -281,27 +299,39 @@
             'resend': {'slack': 100},
             **self._changes,
         }
-        path = self._folder / f'{name}.yaml'
-        path.write_text(yaml.safe_dump(settings), 'utf-8')
+        earlier = self._earlier is not None
+        for is_earlier in (True, False):
+            if is_earlier:
+                known = {**settings}
+                # What the earlier version did not know.
+                known.pop('duties', None)
+            else:
+                known = settings
+            path = self._settings_path(name, is_earlier)
+            path.write_text(yaml.safe_dump(known), 'utf-8')
         self.gateways[name] = Process(
             name=name,
             log=self._folder / f'{name}.log',
-            command=(
-                sys.executable,
-                '-m',
-                'wingfall.gateway',
-                '--settings',
-                str(path),
-            ),
+            command=_command(self._settings_path(name, earlier)),
             port=port,
             own_session=True,
+            folder=self._earlier or _ROOT,
         )
 
+    def _settings_path(self, name: str, earlier: bool) -> pathlib.Path:
+        suffix = 'earlier.yaml' if earlier else 'yaml'
+        return self._folder / f'{name}.{suffix}'
+
 
 def _leave_as_it_is(_server: Server) -> None:
     """Change nothing at an endpoint."""
 
 
+def _command(settings: pathlib.Path) -> tuple[str, ...]:
+    gateway = (sys.executable, '-m', 'wingfall.gateway')
+    return (*gateway, '--settings', str(settings))
+
+
 def _claim_block() -> socket.socket:
     # Gateways take their ports late and again after a restart, so each soak
     # that runs at the same time has a block of its own, which it holds by
