--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-import socket
 from typing import TYPE_CHECKING, Callable, Final, final
 
 import gevent
@@ -25,6 +24,7 @@
 from wingfall.gateway.peers.heartbeats import Heartbeats
 from wingfall.gateway.peers.objects.object_exchange import ObjectExchange
 from wingfall.gateway.peers.peer_addresses import PeerAddresses
+from wingfall.gateway.peers.peer_dialer import PeerDialer
 from wingfall.gateway.peers.peer_session import PeerSession
 from wingfall.gateway.peers.watch_duty import (
     WATCHERS,
@@ -36,6 +36,7 @@
 from wingfall.wire.gateway_messages import GatewayHello
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterable
 
     from wingfall.clock import Clock
@@ -49,10 +50,6 @@
     from wingfall.supervisor import Supervisor
     from wingfall.wire.message import Message
 
-# Seconds for a connect. Not measured: a slow link may need several tries.
-_CONNECT_S: Final = 1
-# Milliseconds between two rounds of dials. Not measured.
-_DIAL_MS: Final = 300
 # Bits of the number drawn at a start: two starts never draw the same.
 _INCARNATION_BITS: Final = 48
 
@@ -228,29 +225,15 @@
         return peers_before(self._name, sessions, seen_since_ms)
 
     def _dial_forever(self) -> None:
-        while not self._supervisor.stopped:
-            connected = {each.address for each in self._sessions.values()}
-            for address in self._addresses.choose_dials(connected):
-                gevent.spawn(self._dial, address)
-            gevent.sleep(_DIAL_MS / MS_PER_S)
-
-    def _dial(self, address: str) -> None:
-        self._addresses.begin_dial(address)
-        try:
-            self._connect(address)
-        finally:
-            self._addresses.end_dial(address)
-
-    def _connect(self, address: str) -> None:
-        host, _colon, port = address.rpartition(':')
-        try:
-            sock = socket.create_connection((host, int(port)), _CONNECT_S)
-        except OSError:
-            if self._addresses.note_missed(address):
-                self._share_budget()
-            return
-        self._addresses.note_reached(address)
-        self._run(sock, dialed=True)
+        dialer = PeerDialer(
+            addresses=self._addresses,
+            connected=lambda: (
+                each.address for each in self._sessions.values()
+            ),
+            run=lambda sock: self._run(sock, dialed=True),
+            supervisor=self._supervisor,
+        )
+        dialer.dial_forever(self._share_budget)
 
     def _accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         self._run(sock, dialed=False)
