Duties: the last gateways that are left report too

Cause, by reading: one that hears fewer than half of the gateways that it knows did not stand, but seeds are known for good, so the last of a small site would never have reported. Change: it waits ten turns longer, and leaves a lease alone whose holder has decided what is due, since a gateway that is cut off is such a one too.

--- a/wingfall/gateway/duties/standing.py
+++ b/wingfall/gateway/duties/standing.py
@@ -25,6 +25,10 @@
 # Turns for which one that has just started waits longer: it has not heard the
 # counts of those that ended before it.
 _NEW_TURNS: Final = 3
+# Turns for which one that hears fewer than half of the others waits longer: it
+# may be cut off, and then knows few of the counts; or it is one of the last
+# that are left, and then somebody has to report.
+_FEW_TURNS: Final = 10
 
 
 @final
@@ -53,6 +57,11 @@
         self.known = known
         self.holder_heard = holder_heard
 
+    @property
+    def hears_few(self) -> bool:
+        """Whether fewer than half of the others are heard."""
+        return 2 * len(self.heard) < self.known
+
 
 @final
 class Standing:
@@ -104,10 +113,9 @@
         if up_ms <= self._lease_ms or self._is_stopping():
             return False
         seen = self._look()
-        if 2 * len(seen.heard) < seen.known:
-            # It is cut off, and does not know what the others have counted.
-            return False
         turns = seen.before
+        if seen.hears_few:
+            turns += _FEW_TURNS
         if up_ms < self._new_ms:
             turns += _NEW_TURNS
         first_ms = _HOLDER_MS if seen.holder_heard else 0
@@ -119,7 +127,13 @@
         self._looked_ms = now_ms
         return True
 
-    def replaces(self, record: LeaseRecord, unchanged_ms: float) -> bool:
+    def replaces(
+        self,
+        record: LeaseRecord,
+        unchanged_ms: float,
+        *,
+        decided: bool,
+    ) -> bool:
         """Tell whether the holder of the lease has had its time.
 
         One that has just taken it waits for the holder before it, and is left
@@ -127,8 +141,13 @@
 
         :param record: the lease as it stands.
         :param unchanged_ms: for how long it is known to stand so.
+        :param decided: whether its holder has decided what is due.
         :returns: whether to take it.
         """
-        if not record.holder or record.name not in self._look().heard:
+        seen = self._look()
+        if seen.hears_few and decided:
+            # Others have a holder that acts, which is not heard here.
+            return False
+        if not record.holder or record.name not in seen.heard:
             return True
         return unchanged_ms >= self._lease_ms
--- a/wingfall/gateway/duties/usage_duty.py
+++ b/wingfall/gateway/duties/usage_duty.py
@@ -114,11 +114,12 @@
         if self._lease.held:
             return True
         record, unchanged_ms = self._lease.record, self._lease.unchanged_ms
-        if window <= record.decided and window not in record.reports:
+        decided = window <= record.decided
+        if decided and window not in record.reports:
             # Its holder delivered it before it decided later ones.
             self._counts.delivered = window
             return False
-        if not self._standing.replaces(record, unchanged_ms):
+        if not self._standing.replaces(record, unchanged_ms, decided=decided):
             return False
         return self._lease.take(decided=self._counts.window - 1)
 
