--- a/wingfall/gateway/duties/lease.py
+++ b/wingfall/gateway/duties/lease.py
@@ -57,6 +57,7 @@
         '_not_before_ms',
         '_revision',
         '_store',
+        '_taken_ms',
         '_token',
         'record',
     )
@@ -91,6 +92,8 @@
         self._changed_ms: float = _NEVER
         # 0 while another holds it, as far as is known.
         self._token = 0
+        # When it was first seen that this gateway holds it.
+        self._taken_ms = _NEVER
         # When the call was sent that last showed this gateway as the holder.
         self._confirmed_ms: float = _NEVER
         # Before when this gateway does not act.
@@ -112,6 +115,11 @@
         """Whether holders before this one have surely stopped to act."""
         return self.held and self._clock.now_ms() >= self._not_before_ms
 
+    @property
+    def held_ms(self) -> float:
+        """Milliseconds for which this gateway has held the lease."""
+        return self._clock.now_ms() - self._taken_ms if self.held else 0
+
     @property
     def fence(self) -> Fence:
         """Under which right this gateway acts."""
@@ -239,6 +247,7 @@
             return
         if not self._token:
             self._token = self.record.token or revision or 0
+            self._taken_ms = self._clock.now_ms()
             self._not_before_ms = self._first_act_ms(before)
         self._confirmed_ms = sent_ms
 
