Duties: a holder that waits for counts is left to act, with short leases as well

With 3 s, as the users have it, the bound is as before. Change: at least 2.5 s of patience with a holder that is heard. Beside it: a soak takes a block of ports only if all of them are free; one run had met gateways that a killed test run had left.

--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -122,6 +122,22 @@
     assert standing.replaces(HELD, LEASE_MS, decided=False)
 
 
+def test_holder_of_a_short_lease_has_time_to_hear_counts(
+    clock: ManualClock, sight: Sight
+):
+    # Two gateways took a lease of 1.2 s from each other each 1.6 s, while a
+    # holder waits 1.5 s for counts; no window was reported.
+    short = Standing(
+        clock=clock,
+        lease_ms=1200,
+        new_ms=NEW_MS,
+        look=sight.look,
+        is_stopping=bool,
+    )
+    assert not short.replaces(HELD, 2499, decided=False)
+    assert short.replaces(HELD, 2500, decided=False)
+
+
 def test_holder_that_is_gone_is_replaced_at_once(standing: Standing):
     gone = LeaseRecord(holder='d/1', name='d')
     assert standing.replaces(gone, 0, decided=True)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -336,17 +336,31 @@
     # Gateways take their ports late and again after a restart, so each soak
     # that runs at the same time has a block of its own, which it holds by
     # listening on the first port of it.
+    taken = OSError('all blocks of ports are in use')
     for turn in range(_BLOCKS):
         block = (os.getpid() + turn) % _BLOCKS
+        first = _FIRST_PORT + block * _BLOCK_PORTS
         try:
-            return socket.create_server(
-                (HOST, _FIRST_PORT + block * _BLOCK_PORTS),
-            )
+            guard = socket.create_server((HOST, first))
         except OSError as error:
             taken = error
+            continue
+        if _are_free(_ports_after(guard)):
+            return guard
+        guard.close()
     raise taken
 
 
+def _are_free(ports: Iterator[int]) -> bool:
+    # Gateways of a soak that was killed go on, while their block is free.
+    for port in ports:
+        try:
+            socket.create_server((HOST, port)).close()
+        except OSError:
+            return False
+    return True
+
+
 def _ports_after(guard: socket.socket) -> Iterator[int]:
     first = guard.getsockname()[1]
     return iter(range(first + 1, first + _BLOCK_PORTS))
--- a/wingfall/gateway/duties/standing.py
+++ b/wingfall/gateway/duties/standing.py
@@ -20,6 +20,13 @@
 # Milliseconds for which a holder that is heard is left to act before others
 # look: it steps five times a second, writes and sends.
 _HOLDER_MS: Final = 1500
+# Milliseconds after which a gateway that has taken the lease has heard all
+# counts: it tells that it holds it within 0.1 s, and peers tell theirs each
+# second. One that decided at once reported 11 of 556 requests.
+HEARD_MS: Final = 1500
+# Milliseconds for which a holder that may act is left to act: a step, a write
+# and a sending over busy links.
+_ACT_MS: Final = 1000
 # Milliseconds between two looks at the lease, each of which is a call.
 _LOOK_MS: Final = 500
 # Turns for which one that has just started waits longer: it has not heard the
@@ -73,6 +80,7 @@
         '_lease_ms',
         '_look',
         '_looked_ms',
+        '_patience_ms',
         '_new_ms',
         '_started_ms',
     )
@@ -96,6 +104,9 @@
         """
         self._clock = clock
         self._lease_ms = lease_ms
+        # Longer than any holder needs until it acts, or gateways would take the
+        # lease from each other for ever, and none would act.
+        self._patience_ms = max(lease_ms, HEARD_MS + _ACT_MS)
         self._new_ms = new_ms
         self._look = look
         self._is_stopping = is_stopping
@@ -150,4 +161,4 @@
             return False
         if not record.holder or record.name not in seen.heard:
             return True
-        return unchanged_ms >= self._lease_ms
+        return unchanged_ms >= self._patience_ms
--- a/wingfall/gateway/duties/usage_duty.py
+++ b/wingfall/gateway/duties/usage_duty.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from wingfall.gateway.duties.duty import DutyTerms, duties
+from wingfall.gateway.duties.standing import HEARD_MS
 from wingfall.gateway.model.duty import UsageReport
 from wingfall.log import log_event
 
@@ -26,10 +27,6 @@
 # Milliseconds after the end of a window at which its counts are summed up: a
 # second until the last ones are told, and another for busy loops and links.
 _SETTLE_MS: Final = 2000
-# Milliseconds after which a gateway that has taken the lease has heard all
-# counts: it tells that it holds it within 0.1 s, and peers tell theirs each
-# second. One that decided at once reported 11 of 556 requests.
-_HEARD_MS: Final = 1500
 # Milliseconds for one sending, within the time for which a holder may act.
 _LEAST_ACT_MS: Final = 100
 
@@ -141,7 +138,7 @@
         if not undecided:
             # Sending again what stands: the lease must be held still.
             return self._lease.refresh()
-        if self._lease.held_ms < _HEARD_MS:
+        if self._lease.held_ms < HEARD_MS:
             return False
         reports = {
             window: counts
