Sight: what answers say of their endpoints is read, kept and logged

Cause of the change: the logs of the incident can't tell whether gateways know of a limit or a rest, since a line of an attempt has the answer's status alone. Ruled out: logging raw headers, which a newcomer would have to decode. Change: one place in the platform folder turns the heads of answers into typed signals; one owner keeps the newest of each, by when the request was sent and the head was heard, since answers overtake each other. No decision asks it yet.

--- /dev/null
+++ b/tests/test_endpoint_signals.py
@@ -0,0 +1,132 @@
+"""What is known of endpoints' limits and leavings, in any order of news."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingfall.clock import ManualClock
+from wingfall.gateway.knowledge.endpoint_signals import (
+    EndpointSignals,
+    SignalChange,
+)
+from wingfall.gateway.model.answer_signals import AnswerSignals
+from wingfall.gateway.model.endpoint_limit import EndpointLimit, choose_newer
+
+ENDPOINT = 'engine-1'
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    """Give a clock that stands at a second."""
+    return ManualClock(start_ms=1000)
+
+
+@pytest.fixture
+def known(clock: ManualClock) -> EndpointSignals:
+    """Give what is known of endpoints, nothing yet."""
+    return EndpointSignals(name='g1', clock=clock)
+
+
+def said(rate: float | None, sent_ms: int, heard_ms: int) -> EndpointLimit:
+    """Describe what an answer said of a limit."""
+    return EndpointLimit(
+        rate=rate,
+        sent_ms=sent_ms,
+        heard_ms=heard_ms,
+        changed_ms=heard_ms,
+        told_by='g2',
+    )
+
+
+def test_limit_holds_until_a_later_answer_names_none(
+    known: EndpointSignals, clock: ManualClock
+):
+    named = known.note_answer(ENDPOINT, AnswerSignals(rate=2), 900)
+    assert named == [SignalChange.limit_named]
+    assert not known.note_answer(ENDPOINT, AnswerSignals(rate=2), 950)
+    clock.advance(10)
+    ended = known.note_answer(ENDPOINT, AnswerSignals(), 1005)
+    assert ended == [SignalChange.limit_ended]
+    assert known.limits[ENDPOINT].rate is None
+
+
+def test_answer_that_was_overtaken_ends_no_limit(
+    known: EndpointSignals, clock: ManualClock
+):
+    known.note_answer(ENDPOINT, AnswerSignals(rate=2), 900)
+    clock.advance(10)
+    # Its request was sent before the limit was heard, its head came after.
+    assert not known.note_answer(ENDPOINT, AnswerSignals(), 990)
+    assert known.limits[ENDPOINT].rate == 2
+
+
+def test_of_two_answers_whose_order_is_unknown_the_lower_limit_holds():
+    for first, second in (
+        (said(5, 0, 10), said(1, 5, 15)),
+        (said(1, 0, 10), said(5, 5, 15)),
+        (said(1, 5, 15), said(None, 0, 20)),
+    ):
+        assert choose_newer(first, second).rate == 1
+        assert choose_newer(second, first).rate == 1
+
+
+def test_of_two_answers_one_after_the_other_the_later_holds():
+    before, after = said(1, 0, 10), said(5, 11, 20)
+    assert choose_newer(before, after) is after
+    assert choose_newer(after, before) is after
+
+
+def test_what_can_not_be_read_changes_no_limit(known: EndpointSignals):
+    known.note_answer(ENDPOINT, AnswerSignals(rate=2), 900)
+    unreadable = AnswerSignals(faults=('server-limit: many',))
+    changes = known.note_answer(ENDPOINT, unreadable, 1100)
+    assert changes == [SignalChange.unreadable]
+    assert known.limits[ENDPOINT].rate == 2
+
+
+def test_gateways_that_know_the_same_have_the_same_sum(clock: ManualClock):
+    one = EndpointSignals(name='g1', clock=clock)
+    other = EndpointSignals(name='g2', clock=clock)
+    one.note_answer(ENDPOINT, AnswerSignals(rate=2, leaving=True), 900)
+    assert one.recent_sum != other.recent_sum
+    assert one.take_untold() == {ENDPOINT}
+    other.take_limit(ENDPOINT, one.limits[ENDPOINT])
+    other.take_leaving(ENDPOINT, one.leaving[ENDPOINT])
+    assert one.recent_sum == other.recent_sum
+    assert not other.take_untold()
+
+
+def test_endpoint_that_is_listed_keeps_its_limit(
+    known: EndpointSignals, clock: ManualClock
+):
+    for name in (ENDPOINT, 'gone'):
+        known.note_answer(name, AnswerSignals(rate=2, leaving=True), 900)
+    clock.advance(61_000)
+    known.forget({ENDPOINT})
+    assert set(known.limits) == {ENDPOINT}
+    assert set(known.leaving) == {ENDPOINT}
+
+
+def test_rest_lasts_as_long_as_the_longest_that_was_asked(
+    known: EndpointSignals, clock: ManualClock
+):
+    asked = known.note_answer(ENDPOINT, AnswerSignals(rest_ms=3000), 900)
+    assert asked == [SignalChange.rest]
+    assert not known.note_answer(ENDPOINT, AnswerSignals(rest_ms=1000), 900)
+    clock.advance(2000)
+    # A good answer meanwhile doesn't end it.
+    known.note_answer(ENDPOINT, AnswerSignals(), 2900)
+    assert known.rests.left_ms(ENDPOINT) == 1000
+    clock.advance(1000)
+    assert known.rests.left_ms(ENDPOINT) == 0
+
+
+def test_what_is_remembered_is_bounded(
+    known: EndpointSignals, clock: ManualClock
+):
+    signals = AnswerSignals(rate=2, leaving=True, rest_ms=5000)
+    for number in range(20_000):
+        known.note_answer(f'endpoint-{number}', signals, 900)
+    assert len(known.limits) <= 16_384
+    assert len(known.leaving) <= 16_384
+    assert len(known.rests.until_ms) <= 16_384
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -51,7 +51,7 @@
     :returns: the state.
     """
     make_binding = bindings.find(settings.binding).unwrap()
-    knowledge = EndpointKnowledge(clock=clock)
+    knowledge = EndpointKnowledge(clock=clock, name=settings.name)
     return GatewayState(
         zone=settings.zone,
         clock=clock,
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -34,6 +34,7 @@
         EndpointConnection,
     )
     from wingfall.gateway.endpoints.kept_connections import KeptConnections
+    from wingfall.gateway.model.answer_signals import AnswerSignals
     from wingfall.gateway.model.binding import AnswerHead, Binding
     from wingfall.gateway.model.call import Call, Headers
 
@@ -56,7 +57,9 @@
         '_destination',
         '_now_ms',
         '_on_output',
+        '_on_signals',
         '_reply',
+        '_sent_ms',
     )
 
     def __init__(
@@ -69,6 +72,7 @@
         connections: KeptConnections,
         now_ms: Callable[[], int],
         on_output: Callable[[], None],
+        on_signals: Callable[[AnswerSignals, int], None],
     ) -> None:
         """Prepare a sending.
 
@@ -79,6 +83,8 @@
         :param connections: connections to endpoints.
         :param now_ms: reads the clock.
         :param on_output: called whenever events of a stream have come.
+        :param on_signals: called with what an answer says of its endpoint,
+            and when its request was sent.
         """
         self._call = call
         self._destination = destination
@@ -87,6 +93,8 @@
         self._connections = connections
         self._now_ms = now_ms
         self._on_output = on_output
+        self._on_signals = on_signals
+        self._sent_ms = 0
         self._connection: EndpointConnection | None = None
 
     def run(self, limits: AttemptLimits) -> AttemptOutcome:
@@ -115,6 +123,7 @@
             kept=call.idempotent,
         )
         self._connection = connection
+        self._sent_ms = self._now_ms()
         connection.send(
             call.head.method,
             call.head.target,
@@ -146,6 +155,7 @@
             raise AnswerBrokenError('an answer to another request')
         if not head.valid:
             raise AnswerBrokenError('an answer in an unknown encoding')
+        self._on_signals(head.signals, self._sent_ms)
         self._note_keep_alive(headers)
         if _is_stream(response):
             return self._read_stream(response, limits)
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -17,6 +17,7 @@
     from wingfall.gateway.calls.attempt_outcome import AttemptOutcome
     from wingfall.gateway.calls.destination import Destination
     from wingfall.gateway.calls.reply import Reply
+    from wingfall.gateway.model.answer_signals import AnswerSignals
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.state import GatewayState
 
@@ -93,6 +94,19 @@
             self._state.knowledge.caches.confirm_read(name, prompt)
         self._learn_read_rate()
 
+    def note_signals(self, signals: AnswerSignals, sent_ms: int) -> None:
+        """Note what the head of the answer says of the endpoint.
+
+        :param signals: what it says.
+        :param sent_ms: when the request was sent.
+        """
+        known = self._state.knowledge.signals
+        name = self._destination.endpoint.name
+        for change in known.note_answer(name, signals, sent_ms):
+            self._state.metrics.decisions.inc(
+                {'part': 'signals', 'reason': change},
+            )
+
     def end(self, outcome: AttemptOutcome, reply: Reply) -> None:
         """Note the end of the attempt, whatever ended it, and log it.
 
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -203,6 +203,7 @@
             connections=state.connections,
             now_ms=state.clock.now_ms,
             on_output=tracker.note_output,
+            on_signals=tracker.note_signals,
         )
         outcome = AttemptOutcome(
             end=AttemptEnd.cut,
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -10,6 +10,7 @@
 from wingfall.gateway.knowledge.crash_ledger import CrashLedger
 from wingfall.gateway.knowledge.endpoint_health import EndpointHealth
 from wingfall.gateway.knowledge.endpoint_lives import EndpointLives
+from wingfall.gateway.knowledge.endpoint_signals import EndpointSignals
 from wingfall.gateway.knowledge.endpoint_table import EndpointTable
 from wingfall.gateway.knowledge.engine_speeds import EngineSpeeds
 from wingfall.gateway.knowledge.load import LoadTable
@@ -33,14 +34,16 @@
         'lives',
         'load',
         'long_reads',
+        'signals',
         'speeds',
         'table',
     )
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, name: str = '') -> None:
         """Start without an endpoint.
 
         :param clock: the time.
+        :param name: name of this gateway.
         """
         self._clock = clock
         # Which there are, by the store.
@@ -59,6 +62,8 @@
         self.health = EndpointHealth(clock=clock)
         # Which crashed, and what ran there, by the calls of all gateways.
         self.crashes = CrashLedger(clock=clock)
+        # What they have said of themselves, to any gateway.
+        self.signals = EndpointSignals(name=name, clock=clock)
 
     def speed(self, name: str) -> EngineSpeed:
         """Give what an engine has shown of its speed.
@@ -94,6 +99,7 @@
         self.crashes.forget_old()
         names = self.table.names
         self.health.forget(names)
+        self.signals.forget(names)
         self.caches.forget(names)
         self.speeds.keep_only(names)
         self.long_reads.keep_only(names)
--- a/wingfall/gateway/model/binding.py
+++ b/wingfall/gateway/model/binding.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING, Any, Final, Protocol, final
 
+from wingfall.gateway.model.answer_signals import NO_SIGNALS
 from wingfall.registry import Registry
 
 if TYPE_CHECKING:
@@ -16,6 +17,7 @@
     from returns.result import Result
 
     from wingfall.errors import ObjectFault
+    from wingfall.gateway.model.answer_signals import AnswerSignals
     from wingfall.gateway.model.call import Call, CallHead, Headers
     from wingfall.gateway.model.duty import DutyCalls
     from wingfall.gateway.model.object_store import ObjectStore, ObjectWriter
@@ -71,7 +73,7 @@
 class AnswerHead:
     """What the head of an endpoint's answer means."""
 
-    __slots__ = ('call_id', 'not_run', 'retry_elsewhere', 'valid')
+    __slots__ = ('call_id', 'not_run', 'retry_elsewhere', 'signals', 'valid')
 
     def __init__(
         self,
@@ -80,6 +82,7 @@
         not_run: bool,
         valid: bool,
         retry_elsewhere: bool,
+        signals: AnswerSignals = NO_SIGNALS,
     ) -> None:
         """Describe an answer.
 
@@ -87,11 +90,13 @@
         :param not_run: whether it proves that the request did not run.
         :param valid: whether it can be the endpoint's true answer.
         :param retry_elsewhere: whether the run failed at this endpoint.
+        :param signals: what it says of the endpoint itself.
         """
         self.call_id = call_id
         self.not_run = not_run
         self.valid = valid
         self.retry_elsewhere = retry_elsewhere
+        self.signals = signals
 
 
 class Binding(Protocol):
--- /dev/null
+++ b/wingfall/gateway/model/endpoint_leaving.py
@@ -0,0 +1,21 @@
+"""An endpoint that has said that it is leaving."""
+
+from __future__ import annotations
+
+from typing import final
+
+
+@final
+class EndpointLeaving:
+    """Who heard it, and when by this gateway's clock."""
+
+    __slots__ = ('heard_ms', 'told_by')
+
+    def __init__(self, *, heard_ms: int, told_by: str) -> None:
+        """Describe a leaving.
+
+        :param heard_ms: when the first answer said so.
+        :param told_by: the gateway that had the answer.
+        """
+        self.heard_ms = heard_ms
+        self.told_by = told_by
--- a/wingfall/platform/headers.py
+++ b/wingfall/platform/headers.py
@@ -13,6 +13,7 @@
 from wingfall.gateway.model.binding import AnswerHead
 from wingfall.gateway.model.call import CallHead
 from wingfall.gateway.model.prompt import Prompt, PromptPart
+from wingfall.platform.answer_signals import read_signals
 
 if TYPE_CHECKING:
     from wingfall.gateway.model.binding import Sending
@@ -146,6 +147,7 @@
         not_run=foreign or _NOT_RUN in first,
         valid=b'content-encoding' not in first,
         retry_elsewhere=status >= http.HTTPStatus.INTERNAL_SERVER_ERROR,
+        signals=read_signals(status, headers),
     )
 
 
