Tests: an endpoint that names a limit gets no more than that, still red

Symptom: an endpoint in need names in its answers how many requests a second it takes from all gateways together; gateways go on as before.

--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -36,6 +36,8 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from standins.answer_signals import AnswerSignalsStandIn
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -44,6 +46,7 @@
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 _CUT_AFTER: Final = 2
 _RESET_AFTER_S: Final = 0.05
+_UNAVAILABLE: Final = 503
 _HELD_PATH: Final = '/wingfall/kv-list'
 
 
@@ -82,6 +85,8 @@
         self.name = name
         self.zone = ''
         self.faults: list[str] = []
+        # What its answers say of itself, and the ledger of that.
+        self.signals = AnswerSignalsStandIn()
         self.events = 3
         self.event_ms = 0
         self.delay_ms = 0
@@ -143,15 +148,16 @@
         run = self._read_request(sock, http)
         if run is None:
             return False
+        self.signals.note_arrival(run.call_id)
         listing = run.target == _HELD_PATH
         fault = self._next_fault(listing=listing)
         expected = run.headers.get('x-expect-instance', self.name)
         if fault == 'foreign' or expected != self.name:
-            return self._turn_away(sock, http, 421)
+            return self._turn_away(sock, http, run, 421)
+        if self.signals.rest or fault in {'shed', 'late_shed'}:
+            return self._turn_away(sock, http, run, _UNAVAILABLE)
         if listing and not fault:
-            return self._list_held(sock, http)
-        if fault in {'shed', 'late_shed'}:
-            return self._turn_away(sock, http, 503)
+            return self._list_held(sock, http, run)
         self.runs.append(run)
         if 'x-token-count' not in run.headers:
             run.began_s = run.arrived_s
@@ -195,14 +201,22 @@
             return self.held_fault
         return self.faults.pop(0) if self.faults else ''
 
-    def _list_held(self, sock: socket.socket, http: h11.Connection) -> bool:
+    def _list_held(
+        self,
+        sock: socket.socket,
+        http: h11.Connection,
+        run: Run,
+    ) -> bool:
         held = [['', part, tokens, 'm'] for part, tokens in self.held]
         body = orjson.dumps({'epoch': 1, 'next_token': 1, 'held': held})
         encoded = _encode(
             http,
             h11.Response(
                 status_code=200,
-                headers=[('Content-Length', str(len(body)))],
+                headers=[
+                    ('Content-Length', str(len(body))),
+                    *self.signals.headers(run.call_id),
+                ],
             ),
             h11.Data(data=body),
             h11.EndOfMessage(),
@@ -214,10 +228,15 @@
         self,
         sock: socket.socket,
         http: h11.Connection,
+        run: Run,
         status: int,
     ) -> bool:
         self.turned_away += 1
         headers = [('Content-Length', '0'), ('X-Not-Executed', '1')]
+        if status == _UNAVAILABLE:
+            headers += self.signals.rest_headers(run.call_id)
+        else:
+            headers += self.signals.headers(run.call_id)
         response = h11.Response(status_code=status, headers=headers)
         sock.sendall(_encode(http, response, h11.EndOfMessage()))
         return True
@@ -296,6 +315,7 @@
             ('X-Attempt-Id', _answered_id(run, fault)),
             ('X-Response-Seal', f'seal.{self.name}'),
             ('Keep-Alive', 'timeout=5'),
+            *self.signals.headers(run.call_id),
         ]
         if fault == 'encoded':
             headers.append(('Content-Encoding', 'gzip'))
@@ -315,6 +335,7 @@
             ('X-Attempt-Id', run.call_id),
             ('X-Response-Seal', f'seal.{self.name}'),
             ('Content-Type', 'text/event-stream'),
+            *self.signals.headers(run.call_id),
         ]
         response = h11.Response(status_code=200, headers=headers)
         sock.sendall(_encode(http, response))
