--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -289,7 +289,7 @@
 
 def holds_watch(gateway: GatewayApplication) -> bool:
     """Tell whether a gateway watches the store for others as well."""
-    return gateway._peers.holds_watch
+    return gateway._peers.view.holds_watch
 
 
 def caches_part(gateway: GatewayApplication, engine: str, part_id: str) -> bool:
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -5,12 +5,10 @@
 import pytest
 
 from wingfall.clock import ManualClock
-from wingfall.gateway.knowledge.endpoint_signals import (
-    EndpointSignals,
-    SignalChange,
-)
+from wingfall.gateway.knowledge.endpoint_signals import EndpointSignals
 from wingfall.gateway.model.answer_signals import AnswerSignals
 from wingfall.gateway.model.endpoint_limit import EndpointLimit, choose_newer
+from wingfall.gateway.model.signal_change import SignalChange
 
 ENDPOINT = 'engine-1'
 
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -49,6 +49,7 @@
     'calls',
     'callers',
     'assembly',
+    'status',
     'application',
     '__main__',
 )
--- a/tests/test_sending_gate.py
+++ b/tests/test_sending_gate.py
@@ -11,9 +11,10 @@
 from wingfall.clock import ManualClock
 from wingfall.gateway.endpoints.endpoint_connection import HeldError
 from wingfall.gateway.endpoints.kept_connections import KeptConnections
-from wingfall.gateway.endpoints.sending_gate import Held, SendingGate
+from wingfall.gateway.endpoints.sending_gate import SendingGate
 from wingfall.gateway.knowledge.endpoint_signals import EndpointSignals
 from wingfall.gateway.model.answer_signals import AnswerSignals
+from wingfall.gateway.model.held import Held
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 from wingfall.gateway.rules.rate_share import share_among_few
 
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -32,6 +32,7 @@
 from wingfall.gateway.peers.gateway_peers import GatewayPeers
 from wingfall.gateway.peers.shared_bounds import SharedBounds
 from wingfall.gateway.rules.planned_stop import StopSchedule
+from wingfall.gateway.status import show_status
 from wingfall.http_server import HttpServer
 from wingfall.log import log_event
 from wingfall.program import Program
@@ -124,7 +125,13 @@
             transfer=self._transfer,
             supervisor=self._supervisor,
             watches=self._watches,
-            duties=self._duties and self._make_duty_exchange(self._duties),
+            duties=self._duties
+            and DutyExchange(
+                clock=self._clock,
+                true_time=self._duties.true_time,
+                counts=self._duties.counts,
+                lease=self._duties.lease,
+            ),
         )
         self._ready_server = HttpServer(
             app=make_ready_app(
@@ -237,20 +244,13 @@
 
         :returns: the state as JSON.
         """
-        routes = self._state.routes
-        signals = self._state.knowledge.signals
-        return {
-            'name': self._settings.name,
-            'config': routes.version if routes else None,
-            'endpoints': sorted(self._state.knowledge.table.names),
-            'peers': self._peers.names,
-            'calls': self._busy(),
-            'blocked_requests': self._state.blocks.count,
-            'limited_endpoints': self._state.gate.status(),
-            'leaving_endpoints': sorted(signals.leaving),
-            'resting_endpoints': sorted(signals.rests.until_ms),
-            'duties': self._duties.status() if self._duties else None,
-        }
+        return show_status(
+            name=self._settings.name,
+            state=self._state,
+            peers=self._peers.names,
+            calls=self._busy(),
+            duties=self._duties.status() if self._duties else None,
+        )
 
     def _make_duties(self) -> GatewayDuties | None:
         if not self._settings.duties.address:
@@ -260,20 +260,12 @@
             clock=self._clock,
             metrics=self._metrics,
             binding=self._state.binding,
-            look=lambda: self._peers.look(),  # noqa: PLW0108
+            look=lambda: self._peers.view.look(),
             is_stopping=lambda: self._state.draining,
         )
         self._state.usage = duties.counts
         return duties
 
-    def _make_duty_exchange(self, duties: GatewayDuties) -> DutyExchange:
-        return DutyExchange(
-            clock=self._clock,
-            true_time=duties.true_time,
-            counts=duties.counts,
-            lease=duties.lease,
-        )
-
     def _make_follower(
         self,
         store: ObjectStore,
@@ -283,8 +275,8 @@
             store=store,
             replica=replica,
             clock=self._clock,
-            holds_watch=lambda: self._peers.holds_watch,
-            leads=lambda: self._peers.leads,
+            holds_watch=lambda: self._peers.view.holds_watch,
+            leads=lambda: self._peers.view.leads,
         )
 
     def _accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
--- a/wingfall/gateway/calls/held_pool.py
+++ b/wingfall/gateway/calls/held_pool.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from wingfall.clock import MS_PER_S
-from wingfall.gateway.endpoints.sending_gate import Held
+from wingfall.gateway.model.held import Held
 from wingfall.gateway.rules.held_calls import Opening
 from wingfall.gateway.rules.refusals import refuse_held
 from wingfall.log import log_event
--- a/wingfall/gateway/calls/stream_continuation.py
+++ b/wingfall/gateway/calls/stream_continuation.py
@@ -14,7 +14,7 @@
     describe_demand,
     describe_endpoint,
 )
-from wingfall.gateway.endpoints.endpoint_connection import refuses_connections
+from wingfall.gateway.endpoints.endpoint_probe import refuses_connections
 from wingfall.gateway.model.attempt_end import AttemptEnd
 
 if TYPE_CHECKING:
--- a/wingfall/gateway/endpoints/crash_watch.py
+++ b/wingfall/gateway/endpoints/crash_watch.py
@@ -13,7 +13,7 @@
 import gevent
 
 from wingfall.clock import MS_PER_S
-from wingfall.gateway.endpoints.endpoint_connection import closes_connections
+from wingfall.gateway.endpoints.endpoint_probe import closes_connections
 from wingfall.gateway.model.endpoint_crash import EndpointCrash
 from wingfall.log import log_event
 
--- a/wingfall/gateway/endpoints/sending_gate.py
+++ b/wingfall/gateway/endpoints/sending_gate.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING, Any, Final, final
 
 from wingfall.clock import MS_PER_S
+from wingfall.gateway.model.held import Held
 from wingfall.gateway.rules.pace import Pace
 from wingfall.gateway.rules.rate_share import ShareTerms
 from wingfall.gateway.rules.rest_return import (
@@ -39,15 +39,6 @@
 _SILENT_MS: Final = 3000
 
 
-@final
-class Held(enum.StrEnum):
-    """Why an endpoint takes no request now."""
-
-    leaving = 'leaving'
-    limited = 'limited'
-    resting = 'resting'
-
-
 @final
 class SendingGate:
     """Asks what endpoints have said before a request is sent."""
--- a/wingfall/gateway/knowledge/crash_ledger.py
+++ b/wingfall/gateway/knowledge/crash_ledger.py
@@ -123,7 +123,7 @@
         :param crash: the crash, with this gateway's suspects.
         """
         chosen = self._choose(crash, crash.suspects, MOST_TOLD)
-        added = self.take_crash(_narrow(crash, chosen))
+        added = self.take_crash(crash.narrowed(chosen))
         if added is not None:
             told = self._untold_crashes.setdefault(crash.endpoint, added)
             told.silent |= added.silent
@@ -144,7 +144,7 @@
         new = self._choose(crash, crash.suspects - suspects, room)
         if known is not None and not new:
             return None
-        added = _narrow(crash, new)
+        added = crash.narrowed(new)
         self._merge(known, added)
         return added
 
@@ -240,7 +240,7 @@
     def _merge(self, known: EndpointCrash | None, added: EndpointCrash) -> None:
         if known is None:
             # A copy, since the ledger's own entry changes later on.
-            self._crashes[added.endpoint] = _narrow(added, added.suspects)
+            self._crashes[added.endpoint] = added.narrowed(added.suspects)
         else:
             known.silent |= added.silent
             known.streaming |= added.streaming - known.silent
@@ -291,13 +291,3 @@
             for fingerprint in known.keys() - left:
                 known.pop(fingerprint)
         self.revision += 1
-
-
-def _narrow(crash: EndpointCrash, suspects: set[Fingerprint]) -> EndpointCrash:
-    return EndpointCrash(
-        endpoint=crash.endpoint,
-        crashed_ms=crash.crashed_ms,
-        told_by=crash.told_by,
-        silent=crash.silent & suspects,
-        streaming=crash.streaming & suspects - crash.silent,
-    )
--- a/wingfall/gateway/knowledge/endpoint_rests.py
+++ b/wingfall/gateway/knowledge/endpoint_rests.py
@@ -39,6 +39,11 @@
         """When rests end, by endpoint; must not be changed."""
         return self._until_ms
 
+    @property
+    def names(self) -> list[str]:
+        """Names of the endpoints that rest now."""
+        return sorted(filter(self.is_resting, self._until_ms))
+
     def note(self, endpoint: str, rest_ms: int | None) -> bool:
         """Note what an answer says of rest.
 
--- a/wingfall/gateway/knowledge/endpoint_signals.py
+++ b/wingfall/gateway/knowledge/endpoint_signals.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import enum
 import hashlib
 from typing import TYPE_CHECKING, Any, Final, final
 
@@ -18,6 +17,7 @@
 from wingfall.gateway.knowledge.signal_faults import SignalFaults
 from wingfall.gateway.model.endpoint_leaving import EndpointLeaving
 from wingfall.gateway.model.endpoint_limit import EndpointLimit, choose_newer
+from wingfall.gateway.model.signal_change import SignalChange
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
@@ -39,17 +39,6 @@
 _SUM_BYTES: Final = 8
 
 
-@final
-class SignalChange(enum.StrEnum):
-    """What an answer has changed, as metrics name it."""
-
-    limit_named = 'limit_named'
-    limit_ended = 'limit_ended'
-    leaving = 'leaving'
-    rest = 'rest'
-    unreadable = 'unreadable'
-
-
 @final
 class EndpointSignals:
     """The limits, rests and leavings of endpoints."""
--- a/wingfall/gateway/model/endpoint_crash.py
+++ b/wingfall/gateway/model/endpoint_crash.py
@@ -57,3 +57,17 @@
         :returns: whether it was.
         """
         return fingerprint in self.silent or fingerprint in self.streaming
+
+    def narrowed(self, suspects: set[Fingerprint]) -> EndpointCrash:
+        """Describe the same crash with some of its requests.
+
+        :param suspects: the requests that are kept.
+        :returns: a copy.
+        """
+        return EndpointCrash(
+            endpoint=self.endpoint,
+            crashed_ms=self.crashed_ms,
+            told_by=self.told_by,
+            silent=self.silent & suspects,
+            streaming=self.streaming & suspects - self.silent,
+        )
--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from typing import TYPE_CHECKING, Callable, Final, final
 
@@ -15,22 +16,13 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.errors import WireError
-from wingfall.gateway.duties.standing import Peering
-from wingfall.gateway.peers.heartbeat_schedule import (
-    TICK_MS,
-    seen_within_ms,
-    silence_ms,
-)
-from wingfall.gateway.peers.heartbeats import Heartbeats
+from wingfall.gateway.peers.heartbeat_schedule import TICK_MS, silence_ms
+from wingfall.gateway.peers.heartbeats import Heartbeats, NewsKind
 from wingfall.gateway.peers.objects.object_exchange import ObjectExchange
 from wingfall.gateway.peers.peer_addresses import PeerAddresses
 from wingfall.gateway.peers.peer_dialer import PeerDialer
 from wingfall.gateway.peers.peer_session import PeerSession
-from wingfall.gateway.peers.watch_duty import (
-    WATCHERS,
-    WatchDuty,
-    peers_before,
-)
+from wingfall.gateway.peers.peer_view import PeerView
 from wingfall.log import log_event
 from wingfall.wire.connection import Connection
 from wingfall.wire.gateway_messages import GatewayHello
@@ -70,7 +62,7 @@
         '_sessions',
         '_supervisor',
         '_transfer',
-        '_watch_duty',
+        '_view',
         '_zone',
     )
 
@@ -118,7 +110,6 @@
         self._transfer = transfer
         self._supervisor = supervisor
         self._sessions: dict[str, PeerSession] = {}
-        self._watch_duty = WatchDuty()
         self._heartbeats = Heartbeats(
             name=name,
             zone=zone,
@@ -140,6 +131,12 @@
         self._server.init_socket()
         self._address = f'{host}:{self._server.socket.getsockname()[1]}'
         self._addresses = PeerAddresses(own=self._address, seeds=seeds)
+        self._view = PeerView(
+            name=name,
+            clock=clock,
+            sessions=self._sessions,
+            addresses=self._addresses,
+        )
 
     @property
     def address(self) -> str:
@@ -152,44 +149,18 @@
         return sorted(self._sessions)
 
     @property
-    def holds_watch(self) -> bool:
-        """Whether this gateway shall watch the store.
-
-        Some gateways watch, the same for all who hear each other; one that
-        isn't heard for a moment is replaced by the next.
-        """
-        # Who watches is heard each second, however many gateways there are.
-        before = self._peers_before(seen_within_ms(1))
-        return self._watch_duty.holds(before, self._clock.now_ms())
-
-    @property
-    def leads(self) -> bool:
-        """Whether this gateway shall be among the first to ask a lost store."""
-        within_ms = seen_within_ms(len(self._sessions))
-        return len(self._peers_before(within_ms)) < WATCHERS
-
-    def look(self) -> Peering:
-        """Tell what is seen of the others, for who stands for the lease.
-
-        :returns: how many go before this gateway, are heard, and are known.
-        """
-        within_ms = seen_within_ms(len(self._sessions))
-        return Peering(
-            before=len(self._peers_before(within_ms)),
-            heard=frozenset(self._sessions),
-            known=self._addresses.count,
-            holder_heard=any(
-                each.holds_lease for each in self._sessions.values()
-            ),
-        )
+    def view(self) -> PeerView:
+        """What is seen of the others, for who stands for what."""
+        return self._view
 
     def start(self) -> None:
         """Accept and connect from now on."""
         self._share_bounds()
         self._server.start()
         self._supervisor.start('heartbeats', self._send_heartbeats)
-        self._supervisor.start('crashes', self._tell_crashes)
-        self._supervisor.start('signals', self._tell_signals)
+        for kind in NewsKind:
+            body = functools.partial(self._tell_forever, kind)
+            self._supervisor.start(kind, body)
         self._supervisor.start('dials', self._dial_forever)
 
     def learn(self, addresses: Iterable[str]) -> None:
@@ -215,11 +186,6 @@
         for session in list(self._sessions.values()):
             session.connection.close()
 
-    def _peers_before(self, within_ms: int) -> list[PeerSession]:
-        seen_since_ms = self._clock.now_ms() - within_ms
-        sessions = self._sessions.values()
-        return peers_before(self._name, sessions, seen_since_ms)
-
     def _dial_forever(self) -> None:
         dialer = PeerDialer(
             addresses=self._addresses,
@@ -299,9 +265,9 @@
         self._metrics.links.set({}, len(self._sessions))
         self._bounds.note_sessions(self._sessions, self._addresses.count)
 
-    def _tell_signals(self) -> None:
+    def _tell_forever(self, kind: NewsKind) -> None:
         while not self._supervisor.stopped:
-            self._heartbeats.tell_signals()
+            self._heartbeats.tell_news(kind)
 
     def _send_heartbeats(self) -> None:
         while not self._supervisor.stopped:
@@ -309,10 +275,6 @@
             self._heartbeats.step()
             gevent.sleep(TICK_MS / MS_PER_S)
 
-    def _tell_crashes(self) -> None:
-        while not self._supervisor.stopped:
-            self._heartbeats.tell_crashes()
-
     def _hello(self) -> GatewayHello:
         return GatewayHello(
             name=self._name,
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -14,7 +14,11 @@
 )
 from wingfall.gateway.peers.loads.load_entries import Activity
 from wingfall.gateway.peers.loads.load_exchange import LoadExchange
-from wingfall.gateway.peers.news_exchange import NewsExchange, PeerNews
+from wingfall.gateway.peers.news_exchange import (
+    NewsExchange,
+    NewsKind,
+    PeerNews,
+)
 from wingfall.wire.codec import encode
 from wingfall.wire.gateway_messages import (
     GatewayHeartbeat,
@@ -176,14 +180,12 @@
         self._loads.relay(sessions, whole=due is HeartbeatDue.whole)
         self.tell_duties(sessions)
 
-    def tell_crashes(self) -> None:
-        """Wait for news of crashes and tell all peers, in every zone."""
-        news = self._news.wait_for_crashes()
-        self._tell_news(news, list(self._sessions.values()))
+    def tell_news(self, kind: NewsKind) -> None:
+        """Wait for news and tell all peers, in every zone.
 
-    def tell_signals(self) -> None:
-        """Wait for news of limits and leavings and tell all peers."""
-        news = self._news.wait_for_signals()
+        :param kind: what is waited for.
+        """
+        news = self._news.wait(kind)
         self._tell_news(news, list(self._sessions.values()))
 
     def tell(self, *, leaving: bool, whole: bool) -> None:
--- a/wingfall/gateway/peers/news_exchange.py
+++ b/wingfall/gateway/peers/news_exchange.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING, final
 
 from wingfall.gateway.peers.crash_exchange import CrashExchange, CrashNews
@@ -17,6 +18,14 @@
     from wingfall.wire.gateway_messages import GatewayHeartbeat
 
 
+@final
+class NewsKind(enum.StrEnum):
+    """What all peers hear as soon as it is known."""
+
+    crashes = 'crashes'
+    signals = 'signals'
+
+
 @final
 class PeerNews:
     """The news of one heartbeat."""
@@ -68,19 +77,15 @@
         """The number that stands for what endpoints said lately."""
         return self._signals.recent_sum
 
-    def wait_for_crashes(self) -> PeerNews:
-        """Wait for crashes that no peer has heard of from here.
-
-        :returns: the news.
-        """
-        self._crashes.wait()
-        return PeerNews(crashes=self._crashes.take_untold())
-
-    def wait_for_signals(self) -> PeerNews:
-        """Wait for limits and leavings that no peer has heard of from here.
+    def wait(self, kind: NewsKind) -> PeerNews:
+        """Wait for news that no peer has heard from here.
 
+        :param kind: what is waited for.
         :returns: the news.
         """
+        if kind is NewsKind.crashes:
+            self._crashes.wait()
+            return PeerNews(crashes=self._crashes.take_untold())
         self._signals.wait()
         return PeerNews(signals=self._signals.take_untold())
 
--- /dev/null
+++ b/wingfall/gateway/status.py
@@ -0,0 +1,42 @@
+"""What a gateway shows of its state, as JSON for ``wingfall status``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from wingfall.gateway.state import GatewayState
+
+
+def show_status(
+    *,
+    name: str,
+    state: GatewayState,
+    peers: Sequence[str],
+    calls: int,
+    duties: dict[str, Any] | None,
+) -> dict[str, Any]:
+    """Show the state.
+
+    :param name: name of the gateway.
+    :param state: what it knows.
+    :param peers: names of the connected peers.
+    :param calls: how many calls it serves now.
+    :param duties: what it shows of the duties, None without duties.
+    :returns: the state.
+    """
+    routes, signals = state.routes, state.knowledge.signals
+    return {
+        'name': name,
+        'config': routes.version if routes else None,
+        'endpoints': sorted(state.knowledge.table.names),
+        'peers': list(peers),
+        'calls': calls,
+        'blocked_requests': state.blocks.count,
+        'limited_endpoints': state.gate.status(),
+        'leaving_endpoints': sorted(signals.leaving),
+        'resting_endpoints': signals.rests.names,
+        'duties': duties,
+    }
