--- a/wingfall/decision/affinity.py
+++ b/wingfall/decision/affinity.py
@@ -15,11 +15,10 @@
     from collections.abc import Iterator
 
 # Characters of a block of a prompt, and blocks that are looked at: prompts that
-# differ after 4,096 characters count as alike. Not measured by themselves; with
-# them the first token of short calls came after 89.5 ms instead of 128.8.
+# differ after 4,096 characters count as alike.
 BLOCK_CHARS: Final = 256
 MAX_BLOCKS: Final = 16
-# Prompts that a router remembers, some MB. Not measured.
+# Prompts that a router remembers, some MB.
 MAX_ENTRIES: Final = 50_000
 
 # Bytes of a digest: two of 50,000 prompts are rarely taken for one.
--- a/wingfall/decision/choice.py
+++ b/wingfall/decision/choice.py
@@ -10,11 +10,11 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-# Milliseconds by which an agent in another availability zone is worse. Not
-# measured: decides among equals only.
+# Milliseconds by which an agent in another availability zone is worse. Decides
+# among equals only.
 _ZONE_MS: Final = 1
 # Candidates that are drawn for each offer: the best of two keeps routers that
-# see the same reports from all choosing the same agent. Not measured here.
+# see the same reports from all choosing the same agent.
 _SAMPLES_PER_OFFER: Final = 2
 
 
--- a/wingfall/decision/customer_limits.py
+++ b/wingfall/decision/customer_limits.py
@@ -21,12 +21,11 @@
     from wingfall.objects.customer import Customer
 
 # Requests a second that each router counts for itself and for each other one,
-# so that a customer without demand has a share everywhere. Not measured.
+# so that a customer without demand has a share everywhere.
 _PRIOR_PER_S: Final = 0.5
-# Part of a new second in the demand. Not measured: follows a change in some
-# seconds.
+# Part of a new second in the demand. Follows a change in some seconds.
 _SMOOTHING: Final = 0.3
-# Requests a second below which a customer is forgotten. Not measured.
+# Requests a second below which a customer is forgotten.
 _FORGOTTEN_PER_S: Final = 0.01
 
 
--- a/wingfall/decision/estimate.py
+++ b/wingfall/decision/estimate.py
@@ -9,8 +9,7 @@
 
 from typing import Final, final
 
-# Part of a new sample in mean and deviation. Not measured: ten samples settle
-# them.
+# Part of a new sample in mean and deviation. Ten samples settle them.
 _SMOOTHING: Final = 0.1
 
 
--- a/wingfall/decision/gate.py
+++ b/wingfall/decision/gate.py
@@ -14,12 +14,11 @@
     from wingfall.decision.slots import Slots
     from wingfall.decision.ticket import Ticket
 
-# Part of a new run in the mean. Not measured: ten runs settle it.
+# Part of a new run in the mean. Ten runs settle it.
 _SMOOTHING: Final = 0.1
-# Milliseconds of a run before the first has ended. Not measured.
+# Milliseconds of a run before the first has ended.
 _FIRST_RUN_MS: Final = 200
-# Milliseconds after which a refused caller may come back at the soonest. Not
-# measured.
+# Milliseconds after which a refused caller may come back at the soonest.
 _MIN_RETRY_MS: Final = 1000
 
 
--- a/wingfall/decision/limit.py
+++ b/wingfall/decision/limit.py
@@ -15,16 +15,15 @@
 if TYPE_CHECKING:
     from wingfall.clock import Clock
 
-# Part of a new sample in the smoothed times. Not measured: twenty settle them.
+# Part of a new sample in the smoothed times. Twenty settle them.
 _SMOOTHING: Final = 0.05
-# Part of the limit that is left after a cut. Not measured by itself; an engine
-# at a third of its pace cost nothing of attainment (0.999 and 1.000).
+# Part of the limit that is left after a cut.
 _CUT: Final = 0.8
-# Pressure below which a full endpoint gets one more slot. Not measured: leaves
-# a tenth between rising and falling.
+# Pressure below which a full endpoint gets one more slot. Leaves a tenth
+# between rising and falling.
 _COMFORT: Final = 0.9
-# Milliseconds between two changes, and samples that a change needs. Not
-# measured: chosen so that the effect of a cut is seen before the next.
+# Milliseconds between two changes, and samples that a change needs, so that the
+# effect of a cut is seen before the next.
 _PERIOD_MS: Final = 250
 _MIN_SAMPLES: Final = 8
 
--- a/wingfall/decision/overload.py
+++ b/wingfall/decision/overload.py
@@ -5,11 +5,11 @@
 from typing import Final
 
 # Part of the room that each tier may fill less than the one above it, and the
-# least that a tier may fill. Not measured.
+# least that a tier may fill.
 _STEP: Final = 0.1
 _LOWEST: Final = 0.5
-# Milliseconds by which the loop wakes late at a router that is overloaded. Not
-# measured: chosen above the lag of a large configuration, in slices of 50.
+# Milliseconds by which the loop wakes late at a router that is overloaded.
+# Above the lag of a large configuration, in slices of 50.
 _LAG_BOUND_MS: Final = 500
 
 
--- a/wingfall/decision/retry.py
+++ b/wingfall/decision/retry.py
@@ -5,7 +5,7 @@
 from typing import Final, final
 
 _PERCENT: Final = 100
-# Second runs that a class may have before it has earned any. Not measured.
+# Second runs that a class may have before it has earned any.
 _BURST: Final = 10
 
 
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -48,13 +48,13 @@
 # Milliseconds by which a watch may be late before its gateway counts as cut off
 # from the store: what the client of the store allows an answer.
 _WATCH_SLACK_MS: Final = 1000
-# Milliseconds for which callers wait unread after a start. Not measured: chosen
-# so that the configuration has come from a peer or the store, and a caller of a
-# site without one is soon told so.
+# Milliseconds for which callers wait unread after a start, so that the
+# configuration has come from a peer or the store, and a caller of a site
+# without one is soon told so.
 _FIRST_CONFIG_MS: Final = 500
-# Callers' connections at once; bounds the memory of a gateway. Not measured.
+# Callers' connections at once; bounds the memory of a gateway.
 _MAX_CALLERS: Final = 3000
-# Milliseconds between two looks for endpoints that are gone. Not measured.
+# Milliseconds between two looks for endpoints that are gone.
 _FORGET_MS: Final = 1000
 # Milliseconds between two looks at what is waited for.
 _POLL_MS: Final = 20
--- a/wingfall/gateway/callers/caller_connection.py
+++ b/wingfall/gateway/callers/caller_connection.py
@@ -44,11 +44,10 @@
     from wingfall.gateway.state import GatewayState
 
 # Milliseconds: a caller that takes nothing for so long has left. The time is
-# for each piece of an answer, since slow callers of whole answers were cut. Not
-# measured.
+# for each piece of an answer, since slow callers of whole answers were cut.
 _WRITE_MS: Final = 5000
 # Milliseconds in which a new connection may send its first request although the
-# gateway is stopping. Not measured.
+# gateway is stopping.
 _YOUNG_MS: Final = 500
 
 
--- a/wingfall/gateway/callers/early_listener.py
+++ b/wingfall/gateway/callers/early_listener.py
@@ -10,7 +10,7 @@
 import re
 import socket
 
-# Connections that wait while the program loads, some 0.5 s. Not measured.
+# Connections that wait while the program loads, some 0.5 s.
 BACKLOG = 1024
 _SETTINGS_FLAG = '--settings'
 _CALLERS = re.compile(r'^callers:\s*"?([\d.]+):(\d+)"?\s*$', re.MULTILINE)
--- a/wingfall/gateway/callers/request_reader.py
+++ b/wingfall/gateway/callers/request_reader.py
@@ -22,8 +22,8 @@
 # Callers use a connection up to four fifths of the idle bound; some more
 # than the bound is given, since their clocks and ways differ.
 _IDLE_PART: Final = 1.1
-# Milliseconds for a whole body. Not measured: the longest time of a call
-# without a deadline of its own.
+# Milliseconds for a whole body. The longest time of a call without a deadline
+# of its own.
 _BODY_MS: Final = 30_000
 
 
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -41,8 +41,8 @@
 
 _EVENT_STREAM: Final = b'text/event-stream'
 _KEEP_ALIVE: Final = re.compile(rb'timeout=(\d+)')
-# Bytes of an answer that is held whole, so that one can't fill the memory. Not
-# measured: twice the largest request body.
+# Bytes of an answer that is held whole, so that one can't fill the memory.
+# Twice the largest request body.
 _MAX_WHOLE_BYTES: Final = 8_388_608
 
 
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -22,8 +22,8 @@
     from wingfall.gateway.state import GatewayState
 
 # Multiples of the estimated start after which a prompt counts as read. The
-# first event tells exactly, so this only bounds the wait of other prompts for
-# a shared part. Not measured.
+# first event tells exactly, so this only bounds the wait of other prompts for a
+# shared part.
 _READ_SLACK: Final = 2
 # Ends by which the endpoint may have crashed.
 _BROKEN: Final = frozenset((AttemptEnd.lost, AttemptEnd.cut))
--- a/wingfall/gateway/calls/destination.py
+++ b/wingfall/gateway/calls/destination.py
@@ -29,12 +29,9 @@
     from wingfall.gateway.model.routes import Pool
     from wingfall.gateway.state import GatewayState
 
-# What peers sent an engine in the last tenths of a second is not known yet.
-# Gateways that all took the same engine for the best sent to it at once: of
-# 255 late first events at 30 gateways, 254 had other prompts beside them that
-# their gateway had not heard of. A guess drawn for each engine parts them:
-# worth 0.708 -> 0.720 there with 3,000 tokens, 0.726 with 8,000 (a day at high
-# load, two seeds). About the length of a long read.
+# What peers sent an engine in the last tenths of a second is not known yet, so
+# that gateways that all take the same engine for the best send to it at once. A
+# guess drawn for each engine parts them: up to the length of a long read.
 _UNSEEN_TOKENS: Final = 5000
 
 
--- a/wingfall/gateway/calls/intake.py
+++ b/wingfall/gateway/calls/intake.py
@@ -27,10 +27,10 @@
     )
 
 # Milliseconds that a caller is taken to wait if it doesn't tell, and no route
-# does. Not measured.
+# does.
 DEFAULT_TIMEOUT_MS: Final = 30_000
 # Milliseconds by which a final answer leaves before its caller stops waiting.
-# Not measured: the way to the caller within a region.
+# The way to the caller within a region.
 _ANSWER_MS: Final = 10
 
 
--- a/wingfall/gateway/calls/shared_read_wait.py
+++ b/wingfall/gateway/calls/shared_read_wait.py
@@ -18,8 +18,8 @@
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.state import GatewayState
 
-# Milliseconds between two looks. Not measured: short beside a read of a
-# thousand tokens, some 40 ms.
+# Milliseconds between two looks. Short beside a read of a thousand tokens, some
+# 40 ms.
 _POLL_MS: Final = 5
 
 
--- a/wingfall/gateway/configuration/follower.py
+++ b/wingfall/gateway/configuration/follower.py
@@ -26,8 +26,8 @@
     from wingfall.gateway.configuration.replica import ObjectReplica
     from wingfall.gateway.model.object_store import ObjectStore, StoreReading
 
-# Milliseconds from a failed call to the next; the time doubles with each. Not
-# measured: chosen so that one lost answer costs little.
+# Milliseconds from a failed call to the next; the time doubles with each, so
+# that one lost answer costs little.
 _MIN_RETRY_MS: Final = 100
 # Milliseconds between the calls of gateways that lead, while the store is lost:
 # chosen so that a change is in force within a second of its return.
--- a/wingfall/gateway/configuration/replica.py
+++ b/wingfall/gateway/configuration/replica.py
@@ -15,8 +15,8 @@
 
 ROUTES_KIND: Final = 'routes'
 ENDPOINTS_KIND: Final = 'endpoints'
-# Removed objects whose names are kept for peers that are behind. Not measured:
-# more than leave a site in the seconds that a peer is behind.
+# Removed objects whose names are kept for peers that are behind. More than
+# leave a site in the seconds that a peer is behind.
 _MAX_GONE: Final = 1000
 
 Listener = Callable[[str, Any], None]
--- a/wingfall/gateway/duties/assembly.py
+++ b/wingfall/gateway/duties/assembly.py
@@ -28,8 +28,8 @@
 
 # A duty is known once its module is imported.
 KNOWN: Final = (usage_duty,)
-# Milliseconds between two looks at what is due. Not measured: a small part of
-# the time in which a report may be late.
+# Milliseconds between two looks at what is due. A small part of the time in
+# which a report may be late.
 _STEP_MS: Final = 200
 # Bits of the number that tells two starts of a gateway apart.
 _HOLDER_BITS: Final = 64
--- a/wingfall/gateway/endpoints/crash_watch.py
+++ b/wingfall/gateway/endpoints/crash_watch.py
@@ -24,17 +24,17 @@
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.metrics import Metrics
 
-# Milliseconds in which all calls at a crashed endpoint break. Not measured: a
-# way there and back, and a busy turn of the loop.
+# Milliseconds in which all calls at a crashed endpoint break. A way there and
+# back, and a busy turn of the loop.
 _COLLECT_MS: Final = 20
 # Milliseconds of output after which a run has not ended its endpoint: it ran
-# well that long. Not measured: many steps of an engine.
+# well that long. Many steps of an engine.
 _PROVEN_OUTPUT_MS: Final = 1000
 # Milliseconds for which a request that was left at an endpoint may still begin
-# to run there. Not measured: most endpoints drop it at once.
+# to run there. Most endpoints drop it at once.
 _LEFT_MS: Final = 2000
-# Requests that were left lately and are remembered. Not measured: those of two
-# seconds in which all callers of a busy gateway give up.
+# Requests that were left lately and are remembered. Those of two seconds in
+# which all callers of a busy gateway give up.
 _MOST_LEFT: Final = 256
 
 
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -26,22 +26,19 @@
 _READ_BYTES: Final = 65_536
 # Milliseconds of one wait for bytes, after which the clock is read again, since
 # timers stand still while the machine is suspended: a call whose time passed
-# meanwhile has its final answer by so much later. Not measured.
+# meanwhile has its final answer by so much later.
 _WAIT_MS: Final = 1000
 # Bytes of a request that are written without a greenlet of their own: they fit
 # into the buffer of a new socket.
 _DIRECT_BYTES: Final = 4096
-# Milliseconds for a connect. Not measured: several ways there and back between
-# availability zones, so that one lost packet isn't waited for.
+# Milliseconds for a connect. Several ways there and back between availability
+# zones, so that one lost packet isn't waited for.
 _CONNECT_MS: Final = 300
-# Milliseconds that an endpoint keeps an idle connection if it doesn't tell. Not
-# measured.
+# Milliseconds that an endpoint keeps an idle connection if it doesn't tell.
 _DEFAULT_KEEP_MS: Final = 1000
-# Part of that time that is used: the endpoint closes by its own clock. Not
-# measured.
+# Part of that time that is used: the endpoint closes by its own clock.
 _KEEP_PART: Final = 0.5
-# Probes in a row without an answer that end a connection. Not measured: one may
-# be lost.
+# Probes in a row without an answer that end a connection. One may be lost.
 _UNANSWERED_PROBES: Final = 2
 
 
--- a/wingfall/gateway/endpoints/endpoint_probe.py
+++ b/wingfall/gateway/endpoints/endpoint_probe.py
@@ -12,7 +12,7 @@
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 
 # Milliseconds for a refusal, which comes within a way there and back; a stream
-# waits for it. Not measured.
+# waits for it.
 _PROBE_MS: Final = 50
 # Errors that prove that nothing listens there.
 _REFUSED: Final = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH)
--- a/wingfall/gateway/knowledge/crash_ledger.py
+++ b/wingfall/gateway/knowledge/crash_ledger.py
@@ -36,8 +36,8 @@
 # Milliseconds for which a crash is remembered: a day, so that a request that
 # comes again each night ends no more endpoints than in one night.
 _REMEMBERED_MS: Final = 86_400_000
-# Milliseconds for which a crash is compared with what peers know. Not measured:
-# many heartbeats, and longer than gateways are cut off from each other.
+# Milliseconds for which a crash is compared with what peers know. Many
+# heartbeats, and longer than gateways are cut off from each other.
 _COMPARED_MS: Final = 60_000
 # Requests whose last good answer is remembered, and for how many milliseconds.
 # At 50 answers a second that is 40 s of unlike requests; about 0.4 MB.
--- a/wingfall/gateway/knowledge/endpoint_health.py
+++ b/wingfall/gateway/knowledge/endpoint_health.py
@@ -11,20 +11,19 @@
 if TYPE_CHECKING:
     from wingfall.clock import Clock
 
-# Part of a new outcome in the share of failures. Not measured: five failures in
-# a row make an endpoint one that fails two times in three.
+# Part of a new outcome in the share of failures. Five failures in a row make an
+# endpoint one that fails two times in three.
 _WEIGHT: Final = 0.2
 # The same for what a peer tells, which counts less: its own line may be at
-# fault. No worth of peers' outcomes has been shown (three deployments).
+# fault.
 _PEER_WEIGHT: Final = 0.1
 # Milliseconds for which an endpoint that takes no connection is left out; the
-# time doubles from the first to the second. Not measured: chosen so that one
-# that restarts is used within a second, and one that is gone costs one connect
-# in four seconds.
+# time doubles from the first to the second, so that one that restarts is used
+# within a second, and one that is gone costs one connect in four seconds.
 _MIN_EJECT_MS: Final = 500
 _MAX_EJECT_MS: Final = 4000
-# Milliseconds in which a share of failures halves without a request. Not
-# measured: chosen so that an endpoint that was replaced is soon tried again.
+# Milliseconds in which a share of failures halves without a request, so that an
+# endpoint that was replaced is soon tried again.
 _FADE_MS: Final = 5000
 
 
--- a/wingfall/gateway/knowledge/engine_speed.py
+++ b/wingfall/gateway/knowledge/engine_speed.py
@@ -14,25 +14,25 @@
 # the slower half of the engines seen so far; a low guess only sends less.
 _FIRST_RATE: Final = 25
 # Tokens a millisecond that a measurement is bounded by, so that one wrong one
-# spoils little. Not measured: far below and above the engines seen so far.
+# spoils little. Far below and above the engines seen so far.
 _MIN_RATE: Final = 2
 _MAX_RATE: Final = 500
-# Part of a new reading in the average. Not measured: ten readings settle it.
+# Part of a new reading in the average. Ten readings settle it.
 _RATE_WEIGHT: Final = 0.1
 # Tokens of a read that counts: shorter ones tell more of the way there than of
-# the engine. Not measured: some 80 ms of reading.
+# the engine. Some 80 ms of reading.
 _MEASURED_TOKENS: Final = 2000
-# Milliseconds between events while nothing is read, before it is measured: an
-# engine of a played day took 23.
+# Milliseconds between events while nothing is read, before an engine has shown
+# its own.
 _FIRST_GAP_MS: Final = 30
-# Part of a new gap in the average. Not measured: a stream has some hundred
-# gaps, so that one stream settles it.
+# Part of a new gap in the average. A stream has some hundred gaps, so that one
+# stream settles it.
 _GAP_WEIGHT: Final = 0.02
 # A stream's longest gap tells of the bound only if so many times as much was
-# waiting as was read in it. Not measured.
+# waiting as was read in it.
 _MORE_WAITING: Final = 1.5
 # Parts of a new gap in the bound: it follows longer gaps soon and shorter ones
-# late, since a pool's slowest engine counts. Not measured by themselves.
+# late, since a pool's slowest engine counts.
 _LONGER_WEIGHT: Final = 0.3
 _SHORTER_WEIGHT: Final = 0.02
 # Part by which what comes may differ from an estimate. Of 701 streams beside
@@ -40,9 +40,7 @@
 # the median of their engine (two days at high load).
 _SPREAD: Final = 0.15
 # Reads are taken never to make a stream late if the longest gap that they cause
-# is below this part of what it bears. Worth 0.710 of a day at high load instead
-# of 0.691 without it, nothing shown on another deployment; 0.8 was worth 0.013
-# and 0.027 less there than 0.5.
+# is below this part of what it bears.
 _HARMLESS_PART: Final = 0.5
 
 
--- a/wingfall/gateway/knowledge/long_reads.py
+++ b/wingfall/gateway/knowledge/long_reads.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from wingfall.clock import Clock
 
-# Reads up to this length fit between the tokens of running streams. Not
-# measured by itself: about the piece of a prompt that an engine reads at once.
+# Reads up to this length fit between the tokens of running streams: about the
+# piece of a prompt that an engine reads at once.
 SHORT_READ_TOKENS: Final = 1024
 # Long enough that an engine which reads some long prompts a second is told
 # apart from one that reads none, short enough to follow a burst.
--- a/wingfall/gateway/knowledge/prefix_cache.py
+++ b/wingfall/gateway/knowledge/prefix_cache.py
@@ -15,8 +15,8 @@
 
     from wingfall.gateway.model.prompt import PromptPart
 
-# Tokens that an engine holds whose memory isn't known. Not measured: about what
-# the engines seen so far hold; a wrong guess costs the reading of a part.
+# Tokens that an engine holds whose memory isn't known. About what the engines
+# seen so far hold; a wrong guess costs the reading of a part.
 DEFAULT_CAPACITY_TOKENS: Final = 400_000
 
 
--- a/wingfall/gateway/knowledge/true_time.py
+++ b/wingfall/gateway/knowledge/true_time.py
@@ -16,8 +16,8 @@
     from wingfall.clock import Clock
 
 # Milliseconds between two looks by which a time of day that is set right step
-# by step may differ; a jump is larger. Not measured: a clock that is off by one
-# in a thousand differs by a millisecond a second.
+# by step may differ; a jump is larger. A clock that is off by one in a thousand
+# differs by a millisecond a second.
 _DRIFT_MS: Final = 100
 
 
--- a/wingfall/gateway/peers/caches/memory_survey.py
+++ b/wingfall/gateway/peers/caches/memory_survey.py
@@ -42,20 +42,18 @@
 
 # What is learned is told to peers: so many gateways ask the same engine.
 _ASKED_BY: Final = 2
-# Engines that one gateway asks. Not measured: 25 gateways ask 150 engines
-# twice.
+# Engines that one gateway asks. 25 gateways ask 150 engines twice.
 _MOST_ASKED: Final = 12
 # Engines are shared out by the bucket that their name falls into, so that the
 # work doesn't grow with gateways times engines.
 _BUCKETS: Final = 128
-# Milliseconds after which a peer that knows would have been heard. Not
-# measured: a dial, a hello and a whole heartbeat.
+# Milliseconds after which a peer that knows would have been heard. A dial, a
+# hello and a whole heartbeat.
 _PEERS_MS: Final = 400
-# Engines that are asked at once, and milliseconds for an answer. Not measured.
+# Engines that are asked at once, and milliseconds for an answer.
 _AT_ONCE: Final = 4
 _ANSWER_MS: Final = 1000
-# Milliseconds for which the first list of endpoints is waited for. Not
-# measured.
+# Milliseconds for which the first list of endpoints is waited for.
 _FIRST_LIST_MS: Final = 3000
 # Milliseconds between two looks whether it has come.
 _POLL_MS: Final = 20
--- a/wingfall/gateway/peers/caches/parts_transfer.py
+++ b/wingfall/gateway/peers/caches/parts_transfer.py
@@ -25,17 +25,15 @@
 
 # Milliseconds between two looks whether a peer has told.
 _TICK_MS: Final = 50
-# Milliseconds for which only peers of the own availability zone are asked. Not
-# measured: chosen so that bytes between zones are spared where a near peer
-# knows.
+# Milliseconds for which only peers of the own availability zone are asked, so
+# that bytes between zones are spared where a near peer knows.
 _NEAR_ONLY_MS: Final = 300
 # Milliseconds after which a peer that has not answered is asked no longer; the
-# time doubles with each, since the answer is long and links may be slow. Not
-# measured.
+# time doubles with each, since the answer is long and links may be slow.
 _ANSWER_MS: Final = 1000
 _MAX_ANSWER_MS: Final = 8000
-# Milliseconds after which nobody knows more if no peer has said so. Not
-# measured: the time after which a silent peer counts as gone.
+# Milliseconds after which nobody knows more if no peer has said so. The time
+# after which a silent peer counts as gone.
 _NOBODY_KNOWS_MS: Final = 3000
 # Parts of an answer, 0.26 MB at 13 bytes each, and of one engine in it: more
 # than an engine of the deployments seen so far caches.
--- a/wingfall/gateway/peers/heartbeat_schedule.py
+++ b/wingfall/gateway/peers/heartbeat_schedule.py
@@ -18,11 +18,11 @@
 # store must be heard this often.
 _WHOLE_MS: Final = 1000
 # Milliseconds after which a silent peer counts as gone, and intervals if that
-# is longer. Not measured: three whole heartbeats, or four, may be lost.
+# is longer. Three whole heartbeats, or four, may be lost.
 _MIN_SILENCE_MS: Final = 3000
 _SILENT_INTERVALS: Final = 4
-# Part of an interval after which a heartbeat that is due counts as missed. Not
-# measured: allows for loops that are late by some tenths of a second.
+# Part of an interval after which a heartbeat that is due counts as missed.
+# Allows for loops that are late by some tenths of a second.
 _LATE_PART: Final = 1.3
 
 
--- a/wingfall/gateway/peers/objects/object_exchange.py
+++ b/wingfall/gateway/peers/objects/object_exchange.py
@@ -30,7 +30,7 @@
 
 # Milliseconds that a gateway is behind before it asks a peer of its
 # availability zone, or of another: those that watch the store have heard of the
-# change by themselves then. Not measured.
+# change by themselves then.
 _NEAR_AFTER_MS: Final = 200
 _FAR_AFTER_MS: Final = 300
 # Milliseconds for a chunk, after which another peer is asked: 64 KB take 0.1 s
--- a/wingfall/gateway/peers/peer_addresses.py
+++ b/wingfall/gateway/peers/peer_addresses.py
@@ -8,11 +8,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Dials of a round. Not measured: with a round each 0.3 s, by arithmetic, 300
-# gateways are connected some ten seconds after a start.
+# Dials of a round. With a round each 0.3 s, by arithmetic, 300 gateways are
+# connected some ten seconds after a start.
 _MOST_DIALS: Final = 8
 # Dials in a row that fail before an address is forgotten: some ten seconds with
-# a round each 0.3 s. Not measured.
+# a round each 0.3 s.
 _MOST_MISSED: Final = 30
 # Addresses that a hello names: all are known after some hellos. Hellos that
 # named all were the largest price between zones with 298 gateways.
--- a/wingfall/gateway/peers/peer_dialer.py
+++ b/wingfall/gateway/peers/peer_dialer.py
@@ -19,9 +19,9 @@
     from wingfall.gateway.peers.peer_addresses import PeerAddresses
     from wingfall.supervisor import Supervisor
 
-# Seconds for a connect. Not measured: a slow link may need several tries.
+# Seconds for a connect. A slow link may need several tries.
 _CONNECT_S: Final = 1
-# Milliseconds between two rounds of dials. Not measured.
+# Milliseconds between two rounds of dials.
 _DIAL_MS: Final = 300
 
 
--- a/wingfall/gateway/rules/attempt_time.py
+++ b/wingfall/gateway/rules/attempt_time.py
@@ -9,17 +9,17 @@
 
 from typing import Final, final
 
-# Of the time that the caller has left. Not measured: chosen so that a second
-# attempt has more time than the first.
+# Of the time that the caller has left, so that a second attempt has more time
+# than the first.
 _LEFT_PART: Final = 0.4
-# Multiples of the route's target. Not measured: chosen so that an answer that
-# is a little late is still waited for.
+# Multiples of the route's target, so that an answer that is a little late is
+# still waited for.
 _TARGETS: Final = 1.5
-# Multiples of the estimated start. Without this bound what waited in an
-# engine's queue was read again elsewhere; the multiple itself is not measured.
+# Multiples of the estimated start, so that what waits in an engine's queue
+# isn't read again elsewhere.
 _ESTIMATED_STARTS: Final = 3
-# Milliseconds that are too short to be used. Not measured: chosen as less than
-# any endpoint takes to answer.
+# Milliseconds that are too short to be used. Less than any endpoint takes to
+# answer.
 _MIN_LEFT_MS: Final = 5
 
 
--- a/wingfall/gateway/rules/cache_transfer.py
+++ b/wingfall/gateway/rules/cache_transfer.py
@@ -18,13 +18,12 @@
     from wingfall.gateway.rules.candidate import Candidate
 
 # Fewer tokens are read: a copy has a cost of its own, about that of reading
-# some hundred tokens. Not measured by itself.
+# some hundred tokens.
 _LEAST_TOKENS: Final = 512
-# Copying has to be so many times as fast as reading. Not measured by itself;
-# with it copies were worth 0.004 of a day (12 to 30 days).
+# Copying has to be so many times as fast as reading.
 _LEAST_SPEEDUP: Final = 4
-# An engine that fails more often than this is not copied from or to. Not
-# measured: chosen above the failures of a day without trouble.
+# An engine that fails more often than this is not copied from or to. Above the
+# failures of a day without trouble.
 MOST_FAILING: Final = 0.3
 
 CacheTransfer = Callable[['Sequence[Candidate]', float], 'Candidate | None']
--- a/wingfall/gateway/rules/crash_blame.py
+++ b/wingfall/gateway/rules/crash_blame.py
@@ -30,12 +30,12 @@
 # often, and a popular request is at many endpoints at any time.
 _NEEDED_OF_SERVED: Final = 5 * _WEIGHT
 # Milliseconds around a crash in which others belong to the same failure of a
-# rack or a zone. Not measured: they end together, callers see it within a few
-# tens of milliseconds.
+# rack or a zone. They end together, callers see it within a few tens of
+# milliseconds.
 _TOGETHER_MS: Final = 500
 # Crashes without a request for each one with it, by which that failure has
-# another cause. Not measured: two other such requests at the same time, each
-# with as many crashes, must not hide a third.
+# another cause. Two other such requests at the same time, each with as many
+# crashes, must not hide a third.
 _UNRELATED: Final = 3
 
 
--- a/wingfall/gateway/rules/early_refusal.py
+++ b/wingfall/gateway/rules/early_refusal.py
@@ -17,8 +17,7 @@
 
 # The most urgent tier is refused only if it would start after so much of the
 # time that its callers wait: no tier goes before it, and those of lower tiers
-# that start meanwhile must not be served instead. For all tiers it was worth
-# 0.13 less of a day at high load where prompts are long (three seeds).
+# that start meanwhile must not be served instead.
 _URGENT_PART: Final = 0.5
 
 
--- a/wingfall/gateway/rules/placement.py
+++ b/wingfall/gateway/rules/placement.py
@@ -20,42 +20,36 @@
     from wingfall.gateway.rules.candidate import Candidate, Demand
 
 # Weight of a shared part's tokens that are copied from another engine: they
-# take memory twice. At 0.5 and at 2 a day lost 0.012 and 0.011 of its worth to
-# copies; 4 and 6 differ from 5 by less than seeds do.
+# take memory twice.
 _COPIED_WEIGHT: Final = 5
 # Weight of a shared part's tokens that are read although another engine caches
-# them: more than a copy, so that copies are preferred. Not measured by itself.
+# them: more than a copy, so that copies are preferred.
 _READ_AGAIN_WEIGHT: Final = 6
 # Tokens for each request that runs there, so that equal engines are filled
-# evenly. Not measured.
+# evenly.
 _RUNNING_TOKENS: Final = 150
-# Tokens for each byte of a body that goes to another availability zone. Not
-# measured: a body of 18 kB counts as 2,700 tokens.
+# Tokens for each byte of a body that goes to another availability zone. A body
+# of 18 kB counts as 2,700 tokens.
 _TOKENS_PER_REMOTE_BYTE: Final = 0.15
-# Part of all tokens that an engine caches, so that new parts spread. No worth
-# shown: 0.757 to 0.762 of a day without it, 0.760 to 0.768 with it (three
-# deployments, two seeds each).
+# Part of all tokens that an engine caches, so that new parts spread.
 _ALL_CACHED_PART: Final = 0.01
 # Tokens for an engine whose slots or memory are full, where a prompt waits for
-# others to end. Not measured: chosen above what is read within any target.
+# others to end. Above what is read within any target.
 _FULL_TOKENS: Final = 40_000
-# Tokens for an engine that fails always, less for one that fails at times. Not
-# measured: chosen so that a failing engine is used only if the others are full.
+# Tokens for an engine that fails always, less for one that fails at times, so
+# that a failing engine is used only if the others are full.
 _FAILING_TOKENS: Final = 30_000
-# Part of an engine's memory that is filled before it counts as full. Not
-# measured: chosen so that answers may be a tenth longer than expected.
+# Part of an engine's memory that is filled before it counts as full, so that
+# answers may be a tenth longer than expected.
 _MEMORY_PART: Final = 0.9
 # Tokens for each stream whose token gap would likely be too long: about what an
-# engine reads within the gaps that short answers bear. Of 6,475 short answers
-# at high load 343 were late, 1,613 when reads were weighed by their length
-# alone (two kinds of days, three seeds each).
+# engine reads within the gaps that short answers bear.
 _LATE_GAP_TOKENS: Final = 6500
-# Tokens for a first event that would likely be late: worth 0.009 of a day at
-# high load (mean of six days with and without).
+# Tokens for a first event that would likely be late.
 _LATE_START_TOKENS: Final = 10_000
-# Plain services, in running requests. Not measured: chosen so that a request
-# leaves its zone only if one more runs here, and that a full or a failing
-# endpoint is used only if there is no other.
+# Plain services, in running requests, so that a request leaves its zone only if
+# one more runs here, and that a full or a failing endpoint is used only if
+# there is no other.
 _REMOTE_RUNNING: Final = 0.4
 _FULL_RUNNING: Final = 100
 _FAILING_RUNNING: Final = 20
--- a/wingfall/gateway/rules/planned_stop.py
+++ b/wingfall/gateway/rules/planned_stop.py
@@ -13,8 +13,8 @@
 # Milliseconds of further service. The load balancer asks each second and gives
 # a gateway up after two failures, which it has noticed by then.
 _NOTICE_MS: Final = 2600
-# Milliseconds kept for ending the process. Not measured: chosen so that the
-# process has ended by itself before it is killed.
+# Milliseconds kept for ending the process, so that the process has ended by
+# itself before it is killed.
 _EXIT_MS: Final = 700
 
 
--- a/wingfall/gateway/rules/request_blocks.py
+++ b/wingfall/gateway/rules/request_blocks.py
@@ -23,12 +23,11 @@
 # Milliseconds after its last crash in which a blocked request is tried once
 # more, by the crashes that it caused beyond those that were enough. One who was
 # blamed wrongly, or whose cause is gone, is soon served again; a request that
-# ends endpoints ends two more at most. Not measured: a restart and a repair by
-# hand.
+# ends endpoints ends two more at most. A restart and a repair by hand.
 _TRY_AFTER_MS: Final = (60_000, 600_000)
 # Milliseconds for which requests that were at the same crashes are all sent on:
-# a good answer or the next crash tells them apart. Not measured: a third of the
-# three seconds in which the request must be blocked everywhere.
+# a good answer or the next crash tells them apart. A third of the three seconds
+# in which the request must be blocked everywhere.
 _UNDECIDED_MS: Final = 1000
 # Milliseconds that a caller is told to wait if the request isn't tried again:
 # the longest of the above.
--- a/wingfall/gateway/rules/retry.py
+++ b/wingfall/gateway/rules/retry.py
@@ -13,10 +13,8 @@
 from wingfall.gateway.model.attempt_end import AttemptEnd
 
 # Endpoints that take no connection before a call is given up; each takes 0.3 s
-# at most, so that a call ends soon although its whole pool is gone. When a
-# quarter of 60 engines fell silent, 32 of 1,746 long prompts of a replay were
-# given up after four, none after eight (the pattern
-# quarter-of-engines-gone.yaml, three seeds).
+# at most, so that a call ends soon although its whole pool is gone, and finds
+# one where a quarter of it is.
 _MOST_UNREACHED: Final = 8
 
 
--- a/wingfall/gateway/rules/retry_after.py
+++ b/wingfall/gateway/rules/retry_after.py
@@ -9,17 +9,17 @@
 
 from typing import Final
 
-# Milliseconds that a caller needs to come back at all. Not measured: chosen as
-# what an estimate of a queue may be wrong by.
+# Milliseconds that a caller needs to come back at all. What an estimate of a
+# queue may be wrong by.
 _MIN_QUEUE_RETRY_MS: Final = 200
-# Of the target: the call starts by then if the estimate is right. Not measured:
-# chosen so that the estimate may be wrong by as much again.
+# Of the target: the call starts by then if the estimate is right, so that the
+# estimate may be wrong by as much again.
 _TARGET_PART: Final = 0.5
 # Where nothing is known: a caller that comes back still has three quarters of
-# its time. Not measured.
+# its time.
 _LEFT_DIVISOR: Final = 4
-# Milliseconds between which that lies. Not measured: chosen so that callers
-# don't come back at once, and find an endpoint that is back within a second.
+# Milliseconds between which that lies, so that callers don't come back at once,
+# and find an endpoint that is back within a second.
 _MIN_UNKNOWN_RETRY_MS: Final = 50
 _MAX_UNKNOWN_RETRY_MS: Final = 1000
 
--- a/wingfall/gateway/rules/retry_budget.py
+++ b/wingfall/gateway/rules/retry_budget.py
@@ -14,7 +14,7 @@
     from wingfall.clock import Clock
 
 # Part of the bound that is used, since the windows of gateways don't slide
-# together. Not measured: chosen so that a fifth of them may be late.
+# together, so that a fifth of them may be late.
 _USED_PART: Final = 0.8
 
 
--- a/wingfall/gateway/rules/shared_read.py
+++ b/wingfall/gateway/rules/shared_read.py
@@ -14,11 +14,11 @@
 if TYPE_CHECKING:
     from wingfall.gateway.knowledge.prefix_cache import PendingRead
 
-# Fewer tokens are read again sooner than they are waited for. Not measured.
+# Fewer tokens are read again sooner than they are waited for.
 _LEAST_TOKENS: Final = 1024
-# Part of a caller's time that it waits at most. Not measured: chosen so that an
-# attempt elsewhere still has its time. Waiting itself: of 157,000 tokens read
-# again on a calm day 122,000 less.
+# Part of a caller's time that it waits at most, so that an attempt elsewhere
+# still has its time. Waiting itself: of 157,000 tokens read again on a calm day
+# 122,000 less.
 _MOST_WAIT_PART: Final = 0.3
 
 
--- a/wingfall/gateway/rules/shortlist.py
+++ b/wingfall/gateway/rules/shortlist.py
@@ -23,17 +23,14 @@
 # prompts were on time, whether 3 or all engines were weighed.
 _MOST_WEIGHED: Final = 8
 # Tokens of a prompt that is short: about two pieces that an engine reads at
-# once, so that it holds nothing up for long. Not measured.
+# once, so that it holds nothing up for long.
 _SHORT_PROMPT_TOKENS: Final = 4096
 # Endpoints that are drawn for a long prompt, and for a short one or a plain
-# request. In a replay of 53 gateways and 60 engines (the pattern herd.yaml,
-# with a crowd of 1.6, three seeds) 9 of 1,920 long prompts began late, and 66
-# of 1,183 short answers paused too long; with all weighed 446 and 42, with four
-# for each 16 and 139.
+# request.
 _DRAWN_LONG: Final = 6
 _DRAWN_SHORT: Final = 24
 # Endpoints that cache a part of the prompt: few for the same reason, since many
-# engines may cache a part that is asked for often. Not measured by itself.
+# engines may cache a part that is asked for often.
 _MOST_CACHING: Final = 6
 
 
--- a/wingfall/gateway/rules/stream_backup.py
+++ b/wingfall/gateway/rules/stream_backup.py
@@ -19,11 +19,9 @@
     from wingfall.gateway.rules.candidate import Candidate, Demand
     from wingfall.gateway.rules.placement import Placement
 
-# A copy costs the bytes of prompt and answer; what it saves grows with the
-# time that the stream runs, so with its answer. Answers half as long as their
-# prompt or longer: of 6,674 short streams 305 were lost instead of 341, 5,475
-# instead of 5,403 in time (four kinds of days, two seeds each). With copies of
-# all short streams the bytes cost twice as much and 41 streams more were saved.
+# A copy costs the bytes of prompt and answer; what it saves grows with the time
+# that the stream runs, so with its answer. Answers half as long as their prompt
+# or longer are worth it.
 _ANSWER_PART: Final = 0.5
 
 StreamBackup = Callable[['RunLength', bool], bool]
--- a/wingfall/log_trace.py
+++ b/wingfall/log_trace.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterable, Iterator
 
 # Seconds around a call in which lines about its endpoints, the store and peers
-# are shown. Not measured: longer than a crashed endpoint's entry stays listed.
+# are shown. Longer than a crashed endpoint's entry stays listed.
 _CONTEXT_S: Final = 5
 _HIDDEN: Final = frozenset(('time', 'level', 'message', 'process', 'call'))
 _CONFIG: Final = 'config: '
--- a/wingfall/platform/headers.py
+++ b/wingfall/platform/headers.py
@@ -31,7 +31,7 @@
 _LENGTH_HINT: Final = b'x-length-hint'
 _NOT_RUN: Final = b'x-not-executed'
 _KEY_SCHEME: Final = 'token '
-# The greatest number of a priority that is sent to engines. Not measured.
+# The greatest number of a priority that is sent to engines.
 _MAX_PRIORITY: Final = 9
 
 # They speak of one connection only, or are the system's own to set.
--- a/wingfall/platform/store.py
+++ b/wingfall/platform/store.py
@@ -42,8 +42,8 @@
 _MAX_MESSAGE: Final = 200
 # A long answer counts as heard each time that so many bytes have come.
 _PIECE_BYTES: Final = 65_536
-# Probes in a row without an answer that end a connection. Not measured: a store
-# that is lost is noticed as soon as possible.
+# Probes in a row without an answer that end a connection. A store that is lost
+# is noticed as soon as possible.
 _UNANSWERED_PROBES: Final = 1
 
 
--- a/wingfall/tcp.py
+++ b/wingfall/tcp.py
@@ -8,8 +8,8 @@
 # Bytes that are sent within one timeout of a socket.
 _PIECE_BYTES: Final = 65_536
 # Milliseconds for which what was sent may stay unconfirmed, and seconds between
-# probes of an idle connection. Not measured: with both a VM that has gone
-# silent is noticed after some two seconds.
+# probes of an idle connection. With both a VM that has gone silent is noticed
+# after some two seconds.
 _UNCONFIRMED_MS: Final = 1500
 _PROBE_S: Final = 1
 
