--- a/standins/answer_signals.py
+++ b/standins/answer_signals.py
@@ -17,17 +17,19 @@
 class Told:
     """One answer that said something, or one request that arrived."""
 
-    __slots__ = ('at_s', 'call_id', 'text')
+    __slots__ = ('at_s', 'call_id', 'spell', 'text')
 
-    def __init__(self, *, call_id: str, text: str = '') -> None:
+    def __init__(self, *, call_id: str, text: str = '', spell: int = 0) -> None:
         """Note it now.
 
         :param call_id: id of the request.
         :param text: what was said.
+        :param spell: how often it was changed before.
         """
         self.at_s = time.monotonic()
         self.call_id = call_id
         self.text = text
+        self.spell = spell
 
 
 @final
@@ -36,8 +38,8 @@
 
     def __init__(self) -> None:
         """Start with nothing to say."""
-        # What answers name as the limit, empty for none.
-        self.limit = ''
+        self._limit = ''
+        self._spell = 0
         self.leaving = False
         # The rest that is asked for, empty for none; all requests are turned
         # away meanwhile.
@@ -47,6 +49,16 @@
         self.leavings_told: list[Told] = []
         self.rests_told: list[Told] = []
 
+    @property
+    def limit(self) -> str:
+        """What answers name as the limit, empty for none."""
+        return self._limit
+
+    @limit.setter
+    def limit(self, text: str) -> None:
+        self._limit = text
+        self._spell += 1
+
     def note_arrival(self, call_id: str) -> None:
         """Note a request, whatever becomes of it.
 
@@ -63,7 +75,9 @@
         headers = []
         if self.limit:
             headers.append((_LIMIT, self.limit))
-            self.limits_told.append(Told(call_id=call_id, text=self.limit))
+            self.limits_told.append(
+                Told(call_id=call_id, text=self.limit, spell=self._spell)
+            )
         if self.leaving:
             headers.append((_LEAVING, '1'))
             self.leavings_told.append(Told(call_id=call_id))
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -65,7 +65,8 @@
     for pool in ('plain', 'engines'):
         ledger = site.listed(pool)[0].standin.signals
         judge = SignalJudge(ledger=ledger, gateways=calls)
-        assert judge.worst_window(1) <= allowed(1), pool
+        (spell,) = judge.spells()
+        assert judge.worst_window(spell) <= allowed(1), pool
 
 
 @pytest.mark.processes
@@ -82,6 +83,8 @@
             SignalJudge(ledger=each.standin.signals, gateways=calls)
             for each in site.listed(pool)
         ]
-        assert max(each.worst_window(2) for each in judges) <= allowed(2)
-        used = [each.use(2) for each in judges]
+        for judge in judges:
+            (spell,) = judge.spells()
+            assert judge.worst_window(spell) <= allowed(2), pool
+        used = [judge.use(judge.spells()[0]) for judge in judges]
         assert sum(used) / len(used) >= LEAST_USE, pool
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -56,6 +56,7 @@
         'log',
         'name',
         'port',
+        'started_s',
     )
 
     def __init__(
@@ -88,6 +89,8 @@
         self.port = port
         self.admin_port = admin_port
         self._own_session = own_session
+        # When it was started, by the steady clock.
+        self.started_s: list[float] = []
         self.child = self._spawn()
         self._wait_until_it_listens()
 
@@ -145,6 +148,7 @@
             raise ChildEndedError(self.name, code, self.log)
 
     def _spawn(self) -> subprocess.Popen[bytes]:
+        self.started_s.append(time.monotonic())
         with self.log.open('ab') as log:
             return subprocess.Popen(  # noqa: S603
                 self.command,
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -21,12 +21,13 @@
 from standins.duty_platform import DutyPlatformStandIn
 from standins.serving import start_server
 from tools.fleet import HOST, wait_for
-from tools.soak import series
+from tools.soak import series, signal_promises
 from tools.soak.crashes import CrashingCaller
 from tools.soak.duties import LATE_S, LEASE_S, WINDOW_S, duty_faults
 from tools.soak.faults import Fault, faults
 from tools.soak.promises import promises
 from tools.soak.running_faults import RunningFaults
+from tools.soak.signal_faults import signal_faults
 from tools.soak.site import STEADY_KEY, SoakSite
 from tools.soak.traffic import KINDS, Outcome, Traffic
 from tools.soak.upgrade import Upgrade, unpack_version
@@ -34,8 +35,8 @@
 from wingfall.clock import MS_PER_S
 from wingfall.http_server import HttpServer
 
-# Faults are known once their modules are imported.
-FAULTS = (series,)
+# Faults and promises are known once their modules are imported.
+IMPORTED = (series, signal_promises)
 
 _CALLERS = 8
 _SETTLE_S = 6
@@ -69,6 +70,11 @@
         action='store_true',
         help='gateways report usage, and faults strike who does',
     )
+    parser.add_argument(
+        '--signals',
+        action='store_true',
+        help='endpoints name limits, ask for rest, say that they leave',
+    )
     parser.add_argument(
         '--previous',
         help='commit that gateways are rolled from, and back to',
@@ -161,6 +167,8 @@
         registries.append(writer_faults)
     if chosen.duties:
         registries.append(duty_faults)
+    if chosen.signals:
+        registries.append(signal_faults)
     return {
         name: registry.find(name).unwrap()
         for registry in registries
--- a/tools/soak/signals.py
+++ b/tools/soak/signals.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import bisect
+import math
+import re
 from typing import TYPE_CHECKING, Final, final
 
 if TYPE_CHECKING:
@@ -27,6 +29,8 @@
 MOST_IN_REST: Final = 2
 # Seconds after a leaving was told in which requests may still come.
 DRAIN_S: Final = 2
+# What an endpoint names as a limit, if it can be read.
+_DECIMAL: Final = re.compile(r'\d+(\.\d+)?')
 # Seconds after a disturbance of a gateway in which it is excused.
 _EXCUSED_S: Final = 4
 
@@ -40,6 +44,34 @@
     return rate * WINDOW_S * _TIMES + _BESIDE
 
 
+@final
+class LimitSpell:
+    """A time in which an endpoint named one limit."""
+
+    __slots__ = ('number', 'rate', 'told')
+
+    def __init__(self, *, number: int, rate: float, told: list[Told]) -> None:
+        """Describe it.
+
+        :param number: how often its limit was changed before.
+        :param rate: the limit, requests a second.
+        :param told: the answers that named it, at least one.
+        """
+        self.number = number
+        self.rate = rate
+        self.told = told
+
+    @property
+    def from_s(self) -> float:
+        """From when on it must be kept."""
+        return self.told[0].at_s + CONTACT_S
+
+    @property
+    def until_s(self) -> float:
+        """When it was last named."""
+        return self.told[-1].at_s
+
+
 @final
 class SignalJudge:
     """Judges one endpoint's ledger."""
@@ -50,47 +82,60 @@
         ledger: AnswerSignalsStandIn,
         gateways: Mapping[str, str],
         disturbed: Mapping[str, list[float]] | None = None,
+        started: Mapping[str, list[float]] | None = None,
     ) -> None:
         """Take what is judged.
 
         :param ledger: what the endpoint has said, and what arrived.
         :param gateways: the gateway of each call, by its id.
         :param disturbed: when gateways were disturbed, by their names.
+        :param started: when gateways were started.
         """
         self._ledger = ledger
         self._gateways = gateways
         self._disturbed = disturbed or {}
+        self._started = started or {}
 
-    def worst_window(self, rate: float) -> int:
-        """Count the arrivals in the worst window while a limit was named.
+    def spells(self) -> list[LimitSpell]:
+        """List the times in which the endpoint named a limit.
+
+        :returns: one for each limit, without what can't be read.
+        """
+        grouped: dict[int, list[Told]] = {}
+        for each in self._ledger.limits_told:
+            grouped.setdefault(each.spell, []).append(each)
+        return [
+            LimitSpell(number=number, rate=float(told[0].text), told=told)
+            for number, told in grouped.items()
+            if _DECIMAL.fullmatch(told[0].text)
+        ]
 
-        :param rate: the limit, named from its first naming to its last.
+    def worst_window(self, spell: LimitSpell) -> int:
+        """Count the arrivals in the worst window of a spell.
+
+        :param spell: the spell.
         :returns: how many came from gateways that had been told.
         """
-        told = [each for each in self._ledger.limits_told if _is(each, rate)]
-        if not told:
-            return 0
-        first_s, last_s = told[0].at_s + CONTACT_S, told[-1].at_s
-        told_s = self._first_told_s(told)
         counted = [
             each.at_s
             for each in self._ledger.arrivals
-            if first_s <= each.at_s <= last_s and self._knew(each, told_s)
+            if spell.from_s <= each.at_s <= spell.until_s
+            and self._knew(each, spell.told)
         ]
         return max((_count_from(counted, at_s) for at_s in counted), default=0)
 
-    def use(self, rate: float) -> float:
-        """Tell which share of a limit was used while it was named.
+    def use(self, spell: LimitSpell) -> float:
+        """Tell which share of a limit was used in a spell.
 
-        :param rate: the limit.
+        :param spell: the spell.
         :returns: arrivals a second, of the limit.
         """
-        told = [each for each in self._ledger.limits_told if _is(each, rate)]
-        first_s, last_s = told[0].at_s + CONTACT_S, told[-1].at_s
         arrived = sum(
-            first_s <= each.at_s <= last_s for each in self._ledger.arrivals
+            spell.from_s <= each.at_s <= spell.until_s
+            for each in self._ledger.arrivals
         )
-        return arrived / max(1, last_s - first_s) / rate
+        seconds = max(1, spell.until_s - spell.from_s)
+        return arrived / seconds / spell.rate
 
     def most_in_rest(self) -> int:
         """Count the arrivals in the worst rest of a gateway.
@@ -107,6 +152,7 @@
                 from_s < each.at_s < until_s
                 and self._gateways.get(each.call_id) == gateway
                 and not self._excused(gateway, each.at_s)
+                and not self._restarted(gateway, told.at_s, each.at_s)
                 for each in self._ledger.arrivals
             )
             most = max(most, came)
@@ -119,31 +165,50 @@
         :returns: how many were sent later than it may be after their gateway
             was told.
         """
-        told_s = self._first_told_s(self._ledger.leavings_told)
+        told = self._ledger.leavings_told
         late = 0
         for each in self._ledger.arrivals:
             gateway = self._gateways.get(each.call_id)
-            first_s = told_s.get(gateway) if gateway else None
-            if gateway is None or first_s is None:
+            if gateway is None or self._excused(gateway, each.at_s):
                 continue
-            since_s = sent_s[each.call_id] - first_s
-            late += since_s > DRAIN_S and not self._excused(gateway, each.at_s)
+            first_s = self._first_told_s(gateway, each.at_s, told)
+            late += sent_s[each.call_id] - first_s > DRAIN_S
         return late
 
-    def _first_told_s(self, told: Iterable[Told]) -> dict[str, float]:
-        first_s: dict[str, float] = {}
+    def _first_told_s(
+        self,
+        gateway: str,
+        at_s: float,
+        told: Iterable[Told],
+    ) -> float:
+        """Tell when the process that sent something was first told.
+
+        :param gateway: the gateway.
+        :param at_s: when it sent.
+        :param told: the answers that told gateways.
+        :returns: when, infinite if its process wasn't told before.
+        """
         for each in told:
-            gateway = self._gateways.get(each.call_id)
-            if gateway is not None:
-                first_s.setdefault(gateway, each.at_s)
-        return first_s
+            if each.at_s > at_s:
+                break
+            if self._gateways.get(each.call_id) != gateway:
+                continue
+            if not self._restarted(gateway, each.at_s, at_s):
+                return each.at_s
+        return math.inf
 
-    def _knew(self, arrival: Told, told_s: Mapping[str, float]) -> bool:
+    def _knew(self, arrival: Told, told: Iterable[Told]) -> bool:
         gateway = self._gateways.get(arrival.call_id)
         if gateway is None or self._excused(gateway, arrival.at_s):
             return False
-        first_s = told_s.get(gateway)
-        return first_s is not None and arrival.at_s >= first_s + TOLD_S
+        first_s = self._first_told_s(gateway, arrival.at_s, told)
+        return arrival.at_s >= first_s + TOLD_S
+
+    def _restarted(self, gateway: str, from_s: float, until_s: float) -> bool:
+        return any(
+            from_s < started_s <= until_s
+            for started_s in self._started.get(gateway, ())
+        )
 
     def _excused(self, gateway: str, at_s: float) -> bool:
         return any(
@@ -152,10 +217,6 @@
         )
 
 
-def _is(told: Told, rate: float) -> bool:
-    return float(told.text) == rate
-
-
 def _count_from(counted: list[float], at_s: float) -> int:
     first = bisect.bisect_left(counted, at_s)
     return bisect.bisect_right(counted, at_s + WINDOW_S) - first
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -268,6 +268,8 @@
         for server in self.servers:
             server.link.heal()
             server.standin.faults = []
+            server.standin.signals.limit = ''
+            server.standin.signals.rest = ''
 
     def close(self) -> None:
         """End everything that was started."""
