An attempt is held before it begins; the soak's endpoints speak beside all faults

A call that waited for a shared part went on to its endpoint as placed and was held only where its connection was given: by then its prompt counted as sent there and a blocked request as tried. It is asked for before that as well.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,10 @@
 # With gateways of which one at a time reports usage.
 DUTY_SEEDS = (1, 2)
 
+# With endpoints that name limits, ask for rest and say that they leave; 7200
+# was red where limits were read and not asked.
+SIGNAL_SEEDS = (7100, 7200)
+
 
 @pytest.mark.processes
 def test_gateways_lead_sessions_of_their_own(tmp_path: pathlib.Path):
@@ -150,6 +154,14 @@
     run_soak(tmp_path, seed, '--duties', seconds=15)
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize('seed', SIGNAL_SEEDS)
+def test_promises_hold_beside_words_of_endpoints(
+    tmp_path: pathlib.Path, seed: int
+):
+    run_soak(tmp_path, seed, '--signals', seconds=20)
+
+
 @pytest.mark.processes
 def test_promises_hold_while_gateways_are_of_two_versions(
     tmp_path: pathlib.Path,
@@ -158,6 +170,7 @@
         tmp_path,
         1,
         '--duties',
+        '--signals',
         '--previous',
         production_commit(),
         seconds=15,
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -27,7 +27,7 @@
 from tools.soak.faults import Fault, faults
 from tools.soak.promises import promises
 from tools.soak.running_faults import RunningFaults
-from tools.soak.signal_faults import signal_faults
+from tools.soak.signal_faults import SpeakingEndpoints
 from tools.soak.site import STEADY_KEY, SoakSite
 from tools.soak.traffic import KINDS, Outcome, Traffic
 from tools.soak.upgrade import Upgrade, unpack_version
@@ -128,9 +128,11 @@
 ) -> tuple[list[str], list[str], list[Outcome]]:
     traffic = Traffic(site=site, seed=seed, callers=_CALLERS)
     end_crashes = _start_crashes(site, traffic, chosen, seed)
+    end_signals = _start_signals(site, chosen, seed)
     join_upgrade = _start_upgrade(site, chosen, seed)
     struck = _strike(site, chance, chosen.seconds, _find_faults(chosen))
     join_upgrade()
+    end_signals()
     end_crashes()
     broken = _check_recovery(site, traffic)
     traffic.stop()
@@ -167,8 +169,6 @@
         registries.append(writer_faults)
     if chosen.duties:
         registries.append(duty_faults)
-    if chosen.signals:
-        registries.append(signal_faults)
     return {
         name: registry.find(name).unwrap()
         for registry in registries
@@ -197,6 +197,16 @@
     return CrashingCaller(site=site, traffic=traffic, seed=seed).stop
 
 
+def _start_signals(
+    site: SoakSite,
+    chosen: argparse.Namespace,
+    seed: int,
+) -> Callable[[], None]:
+    if not chosen.signals:
+        return lambda: None
+    return SpeakingEndpoints(site=site, seed=seed).stop
+
+
 def _strike(
     site: SoakSite,
     chance: random.Random,
--- a/tools/soak/signal_faults.py
+++ b/tools/soak/signal_faults.py
@@ -2,25 +2,27 @@
 
 from __future__ import annotations
 
+import random
 import time
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, final
 
 import gevent
 
 from tools.soak.faults import Fault
+from tools.soak.running_faults import RunningFaults
 from tools.soak.site import POOLS
 from wingfall.registry import Registry
 
 if TYPE_CHECKING:
-    import random
-
     from tools.soak.site import Server, SoakSite
 
 signal_faults: Final[Registry[Fault]] = Registry(kind='signal fault')
 
 _LIMITS: Final = ('0.2', '1', '2', '8')
 _NONSENSE: Final = ('many', 'nan', '-1', '1, 2')
-_RESTS: Final = ('0.7', '1.5', '3')
+_RESTS: Final = ('1.5', '3')
+# Seconds for which endpoints ask for rest, so that they are asked in it again.
+_ASKED_S: Final = 3
 # Seconds for which a limit is named, so that it must be kept for some of them.
 _LIMITED_S: Final = 5
 # Seconds from an endpoint's word that it is leaving to its end, and from the
@@ -28,6 +30,8 @@
 _LEAVES_S: Final = 6
 _LISTED_LATE_S: Final = 3
 _FEWEST: Final = 2
+# Seconds between two of these faults.
+_PAUSE_S: Final = (0.5, 2)
 # How often all of a pool is struck, not one endpoint.
 _WHOLE_POOL: Final = 0.3
 
@@ -62,7 +66,7 @@
     servers = _pick(site, chance)
     for server in servers:
         server.standin.signals.rest = chance.choice(_RESTS)
-    gevent.sleep(for_s)
+    gevent.sleep(_ASKED_S + for_s)
     for server in servers:
         server.standin.signals.rest = ''
 
@@ -84,6 +88,38 @@
         site.store.delete('servers', server.name)
 
 
+@final
+class SpeakingEndpoints:
+    """Strikes with these faults beside all others, one after the other.
+
+    Apart from the other faults, so that the seeds of soaks without them stay
+    the same series.
+    """
+
+    def __init__(self, *, site: SoakSite, seed: int) -> None:
+        """Start to strike.
+
+        :param site: the site.
+        :param seed: what faults are drawn by.
+        """
+        self._chance = random.Random(seed)
+        self._running = RunningFaults(site=site, chance=self._chance)
+        self._stopped = False
+        self._striking = gevent.spawn(self._strike)
+
+    def stop(self) -> None:
+        """Strike no more, and wait until all have ended."""
+        self._stopped = True
+        self._striking.join()
+        self._running.join()
+
+    def _strike(self) -> None:
+        while not self._stopped:
+            name = self._chance.choice(signal_faults.names)
+            self._running.strike(signal_faults.find(name).unwrap())
+            gevent.sleep(self._chance.uniform(*_PAUSE_S))
+
+
 def _pick(site: SoakSite, chance: random.Random) -> list[Server]:
     listed = site.listed(chance.choice(POOLS))
     if chance.random() < _WHOLE_POOL:
--- a/tools/soak/signal_promises.py
+++ b/tools/soak/signal_promises.py
@@ -59,6 +59,7 @@
         ledger=server.standin.signals,
         gateways={each.call_id: each.gateway for each in outcomes},
         disturbed=site.disturbed,
+        mixed_s=site.mixed_s,
         started={
             name: gateway.started_s for name, gateway in site.gateways.items()
         },
--- a/tools/soak/signals.py
+++ b/tools/soak/signals.py
@@ -83,6 +83,7 @@
         gateways: Mapping[str, str],
         disturbed: Mapping[str, list[float]] | None = None,
         started: Mapping[str, list[float]] | None = None,
+        mixed_s: Iterable[tuple[float, float]] = (),
     ) -> None:
         """Take what is judged.
 
@@ -90,11 +91,14 @@
         :param gateways: the gateway of each call, by its id.
         :param disturbed: when gateways were disturbed, by their names.
         :param started: when gateways were started.
+        :param mixed_s: from when to when some were of a version that reads
+            none of it.
         """
         self._ledger = ledger
         self._gateways = gateways
         self._disturbed = disturbed or {}
         self._started = started or {}
+        self._mixed_s = list(mixed_s)
 
     def spells(self) -> list[LimitSpell]:
         """List the times in which the endpoint named a limit.
@@ -211,6 +215,8 @@
         )
 
     def _excused(self, gateway: str, at_s: float) -> bool:
+        if any(from_s <= at_s < to_s for from_s, to_s in self._mixed_s):
+            return True
         return any(
             disturbed_s <= at_s < disturbed_s + _EXCUSED_S
             for disturbed_s in self._disturbed.get(gateway, ())
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -20,7 +20,11 @@
 )
 from wingfall.gateway.calls.attempt_tracker import AttemptTracker
 from wingfall.gateway.calls.destination import choose_destination
-from wingfall.gateway.calls.held_pool import hold_off, pool_is_held
+from wingfall.gateway.calls.held_pool import (
+    hold_attempt,
+    hold_off,
+    pool_is_held,
+)
 from wingfall.gateway.calls.shared_read_wait import await_shared_read
 from wingfall.gateway.calls.stream_continuation import find_continuation
 from wingfall.gateway.model.attempt_end import AttemptEnd
@@ -198,6 +202,9 @@
 
     def _try(self, destination: Destination) -> AttemptOutcome:
         state = self._state
+        held = hold_attempt(state, self._call, destination)
+        if held is not None:
+            return held
         state.blocks.note_sent(self._call.fingerprint)
         tracker = AttemptTracker(
             state=state,
--- a/wingfall/gateway/calls/held_pool.py
+++ b/wingfall/gateway/calls/held_pool.py
@@ -1,10 +1,12 @@
-"""Tells calls when to come back if their pool takes no request now."""
+"""Holds calls off for what endpoints have said of themselves."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from wingfall.clock import MS_PER_S
+from wingfall.gateway.calls.attempt_outcome import AttemptOutcome
+from wingfall.gateway.model.attempt_end import AttemptEnd
 from wingfall.gateway.model.held import Held
 from wingfall.gateway.rules.held_calls import Opening
 from wingfall.gateway.rules.refusals import refuse_held
@@ -12,6 +14,7 @@
 
 if TYPE_CHECKING:
     from wingfall.errors import Refusal
+    from wingfall.gateway.calls.destination import Destination
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.state import GatewayState
 
@@ -46,6 +49,35 @@
     return refuse_held(retry_ms, resting=resting)
 
 
+def hold_attempt(
+    state: GatewayState,
+    call: Call,
+    destination: Destination,
+) -> AttemptOutcome | None:
+    """Tell whether an attempt is over before it begins.
+
+    What an endpoint says may have come since the call was placed, while it
+    waited for a shared part.
+
+    :param state: what the gateway knows.
+    :param call: the call.
+    :param destination: where it is to go.
+    :returns: how the attempt ends, None if it may begin.
+    """
+    name = destination.endpoint.name
+    held = state.gate.why_held(name)
+    if held is None:
+        return None
+    log_event(
+        'held',
+        'An endpoint takes no call now.',
+        call=call.call_id,
+        endpoint=name,
+        reason=held,
+    )
+    return AttemptOutcome(end=AttemptEnd.held, reason=held)
+
+
 def pool_is_held(state: GatewayState, pool: str) -> bool:
     """Tell whether no endpoint of a pool takes a request now.
 
