--- a/wingfall/gateway/calls/held_pool.py
+++ b/wingfall/gateway/calls/held_pool.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import itertools
+from typing import TYPE_CHECKING, Final
 
 from wingfall.clock import MS_PER_S
 from wingfall.gateway.calls.attempt_outcome import AttemptOutcome
@@ -18,6 +19,9 @@
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.state import GatewayState
 
+# Endpoints that a log line names.
+_MOST_SHOWN: Final = 8
+
 
 def hold_off(state: GatewayState, call: Call, pool: str) -> Refusal | None:
     """Refuse a call at once for what the pool's endpoints have said.
@@ -40,7 +44,8 @@
         call=call.call_id,
         pool=pool,
         tier=call.priority,
-        endpoints=reasons,
+        endpoints=dict(itertools.islice(reasons.items(), _MOST_SHOWN)),
+        holding=len(reasons),
         first_ms=int(opening.first_ms),
         every_ms=int(opening.every_ms),
         gateways=len(state.gate.gateways),
