Tests: halves of a site that are cut from each other keep a limit, or pass it twofold

For six seconds each half still counts the other one's parts; after that each uses the whole limit, so that an endpoint that both reach gets up to twice the bound. Shown by the model for four rates; what would keep it (a word in the store) is open.

--- a/tests/test_rate_share.py
+++ b/tests/test_rate_share.py
@@ -132,6 +132,24 @@
     assert world.worst_window() <= allowed(rate)
 
 
+@pytest.mark.parametrize('rate', RATES)
+@pytest.mark.parametrize(
+    ('seconds', 'times'),
+    # After six seconds each half takes the other one for gone.
+    [(5, 1), (30, 2)],
+)
+def test_halves_that_are_cut_from_each_other(
+    rate: float, seconds: float, times: int
+):
+    world = RateWorld(gateways=8, rate=rate, seed=5, demand=max(8, rate))
+    world.run(5)
+    world.cut({f'g{number}' for number in range(4)})
+    world.run(seconds)
+    world.cut(set())
+    world.run(5)
+    assert world.worst_window() <= times * allowed(rate)
+
+
 def test_calls_that_come_unevenly_use_a_limit():
     # 8.5 calls a second for an endpoint that takes eight, at five gateways.
     world = RateWorld(gateways=5, rate=8, seed=1, demand=1.7)
