Gateway rules: one package a question: placement, admission, retries, pacing, crashes

Moved with git mv, imports and pages follow; the module placement.py is placement/endpoint_choice.py now. Behaviour unchanged: no line of logic differs.

--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -37,18 +37,21 @@
 from wingfall.gateway.model.routes import CallerLimits, Pool, Routes
 from wingfall.gateway.peers.heartbeat_schedule import interval_ms
 from wingfall.gateway.peers.loads.load_exchange import LoadExchange
-from wingfall.gateway.rules.cache_transfer import copy_nothing
-from wingfall.gateway.rules.early_refusal import StartEstimate, admit_by_target
-from wingfall.gateway.rules.held_calls import HeldCalls
-from wingfall.gateway.rules.placement import place_by_reading
-from wingfall.gateway.rules.rate_share import share_among_few
-from wingfall.gateway.rules.retry import (
+from wingfall.gateway.rules.admission.early_refusal import (
+    StartEstimate,
+    admit_by_target,
+)
+from wingfall.gateway.rules.admission.held_calls import HeldCalls
+from wingfall.gateway.rules.pacing.rate_share import share_among_few
+from wingfall.gateway.rules.placement.cache_transfer import copy_nothing
+from wingfall.gateway.rules.placement.endpoint_choice import place_by_reading
+from wingfall.gateway.rules.placement.stream_backup import back_up_nothing
+from wingfall.gateway.rules.retries.retry import (
     CallProgress,
     RetryTerms,
     RetryVerdict,
     judge_retry,
 )
-from wingfall.gateway.rules.stream_backup import back_up_nothing
 from wingfall.objects.request_class import Target
 
 if TYPE_CHECKING:
--- a/tests/rate_world.py
+++ b/tests/rate_world.py
@@ -13,7 +13,7 @@
 from wingfall.gateway.endpoints.sending_gate import SendingGate
 from wingfall.gateway.knowledge.endpoint_signals import EndpointSignals
 from wingfall.gateway.model.answer_signals import AnswerSignals
-from wingfall.gateway.rules.rate_share import RateShare, rate_shares
+from wingfall.gateway.rules.pacing.rate_share import RateShare, rate_shares
 
 ENDPOINT: Final = 'engine-1'
 STEP_MS: Final = 50
--- a/tests/test_cache_transfer.py
+++ b/tests/test_cache_transfer.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from wingfall.gateway.rules.cache_transfer import (
+from wingfall.gateway.rules.placement.cache_transfer import (
     cache_transfers,
     copied_tokens,
     copy_from_most_kept,
     copy_nothing,
 )
-from wingfall.gateway.rules.candidate import Candidate
+from wingfall.gateway.rules.placement.candidate import Candidate
 
 FAST = 30.0
 
--- a/tests/test_call_rules.py
+++ b/tests/test_call_rules.py
@@ -21,24 +21,31 @@
 from wingfall.gateway.model.attempt_end import AttemptEnd
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 from wingfall.gateway.model.routes import WeightedPool
-from wingfall.gateway.rules.candidate import Candidate, Demand
-from wingfall.gateway.rules.early_refusal import StartEstimate, admit_by_target
-from wingfall.gateway.rules.placement import place_by_reading
-from wingfall.gateway.rules.planned_stop import StopSchedule
-from wingfall.gateway.rules.pool_choice import pick_pool
-from wingfall.gateway.rules.refusals import (
+from wingfall.gateway.rules.admission.early_refusal import (
+    StartEstimate,
+    admit_by_target,
+)
+from wingfall.gateway.rules.admission.refusals import (
     refuse_after,
     refuse_early,
     refuse_no_routes,
 )
-from wingfall.gateway.rules.retry import (
+from wingfall.gateway.rules.placement.candidate import Candidate, Demand
+from wingfall.gateway.rules.placement.endpoint_choice import place_by_reading
+from wingfall.gateway.rules.placement.pool_choice import pick_pool
+from wingfall.gateway.rules.placement.shortlist import (
+    count_drawn,
+    prefer_sound,
+    shorten,
+)
+from wingfall.gateway.rules.placement.stream_backup import back_up_long_answers
+from wingfall.gateway.rules.planned_stop import StopSchedule
+from wingfall.gateway.rules.retries.retry import (
     CallProgress,
     RetryTerms,
     RetryVerdict,
     judge_retry,
 )
-from wingfall.gateway.rules.shortlist import count_drawn, prefer_sound, shorten
-from wingfall.gateway.rules.stream_backup import back_up_long_answers
 
 RECORD = pathlib.Path(__file__).parent / 'golden' / 'call_rules.json'
 NOW_MS = 1000
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -13,7 +13,7 @@
 from wingfall.clock import ManualClock
 from wingfall.gateway.assembly import make_state
 from wingfall.gateway.callers.caller_connection import CallerConnection
-from wingfall.gateway.rules.placement import placements
+from wingfall.gateway.rules.placement.endpoint_choice import placements
 from wingfall.metrics import Metrics
 
 if TYPE_CHECKING:
--- a/tests/test_early_refusal.py
+++ b/tests/test_early_refusal.py
@@ -4,7 +4,7 @@
 
 from returns.result import Success
 
-from wingfall.gateway.rules.early_refusal import (
+from wingfall.gateway.rules.admission.early_refusal import (
     StartEstimate,
     admit_always,
     admit_by_target,
--- a/tests/test_endpoint_lives.py
+++ b/tests/test_endpoint_lives.py
@@ -40,7 +40,7 @@
 from wingfall.gateway.model.prompt import PromptPart
 from wingfall.gateway.peers.loads.load_entries import Activity
 from wingfall.gateway.peers.loads.load_exchange import LoadExchange
-from wingfall.gateway.rules.rate_share import share_among_few
+from wingfall.gateway.rules.pacing.rate_share import share_among_few
 from wingfall.platform.endpoint_entry import read_endpoint
 
 if TYPE_CHECKING:
--- a/tests/test_engine_priority.py
+++ b/tests/test_engine_priority.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from wingfall.gateway.rules.engine_priority import PRIORITIES, engine_priority
+from wingfall.gateway.rules.placement.engine_priority import (
+    PRIORITIES,
+    engine_priority,
+)
 
 CUSTOMERS = (None, *range(PRIORITIES))
 
--- a/tests/test_gateway_retry_budget.py
+++ b/tests/test_gateway_retry_budget.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from wingfall.clock import ManualClock
-from wingfall.gateway.rules.retry_budget import RetryBudget
+from wingfall.gateway.rules.retries.retry_budget import RetryBudget
 
 
 def make(clock: ManualClock, **changes: Any) -> RetryBudget:
--- a/tests/test_held_calls.py
+++ b/tests/test_held_calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wingfall.gateway.rules.held_calls import HeldCalls, Opening
+from wingfall.gateway.rules.admission.held_calls import HeldCalls, Opening
 
 POOL = 'engines'
 OPENING = Opening(first_ms=300, every_ms=500)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from wingfall.gateway.rules.candidate import Candidate, Demand
-from wingfall.gateway.rules.placement import (
+from wingfall.gateway.rules.placement.candidate import Candidate, Demand
+from wingfall.gateway.rules.placement.endpoint_choice import (
     late_start,
     late_streams,
     place_by_reading,
--- a/tests/test_rate_share.py
+++ b/tests/test_rate_share.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies
 
 from tests.rate_world import ENDPOINT, RateWorld
-from wingfall.gateway.rules.pace import Pace
-from wingfall.gateway.rules.rate_share import (
+from wingfall.gateway.rules.pacing.pace import Pace
+from wingfall.gateway.rules.pacing.rate_share import (
     ShareTerms,
     share_among_few,
     share_equally,
--- a/tests/test_request_blocks.py
+++ b/tests/test_request_blocks.py
@@ -7,7 +7,7 @@
 from wingfall.clock import ManualClock
 from wingfall.gateway.knowledge.crash_ledger import CrashLedger
 from wingfall.gateway.model.endpoint_crash import EndpointCrash
-from wingfall.gateway.rules.request_blocks import RequestBlocks
+from wingfall.gateway.rules.crashes.request_blocks import RequestBlocks
 
 REQUEST = b'r'
 FIRST_TRY_MS = 60_000
--- a/tests/test_sending_gate.py
+++ b/tests/test_sending_gate.py
@@ -16,7 +16,7 @@
 from wingfall.gateway.model.answer_signals import AnswerSignals
 from wingfall.gateway.model.held import Held
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
-from wingfall.gateway.rules.rate_share import share_among_few
+from wingfall.gateway.rules.pacing.rate_share import share_among_few
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/tests/test_shared_read.py
+++ b/tests/test_shared_read.py
@@ -7,7 +7,10 @@
 from tests.gateway_site import GatewaySite, caches_part
 from tests.local_site import wait_until
 from wingfall.gateway.knowledge.prefix_cache import PendingRead
-from wingfall.gateway.rules.shared_read import read_at_once, wait_for_read
+from wingfall.gateway.rules.placement.shared_read import (
+    read_at_once,
+    wait_for_read,
+)
 
 LEFT_MS = 10_000
 SHARED = {'X_Token_Count': '9010,40', 'X_Prompt_Prefix': 'aa:9000,bb:10'}
--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -8,7 +8,7 @@
 from tests.gateway_site import GatewaySite
 from tests.local_site import wait_until
 from tests.test_gateway_streams import event_ids
-from wingfall.gateway.rules.stream_backup import (
+from wingfall.gateway.rules.placement.stream_backup import (
     RunLength,
     back_up_long_answers,
     back_up_nothing,
--- a/tools/slopes/gateway.py
+++ b/tools/slopes/gateway.py
@@ -15,8 +15,8 @@
 from wingfall.gateway.model.object_store import StoredObject, StoreReading
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 from wingfall.gateway.model.prompt import Prompt, PromptPart
-from wingfall.gateway.rules.candidate import Candidate, Demand
-from wingfall.gateway.rules.placement import place_by_reading
+from wingfall.gateway.rules.placement.candidate import Candidate, Demand
+from wingfall.gateway.rules.placement.endpoint_choice import place_by_reading
 from wingfall.wire.codec import FrameDecoder, encode
 from wingfall.wire.gateway_messages import GatewayHeartbeat
 
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -10,9 +10,9 @@
 from wingfall.gateway.endpoints.sending_gate import SendingGate
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.model.binding import bindings
+from wingfall.gateway.rules.crashes.request_blocks import RequestBlocks
 from wingfall.gateway.rules.policies import find_policies
-from wingfall.gateway.rules.request_blocks import RequestBlocks
-from wingfall.gateway.rules.retry_budget import RetryBudget
+from wingfall.gateway.rules.retries.retry_budget import RetryBudget
 from wingfall.gateway.state import GatewayState
 from wingfall.platform import binding as fjordgrid
 
--- a/wingfall/gateway/callers/caller_connection.py
+++ b/wingfall/gateway/callers/caller_connection.py
@@ -31,7 +31,10 @@
 from wingfall.gateway.calls.intake import accept_call
 from wingfall.gateway.calls.reply import Reply
 from wingfall.gateway.model.routes import CallerLimits
-from wingfall.gateway.rules.refusals import refuse_fault, refuse_request
+from wingfall.gateway.rules.admission.refusals import (
+    refuse_fault,
+    refuse_request,
+)
 from wingfall.log import log_event
 from wingfall.tcp import is_readable, send_all, set_no_delay
 
--- a/wingfall/gateway/calls/attempt_log.py
+++ b/wingfall/gateway/calls/attempt_log.py
@@ -15,7 +15,7 @@
     from wingfall.gateway.calls.destination import Destination
     from wingfall.gateway.calls.token_gap_watch import TokenGapWatch
     from wingfall.gateway.model.call import Call
-    from wingfall.gateway.rules.candidate import Candidate
+    from wingfall.gateway.rules.placement.candidate import Candidate
 
 
 def log_attempt(
--- a/wingfall/gateway/calls/destination.py
+++ b/wingfall/gateway/calls/destination.py
@@ -11,16 +11,16 @@
 from typing import TYPE_CHECKING, Callable, Final, final
 
 from wingfall.gateway.knowledge.load import EndpointLoad
-from wingfall.gateway.rules.cache_transfer import copied_tokens
-from wingfall.gateway.rules.candidate import Candidate, Demand
-from wingfall.gateway.rules.shortlist import (
+from wingfall.gateway.rules.placement.cache_transfer import copied_tokens
+from wingfall.gateway.rules.placement.candidate import Candidate, Demand
+from wingfall.gateway.rules.placement.shortlist import (
     count_drawn,
     is_weighed_whole,
     list_sound,
     prefer_sound,
     shorten,
 )
-from wingfall.gateway.rules.stream_backup import choose_backup
+from wingfall.gateway.rules.placement.stream_backup import choose_backup
 
 if TYPE_CHECKING:
     from wingfall.gateway.model.call import Call
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -28,19 +28,19 @@
 from wingfall.gateway.calls.shared_read_wait import await_shared_read
 from wingfall.gateway.calls.stream_continuation import find_continuation
 from wingfall.gateway.model.attempt_end import AttemptEnd
-from wingfall.gateway.rules.attempt_time import (
-    AttemptOutlook,
-    first_byte_wait_ms,
-    is_time_over,
-)
-from wingfall.gateway.rules.early_refusal import StartEstimate
-from wingfall.gateway.rules.pool_choice import pick_pool
-from wingfall.gateway.rules.refusals import (
+from wingfall.gateway.rules.admission.early_refusal import StartEstimate
+from wingfall.gateway.rules.admission.refusals import (
     refuse_after,
     refuse_blocked,
     refuse_early,
 )
-from wingfall.gateway.rules.retry import (
+from wingfall.gateway.rules.placement.pool_choice import pick_pool
+from wingfall.gateway.rules.retries.attempt_time import (
+    AttemptOutlook,
+    first_byte_wait_ms,
+    is_time_over,
+)
+from wingfall.gateway.rules.retries.retry import (
     CallProgress,
     RetryTerms,
     RetryVerdict,
--- a/wingfall/gateway/calls/held_pool.py
+++ b/wingfall/gateway/calls/held_pool.py
@@ -9,8 +9,8 @@
 from wingfall.gateway.calls.attempt_outcome import AttemptOutcome
 from wingfall.gateway.model.attempt_end import AttemptEnd
 from wingfall.gateway.model.held import Held
-from wingfall.gateway.rules.held_calls import Opening
-from wingfall.gateway.rules.refusals import refuse_held
+from wingfall.gateway.rules.admission.held_calls import Opening
+from wingfall.gateway.rules.admission.refusals import refuse_held
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
--- a/wingfall/gateway/calls/intake.py
+++ b/wingfall/gateway/calls/intake.py
@@ -13,8 +13,11 @@
 
 from wingfall.gateway.model.call import Call
 from wingfall.gateway.model.fingerprint import make_fingerprint
-from wingfall.gateway.rules.engine_priority import engine_priority
-from wingfall.gateway.rules.refusals import refuse_no_routes, refuse_request
+from wingfall.gateway.rules.admission.refusals import (
+    refuse_no_routes,
+    refuse_request,
+)
+from wingfall.gateway.rules.placement.engine_priority import engine_priority
 
 if TYPE_CHECKING:
     from wingfall.errors import Refusal
--- a/wingfall/gateway/calls/shared_read_wait.py
+++ b/wingfall/gateway/calls/shared_read_wait.py
@@ -1,7 +1,8 @@
 """Holds a prompt back while its engine reads a part that it shares.
 
-How long is decided by :mod:`wingfall.gateway.rules.shared_read`; here is only
-the wait, which ends as soon as the part has been read.
+How long is decided by
+:mod:`wingfall.gateway.rules.placement.shared_read`; here is only the wait,
+which ends as soon as the part has been read.
 """
 
 from __future__ import annotations
--- a/wingfall/gateway/endpoints/sending_gate.py
+++ b/wingfall/gateway/endpoints/sending_gate.py
@@ -12,9 +12,9 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.gateway.model.held import Held
-from wingfall.gateway.rules.pace import Pace
-from wingfall.gateway.rules.rate_share import ShareTerms
-from wingfall.gateway.rules.rest_return import (
+from wingfall.gateway.rules.pacing.pace import Pace
+from wingfall.gateway.rules.pacing.rate_share import ShareTerms
+from wingfall.gateway.rules.pacing.rest_return import (
     RETURN_RATE,
     RestReturn,
     draw_part,
@@ -26,7 +26,7 @@
     from wingfall.clock import Clock
     from wingfall.gateway.knowledge.endpoint_signals import EndpointSignals
     from wingfall.gateway.model.endpoint_limit import EndpointLimit
-    from wingfall.gateway.rules.rate_share import RateShare
+    from wingfall.gateway.rules.pacing.rate_share import RateShare
 
 # Requests a second that go to an endpoint which names less, 0 among it: one now
 # and then has to ask whether the limit still holds.
--- a/wingfall/gateway/peers/shared_bounds.py
+++ b/wingfall/gateway/peers/shared_bounds.py
@@ -12,8 +12,8 @@
 
     from wingfall.gateway.endpoints.sending_gate import SendingGate
     from wingfall.gateway.peers.peer_session import PeerSession
-    from wingfall.gateway.rules.request_blocks import RequestBlocks
-    from wingfall.gateway.rules.retry_budget import RetryBudget
+    from wingfall.gateway.rules.crashes.request_blocks import RequestBlocks
+    from wingfall.gateway.rules.retries.retry_budget import RetryBudget
 
 
 @final
--- a/wingfall/gateway/rules/early_refusal.py
+++ b/wingfall/gateway/rules/admission/early_refusal.py
@@ -12,7 +12,7 @@
 
 from returns.result import Failure, Result, Success
 
-from wingfall.gateway.rules.retry_after import retry_after_queue_ms
+from wingfall.gateway.rules.admission.retry_after import retry_after_queue_ms
 from wingfall.registry import Registry
 
 # The most urgent tier is refused only if it would start after so much of the
--- a/wingfall/gateway/rules/refusals.py
+++ b/wingfall/gateway/rules/admission/refusals.py
@@ -10,7 +10,7 @@
 
 from wingfall.errors import Refusal, RunState
 from wingfall.gateway.model.attempt_end import AttemptEnd
-from wingfall.gateway.rules.retry_after import retry_after_unknown_ms
+from wingfall.gateway.rules.admission.retry_after import retry_after_unknown_ms
 
 
 def refuse_after(end: AttemptEnd, run: RunState, left_ms: int) -> Refusal:
--- /dev/null
+++ b/wingfall/gateway/rules/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests end the endpoints that run them."""
--- /dev/null
+++ b/wingfall/gateway/rules/pacing/__init__.py
@@ -0,0 +1,1 @@
+"""How requests are spread over time and over gateways."""
--- a/wingfall/gateway/rules/rest_return.py
+++ b/wingfall/gateway/rules/pacing/rest_return.py
@@ -11,7 +11,7 @@
 from typing import Final, final
 
 from wingfall.clock import MS_PER_S
-from wingfall.gateway.rules.pace import Pace
+from wingfall.gateway.rules.pacing.pace import Pace
 
 # Milliseconds after the end of a rest over which gateways return, each at a
 # moment of its own.
--- a/wingfall/gateway/rules/cache_transfer.py
+++ b/wingfall/gateway/rules/placement/cache_transfer.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from wingfall.gateway.rules.candidate import Candidate
+    from wingfall.gateway.rules.placement.candidate import Candidate
 
 # Fewer tokens are read: a copy has a cost of its own, about that of reading
 # some hundred tokens.
--- a/wingfall/gateway/rules/placement.py
+++ b/wingfall/gateway/rules/placement/endpoint_choice.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from wingfall.gateway.rules.candidate import Candidate, Demand
+    from wingfall.gateway.rules.placement.candidate import Candidate, Demand
 
 # Weight of a shared part's tokens that are copied from another engine: they
 # take memory twice.
--- a/wingfall/gateway/rules/stream_backup.py
+++ b/wingfall/gateway/rules/placement/stream_backup.py
@@ -10,14 +10,14 @@
 
 from typing import TYPE_CHECKING, Callable, Final, final
 
-from wingfall.gateway.rules.cache_transfer import MOST_FAILING
+from wingfall.gateway.rules.placement.cache_transfer import MOST_FAILING
 from wingfall.registry import Registry
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from wingfall.gateway.rules.candidate import Candidate, Demand
-    from wingfall.gateway.rules.placement import Placement
+    from wingfall.gateway.rules.placement.candidate import Candidate, Demand
+    from wingfall.gateway.rules.placement.endpoint_choice import Placement
 
 # A copy costs the bytes of prompt and answer; what it saves grows with the time
 # that the stream runs, so with its answer. Answers half as long as their prompt
--- a/wingfall/gateway/rules/policies.py
+++ b/wingfall/gateway/rules/policies.py
@@ -10,24 +10,24 @@
 from returns.iterables import Fold
 from returns.result import Success
 
-from wingfall.gateway.rules.cache_transfer import cache_transfers
-from wingfall.gateway.rules.early_refusal import admissions
-from wingfall.gateway.rules.placement import placements
-from wingfall.gateway.rules.rate_share import rate_shares
-from wingfall.gateway.rules.shared_read import shared_reads
-from wingfall.gateway.rules.stream_backup import stream_backups
+from wingfall.gateway.rules.admission.early_refusal import admissions
+from wingfall.gateway.rules.pacing.rate_share import rate_shares
+from wingfall.gateway.rules.placement.cache_transfer import cache_transfers
+from wingfall.gateway.rules.placement.endpoint_choice import placements
+from wingfall.gateway.rules.placement.shared_read import shared_reads
+from wingfall.gateway.rules.placement.stream_backup import stream_backups
 
 if TYPE_CHECKING:
     from types import SimpleNamespace
 
     from returns.result import Result
 
-    from wingfall.gateway.rules.cache_transfer import CacheTransfer
-    from wingfall.gateway.rules.early_refusal import Admission
-    from wingfall.gateway.rules.placement import Placement
-    from wingfall.gateway.rules.rate_share import RateShare
-    from wingfall.gateway.rules.shared_read import SharedRead
-    from wingfall.gateway.rules.stream_backup import StreamBackup
+    from wingfall.gateway.rules.admission.early_refusal import Admission
+    from wingfall.gateway.rules.pacing.rate_share import RateShare
+    from wingfall.gateway.rules.placement.cache_transfer import CacheTransfer
+    from wingfall.gateway.rules.placement.endpoint_choice import Placement
+    from wingfall.gateway.rules.placement.shared_read import SharedRead
+    from wingfall.gateway.rules.placement.stream_backup import StreamBackup
 
 
 @final
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING, final
 
-from wingfall.gateway.rules.held_calls import HeldCalls
+from wingfall.gateway.rules.admission.held_calls import HeldCalls
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
@@ -18,9 +18,9 @@
     from wingfall.gateway.knowledge.usage_counts import UsageCounts
     from wingfall.gateway.model.binding import Binding
     from wingfall.gateway.model.routes import Routes
+    from wingfall.gateway.rules.crashes.request_blocks import RequestBlocks
     from wingfall.gateway.rules.policies import Policies
-    from wingfall.gateway.rules.request_blocks import RequestBlocks
-    from wingfall.gateway.rules.retry_budget import RetryBudget
+    from wingfall.gateway.rules.retries.retry_budget import RetryBudget
     from wingfall.metrics import Metrics
 
 
