Interfaces of the parts for hard load, each switched off: readings, work, groups, admission

Cause: four parts are built side by side and meet in the same messages and steps of a call. Behaviour: unchanged, no part is on.

--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -45,6 +45,8 @@
 from wingfall.gateway.rules.pacing.rate_share import share_among_few
 from wingfall.gateway.rules.placement.cache_transfer import copy_nothing
 from wingfall.gateway.rules.placement.endpoint_choice import place_by_reading
+from wingfall.gateway.rules.placement.engine_groups import keep_none
+from wingfall.gateway.rules.placement.kept_engines import KeptEngines
 from wingfall.gateway.rules.placement.stream_backup import back_up_nothing
 from wingfall.gateway.rules.retries.retry import (
     CallProgress,
@@ -207,6 +209,11 @@
                 rate_share=share_among_few,
             ),
             held_calls=HeldCalls(),
+            kept_engines=KeptEngines(
+                clock=clock,
+                knowledge=self.knowledge,
+                parts_pool=keep_none,
+            ),
             policies=SimpleNamespace(
                 placement=place_by_reading,
                 cache_transfer=copy_nothing,
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -155,9 +155,24 @@
 )
 
 
+# A heartbeat of a gateway that knows nothing of engines' readings.
+HEARTBEAT_WITHOUT_READINGS = (
+    '000000afdc00113181a36b6579009294a46e616d6501020393a56f746865'
+    '7200ff9294a46e616d6502020393a56f7468657200ffc3c2c3c29294a46e'
+    '616d6507020393a56f7468657200ffcd1f479294a46e616d6509020393a5'
+    '6f7468657200ff9294a46e616d650a020393a56f7468657200ffcd2aff92'
+    '94a46e616d650c020393a56f7468657200ff9294a46e616d650d020393a5'
+    '6f7468657200ff9294a46e616d650e020393a56f7468657200ffcd3a9f'
+)
+
+
 @pytest.mark.parametrize(
     ('encoded', 'first_unknown'),
-    [(EARLIER_HEARTBEAT, 'duties'), (HEARTBEAT_WITHOUT_LIMITS, 'limits')],
+    [
+        (EARLIER_HEARTBEAT, 'duties'),
+        (HEARTBEAT_WITHOUT_LIMITS, 'limits'),
+        (HEARTBEAT_WITHOUT_READINGS, 'readings'),
+    ],
 )
 def test_earlier_heartbeat_is_understood_both_ways(
     encoded: str, first_unknown: str
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -8,8 +8,10 @@
 import pytest
 
 from wingfall.clock import ManualClock
+from wingfall.gateway.knowledge.customer_work import CustomerWork
 from wingfall.gateway.knowledge.endpoint_health import EndpointHealth
 from wingfall.gateway.knowledge.endpoint_table import EndpointTable
+from wingfall.gateway.knowledge.engine_speeds import EngineSpeeds
 from wingfall.gateway.knowledge.load import EndpointLoad, LoadTable
 from wingfall.gateway.knowledge.prefix_caches import PrefixCaches, SentPrompt
 from wingfall.gateway.model.prompt import PromptPart
@@ -35,6 +37,8 @@
         self.caches = PrefixCaches()
         self.endpoints = EndpointTable(clock=clock)
         self.health = EndpointHealth(clock=clock)
+        self.speeds = EngineSpeeds()
+        self.customer_work = CustomerWork(clock=clock)
         self.exchange = LoadExchange(
             name=name, zone=zone, clock=clock, knowledge=self
         )
--- a/wingfall/gateway/calls/destination.py
+++ b/wingfall/gateway/calls/destination.py
@@ -208,6 +208,9 @@
     is_out = state.knowledge.health.is_out
     is_held = _held_endpoints(state, call, pool)
     prompt = call.head.prompt
+    if prompt is not None and state.routes is not None:
+        demand = describe_demand(call)
+        usable = state.kept_engines.narrow(state.routes, demand, usable)
     drawn = count_drawn(prompt.tokens if prompt else 0)
     if not is_weighed_whole(usable, drawn):
         shortlist = shorten(usable, _endpoints_that_cache(state, call), drawn)
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from wingfall.errors import RunState
+from wingfall.gateway.calls.admission import admit_prompt
 from wingfall.gateway.calls.attempt import Attempt
 from wingfall.gateway.calls.attempt_outcome import (
     AttemptLimits,
@@ -28,11 +29,9 @@
 from wingfall.gateway.calls.shared_read_wait import await_shared_read
 from wingfall.gateway.calls.stream_continuation import find_continuation
 from wingfall.gateway.model.attempt_end import AttemptEnd
-from wingfall.gateway.rules.admission.early_refusal import StartEstimate
 from wingfall.gateway.rules.admission.refusals import (
     refuse_after,
     refuse_blocked,
-    refuse_early,
 )
 from wingfall.gateway.rules.placement.pool_choice import pick_pool
 from wingfall.gateway.rules.retries.attempt_time import (
@@ -46,7 +45,6 @@
     RetryVerdict,
     judge_retry,
 )
-from wingfall.log import log_event
 
 if TYPE_CHECKING:
     from wingfall.errors import Refusal
@@ -135,9 +133,10 @@
         destination = self._choose()
         if destination is None:
             return Failure(self._hold_off() or self._give_up(_NOWHERE))
-        refusal = self._refuse_early(destination)
-        if refusal is not None:
-            return Failure(refusal)
+        admitted = self._admit(destination)
+        if not isinstance(admitted, Success):
+            return admitted
+        destination = admitted.unwrap()
         destination = self._after_shared_read(destination)
         # While it waited, others may have seen what it does to endpoints.
         refusal = self._refuse_blocked()
@@ -168,30 +167,10 @@
             raise ReplyCutError
         return refuse_blocked(self._run_state, block.retry_after_ms)
 
-    def _refuse_early(self, destination: Destination) -> Refusal | None:
-        call, routes = self._call, self._state.routes
-        if call.head.prompt is None or self._progress.sent or routes is None:
-            return None
-        estimate = StartEstimate(
-            start_ms=destination.start_ms,
-            target_ms=call.route.target_ms,
-            left_ms=self._left_ms(),
-            urgent=call.route.tier <= routes.most_urgent(self._pool),
-        )
-        admitted = self._state.policies.admission(estimate)
-        if isinstance(admitted, Success):
-            return None
-        log_event(
-            'admission',
-            'A prompt would start too late.',
-            call=call.call_id,
-            endpoint=destination.endpoint.name,
-            reading=destination.candidate.reading_tokens,
-            start_ms=int(estimate.start_ms),
-            target_ms=estimate.target_ms,
-            left_ms=estimate.left_ms,
-        )
-        return refuse_early(admitted.failure())
+    def _admit(self, destination: Destination) -> Result[Destination, Refusal]:
+        if self._progress.sent:
+            return Success(destination)
+        return admit_prompt(self._state, self._call, self._pool, destination)
 
     def _after_shared_read(self, destination: Destination) -> Destination:
         # One wait a call; what was chosen before it is old after it.
--- a/wingfall/gateway/calls/final_answer.py
+++ b/wingfall/gateway/calls/final_answer.py
@@ -55,6 +55,7 @@
         call=head.call_id,
         request=call.fingerprint.hex() if call else None,
         route=call.route.name if call else None,
+        customer=call.customer.name if call and call.customer else None,
         status=refusal.status,
         code=refusal.code,
         run=refusal.run,
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, final
 
 from wingfall.gateway.knowledge.crash_ledger import CrashLedger
+from wingfall.gateway.knowledge.customer_work import CustomerWork
 from wingfall.gateway.knowledge.endpoint_health import EndpointHealth
 from wingfall.gateway.knowledge.endpoint_lives import EndpointLives
 from wingfall.gateway.knowledge.endpoint_signals import EndpointSignals
@@ -30,6 +31,7 @@
         '_clock',
         'caches',
         'crashes',
+        'customer_work',
         'health',
         'lives',
         'load',
@@ -62,6 +64,8 @@
         self.health = EndpointHealth(clock=clock)
         # Which crashed, and what ran there, by the calls of all gateways.
         self.crashes = CrashLedger(clock=clock)
+        # What customers were given there, by all gateways.
+        self.customer_work = CustomerWork(clock=clock)
         # What they have said of themselves, to any gateway.
         self.signals = EndpointSignals(name=name, clock=clock)
 
@@ -74,6 +78,16 @@
         known = self.table.find(name)
         return self.speeds.find(name, known.pool if known else '')
 
+    def take_readings(self, name: str, rates: list[int]) -> None:
+        """Take readings of an engine that another gateway has seen.
+
+        :param name: the endpoint; one that isn't listed is passed over.
+        :param rates: tenths of a token a millisecond, the newest last.
+        """
+        known = self.table.find(name)
+        if known is not None:
+            self.speeds.take_told(name, known.pool, rates)
+
     def ready_ms(self, name: str) -> int:
         """Estimate when an engine will have read all that was sent to it.
 
--- a/wingfall/gateway/knowledge/engine_speeds.py
+++ b/wingfall/gateway/knowledge/engine_speeds.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import final
+from typing import Any, final
 
 from wingfall.gateway.knowledge.engine_speed import (
     EngineSpeed,
@@ -70,6 +70,28 @@
         speed.rate.note(tokens, read_ms)
         self.average(pool).note(tokens, read_ms)
 
+    def take_told(self, engine: str, pool: str, rates: list[int]) -> None:
+        """Take readings of an engine that another gateway has seen.
+
+        :param engine: its name.
+        :param pool: its pool.
+        :param rates: tenths of a token a millisecond, the newest last.
+        """
+
+    def take_untold(self) -> list[list[Any]]:
+        """Take the readings that peers have not heard of, as in a heartbeat.
+
+        :returns: for each engine its name and the rates, the newest last.
+        """
+        return []
+
+    def write_all(self) -> list[list[Any]]:
+        """Write what is known of all engines, for a gateway that starts.
+
+        :returns: for each engine its name and the rates, the newest last.
+        """
+        return []
+
     def keep_only(self, names: set[str]) -> None:
         """Forget engines that are not listed any more.
 
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -126,7 +126,7 @@
         near = self._loads.near([session])
         heartbeat = self._make_heartbeat(
             self._loads.own_loads() if near else [],
-            Activity(),
+            self._loads.known_speeds() if near else Activity(),
             self._is_stopping(),
             whole=True,
             news=self._news.write_all(),
@@ -245,7 +245,12 @@
         self._loads.take_heartbeat(
             session,
             heartbeat.loads,
-            Activity(sent=heartbeat.sent, outcomes=heartbeat.outcomes),
+            Activity(
+                sent=heartbeat.sent,
+                outcomes=heartbeat.outcomes,
+                readings=heartbeat.readings,
+                work=heartbeat.work,
+            ),
             whole=heartbeat.whole,
         )
         missed = self._news.take(session, heartbeat, len(self._sessions))
@@ -301,6 +306,8 @@
             limits=news.signals.limits,
             leavings=news.signals.leavings,
             signal_sum=self._news.signal_sum,
+            readings=activity.readings,
+            work=activity.work,
         )
 
 
--- a/wingfall/gateway/peers/loads/load_entries.py
+++ b/wingfall/gateway/peers/loads/load_entries.py
@@ -26,26 +26,32 @@
 class Activity:
     """What has happened since it was last told, as it is on the wire."""
 
-    __slots__ = ('outcomes', 'sent')
+    __slots__ = ('outcomes', 'readings', 'sent', 'work')
 
     def __init__(
         self,
         *,
         sent: list[list[Any]] | None = None,
         outcomes: list[list[Any]] | None = None,
+        readings: list[list[Any]] | None = None,
+        work: list[list[Any]] | None = None,
     ) -> None:
         """Keep activity.
 
         :param sent: prompts that were sent, as in a heartbeat.
         :param outcomes: how requests ended, as in a heartbeat.
+        :param readings: how fast engines read, as in a heartbeat.
+        :param work: work that customers were given, as in a heartbeat.
         """
         self.sent = sent or []
         self.outcomes = outcomes or []
+        self.readings = readings or []
+        self.work = work or []
 
     @property
     def empty(self) -> bool:
         """Whether nothing has happened."""
-        return not (self.sent or self.outcomes)
+        return not (self.sent or self.outcomes or self.readings or self.work)
 
     def add(self, other: Activity) -> None:
         """Add further activity.
@@ -54,6 +60,8 @@
         """
         self.sent.extend(other.sent)
         self.outcomes.extend(other.outcomes)
+        self.readings.extend(other.readings)
+        self.work.extend(other.work)
 
 
 def write_work(load: EndpointLoad) -> Work:
@@ -118,9 +126,21 @@
     :param activity: the activity, as on the wire.
     :param knowledge: where it is noted.
     """
+    _note_outcomes(activity, knowledge)
+    _note_sent(activity, knowledge)
+    for engine, *rates in activity.readings:
+        knowledge.take_readings(engine, rates)
+    for pool, customer, tokens in activity.work:
+        knowledge.customer_work.take_from_peer(pool, customer, tokens)
+
+
+def _note_outcomes(activity: Activity, knowledge: EndpointKnowledge) -> None:
     for name, failed, served in activity.outcomes:
         outcomes = Outcomes(failed=failed, served=served)
         knowledge.health.take_from_peer(name, outcomes)
+
+
+def _note_sent(activity: Activity, knowledge: EndpointKnowledge) -> None:
     for endpoint, unread, *parts in activity.sent:
         knowledge.note_prompt_sent(endpoint, unread)
         # The peer sees the first event, but doesn't tell: an estimate.
--- a/wingfall/gateway/peers/loads/load_exchange.py
+++ b/wingfall/gateway/peers/loads/load_exchange.py
@@ -114,6 +114,13 @@
         """
         return write_loads(self._knowledge.load.own)
 
+    def known_speeds(self) -> Activity:
+        """Write what is known of engines' speed, for a gateway that starts.
+
+        :returns: the entries of a heartbeat.
+        """
+        return Activity(readings=self._knowledge.speeds.write_all())
+
     def take_loads(self, *, whole: bool) -> list[list[Any]]:
         """Write the work that peers have not heard of.
 
@@ -133,6 +140,8 @@
         activity = Activity(
             sent=[write_sent(each) for each in sent],
             outcomes=write_outcomes(outcomes),
+            readings=self._knowledge.speeds.take_untold(),
+            work=self._knowledge.customer_work.take_untold(),
         )
         self._activity.add(activity)
         return activity
@@ -181,7 +190,12 @@
             whole=zone_loads.whole,
         )
         note_activity(
-            Activity(sent=zone_loads.sent, outcomes=zone_loads.outcomes),
+            Activity(
+                sent=zone_loads.sent,
+                outcomes=zone_loads.outcomes,
+                readings=zone_loads.readings,
+                work=zone_loads.work,
+            ),
             self._knowledge,
         )
         if session.zone == zone_loads.zone:
@@ -265,6 +279,8 @@
             sent=activity.sent,
             whole=whole,
             outcomes=activity.outcomes,
+            readings=activity.readings,
+            work=activity.work,
         )
 
     def _forget_silent_zones(self, now_ms: int) -> None:
--- a/wingfall/gateway/rules/policies.py
+++ b/wingfall/gateway/rules/policies.py
@@ -14,6 +14,7 @@
 from wingfall.gateway.rules.pacing.rate_share import rate_shares
 from wingfall.gateway.rules.placement.cache_transfer import cache_transfers
 from wingfall.gateway.rules.placement.endpoint_choice import placements
+from wingfall.gateway.rules.placement.engine_groups import engine_groups
 from wingfall.gateway.rules.placement.shared_read import shared_reads
 from wingfall.gateway.rules.placement.stream_backup import stream_backups
 
@@ -26,6 +27,7 @@
     from wingfall.gateway.rules.pacing.rate_share import RateShare
     from wingfall.gateway.rules.placement.cache_transfer import CacheTransfer
     from wingfall.gateway.rules.placement.endpoint_choice import Placement
+    from wingfall.gateway.rules.placement.engine_groups import EngineGroups
     from wingfall.gateway.rules.placement.shared_read import SharedRead
     from wingfall.gateway.rules.placement.stream_backup import StreamBackup
 
@@ -37,6 +39,7 @@
     __slots__ = (
         'admission',
         'cache_transfer',
+        'engine_groups',
         'placement',
         'rate_share',
         'shared_read',
@@ -52,6 +55,7 @@
         shared_read: SharedRead,
         stream_backup: StreamBackup,
         rate_share: RateShare,
+        engine_groups: EngineGroups,
     ) -> None:
         """Join the rules.
 
@@ -61,6 +65,7 @@
         :param shared_read: tells how long prompts wait for a shared part.
         :param stream_backup: tells which streams a second engine backs up.
         :param rate_share: divides the limits of endpoints among gateways.
+        :param engine_groups: keeps engines for streams with short gaps.
         """
         self.placement = placement
         self.admission = admission
@@ -68,6 +73,7 @@
         self.shared_read = shared_read
         self.stream_backup = stream_backup
         self.rate_share = rate_share
+        self.engine_groups = engine_groups
 
 
 def find_policies(names: SimpleNamespace) -> Result[Policies, str]:
@@ -83,6 +89,7 @@
         'shared_read': shared_reads.find(names.shared_read),
         'stream_backup': stream_backups.find(names.stream_backup),
         'rate_share': rate_shares.find(names.rate_share),
+        'engine_groups': engine_groups.find(names.engine_groups),
     }
     return Fold.collect(found.values(), Success(())).map(
         lambda rules: Policies(**dict(zip(found, rules, strict=True))),
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, final
 
 from wingfall.gateway.rules.admission.held_calls import HeldCalls
+from wingfall.gateway.rules.placement.kept_engines import KeptEngines
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
@@ -38,6 +39,7 @@
         'draining',
         'gate',
         'held_calls',
+        'kept_engines',
         'knowledge',
         'metrics',
         'policies',
@@ -88,6 +90,12 @@
         self.gate = gate
         # What callers were told when no endpoint of their pool took a request.
         self.held_calls = HeldCalls()
+        # Engines that are kept for streams with short gaps.
+        self.kept_engines = KeptEngines(
+            clock=clock,
+            knowledge=knowledge,
+            parts_pool=policies.engine_groups,
+        )
         # The configuration in force; only the object applier replaces it.
         self.routes: Routes | None = None
         # Whether a planned stop has begun; only the application sets it.
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -103,6 +103,10 @@
             'How gateways divide what an endpoint with a limit takes.',
             'few_gateways',
         ),
+        engine_groups=text(
+            'Which engines are kept for streams that bear only short gaps.',
+            'none',
+        ),
     ),
     limits=section(
         'Bounds of this process.',
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -63,6 +63,8 @@
     list,
     list,
     int,
+    list,
+    list,
 )
 class GatewayHeartbeat(Message):
     """What a gateway tells its peers some times a second."""
@@ -84,6 +86,8 @@
         'limits',
         'leavings',
         'signal_sum',
+        'readings',
+        'work',
     )
 
     def __init__(
@@ -105,6 +109,8 @@
         limits: list[list[Any]] | None = None,
         leavings: list[list[Any]] | None = None,
         signal_sum: int = -1,
+        readings: list[list[Any]] | None = None,
+        work: list[list[Any]] | None = None,
     ) -> None:
         """Tell the state.
 
@@ -142,6 +148,10 @@
             milliseconds ago, and the gateway that heard it.
         :param signal_sum: the same number for gateways that know the same of
             these; -1 from a program that knows none.
+        :param readings: how fast engines read lately: name of the engine, then
+            tenths of a token a millisecond, one number a reading.
+        :param work: work that customers were given since the last heartbeat:
+            name of the pool, name of the customer, tokens.
         """
         self.revisions = revisions
         self.loads = loads
@@ -159,6 +169,8 @@
         self.limits = limits or []
         self.leavings = leavings or []
         self.signal_sum = signal_sum
+        self.readings = readings or []
+        self.work = work or []
 
 
 @final
@@ -265,11 +277,19 @@
 
 
 @final
-@message(54, str, list, list, bool, list)
+@message(54, str, list, list, bool, list, list, list)
 class ZoneLoads(Message):
     """The work of all gateways of an availability zone."""
 
-    __slots__ = ('zone', 'loads', 'sent', 'whole', 'outcomes')  # noqa: WPS607
+    __slots__ = (  # noqa: WPS607
+        'zone',
+        'loads',
+        'sent',
+        'whole',
+        'outcomes',
+        'readings',
+        'work',
+    )
 
     def __init__(
         self,
@@ -279,6 +299,8 @@
         sent: list[list[Any]],
         whole: bool,
         outcomes: list[list[Any]] | None = None,
+        readings: list[list[Any]] | None = None,
+        work: list[list[Any]] | None = None,
     ) -> None:
         """Tell the work.
 
@@ -287,9 +309,13 @@
         :param sent: prompts that it has sent, as in a heartbeat.
         :param whole: whether the zone has no work at other endpoints.
         :param outcomes: how its requests ended, as in a heartbeat.
+        :param readings: how fast engines read, as in a heartbeat.
+        :param work: work that customers were given, as in a heartbeat.
         """
         self.zone = zone
         self.loads = loads
         self.sent = sent
         self.whole = whole
         self.outcomes = outcomes or []
+        self.readings = readings or []
+        self.work = work or []
