Interface of the corrected estimate of a first event, without effect yet

Cause: admission and waiting ask for it, the capacity model gives it; so that they can be built side by side it is fixed first. Behaviour unchanged: it hands the estimate back.

--- a/wingfall/gateway/calls/admission.py
+++ b/wingfall/gateway/calls/admission.py
@@ -35,7 +35,9 @@
     if call.head.prompt is None or routes is None:
         return Success(destination)
     estimate = StartEstimate(
-        start_ms=destination.start_ms,
+        start_ms=state.knowledge.starts.expected_ms(
+            pool, call.priority, destination.start_ms
+        ),
         target_ms=call.route.target_ms,
         left_ms=call.deadline_ms - state.clock.now_ms(),
         urgent=call.route.tier <= routes.most_urgent(pool),
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -17,6 +17,7 @@
 from wingfall.gateway.knowledge.load import LoadTable
 from wingfall.gateway.knowledge.long_reads import SHORT_READ_TOKENS, LongReads
 from wingfall.gateway.knowledge.prefix_caches import PrefixCaches
+from wingfall.gateway.knowledge.start_estimates import StartEstimates
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
@@ -38,6 +39,7 @@
         'long_reads',
         'signals',
         'speeds',
+        'starts',
         'table',
     )
 
@@ -58,6 +60,8 @@
         self.caches = PrefixCaches()
         # How fast they read and answer, by the streams of this gateway.
         self.speeds = EngineSpeeds()
+        # How far estimates of first events are off, by those that came.
+        self.starts = StartEstimates()
         # Long prompts that they were sent lately, by all gateways.
         self.long_reads = LongReads(clock=clock)
         # How often they fail, by the calls of all gateways.
