--- a/tests/peer_standin.py
+++ b/tests/peer_standin.py
@@ -17,11 +17,8 @@
 from wingfall.gateway.peers.objects.object_exchange import ObjectExchange
 from wingfall.gateway.peers.peer_session import PeerSession
 from wingfall.wire.connection import Connection
-from wingfall.wire.gateway_messages import (
-    GatewayHeartbeat,
-    GatewayHello,
-    ObjectsFetch,
-)
+from wingfall.wire.gateway_messages import GatewayHeartbeat, GatewayHello
+from wingfall.wire.transfer_messages import ObjectsFetch
 
 HOST: Final = '127.0.0.1'
 ZONE: Final = 'osl-a'
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -266,7 +266,7 @@
 ):
     told: list[tuple[str, str]] = []
     monkeypatch.setattr(
-        'wingfall.gateway.peers.loads.load_exchange.log_event',
+        'wingfall.gateway.peers.loads.zone_relay.log_event',
         lambda part, sentence, **fields: told.append(
             (sentence, fields.get('relay') or fields['zone']),
         ),
--- a/tests/test_object_exchange.py
+++ b/tests/test_object_exchange.py
@@ -14,7 +14,7 @@
 from wingfall.gateway.model.object_store import StoredObject, StoreReading
 from wingfall.gateway.peers.objects.object_exchange import ObjectExchange
 from wingfall.gateway.peers.objects.object_transfer import CHUNK_BYTES
-from wingfall.wire.gateway_messages import ObjectsFetch, ObjectsPage
+from wingfall.wire.transfer_messages import ObjectsFetch, ObjectsPage
 
 if TYPE_CHECKING:
     from wingfall.gateway.peers.peer_session import PeerSession
--- a/tests/test_parts_transfer.py
+++ b/tests/test_parts_transfer.py
@@ -14,7 +14,7 @@
 from wingfall.gateway.model.prompt import PromptPart
 from wingfall.gateway.peers.caches.memory_survey import choose_engines
 from wingfall.gateway.peers.caches.parts_transfer import PartsTransfer
-from wingfall.wire.gateway_messages import PartsFetch
+from wingfall.wire.transfer_messages import PartsFetch
 
 if TYPE_CHECKING:
     from wingfall.gateway.peers.peer_session import PeerSession
--- a/wingfall/gateway/peers/caches/parts_transfer.py
+++ b/wingfall/gateway/peers/caches/parts_transfer.py
@@ -14,7 +14,7 @@
 from wingfall.gateway.model.prompt import PromptPart
 from wingfall.log import log_event
 from wingfall.supervisor import Backoff
-from wingfall.wire.gateway_messages import PartsFetch, PartsPage
+from wingfall.wire.transfer_messages import PartsFetch, PartsPage
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -20,13 +20,12 @@
     PeerNews,
 )
 from wingfall.wire.codec import encode
-from wingfall.wire.gateway_messages import (
-    GatewayHeartbeat,
+from wingfall.wire.gateway_messages import GatewayHeartbeat, ZoneLoads
+from wingfall.wire.transfer_messages import (
     ObjectsFetch,
     ObjectsPage,
     PartsFetch,
     PartsPage,
-    ZoneLoads,
 )
 
 if TYPE_CHECKING:
--- a/wingfall/gateway/peers/loads/load_exchange.py
+++ b/wingfall/gateway/peers/loads/load_exchange.py
@@ -11,24 +11,17 @@
 
 from typing import TYPE_CHECKING, Any, Final, final
 
-from wingfall.gateway.peers.heartbeat_schedule import (
-    interval_ms,
-    seen_within_ms,
-)
+from wingfall.gateway.peers.heartbeat_schedule import seen_within_ms
 from wingfall.gateway.peers.loads.load_entries import (
-    IDLE,
     Activity,
-    Work,
     note_activity,
     read_loads,
     write_loads,
     write_outcomes,
     write_sent,
-    write_work,
 )
-from wingfall.gateway.peers.loads.relay_choice import find_relay, relay_rank
+from wingfall.gateway.peers.loads.zone_relay import ZoneRelay
 from wingfall.log import log_event
-from wingfall.wire.gateway_messages import ZoneLoads
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -36,6 +29,7 @@
     from wingfall.clock import Clock
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
     from wingfall.gateway.peers.peer_session import PeerSession
+    from wingfall.wire.gateway_messages import ZoneLoads
 
 # Milliseconds after which the work of a zone that isn't heard is forgotten: the
 # same as for a silent peer.
@@ -49,11 +43,7 @@
     __slots__ = (
         '_clock',
         '_knowledge',
-        '_name',
-        '_activity',
-        '_relayed_ms',
-        '_relays',
-        '_last_sent',
+        '_relay',
         '_zone',
         '_zones_seen_ms',
     )
@@ -73,17 +63,15 @@
         :param clock: the time.
         :param knowledge: where work, prompts and outcomes are noted.
         """
-        self._name = name
         self._zone = zone
         self._clock = clock
         self._knowledge = knowledge
-        # What other zones have not heard of.
-        self._activity = Activity()
-        # Work that other zones were told of, None if they know of none.
-        self._last_sent: dict[str, Work] | None = None
-        # Whether this gateway speaks for its zone, None until it has peers.
-        self._relays: bool | None = None
-        self._relayed_ms: float = float('-inf')
+        self._relay = ZoneRelay(
+            name=name,
+            zone=zone,
+            clock=clock,
+            load=knowledge.load,
+        )
         self._zones_seen_ms: dict[str, int] = {}
 
     def near(self, sessions: Iterable[PeerSession]) -> list[PeerSession]:
@@ -143,7 +131,7 @@
             readings=self._knowledge.speeds.take_untold(),
             work=self._knowledge.customer_work.take_untold(),
         )
-        self._activity.add(activity)
+        self._relay.note(activity)
         return activity
 
     def take_heartbeat(
@@ -166,7 +154,7 @@
         )
         note_activity(activity, self._knowledge)
         if session.zone == self._zone:
-            self._activity.add(activity)
+            self._relay.note(activity)
 
     def take_zone(
         self,
@@ -213,75 +201,9 @@
         :param sessions: the connected peers.
         :param whole: whether to tell of all work, not only of changes.
         """
-        now_ms = self._clock.now_ms()
-        self._forget_silent_zones(now_ms)
-        near = self.near(sessions)
-        seen_since_ms = now_ms - seen_within_ms(len(sessions))
-        self._note_relay(
-            find_relay(near, seen_since_ms),
-            self.reach(sessions),
-        )
-        if not self._relays:
-            self._last_sent = None
-            self._activity = Activity()
-            return
-        rested = now_ms - self._relayed_ms >= interval_ms(len(near))
-        if not (rested or whole):
-            return
-        self._relayed_ms = now_ms
-        zone_loads = self._make_zone_loads(near, whole=whole)
-        if zone_loads is not None:
-            self._send_to_relays(zone_loads, sessions, seen_since_ms)
-
-    def _note_relay(self, first: PeerSession | None, reach: int) -> None:
-        own = relay_rank(self._name, reach)
-        relays = first is None or own < relay_rank(first.name, first.reach)
-        if relays is not self._relays:
-            self._relays = relays
-            log_event(
-                'peers',
-                'The relay of this zone has changed.',
-                zone=self._zone,
-                relay=self._name if relays or first is None else first.name,
-            )
-
-    def _send_to_relays(
-        self,
-        zone_loads: ZoneLoads,
-        sessions: Collection[PeerSession],
-        seen_since_ms: int,
-    ) -> None:
-        zones = {each.zone for each in sessions} - {self._zone}
-        for zone in zones:
-            there = [each for each in sessions if each.zone == zone]
-            relay = find_relay(there, seen_since_ms)
-            if relay is not None:
-                relay.connection.send(zone_loads)
-
-    def _make_zone_loads(
-        self,
-        near: Iterable[PeerSession],
-        *,
-        whole: bool,
-    ) -> ZoneLoads | None:
-        summed = self._knowledge.load.sum_with(each.name for each in near)
-        work = {name: write_work(load) for name, load in summed.items()}
-        whole = whole or self._last_sent is None
-        loads = work if whole else _changes(self._last_sent or {}, work)
-        self._last_sent = work
-        activity = self._activity
-        self._activity = Activity()
-        if not (whole or loads) and activity.empty:
-            return None
-        return ZoneLoads(
-            zone=self._zone,
-            loads=[[name, *each] for name, each in loads.items()],
-            sent=activity.sent,
-            whole=whole,
-            outcomes=activity.outcomes,
-            readings=activity.readings,
-            work=activity.work,
-        )
+        self._forget_silent_zones(self._clock.now_ms())
+        reach = self.reach(sessions)
+        self._relay.tell(sessions, reach=reach, whole=whole)
 
     def _forget_silent_zones(self, now_ms: int) -> None:
         for zone, last_seen_ms in list(self._zones_seen_ms.items()):
@@ -296,18 +218,6 @@
                 )
 
 
-def _changes(
-    known: dict[str, Work],
-    work: dict[str, Work],
-) -> dict[str, Work]:
-    ended = dict.fromkeys(known.keys() - work.keys(), IDLE)
-    return {
-        name: each
-        for name, each in {**work, **ended}.items()
-        if known.get(name) != each
-    }
-
-
 def _source(zone: str) -> str:
     # No gateway has a name like this one.
     return f'zone/{zone}'
--- a/wingfall/gateway/peers/objects/object_exchange.py
+++ b/wingfall/gateway/peers/objects/object_exchange.py
@@ -18,7 +18,7 @@
 )
 from wingfall.log import log_event
 from wingfall.supervisor import Backoff
-from wingfall.wire.gateway_messages import ObjectsFetch, ObjectsPage
+from wingfall.wire.transfer_messages import ObjectsFetch, ObjectsPage
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
--- a/wingfall/gateway/peers/objects/object_fetch.py
+++ b/wingfall/gateway/peers/objects/object_fetch.py
@@ -8,7 +8,7 @@
     CHUNK_BYTES,
     IncomingTransfer,
 )
-from wingfall.wire.gateway_messages import ObjectsFetch
+from wingfall.wire.transfer_messages import ObjectsFetch
 
 if TYPE_CHECKING:
     from wingfall.gateway.peers.peer_session import PeerSession
--- a/wingfall/gateway/peers/objects/object_transfer.py
+++ b/wingfall/gateway/peers/objects/object_transfer.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from wingfall.wire.gateway_messages import ObjectsPage
+    from wingfall.wire.transfer_messages import ObjectsPage
 
 # A heartbeat waits behind one chunk at most: 0.1 s on a link of 5 Mbit/s.
 CHUNK_BYTES: Final = 65_536
