Capacity model: readings of engines are shared by all gateways, estimates of first events corrected

Cause: each gateway learned an engine's rate alone, a tenth of a reading at a time from a guess of 25 tokens a ms; 17 gateways took one engine for anything from 25 to 136 at once. Change: policy.read_rates 'shared' keeps the last 16 readings of an engine, seen here or told by others, and takes a high quantile; policy.start_estimates 'corrected' learns by pool and tier how far estimates are off. Both off by default; 'own' and 'plain' are what was.

--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -52,8 +52,13 @@
     :returns: the state.
     """
     make_binding = bindings.find(settings.binding).unwrap()
-    knowledge = EndpointKnowledge(clock=clock, name=settings.name)
     policies = find_policies(settings.policy).unwrap()
+    knowledge = EndpointKnowledge(
+        clock=clock,
+        name=settings.name,
+        rates=policies.read_rates(clock=clock),
+        starts=policies.start_estimates(),
+    )
     gate = SendingGate(
         name=settings.name,
         clock=clock,
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -93,6 +93,7 @@
         if prompt is not None:
             self._state.knowledge.caches.confirm_read(name, prompt)
         self._learn_read_rate()
+        self._learn_start()
 
     def note_signals(self, signals: AnswerSignals, sent_ms: int) -> None:
         """Note what the head of the answer says of the endpoint.
@@ -177,6 +178,17 @@
             self._state.clock.now_ms() + read_ms,
         )
 
+    def _learn_start(self) -> None:
+        destination = self._destination
+        if self._call.head.prompt is None or destination.continues:
+            return
+        self._state.knowledge.starts.note(
+            destination.endpoint.pool,
+            self._call.priority,
+            destination.start_ms,
+            self._state.clock.now_ms() - self._started_ms,
+        )
+
     def _learn_read_rate(self) -> None:
         waiting = self._destination.candidate.reading_tokens
         own = self._destination.load.reading_tokens
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from wingfall.clock import Clock
     from wingfall.gateway.knowledge.engine_speed import EngineSpeed
+    from wingfall.gateway.knowledge.engine_speeds import Rates
 
 
 @final
@@ -43,11 +44,20 @@
         'table',
     )
 
-    def __init__(self, *, clock: Clock, name: str = '') -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        name: str = '',
+        rates: Rates | None = None,
+        starts: StartEstimates | None = None,
+    ) -> None:
         """Start without an endpoint.
 
         :param clock: the time.
         :param name: name of this gateway.
+        :param rates: how fast engines read.
+        :param starts: how estimates of first events are corrected.
         """
         self._clock = clock
         # Which there are, by the store.
@@ -58,10 +68,10 @@
         self.load = LoadTable()
         # Which parts of prompts they cache, by what was sent and told.
         self.caches = PrefixCaches()
-        # How fast they read and answer, by the streams of this gateway.
-        self.speeds = EngineSpeeds()
+        # How fast they read and answer, by their streams.
+        self.speeds = EngineSpeeds(rates=rates)
         # How far estimates of first events are off, by those that came.
-        self.starts = StartEstimates()
+        self.starts = starts or StartEstimates()
         # Long prompts that they were sent lately, by all gateways.
         self.long_reads = LongReads(clock=clock)
         # How often they fail, by the calls of all gateways.
@@ -90,7 +100,7 @@
         """
         known = self.table.find(name)
         if known is not None:
-            self.speeds.take_told(name, known.pool, rates)
+            self.speeds.rates.take_told(name, known.pool, rates)
 
     def ready_ms(self, name: str) -> int:
         """Estimate when an engine will have read all that was sent to it.
--- a/wingfall/gateway/knowledge/engine_speed.py
+++ b/wingfall/gateway/knowledge/engine_speed.py
@@ -8,20 +8,20 @@
 
 from __future__ import annotations
 
-from typing import Final, final
+from typing import Final, Protocol, final
 
 # Tokens that an engine reads in a millisecond, before it has been seen to:
 # the slower half of the engines seen so far; a low guess only sends less.
-_FIRST_RATE: Final = 25
+FIRST_RATE: Final = 25
 # Tokens a millisecond that a measurement is bounded by, so that one wrong one
 # spoils little. Far below and above the engines seen so far.
-_MIN_RATE: Final = 2
-_MAX_RATE: Final = 500
+MIN_RATE: Final = 2
+MAX_RATE: Final = 500
 # Part of a new reading in the average. Ten readings settle it.
 _RATE_WEIGHT: Final = 0.1
 # Tokens of a read that counts: shorter ones tell more of the way there than of
 # the engine. Some 80 ms of reading.
-_MEASURED_TOKENS: Final = 2000
+MEASURED_TOKENS: Final = 2000
 # Milliseconds between events while nothing is read, before an engine has shown
 # its own.
 _FIRST_GAP_MS: Final = 30
@@ -44,13 +44,21 @@
 _HARMLESS_PART: Final = 0.5
 
 
+class Rate(Protocol):
+    """How fast engines read."""
+
+    @property
+    def tokens_per_ms(self) -> float:
+        """Tokens that an engine reads in a millisecond."""
+
+
 @final
 class ReadRate:
     """How fast engines read, from what they have shown."""
 
     __slots__ = ('_tokens_per_ms',)
 
-    def __init__(self, *, tokens_per_ms: float = _FIRST_RATE) -> None:
+    def __init__(self, *, tokens_per_ms: float = FIRST_RATE) -> None:
         """Start with a guess.
 
         :param tokens_per_ms: the guess.
@@ -68,9 +76,9 @@
         :param tokens: what was to be read before it and for it.
         :param elapsed_ms: time from its sending to its first event.
         """
-        if tokens < _MEASURED_TOKENS or elapsed_ms <= 0:
+        if tokens < MEASURED_TOKENS or elapsed_ms <= 0:
             return
-        rate = min(_MAX_RATE, max(_MIN_RATE, tokens / elapsed_ms))
+        rate = min(MAX_RATE, max(MIN_RATE, tokens / elapsed_ms))
         self._tokens_per_ms += (rate - self._tokens_per_ms) * _RATE_WEIGHT
 
 
@@ -115,15 +123,17 @@
     def __init__(
         self,
         *,
-        tokens_per_ms: float = _FIRST_RATE,
+        tokens_per_ms: float = FIRST_RATE,
+        rate: Rate | None = None,
         longest_gap: LongestGap | None = None,
     ) -> None:
         """Start with what other engines of the pool have shown.
 
         :param tokens_per_ms: how fast they read.
+        :param rate: how fast this one reads, if its owner learns that.
         :param longest_gap: the longest gaps that their reads cause.
         """
-        self.rate = ReadRate(tokens_per_ms=tokens_per_ms)
+        self.rate = rate or ReadRate(tokens_per_ms=tokens_per_ms)
         self._longest_gap = longest_gap or LongestGap()
         self._idle_gap_ms: float = _FIRST_GAP_MS
 
--- a/wingfall/gateway/knowledge/engine_speeds.py
+++ b/wingfall/gateway/knowledge/engine_speeds.py
@@ -1,54 +1,183 @@
 """How fast all engines are, each by itself and a pool's on average.
 
-Owns them by name; a new engine starts with the average of its pool.
+Owns them by name. How rates are learned is a choice of the settings: by each
+gateway alone, as an average that a new engine begins with as well, or by all
+gateways together.
 """
 
 from __future__ import annotations
 
-from typing import Any, final
+from typing import TYPE_CHECKING, Any, Final, Protocol, final
 
 from wingfall.gateway.knowledge.engine_speed import (
     EngineSpeed,
     LongestGap,
+    Rate,
     ReadRate,
 )
+from wingfall.gateway.knowledge.shared_rates import SharedRates
+from wingfall.registry import Registry
+
+if TYPE_CHECKING:
+    from wingfall.clock import Clock
+
+
+class Rates(Protocol):
+    """How the rates of engines are learned."""
+
+    def find(self, engine: str, pool: str) -> Rate:
+        """Give the rate of an engine."""
+
+    def of_pool(self, pool: str) -> Rate:
+        """Give the rate of a pool's engines on the whole."""
+
+    def note(
+        self, engine: str, pool: str, tokens: int, elapsed_ms: float
+    ) -> None:
+        """Learn from a prompt whose answer has begun."""
+
+    def take_told(self, engine: str, pool: str, rates: list[int]) -> None:
+        """Take readings of another gateway."""
+
+    def take_untold(self) -> list[list[Any]]:
+        """Take the readings that peers have not heard of."""
+
+    def write_all(self) -> list[list[Any]]:
+        """Write what is known, for a gateway that starts."""
+
+    def keep_only(self, names: set[str]) -> None:
+        """Forget engines that are not listed any more."""
+
+
+class RatesFactory(Protocol):
+    """How the rates of engines are made."""
+
+    def __call__(self, *, clock: Clock) -> Rates:
+        """Make them without a reading."""
+
+
+read_rates: Final[Registry[RatesFactory]] = Registry(kind='read rates')
+read_rates.register('shared')(SharedRates)
+
+
+@final
+@read_rates.register('own')
+class OwnRates:
+    """Rates that each gateway learns by itself, as the baseline."""
+
+    __slots__ = ('_by_engine', '_by_pool')
+
+    def __init__(self, *, clock: Clock | None = None) -> None:
+        """Start without a reading.
+
+        :param clock: not needed, averages do not age.
+        """
+        self._by_engine: dict[str, ReadRate] = {}
+        self._by_pool: dict[str, ReadRate] = {}
+
+    def find(self, engine: str, pool: str) -> ReadRate:
+        """Give the rate of an engine.
+
+        :param engine: its name.
+        :param pool: its pool, whose average a new engine starts with.
+        :returns: the rate.
+        """
+        rate = self._by_engine.get(engine)
+        if rate is None:
+            rate = ReadRate(tokens_per_ms=self.of_pool(pool).tokens_per_ms)
+            self._by_engine[engine] = rate
+        return rate
+
+    def of_pool(self, pool: str) -> ReadRate:
+        """Give how fast the engines of a pool read on average.
+
+        :param pool: its name.
+        :returns: the rate.
+        """
+        return self._by_pool.setdefault(pool, ReadRate())
+
+    def note(
+        self, engine: str, pool: str, tokens: int, elapsed_ms: float
+    ) -> None:
+        """Learn from a prompt whose answer has begun.
+
+        :param engine: the engine that read it.
+        :param pool: its pool.
+        :param tokens: what was to be read before it and for it.
+        :param elapsed_ms: how long reading took.
+        """
+        self.find(engine, pool).note(tokens, elapsed_ms)
+        self.of_pool(pool).note(tokens, elapsed_ms)
+
+    def take_told(self, engine: str, pool: str, rates: list[int]) -> None:
+        """Pass over what another gateway tells.
+
+        :param engine: the engine.
+        :param pool: its pool.
+        :param rates: what it read.
+        """
+
+    def take_untold(self) -> list[list[Any]]:
+        """Tell nothing.
+
+        :returns: nothing.
+        """
+        return []
+
+    def write_all(self) -> list[list[Any]]:
+        """Tell nothing.
+
+        :returns: nothing.
+        """
+        return []
+
+    def keep_only(self, names: set[str]) -> None:
+        """Forget engines that are not listed any more.
+
+        :param names: the engines that are listed.
+        """
+        for name in self._by_engine.keys() - names:
+            self._by_engine.pop(name)
 
 
 @final
 class EngineSpeeds:
-    """How fast each engine is, and the engines of a pool on average."""
+    """How fast each engine is."""
+
+    __slots__ = ('_by_engine', '_longest_gaps', 'rates')
 
-    __slots__ = ('_by_engine', '_by_pool', '_longest_gaps')
+    def __init__(self, *, rates: Rates | None = None) -> None:
+        """Start without a measurement.
 
-    def __init__(self) -> None:
-        """Start without a measurement."""
+        :param rates: how fast engines read.
+        """
+        self.rates: Rates = rates or OwnRates()
         self._by_engine: dict[str, EngineSpeed] = {}
-        self._by_pool: dict[str, ReadRate] = {}
         self._longest_gaps: dict[str, LongestGap] = {}
 
     def find(self, engine: str, pool: str) -> EngineSpeed:
         """Give what an engine has shown.
 
         :param engine: its name.
-        :param pool: its pool, whose average a new engine starts with.
+        :param pool: its pool, by whose engines a new engine is judged.
         :returns: its speed.
         """
         speed = self._by_engine.get(engine)
         if speed is None:
             speed = EngineSpeed(
-                tokens_per_ms=self.average(pool).tokens_per_ms,
+                rate=self.rates.find(engine, pool),
                 longest_gap=self._longest_gaps.setdefault(pool, LongestGap()),
             )
             self._by_engine[engine] = speed
         return speed
 
-    def average(self, pool: str) -> ReadRate:
-        """Give how fast the engines of a pool read on average.
+    def average(self, pool: str) -> Rate:
+        """Give how fast the engines of a pool read on the whole.
 
         :param pool: its name.
         :returns: the rate.
         """
-        return self._by_pool.setdefault(pool, ReadRate())
+        return self.rates.of_pool(pool)
 
     def note_start(
         self,
@@ -67,35 +196,13 @@
         speed = self.find(engine, pool)
         # The first event takes a step of its own after the reading.
         read_ms = elapsed_ms - speed.idle_gap_ms
-        speed.rate.note(tokens, read_ms)
-        self.average(pool).note(tokens, read_ms)
-
-    def take_told(self, engine: str, pool: str, rates: list[int]) -> None:
-        """Take readings of an engine that another gateway has seen.
-
-        :param engine: its name.
-        :param pool: its pool.
-        :param rates: tenths of a token a millisecond, the newest last.
-        """
-
-    def take_untold(self) -> list[list[Any]]:
-        """Take the readings that peers have not heard of, as in a heartbeat.
-
-        :returns: for each engine its name and the rates, the newest last.
-        """
-        return []
-
-    def write_all(self) -> list[list[Any]]:
-        """Write what is known of all engines, for a gateway that starts.
-
-        :returns: for each engine its name and the rates, the newest last.
-        """
-        return []
+        self.rates.note(engine, pool, tokens, read_ms)
 
     def keep_only(self, names: set[str]) -> None:
         """Forget engines that are not listed any more.
 
         :param names: the engines that are listed.
         """
+        self.rates.keep_only(names)
         for name in self._by_engine.keys() - names:
             self._by_engine.pop(name)
--- /dev/null
+++ b/wingfall/gateway/knowledge/reading_window.py
@@ -0,0 +1,86 @@
+"""The last readings of an engine, and the rate that they show.
+
+Answers engines that many gateways use at once: what others have sent meanwhile
+makes a reading too low, and nothing makes it too high, so that a high quantile
+of the readings is the engine's rate and one wrong reading moves it by a place.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING, Final, final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Readings of one engine that are kept. Enough that a slow spell of half a
+# second is a small part of them, few enough that an engine that turned slow is
+# known after a dozen readings.
+_KEPT: Final = 16
+# The reading that counts, as a part of all in ascending order.
+_RATE_PART: Final = 0.8
+# Milliseconds after which a reading goes once there are newer ones.
+_OLD_MS: Final = 10_000
+# Newer readings that are enough to let an old one go.
+_ENOUGH: Final = 4
+# Readings in the time below that are enough for all gateways, so that further
+# ones needn't be told.
+_ENOUGH_TOLD: Final = 8
+_RECENT_MS: Final = 2000
+
+
+def quantile(numbers: Iterable[float], part: float) -> float:
+    """Find the number below which a part of some numbers lies.
+
+    :param numbers: the numbers, at least one.
+    :param part: the part, 0 to 1.
+    :returns: one of the numbers.
+    """
+    ordered = sorted(numbers)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
+
+
+@final
+class ReadingWindow:
+    """How fast one engine read lately."""
+
+    __slots__ = ('_rate', '_readings')
+
+    def __init__(self) -> None:
+        """Start without a reading."""
+        # Tokens a millisecond and the reading of the clock of each.
+        self._readings: collections.deque[tuple[float, int]] = (
+            collections.deque(maxlen=_KEPT)
+        )
+        self._rate: float | None = None
+
+    @property
+    def rate(self) -> float | None:
+        """Tokens that the engine reads in a millisecond, None if unseen."""
+        return self._rate
+
+    def needs_more(self, now_ms: int) -> bool:
+        """Tell whether other gateways should hear of another reading.
+
+        :param now_ms: the time.
+        :returns: whether too few are recent.
+        """
+        recent = sum(
+            now_ms - seen_ms < _RECENT_MS for _rate, seen_ms in self._readings
+        )
+        return recent < _ENOUGH_TOLD
+
+    def note(self, tokens_per_ms: float, now_ms: int) -> None:
+        """Add a reading.
+
+        :param tokens_per_ms: how fast the engine read.
+        :param now_ms: the time.
+        """
+        self._readings.append((tokens_per_ms, now_ms))
+        while len(self._readings) > _ENOUGH:
+            if now_ms - self._readings[0][1] <= _OLD_MS:
+                break
+            self._readings.popleft()
+        self._rate = quantile(
+            (rate for rate, _seen_ms in self._readings), _RATE_PART
+        )
--- a/wingfall/gateway/peers/loads/load_exchange.py
+++ b/wingfall/gateway/peers/loads/load_exchange.py
@@ -107,7 +107,7 @@
 
         :returns: the entries of a heartbeat.
         """
-        return Activity(readings=self._knowledge.speeds.write_all())
+        return Activity(readings=self._knowledge.speeds.rates.write_all())
 
     def take_loads(self, *, whole: bool) -> list[list[Any]]:
         """Write the work that peers have not heard of.
@@ -128,7 +128,7 @@
         activity = Activity(
             sent=[write_sent(each) for each in sent],
             outcomes=write_outcomes(outcomes),
-            readings=self._knowledge.speeds.take_untold(),
+            readings=self._knowledge.speeds.rates.take_untold(),
             work=self._knowledge.customer_work.take_untold(),
         )
         self._relay.note(activity)
--- a/wingfall/gateway/rules/policies.py
+++ b/wingfall/gateway/rules/policies.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, final
+from typing import TYPE_CHECKING, Callable, final
 
 from returns.iterables import Fold
 from returns.result import Success
 
+from wingfall.gateway.knowledge.engine_speeds import read_rates
+from wingfall.gateway.knowledge.start_estimates import start_estimates
 from wingfall.gateway.rules.admission.early_refusal import admissions
 from wingfall.gateway.rules.pacing.rate_share import rate_shares
 from wingfall.gateway.rules.placement.cache_transfer import cache_transfers
@@ -23,6 +25,8 @@
 
     from returns.result import Result
 
+    from wingfall.gateway.knowledge.engine_speeds import RatesFactory
+    from wingfall.gateway.knowledge.start_estimates import StartEstimates
     from wingfall.gateway.rules.admission.early_refusal import Admission
     from wingfall.gateway.rules.pacing.rate_share import RateShare
     from wingfall.gateway.rules.placement.cache_transfer import CacheTransfer
@@ -42,7 +46,9 @@
         'engine_groups',
         'placement',
         'rate_share',
+        'read_rates',
         'shared_read',
+        'start_estimates',
         'stream_backup',
     )
 
@@ -56,6 +62,8 @@
         stream_backup: StreamBackup,
         rate_share: RateShare,
         engine_groups: EngineGroups,
+        read_rates: RatesFactory,
+        start_estimates: Callable[[], StartEstimates],
     ) -> None:
         """Join the rules.
 
@@ -66,6 +74,8 @@
         :param stream_backup: tells which streams a second engine backs up.
         :param rate_share: divides the limits of endpoints among gateways.
         :param engine_groups: keeps engines for streams with short gaps.
+        :param read_rates: makes what learns how fast engines read.
+        :param start_estimates: makes what corrects estimates of first events.
         """
         self.placement = placement
         self.admission = admission
@@ -74,6 +84,8 @@
         self.stream_backup = stream_backup
         self.rate_share = rate_share
         self.engine_groups = engine_groups
+        self.read_rates = read_rates
+        self.start_estimates = start_estimates
 
 
 def find_policies(names: SimpleNamespace) -> Result[Policies, str]:
@@ -90,6 +102,8 @@
         'stream_backup': stream_backups.find(names.stream_backup),
         'rate_share': rate_shares.find(names.rate_share),
         'engine_groups': engine_groups.find(names.engine_groups),
+        'read_rates': read_rates.find(names.read_rates),
+        'start_estimates': start_estimates.find(names.start_estimates),
     }
     return Fold.collect(found.values(), Success(())).map(
         lambda rules: Policies(**dict(zip(found, rules, strict=True))),
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -103,6 +103,11 @@
             'How gateways divide what an endpoint with a limit takes.',
             'few_gateways',
         ),
+        read_rates=text('How gateways learn how fast engines read.', 'own'),
+        start_estimates=text(
+            'How estimates of first events are corrected by those that came.',
+            'plain',
+        ),
         engine_groups=text(
             'Which engines are kept for streams that bear only short gaps.',
             'none',
