--- a/wingfall/router/intake.py
+++ b/wingfall/router/intake.py
@@ -4,17 +4,23 @@
 
 import itertools
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any, Final, final
+from typing import TYPE_CHECKING, Final, final
 
-import orjson
 from returns.result import Failure, Result, Success
 
-from wingfall.decision.affinity import hash_prefixes, prompt_text
 from wingfall.decision.classify import check_class, select_class
 from wingfall.errors import Refusal
 from wingfall.objects.customer import hash_key
 from wingfall.objects.selector import parse_labels
 from wingfall.router.request import Request
+from wingfall.router.request_reading import (
+    PromptHead,
+    bad_request,
+    endpoint_headers,
+    is_repeatable,
+    read_model,
+    read_timeout,
+)
 
 if TYPE_CHECKING:
     from bottle import BaseRequest
@@ -27,35 +33,6 @@
 
 _RETRY_MS: Final = 1000
 _MAX_KEY: Final = 200
-_PRIVATE_HEADERS: Final = frozenset(
-    (
-        'authorization',
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
-
-
-@final
-class _Prompt:
-    """What the body of a model request says to a router."""
-
-    __slots__ = ('model', 'prefixes')
-
-    def __init__(self, *, model: str, prefixes: list[bytes]) -> None:
-        """Keep it.
-
-        :param model: the model.
-        :param prefixes: hashes of the beginning of the prompt.
-        """
-        self.model = model
-        self.prefixes = prefixes
 
 
 @final
@@ -122,7 +99,7 @@
         """
         return self.authenticate(http).bind(
             lambda customer: self._read_body(http).bind(
-                lambda body: _read_model(body).bind(
+                lambda body: read_model(body).bind(
                     lambda prompt: self._build(
                         http,
                         customer,
@@ -166,11 +143,11 @@
         try:
             body = http.environ['wsgi.input'].read(self._body_bytes + 1)
         except OSError:
-            return Failure(_bad_request('bad_body', 'the body broke off'))
+            return Failure(bad_request('bad_body', 'the body broke off'))
         if len(body) > self._body_bytes:
             return Failure(self._too_large())
         if len(body) < http.content_length:
-            return Failure(_bad_request('bad_body', 'the body broke off'))
+            return Failure(bad_request('bad_body', 'the body broke off'))
         return Success(body)
 
     def _too_large(self) -> Refusal:
@@ -188,7 +165,7 @@
         *,
         path: str,
         body: bytes,
-        prompt: _Prompt | None = None,
+        prompt: PromptHead | None = None,
         service: str | None = None,
     ) -> Result[Request, Refusal]:
         arrived_ms = self._clock.now_ms()
@@ -196,14 +173,14 @@
         if not isinstance(found, Success):
             return Failure(found.failure())
         terms = found.unwrap()
-        timeout = _read_timeout(http, terms)
+        timeout = read_timeout(http, terms)
         if not isinstance(timeout, Success):
             return Failure(timeout.failure())
         key = http.get_header('Idempotency-Key', '')
         if len(key) > _MAX_KEY:
             reason = f'Idempotency-Key has more than {_MAX_KEY} characters'
-            return Failure(_bad_request('bad_key', reason))
-        repeatable = _is_repeatable(http, terms)
+            return Failure(bad_request('bad_key', reason))
+        repeatable = is_repeatable(http, terms)
         request_id = f'{self._prefix}-{next(self._numbers):x}'
         return Success(
             Request(
@@ -215,7 +192,7 @@
                 repeatable=repeatable,
                 method=http.method,
                 path=path,
-                headers=_endpoint_headers(http, request_id, terms),
+                headers=endpoint_headers(http, request_id, terms),
                 body=body,
                 model=prompt.model if prompt else None,
                 prefixes=prompt.prefixes if prompt else None,
@@ -231,7 +208,7 @@
     ) -> Result[RequestClass, Refusal]:
         parsed = parse_labels(http.get_header('Wingfall-Labels', ''))
         if not isinstance(parsed, Success):
-            return Failure(_bad_request('bad_labels', parsed.failure()))
+            return Failure(bad_request('bad_labels', parsed.failure()))
         # A caller can't label itself into what its customer is not.
         labels = {**parsed.unwrap(), **customer.labels}
         name = http.get_header('Wingfall-Class')
@@ -240,69 +217,6 @@
         return check_class(self._copy.find_class(name), name, labels)
 
 
-def _read_model(body: bytes) -> Result[_Prompt, Refusal]:
-    try:
-        parsed: Any = orjson.loads(body)
-    except orjson.JSONDecodeError as error:
-        reason = f'the body is not JSON: {error}'
-        return Failure(_bad_request('bad_json', reason))
-    model = parsed.get('model') if isinstance(parsed, dict) else None
-    if isinstance(model, str) and model:
-        prefixes = hash_prefixes(prompt_text(parsed))
-        return Success(_Prompt(model=model, prefixes=prefixes))
-    return Failure(_bad_request('no_model', "the body has no text 'model'"))
-
-
-def _read_timeout(
-    http: BaseRequest,
-    terms: RequestClass,
-) -> Result[int, Refusal]:
-    text = http.get_header('Wingfall-Timeout-Ms')
-    if text is None:
-        return Success(terms.timeout_ms)
-    if text.isascii() and text.isdigit() and int(text):
-        return Success(min(int(text), terms.timeout_ms))
-    return Failure(
-        _bad_request(
-            'bad_timeout',
-            'Wingfall-Timeout-Ms is not a positive whole number',
-        ),
-    )
-
-
-def _is_repeatable(http: BaseRequest, terms: RequestClass) -> bool:
-    said = http.get_header('Wingfall-Repeatable', '').strip().lower()
-    return terms.repeatable and said != 'no'
-
-
-def _endpoint_headers(
-    http: BaseRequest,
-    request_id: str,
-    terms: RequestClass,
-) -> dict[str, str]:
-    headers = {
-        name: text
-        for name, text in http.headers.items()
-        if not _is_private(name.lower())
-    }
-    headers['X-Request-Id'] = request_id
-    headers['X-Request-Priority'] = str(terms.tier)
-    return headers
-
-
-def _is_private(name: str) -> bool:
-    return name in _PRIVATE_HEADERS or name.startswith('wingfall-')
-
-
-def _bad_request(code: str, message: str) -> Refusal:
-    return Refusal(
-        status=HTTPStatus.BAD_REQUEST,
-        kind='invalid_request_error',
-        code=code,
-        message=message,
-    )
-
-
 def _not_configured() -> Refusal:
     return Refusal(
         status=HTTPStatus.SERVICE_UNAVAILABLE,
