Shared readings: beliefs are not relayed, engines count from before they are listed, a fixed time

Cause, found in review: (1) a gateway that started heard the greeting before it had the list of endpoints, and passed over readings of engines that weren't listed; (2) an engine first heard of before it was listed kept the rate of the pool without a name, and none of its readings moved it; (3) greetings were relayed to other zones and counted there again, and 60 of them pushed out all readings of a window; (4) with up to five readings the highest counted, so that one prompt that was cached after all made its engine the quickest; (5) `start_ms` was worked out with the rate as it was when an attempt ended, and what came was held against that. Change: what a gateway believes is told below zero, counts only where there is no reading and is not relayed; an engine's readings are kept by name and join its pool once that is known; the quantile bears one wrong reading from the third on; an estimate stays as it was made. The fixed time of a pool is learned from its short prompts (low quantile, their own tokens taken out) and used for readings and for corrected estimates; 'own' and 'plain' decide as before. Tests: what gateways say of loads is played by tests/exchange_site.py, out of test_load_exchange.py and with the real interval; its checks are as they were.

--- /dev/null
+++ b/tests/exchange_site.py
@@ -0,0 +1,221 @@
+"""Gateways of several zones, as far as what they tell of loads is concerned."""
+
+from __future__ import annotations
+
+import collections
+import random
+from typing import Final, final
+
+from wingfall.clock import ManualClock
+from wingfall.gateway.knowledge.customer_work import CustomerWork
+from wingfall.gateway.knowledge.endpoint_health import EndpointHealth
+from wingfall.gateway.knowledge.endpoint_table import EndpointTable
+from wingfall.gateway.knowledge.engine_speeds import EngineSpeeds
+from wingfall.gateway.knowledge.load import LoadTable
+from wingfall.gateway.knowledge.prefix_caches import PrefixCaches
+from wingfall.gateway.knowledge.shared_rates import SharedRates
+from wingfall.gateway.peers.heartbeat_schedule import interval_ms
+from wingfall.gateway.peers.loads.load_entries import Activity
+from wingfall.gateway.peers.loads.load_exchange import LoadExchange
+from wingfall.gateway.peers.loads.relay_choice import find_relay
+from wingfall.gateway.peers.peer_session import PeerSession
+from wingfall.wire.codec import encode
+from wingfall.wire.gateway_messages import GatewayHello, ZoneLoads
+
+TICK_MS: Final = 100
+POOL: Final = 'engines'
+
+
+def encoded_bytes(readings: list[list[object]]) -> int:
+    """Count the bytes that readings take in a message."""
+    if not readings:
+        return 0
+    without, told = (
+        ZoneLoads(zone='a', loads=[], sent=[], whole=False, readings=each)
+        for each in ([], readings)
+    )
+    return len(encode(told)) - len(encode(without))
+
+
+@final
+class Gateway:
+    """A gateway as far as loads are concerned."""
+
+    def __init__(self, name: str, zone: str, clock: ManualClock) -> None:
+        self.name = name
+        self.zone = zone
+        self.clock = clock
+        self.load = LoadTable()
+        self.reads: list[tuple[str, int]] = []
+        self.caches = PrefixCaches()
+        self.endpoints = EndpointTable(clock=clock)
+        self.health = EndpointHealth(clock=clock)
+        self.rates = SharedRates(clock=clock)
+        self.speeds = EngineSpeeds(rates=self.rates)
+        self.customer_work = CustomerWork(clock=clock)
+        self.exchange = LoadExchange(
+            name=name, zone=zone, clock=clock, knowledge=self
+        )
+        self.sessions: dict[str, PeerSession] = {}
+        self.alive = True
+        # When it told its zone last, and the bytes of readings that it heard.
+        self.told_ms = 0
+        self.heard_bytes = 0
+
+    def ready_ms(self, endpoint: str) -> int:
+        return self.clock.now_ms()
+
+    def note_prompt_sent(self, endpoint: str, tokens: int) -> None:
+        self.reads.append((endpoint, tokens))
+
+    def take_readings(self, engine: str, rates: list[int]) -> None:
+        self.rates.take_told(engine, POOL, rates)
+
+    def rate(self, engine: str) -> float:
+        """Tell how fast an engine reads, as far as this gateway knows."""
+        return self.rates.find(engine, POOL).tokens_per_ms
+
+    def running(self, endpoint: str) -> int:
+        """Tell what runs at an endpoint, as far as this gateway knows."""
+        return self.load.total(endpoint).running
+
+
+@final
+class _Link:
+    """Carries messages from one gateway to another."""
+
+    def __init__(self, site: Site, source: Gateway, sink: Gateway) -> None:
+        self._site = site
+        self._source = source
+        self._sink = sink
+
+    def send(self, message: ZoneLoads) -> None:
+        sink, source = self._sink, self._source
+        if not sink.alive:
+            return
+        far = source.zone != sink.zone
+        self._site.messages[far] += 1
+        if self._site.loses():
+            return
+        told_bytes = encoded_bytes(message.readings)
+        self._site.reading_bytes[far] += told_bytes
+        sink.heard_bytes += told_bytes
+        session = sink.sessions[source.name]
+        sink.exchange.take_zone(session, message, sink.sessions.values())
+
+
+@final
+class Site:
+    """Gateways that all hear each other."""
+
+    def __init__(self, zones: dict[str, int]) -> None:
+        self.clock = ManualClock()
+        # Messages of relays and bytes of readings, by whether they cross zones.
+        self.messages: collections.Counter[bool] = collections.Counter()
+        self.reading_bytes: collections.Counter[bool] = collections.Counter()
+        # Part of the messages that are lost.
+        self.lost_part: float = 0
+        self._draw = random.Random(7)
+        self.gateways = [
+            Gateway(f'{zone}-{number}', zone, self.clock)
+            for zone, count in zones.items()
+            for number in range(count)
+        ]
+        self._by_name = {each.name: each for each in self.gateways}
+        for one in self.gateways:
+            for other in self.gateways:
+                if one is not other:
+                    self._connect(one, other)
+
+    def tick(self, *, whole: bool = False) -> None:
+        """Let each gateway that is alive tell the others."""
+        self.clock.advance(TICK_MS)
+        for one in self.gateways:
+            if one.alive:
+                self._tell(one, whole=whole)
+        for one in self.gateways:
+            if one.alive:
+                one.exchange.relay(one.sessions.values(), whole=whole)
+
+    def kill(self, gateway: Gateway) -> None:
+        """End a gateway; the others lose their sessions with it."""
+        gateway.alive = False
+        for each in self.gateways:
+            each.sessions.pop(gateway.name, None)
+            each.load.forget(gateway.name)
+
+    def cut_off(self, gateway: Gateway) -> None:
+        """Cut a gateway off from all other zones."""
+        for each in self.gateways:
+            if each.zone != gateway.zone:
+                each.sessions.pop(gateway.name, None)
+                gateway.sessions.pop(each.name, None)
+
+    def loses(self) -> bool:
+        """Draw whether the next message is lost."""
+        return self._draw.random() < self.lost_part
+
+    def relay(self, zone: str) -> Gateway:
+        """Find the relay of a zone."""
+        sessions = {
+            name: session
+            for each in self.gateways
+            for name, session in each.sessions.items()
+            if session.zone == zone
+        }
+        chosen = find_relay(sessions.values(), 0)
+        (gateway,) = [
+            each for each in self.gateways if each.name == chosen.name
+        ]
+        return gateway
+
+    def greet(self, one: Gateway, other: Gateway) -> None:
+        """Have a gateway tell a peer of its zone what it knows of engines."""
+        known = one.exchange.known_speeds()
+        self._give(one, other, [], known, whole=False)
+
+    def _connect(self, one: Gateway, other: Gateway) -> None:
+        hello = GatewayHello(
+            name=other.name, address=other.name, known=[], zone=other.zone
+        )
+        link = _Link(self, one, other)
+        one.sessions[other.name] = PeerSession(hello=hello, connection=link)
+
+    def _tell(self, one: Gateway, *, whole: bool) -> None:
+        others = [self._by_name[name] for name in one.sessions]
+        near = [each for each in others if each.zone == one.zone]
+        now_ms = self.clock.now_ms()
+        if now_ms - one.told_ms < interval_ms(len(near)) and not whole:
+            return
+        one.told_ms = now_ms
+        reach = one.exchange.reach(one.sessions.values())
+        for each in others:
+            session = each.sessions[one.name]
+            session.last_seen_ms = now_ms
+            session.reach = reach
+        loads = one.exchange.take_loads(whole=whole)
+        activity = one.exchange.take_activity()
+        told_bytes = encoded_bytes(activity.readings)
+        for other in near:
+            if not self.loses():
+                self.reading_bytes[False] += told_bytes
+                other.heard_bytes += told_bytes
+                self._give(one, other, loads, activity, whole=whole)
+
+    def _give(
+        self,
+        one: Gateway,
+        other: Gateway,
+        loads: list[list[object]],
+        activity: Activity,
+        *,
+        whole: bool,
+    ) -> None:
+        heard = Activity(
+            sent=activity.sent,
+            outcomes=activity.outcomes,
+            readings=activity.readings,
+        )
+        other.exchange.take_heartbeat(
+            other.sessions[one.name], loads, heard, whole=whole
+        )
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -53,11 +53,12 @@
     """
     make_binding = bindings.find(settings.binding).unwrap()
     policies = find_policies(settings.policy).unwrap()
+    rates = policies.read_rates(clock=clock)
     knowledge = EndpointKnowledge(
         clock=clock,
         name=settings.name,
-        rates=policies.read_rates(clock=clock),
-        starts=policies.start_estimates(),
+        rates=rates,
+        starts=policies.start_estimates(fixed_time=rates.fixed_ms),
     )
     gate = SendingGate(
         name=settings.name,
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -95,12 +95,12 @@
     def take_readings(self, name: str, rates: list[int]) -> None:
         """Take readings of an engine that another gateway has seen.
 
-        :param name: the endpoint; one that isn't listed is passed over.
-        :param rates: tenths of a token a millisecond, the newest last.
+        :param name: the endpoint, which may not be listed yet.
+        :param rates: tenths of a token a millisecond, the newest last; below
+            zero what the other gateway believes.
         """
         known = self.table.find(name)
-        if known is not None:
-            self.speeds.rates.take_told(name, known.pool, rates)
+        self.speeds.rates.take_told(name, known.pool if known else '', rates)
 
     def ready_ms(self, name: str) -> int:
         """Estimate when an engine will have read all that was sent to it.
--- a/wingfall/gateway/knowledge/engine_speeds.py
+++ b/wingfall/gateway/knowledge/engine_speeds.py
@@ -36,6 +36,14 @@
     ) -> None:
         """Learn from a prompt whose answer has begun."""
 
+    def note_short(
+        self, engine: str, pool: str, tokens: int, elapsed_ms: float
+    ) -> None:
+        """Learn from one that was too short to tell of the reading."""
+
+    def fixed_ms(self, pool: str) -> float | None:
+        """Tell the fixed time of a first event, None if it isn't learned."""
+
     def take_told(self, engine: str, pool: str, rates: list[int]) -> None:
         """Take readings of another gateway."""
 
@@ -109,6 +117,23 @@
         self.find(engine, pool).note(tokens, elapsed_ms)
         self.of_pool(pool).note(tokens, elapsed_ms)
 
+    def note_short(
+        self, engine: str, pool: str, tokens: int, elapsed_ms: float
+    ) -> None:
+        """Learn nothing from a short prompt.
+
+        :param engine: the engine.
+        :param pool: its pool.
+        :param tokens: what was to be read.
+        :param elapsed_ms: time from its sending to its first event.
+        """
+
+    def fixed_ms(self, pool: str) -> None:
+        """Know no fixed time.
+
+        :param pool: name of the pool.
+        """
+
     def take_told(self, engine: str, pool: str, rates: list[int]) -> None:
         """Pass over what another gateway tells.
 
@@ -193,10 +218,12 @@
         :param tokens: what was to be read before it and for it.
         :param elapsed_ms: time from its sending to its first event.
         """
-        speed = self.find(engine, pool)
-        # The first event takes a step of its own after the reading.
-        read_ms = elapsed_ms - speed.idle_gap_ms
-        self.rates.note(engine, pool, tokens, read_ms)
+        self.rates.note_short(engine, pool, tokens, elapsed_ms)
+        fixed_ms = self.rates.fixed_ms(pool)
+        if fixed_ms is None:
+            # The first event takes a step of its own after the reading.
+            fixed_ms = self.find(engine, pool).idle_gap_ms
+        self.rates.note(engine, pool, tokens, elapsed_ms - fixed_ms)
 
     def keep_only(self, names: set[str]) -> None:
         """Forget engines that are not listed any more.
--- a/wingfall/gateway/knowledge/reading_window.py
+++ b/wingfall/gateway/knowledge/reading_window.py
@@ -1,17 +1,17 @@
 """The last readings of an engine, and the rate that they show.
 
 Answers engines that many gateways use at once: what others have sent meanwhile
-makes a reading too low, and nothing makes it too high, so that a high quantile
-of the readings is the engine's rate and one wrong reading moves it by a place.
+makes a reading too low, and only a prompt that was cached after all makes one
+too high, so that a high quantile of the readings is the engine's rate and one
+wrong reading moves it by one place.
 """
 
 from __future__ import annotations
 
 import collections
-from typing import TYPE_CHECKING, Final, final
+from typing import Final, final
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
+from wingfall.gateway.knowledge.quantile import quantile
 
 # Readings of one engine that are kept. Enough that a slow spell of half a
 # second is a small part of them, few enough that an engine that turned slow is
@@ -29,17 +29,6 @@
 _RECENT_MS: Final = 2000
 
 
-def quantile(numbers: Iterable[float], part: float) -> float:
-    """Find the number below which a part of some numbers lies.
-
-    :param numbers: the numbers, at least one.
-    :param part: the part, 0 to 1.
-    :returns: one of the numbers.
-    """
-    ordered = sorted(numbers)
-    return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
-
-
 @final
 class ReadingWindow:
     """How fast one engine read lately."""
@@ -70,6 +59,16 @@
         )
         return recent < _ENOUGH_TOLD
 
+    def is_old(self, now_ms: int) -> bool:
+        """Tell whether the engine has not been seen for long.
+
+        :param now_ms: the time.
+        :returns: whether all readings are old.
+        """
+        if not self._readings:
+            return True
+        return now_ms - self._readings[-1][1] > _OLD_MS
+
     def note(self, tokens_per_ms: float, now_ms: int) -> None:
         """Add a reading.
 
@@ -84,3 +83,15 @@
         self._rate = quantile(
             (rate for rate, _seen_ms in self._readings), _RATE_PART
         )
+
+    def note_belief(self, tokens_per_ms: float, now_ms: int) -> None:
+        """Take the rate that another gateway has worked out.
+
+        It stands for its readings where this gateway has none; beside readings
+        it would count them twice.
+
+        :param tokens_per_ms: the rate.
+        :param now_ms: the time.
+        """
+        if not self._readings:
+            self.note(tokens_per_ms, now_ms)
--- a/wingfall/gateway/knowledge/shared_rates.py
+++ b/wingfall/gateway/knowledge/shared_rates.py
@@ -16,6 +16,7 @@
     MEASURED_TOKENS,
     MIN_RATE,
 )
+from wingfall.gateway.knowledge.fixed_start import FixedStart
 from wingfall.gateway.knowledge.reading_window import ReadingWindow
 
 if TYPE_CHECKING:
@@ -23,30 +24,50 @@
 
 # Readings of one engine that a heartbeat tells at most.
 _MOST_TOLD: Final = 4
-# A told reading is in tenths of a token a millisecond.
+# A told reading is in tenths of a token a millisecond. A rate that a gateway
+# believes, which its peers neither count nor relay as a reading, is told below
+# zero.
 _TOLD_PARTS: Final = 10
 
 
 @final
 class PoolRate:
-    """The median rate of a pool's engines."""
+    """The median rate of a pool's engines, and their fixed time."""
 
-    __slots__ = ('_median', 'windows')
+    __slots__ = ('_median', '_windows', 'fixed_start')
 
     def __init__(self) -> None:
         """Start without an engine."""
-        self.windows: dict[str, ReadingWindow] = {}
+        self._windows: dict[str, ReadingWindow] = {}
         # Tokens a millisecond, None if it must be worked out anew.
         self._median: float | None = None
+        self.fixed_start = FixedStart()
 
     @property
     def tokens_per_ms(self) -> float:
         """Tokens that an engine of the pool reads in a millisecond."""
         if self._median is None:
-            seen = [each.rate for each in self.windows.values() if each.rate]
+            seen = [each.rate for each in self._windows.values() if each.rate]
             self._median = statistics.median(seen) if seen else FIRST_RATE
         return self._median
 
+    def add(self, engine: str, window: ReadingWindow) -> None:
+        """Take an engine into the pool.
+
+        :param engine: its name.
+        :param window: its readings.
+        """
+        self._windows[engine] = window
+        self._median = None
+
+    def remove(self, engine: str) -> None:
+        """Forget an engine.
+
+        :param engine: its name.
+        """
+        self._windows.pop(engine, None)
+        self._median = None
+
     def note_change(self) -> None:
         """Note that an engine's rate has changed."""
         self._median = None
@@ -56,28 +77,51 @@
 class SharedRate:
     """How fast one engine reads, or its pool while it is unseen."""
 
-    __slots__ = ('_pool', '_window')
+    __slots__ = ('_engine', '_pool', 'window')
 
-    def __init__(self, *, window: ReadingWindow, pool: PoolRate) -> None:
-        """Join what is known.
+    def __init__(self, *, engine: str) -> None:
+        """Start without a reading, in no pool.
 
-        :param window: readings of the engine.
-        :param pool: readings of all engines of its pool.
+        :param engine: its name.
         """
-        self._window = window
-        self._pool = pool
+        self._engine = engine
+        self._pool: PoolRate | None = None
+        self.window = ReadingWindow()
 
     @property
     def tokens_per_ms(self) -> float:
         """Tokens that the engine reads in a millisecond."""
-        return self._window.rate or self._pool.tokens_per_ms
+        if self.window.rate is not None:
+            return self.window.rate
+        return self._pool.tokens_per_ms if self._pool else FIRST_RATE
+
+    def join(self, pool: PoolRate) -> None:
+        """Count the engine to its pool.
+
+        :param pool: the rate of the pool.
+        """
+        if self._pool is not pool:
+            self.leave()
+            self._pool = pool
+            pool.add(self._engine, self.window)
+
+    def leave(self) -> None:
+        """Count the engine to no pool."""
+        if self._pool is not None:
+            self._pool.remove(self._engine)
+            self._pool = None
+
+    def note_change(self) -> None:
+        """Note that the engine's rate has changed."""
+        if self._pool is not None:
+            self._pool.note_change()
 
 
 @final
 class SharedRates:
     """The rates of all engines."""
 
-    __slots__ = ('_clock', '_pools', '_untold')
+    __slots__ = ('_clock', '_engines', '_pools', '_untold')
 
     def __init__(self, *, clock: Clock) -> None:
         """Start without a reading.
@@ -86,6 +130,7 @@
         """
         self._clock = clock
         self._pools: dict[str, PoolRate] = {}
+        self._engines: dict[str, SharedRate] = {}
         # Tenths of a token a millisecond, by engine.
         self._untold: dict[str, collections.deque[int]] = {}
 
@@ -93,12 +138,16 @@
         """Give the rate of an engine.
 
         :param engine: its name.
-        :param pool: its pool.
+        :param pool: its pool, empty while the engine isn't listed.
         :returns: the rate, which follows later readings.
         """
-        return SharedRate(
-            window=self._window(engine, pool), pool=self.of_pool(pool)
-        )
+        rate = self._engines.get(engine)
+        if rate is None:
+            rate = SharedRate(engine=engine)
+            self._engines[engine] = rate
+        if pool:
+            rate.join(self.of_pool(pool))
+        return rate
 
     def of_pool(self, pool: str) -> PoolRate:
         """Give the median rate of a pool.
@@ -106,7 +155,19 @@
         :param pool: its name.
         :returns: the rate, which follows later readings.
         """
-        return self._pools.setdefault(pool, PoolRate())
+        rate = self._pools.get(pool)
+        if rate is None:
+            rate = PoolRate()
+            self._pools[pool] = rate
+        return rate
+
+    def fixed_ms(self, pool: str) -> float | None:
+        """Tell the fixed time of a pool's first events.
+
+        :param pool: its name.
+        :returns: milliseconds, None until it is known.
+        """
+        return self.of_pool(pool).fixed_start.fixed_ms
 
     def note(
         self, engine: str, pool: str, tokens: int, elapsed_ms: float
@@ -121,23 +182,45 @@
         if tokens < MEASURED_TOKENS or elapsed_ms <= 0:
             return
         rate = _bound(tokens / elapsed_ms)
-        now_ms = self._clock.now_ms()
-        if self._window(engine, pool).needs_more(now_ms):
+        shared, now_ms = self.find(engine, pool), self._clock.now_ms()
+        if shared.window.needs_more(now_ms):
             untold = self._untold.setdefault(
                 engine, collections.deque(maxlen=_MOST_TOLD)
             )
             untold.append(round(rate * _TOLD_PARTS))
-        self._add(engine, pool, rate)
+        shared.window.note(rate, now_ms)
+        shared.note_change()
+
+    def note_short(
+        self, engine: str, pool: str, tokens: int, elapsed_ms: float
+    ) -> None:
+        """Learn the fixed time from a prompt that is too short for a reading.
+
+        :param engine: the engine.
+        :param pool: its pool.
+        :param tokens: what was to be read before the prompt and for it.
+        :param elapsed_ms: time from its sending to its first event.
+        """
+        if tokens < MEASURED_TOKENS:
+            read_ms = tokens / self.find(engine, pool).tokens_per_ms
+            self.of_pool(pool).fixed_start.note(elapsed_ms - read_ms)
 
     def take_told(self, engine: str, pool: str, rates: list[int]) -> None:
         """Add readings of another gateway.
 
         :param engine: the engine.
-        :param pool: its pool.
-        :param rates: tenths of a token a millisecond, the newest last.
+        :param pool: its pool, empty while the engine isn't listed here.
+        :param rates: tenths of a token a millisecond, the newest last; below
+            zero what the other gateway believes.
         """
+        shared, now_ms = self.find(engine, pool), self._clock.now_ms()
         for told in rates:
-            self._add(engine, pool, _bound(told / _TOLD_PARTS))
+            rate = _bound(abs(told) / _TOLD_PARTS)
+            if told < 0:
+                shared.window.note_belief(rate, now_ms)
+            else:
+                shared.window.note(rate, now_ms)
+        shared.note_change()
 
     def take_untold(self) -> list[list[Any]]:
         """Take the readings that peers have not heard of.
@@ -149,33 +232,31 @@
         return [[engine, *rates] for engine, rates in untold.items()]
 
     def write_all(self) -> list[list[Any]]:
-        """Write the rates that are known, for a gateway that starts.
+        """Write the rates that are believed, for a gateway that starts.
 
         :returns: for each engine its name and its rate, as they are told.
         """
         return [
-            [engine, round(window.rate * _TOLD_PARTS)]
-            for pool in self._pools.values()
-            for engine, window in pool.windows.items()
-            if window.rate
+            [engine, -round(shared.window.rate * _TOLD_PARTS)]
+            for engine, shared in self._engines.items()
+            if shared.window.rate is not None
         ]
 
     def keep_only(self, names: set[str]) -> None:
         """Forget engines that are not listed any more.
 
+        What was told of engines that aren't listed yet is kept for a while:
+        a gateway that starts hears of them before it has their list.
+
         :param names: the engines that are listed.
         """
-        for pool in self._pools.values():
-            for name in pool.windows.keys() - names:
-                pool.windows.pop(name)
-                pool.note_change()
-
-    def _window(self, engine: str, pool: str) -> ReadingWindow:
-        return self.of_pool(pool).windows.setdefault(engine, ReadingWindow())
-
-    def _add(self, engine: str, pool: str, rate: float) -> None:
-        self._window(engine, pool).note(rate, self._clock.now_ms())
-        self.of_pool(pool).note_change()
+        now_ms = self._clock.now_ms()
+        for name in self._engines.keys() - names:
+            self._untold.pop(name, None)
+            shared = self._engines[name]
+            shared.leave()
+            if shared.window.is_old(now_ms):
+                self._engines.pop(name)
 
 
 def _bound(tokens_per_ms: float) -> float:
--- a/wingfall/gateway/knowledge/start_estimates.py
+++ b/wingfall/gateway/knowledge/start_estimates.py
@@ -9,9 +9,9 @@
 from __future__ import annotations
 
 import collections
-from typing import Callable, Final, final
+from typing import Callable, Final, Protocol, TypeAlias, final
 
-from wingfall.gateway.knowledge.reading_window import quantile
+from wingfall.gateway.knowledge.quantile import quantile
 from wingfall.registry import Registry
 
 # First events of one pool and tier that are kept: some seconds of a gateway's.
@@ -22,12 +22,25 @@
 # events come late or never, does not refuse all that comes after it.
 _LEAST: Final = 0.3
 _MOST: Final = 3
-# Milliseconds of the way to an engine and of its first step, which an estimate
-# by what waits does not hold. Keeps ratios of short prompts comparable.
+# Milliseconds of the way to an engine and of its first step, before a pool has
+# shown its own. Keeps ratios of short prompts comparable.
 _FIRST_STEP_MS: Final = 40
 _MEDIAN: Final = 0.5
 _WORST_TENTH: Final = 0.9
 
+# Pool and tier.
+_Kind: TypeAlias = tuple[str, int]
+# Gives the fixed time of a pool's first events in milliseconds, None if it is
+# not known.
+FixedTime: TypeAlias = Callable[[str], 'float | None']
+
+
+def know_nothing(pool: str) -> None:
+    """Give no fixed time.
+
+    :param pool: name of the pool.
+    """
+
 
 @final
 class StartError:
@@ -48,12 +61,27 @@
 class StartEstimates:
     """Estimates of first events as they are, the baseline."""
 
-    __slots__ = ()
+    __slots__ = ('_errors', '_fixed_time')
+
+    def __init__(self, *, fixed_time: FixedTime = know_nothing) -> None:
+        """Start without a first event.
+
+        :param fixed_time: gives the fixed time of a pool's first events.
+        """
+        self._fixed_time = fixed_time
+        # First events over their estimates, the newest last.
+        self._errors: dict[_Kind, collections.deque[float]] = {}
 
     @property
-    def errors(self) -> dict[tuple[str, int], StartError]:
+    def errors(self) -> dict[_Kind, StartError]:
         """How far estimates were off, by pool and tier."""
-        return {}
+        return {
+            kind: StartError(
+                median=quantile(seen, _MEDIAN),
+                worst_tenth=quantile(seen, _WORST_TENTH),
+            )
+            for kind, seen in self._errors.items()
+        }
 
     def expected_ms(self, pool: str, tier: int, estimate_ms: float) -> float:
         """Correct an estimate.
@@ -79,6 +107,9 @@
         :param estimate_ms: milliseconds as they were estimated by what waited.
         :param came_ms: milliseconds as they came.
         """
+        expected_ms = self.expected_ms(pool, tier, estimate_ms)
+        # A millisecond is what the clock can tell.
+        _keep(self._errors, (pool, tier), came_ms / max(1, expected_ms))
 
 
 @final
@@ -87,20 +118,14 @@
 
     __slots__ = ('_ratios',)
 
-    def __init__(self) -> None:
-        """Start without a correction."""
-        self._ratios: dict[tuple[str, int], collections.deque[float]] = {}
+    def __init__(self, *, fixed_time: FixedTime = know_nothing) -> None:
+        """Start without a correction.
 
-    @property
-    def errors(self) -> dict[tuple[str, int], StartError]:
-        """How far estimates were off, by pool and tier."""
-        return {
-            key: StartError(
-                median=quantile(ratios, _MEDIAN),
-                worst_tenth=quantile(ratios, _WORST_TENTH),
-            )
-            for key, ratios in self._ratios.items()
-        }
+        :param fixed_time: gives the fixed time of a pool's first events.
+        """
+        super().__init__(fixed_time=fixed_time)
+        # First events over what they would be without other prompts.
+        self._ratios: dict[_Kind, collections.deque[float]] = {}
 
     def expected_ms(self, pool: str, tier: int, estimate_ms: float) -> float:
         """Correct an estimate.
@@ -111,7 +136,7 @@
         :returns: milliseconds to the first event as it is likely to come.
         """
         ratios = self._ratios.get((pool, tier), ())
-        whole_ms = _FIRST_STEP_MS + estimate_ms
+        whole_ms = self._whole_ms(pool, estimate_ms)
         if len(ratios) < _NEEDED:
             return whole_ms
         ratio = quantile(ratios, _MEDIAN)
@@ -131,13 +156,33 @@
         :param estimate_ms: milliseconds as they were estimated by what waited.
         :param came_ms: milliseconds as they came.
         """
-        ratios = self._ratios.setdefault(
-            (pool, tier), collections.deque(maxlen=_KEPT)
-        )
-        ratios.append(came_ms / (_FIRST_STEP_MS + estimate_ms))
+        super().note(pool, tier, estimate_ms, came_ms)
+        ratio = came_ms / self._whole_ms(pool, estimate_ms)
+        _keep(self._ratios, (pool, tier), ratio)
+
+    def _whole_ms(self, pool: str, estimate_ms: float) -> float:
+        fixed_ms = self._fixed_time(pool)
+        if fixed_ms is None:
+            fixed_ms = _FIRST_STEP_MS
+        return fixed_ms + estimate_ms
+
+
+class StartEstimatesFactory(Protocol):
+    """How estimates of first events are made."""
+
+    def __call__(self, *, fixed_time: FixedTime) -> StartEstimates:
+        """Make them without a first event."""
+
+
+def _keep(
+    seen: dict[_Kind, collections.deque[float]],
+    kind: _Kind,
+    ratio: float,
+) -> None:
+    seen.setdefault(kind, collections.deque(maxlen=_KEPT)).append(ratio)
 
 
-start_estimates: Final[Registry[Callable[[], StartEstimates]]] = Registry(
+start_estimates: Final[Registry[StartEstimatesFactory]] = Registry(
     kind='start estimates',
 )
 start_estimates.register('plain')(StartEstimates)
--- a/wingfall/gateway/peers/loads/load_entries.py
+++ b/wingfall/gateway/peers/loads/load_entries.py
@@ -134,6 +134,15 @@
         knowledge.customer_work.take_from_peer(pool, customer, tokens)
 
 
+def only_seen(readings: Iterable[list[Any]]) -> list[list[Any]]:
+    """Leave out what gateways only believe of engines.
+
+    :param readings: how fast engines read, as in a heartbeat.
+    :returns: the readings among them.
+    """
+    return [entry for entry in readings if all(rate >= 0 for rate in entry[1:])]
+
+
 def _note_outcomes(activity: Activity, knowledge: EndpointKnowledge) -> None:
     for name, failed, served in activity.outcomes:
         outcomes = Outcomes(failed=failed, served=served)
--- a/wingfall/gateway/peers/loads/load_exchange.py
+++ b/wingfall/gateway/peers/loads/load_exchange.py
@@ -15,6 +15,7 @@
 from wingfall.gateway.peers.loads.load_entries import (
     Activity,
     note_activity,
+    only_seen,
     read_loads,
     write_loads,
     write_outcomes,
@@ -154,6 +155,8 @@
         )
         note_activity(activity, self._knowledge)
         if session.zone == self._zone:
+            # Other zones have heard the readings that a greeting sums up.
+            activity.readings = only_seen(activity.readings)
             self._relay.note(activity)
 
     def take_zone(
--- a/wingfall/gateway/rules/policies.py
+++ b/wingfall/gateway/rules/policies.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Callable, final
+from typing import TYPE_CHECKING, final
 
 from returns.iterables import Fold
 from returns.result import Success
@@ -26,7 +26,9 @@
     from returns.result import Result
 
     from wingfall.gateway.knowledge.engine_speeds import RatesFactory
-    from wingfall.gateway.knowledge.start_estimates import StartEstimates
+    from wingfall.gateway.knowledge.start_estimates import (
+        StartEstimatesFactory,
+    )
     from wingfall.gateway.rules.admission.early_refusal import Admission
     from wingfall.gateway.rules.pacing.rate_share import RateShare
     from wingfall.gateway.rules.placement.cache_transfer import CacheTransfer
@@ -63,7 +65,7 @@
         rate_share: RateShare,
         engine_groups: EngineGroups,
         read_rates: RatesFactory,
-        start_estimates: Callable[[], StartEstimates],
+        start_estimates: StartEstimatesFactory,
     ) -> None:
         """Join the rules.
 
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -149,7 +149,8 @@
         :param signal_sum: the same number for gateways that know the same of
             these; -1 from a program that knows none.
         :param readings: how fast engines read lately: name of the engine, then
-            tenths of a token a millisecond, one number a reading.
+            tenths of a token a millisecond, one number a reading; below
+            zero the rate that the sender believes, in a greeting.
         :param work: work that customers were given since the last heartbeat:
             name of the pool, name of the customer, tokens.
         """
