--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -1,7 +1,7 @@
 """The gateway: its supervisor tree and its planned stop.
 
-Owns the ports, the callers' connections and all long-lived greenlets; makes
-everything else and hands each part what it needs.
+Owns the ports and all long-lived greenlets; makes everything else and hands
+each part what it needs.
 """
 
 from __future__ import annotations
@@ -10,13 +10,10 @@
 from typing import TYPE_CHECKING, Any, Final, final
 
 import gevent
-from gevent.pool import Pool as GreenletPool
-from gevent.server import StreamServer
 
 from wingfall.clock import MS_PER_S
 from wingfall.gateway.assembly import make_state
-from wingfall.gateway.callers.caller_connection import CallerConnection
-from wingfall.gateway.callers.early_listener import BACKLOG
+from wingfall.gateway.callers.caller_server import CallerServer
 from wingfall.gateway.callers.readiness import make_ready_app
 from wingfall.gateway.configuration.follower import StoreFollower
 from wingfall.gateway.configuration.object_applier import ObjectApplier
@@ -37,7 +34,6 @@
 from wingfall.log import log_event
 from wingfall.program import Program
 from wingfall.settings.loader import parse_address
-from wingfall.tcp import tcp_listener
 
 if TYPE_CHECKING:
     import socket
@@ -52,8 +48,6 @@
 # configuration has come from a peer or the store, and a caller of a site
 # without one is soon told so.
 _FIRST_CONFIG_MS: Final = 500
-# Callers' connections at once; bounds the memory of a gateway.
-_MAX_CALLERS: Final = 3000
 # Milliseconds between two looks for endpoints that are gone.
 _FORGET_MS: Final = 1000
 # Milliseconds between two looks at what is waited for.
@@ -68,7 +62,6 @@
         '_callers',
         '_duties',
         '_followers',
-        '_open',
         '_peers',
         '_ready_server',
         '_replicas',
@@ -89,7 +82,6 @@
         """
         super().__init__(settings=settings, secret=b'')
         self._state = make_state(settings, self._clock, self._metrics)
-        self._open: set[CallerConnection] = set()
         applier = ObjectApplier(state=self._state)
         self._replicas = (
             ObjectReplica(kind=ROUTES_KIND, listener=applier.apply_routes),
@@ -140,16 +132,14 @@
             ),
             address=parse_address(settings.readiness),
         )
-        self._callers = StreamServer(
-            listener or tcp_listener(settings.callers, BACKLOG),
-            self._accept,
-            spawn=GreenletPool(_MAX_CALLERS),
+        self._callers = CallerServer(
+            address=settings.callers, listener=listener, state=self._state
         )
 
     @property
     def caller_port(self) -> int:
         """Port for callers."""
-        return int(self._callers.socket.getsockname()[1])
+        return self._callers.port
 
     @property
     def ready_port(self) -> int:
@@ -205,23 +195,22 @@
 
     def drain(self) -> None:
         """Take no new work, and wait until what there is has ended."""
-        log_event('gateway', 'Stopping.', calls=self._busy())
+        log_event('gateway', 'Stopping.', calls=self._callers.calls)
         self._state.draining = True
         self._peers.leave()
         schedule = StopSchedule(stop_s=self._settings.limits.stop_s)
         deadline_ms = self._clock.now_ms() + schedule.end_ms
         gevent.sleep(schedule.serve_ms / MS_PER_S)
-        self._callers.close()
-        while self._open and self._clock.now_ms() < deadline_ms:
-            for connection in list(self._open):
-                connection.close_idle()
+        self._callers.stop_accepting()
+        while not self._callers.is_empty and self._clock.now_ms() < deadline_ms:
+            self._callers.close_idle()
             gevent.sleep(_POLL_MS / MS_PER_S)
         self._peers.tell_last_counts()
-        log_event('gateway', 'Stopped.', calls=self._busy())
+        log_event('gateway', 'Stopped.', calls=self._callers.calls)
 
     def close(self) -> None:
         """End everything now."""
-        self._callers.stop(timeout=0)
+        self._callers.stop()
         self._ready_server.stop()
         self._peers.stop()
         super().close()
@@ -248,7 +237,7 @@
             name=self._settings.name,
             state=self._state,
             peers=self._peers.names,
-            calls=self._busy(),
+            calls=self._callers.calls,
             duties=self._duties.status() if self._duties else None,
         )
 
@@ -279,14 +268,6 @@
             leads=lambda: self._peers.view.leads,
         )
 
-    def _accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
-        connection = CallerConnection(sock=sock, state=self._state)
-        self._open.add(connection)
-        try:
-            connection.run()
-        finally:
-            self._open.discard(connection)
-
     def _start_accepting(self) -> None:
         # Connections wait unread for the configuration, but not for long.
         until_ms = self._clock.now_ms() + _FIRST_CONFIG_MS
@@ -298,9 +279,6 @@
         within_ms = self._settings.store.watch_ms + _WATCH_SLACK_MS
         return all(each.has_answered(within_ms) for each in self._followers)
 
-    def _busy(self) -> int:
-        return sum(connection.busy for connection in self._open)
-
     def _forget_departed(self) -> None:
         while not self._supervisor.stopped:
             gevent.sleep(_FORGET_MS / MS_PER_S)
