--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -23,6 +23,7 @@
     ObjectReplica,
 )
 from wingfall.gateway.duties.assembly import GatewayDuties
+from wingfall.gateway.knowledge.start_figures import set_start_errors
 from wingfall.gateway.peers.caches.memory_survey import MemorySurvey
 from wingfall.gateway.peers.caches.parts_transfer import PartsTransfer
 from wingfall.gateway.peers.duty_exchange import DutyExchange
@@ -283,6 +284,7 @@
         while not self._supervisor.stopped:
             gevent.sleep(_FORGET_MS / MS_PER_S)
             self._state.knowledge.forget_departed()
+            set_start_errors(self._metrics, self._state.knowledge.starts)
             names = self._state.knowledge.table.names
             self._state.connections.forget(names)
             self._state.gate.forget(names)
--- a/wingfall/gateway/knowledge/engine_speeds.py
+++ b/wingfall/gateway/knowledge/engine_speeds.py
@@ -204,6 +204,16 @@
         """
         return self.rates.of_pool(pool)
 
+    def shown_rates(self) -> dict[str, float]:
+        """Show how fast engines read, for operators.
+
+        :returns: tokens a millisecond by engine.
+        """
+        return {
+            name: round(speed.rate.tokens_per_ms, 1)
+            for name, speed in sorted(self._by_engine.items())
+        }
+
     def note_start(
         self,
         engine: str,
--- a/wingfall/gateway/status.py
+++ b/wingfall/gateway/status.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from wingfall.gateway.knowledge.start_figures import list_start_errors
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -38,5 +40,7 @@
         'limited_endpoints': state.gate.status(),
         'leaving_endpoints': sorted(signals.leaving),
         'resting_endpoints': signals.rests.names,
+        'engine_rates': state.knowledge.speeds.shown_rates(),
+        'start_errors': list_start_errors(state.knowledge.starts),
         'duties': duties,
     }
--- a/wingfall/metrics.py
+++ b/wingfall/metrics.py
@@ -29,6 +29,7 @@
         'registry',
         'running',
         'shed',
+        'start_error',
         'stream_bytes',
         'wait_ms',
     )
@@ -113,6 +114,11 @@
             'How late the event loop woke a timer, worst of the last second.',
             registry=registry,
         )
+        self.start_error = Gauge(
+            'wingfall_start_error',
+            'First events over their estimates, by pool, tier and part.',
+            registry=registry,
+        )
         self.wait_ms = Histogram(
             'wingfall_wait_ms',
             'Time from a request to its start, by tier.',
