--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Callable, final
+from typing import TYPE_CHECKING, Callable, final
 
 from wingfall.gateway.peers.heartbeat_schedule import (
     HeartbeatDue,
     HeartbeatSchedule,
 )
+from wingfall.gateway.peers.heartbeat_writer import HeartbeatWriter
 from wingfall.gateway.peers.loads.load_entries import Activity
 from wingfall.gateway.peers.loads.load_exchange import LoadExchange
 from wingfall.gateway.peers.news_exchange import (
@@ -59,6 +60,7 @@
         '_sent_watching',
         '_transfer',
         '_watches',
+        '_writer',
         '_zone',
     )
 
@@ -105,6 +107,14 @@
             knowledge=knowledge,
         )
         self._news = NewsExchange(clock=clock, knowledge=knowledge)
+        self._writer = HeartbeatWriter(
+            sessions=sessions.values(),
+            exchange=exchange,
+            transfer=transfer,
+            loads=self._loads,
+            news=self._news,
+            watches=watches,
+        )
         self._schedule = HeartbeatSchedule()
         self._sent_revisions: dict[str, int] = {}
         self._sent_watching = False
@@ -123,11 +133,11 @@
         :param session: the session with it.
         """
         near = self._loads.near([session])
-        heartbeat = self._make_heartbeat(
-            self._loads.own_loads() if near else [],
-            self._loads.known_speeds() if near else Activity(),
-            self._is_stopping(),
+        heartbeat = self._writer.write(
+            leaving=self._is_stopping(),
             whole=True,
+            loads=self._loads.own_loads() if near else None,
+            activity=self._loads.known_speeds() if near else None,
             news=self._news.write_all(),
             duties=self._duties.greet() if self._duties else None,
         )
@@ -197,14 +207,12 @@
         near = self._loads.near(sessions)
         if whole or leaving or self._has_new_objects():
             far = [each for each in sessions if each.zone != self._zone]
-            _send_to_all(
-                far, self._make_heartbeat([], Activity(), leaving, whole=True)
-            )
-        heartbeat = self._make_heartbeat(
-            self._loads.take_loads(whole=whole),
-            self._loads.take_activity(),
-            leaving,
+            _send_to_all(far, self._writer.write(leaving=leaving, whole=True))
+        heartbeat = self._writer.write(
+            leaving=leaving,
             whole=whole,
+            loads=self._loads.take_loads(whole=whole),
+            activity=self._loads.take_activity(),
         )
         _send_to_all(near, heartbeat)
         self._sent_revisions = self._exchange.revisions
@@ -224,12 +232,8 @@
         if self._duties is None:
             return
         for session, told in self._duties.due(sessions, at_once=at_once):
-            heartbeat = self._make_heartbeat(
-                [],
-                Activity(),
-                self._is_stopping(),
-                whole=False,
-                duties=told,
+            heartbeat = self._writer.write(
+                leaving=self._is_stopping(), whole=False, duties=told
             )
             session.connection.send(heartbeat)
 
@@ -266,8 +270,8 @@
     ) -> None:
         if news.empty:
             return
-        heartbeat = self._make_heartbeat(
-            [], Activity(), self._is_stopping(), whole=False, news=news
+        heartbeat = self._writer.write(
+            leaving=self._is_stopping(), whole=False, news=news
         )
         _send_to_all(sessions, heartbeat)
 
@@ -277,38 +281,6 @@
     def _has_new_objects(self) -> bool:
         return self._sent_revisions != self._exchange.revisions
 
-    def _make_heartbeat(
-        self,
-        loads: list[list[Any]],
-        activity: Activity,
-        leaving: bool,
-        *,
-        whole: bool,
-        news: PeerNews | None = None,
-        duties: list[Any] | None = None,
-    ) -> GatewayHeartbeat:
-        news = news or PeerNews()
-        return GatewayHeartbeat(
-            revisions=self._exchange.revisions,
-            loads=loads,
-            sent=activity.sent,
-            outcomes=activity.outcomes,
-            leaving=leaving,
-            whole=whole,
-            watching=self._watches(),
-            knows_caches=self._transfer.knows_caches,
-            reach=self._loads.reach(self._sessions.values()),
-            crashes=news.crashes.crashes,
-            served=news.crashes.served,
-            crash_sum=self._news.crash_sum,
-            duties=duties,
-            limits=news.signals.limits,
-            leavings=news.signals.leavings,
-            signal_sum=self._news.signal_sum,
-            readings=activity.readings,
-            work=activity.work,
-        )
-
 
 def _send_to_all(sessions: Iterable[PeerSession], message: Message) -> None:
     frame = encode(message)
