--- a/tests/test_shared_rates.py
+++ b/tests/test_shared_rates.py
@@ -5,9 +5,11 @@
 import pytest
 
 from wingfall.clock import ManualClock
+from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.knowledge.engine_speed import FIRST_RATE, MAX_RATE
 from wingfall.gateway.knowledge.engine_speeds import EngineSpeeds, OwnRates
 from wingfall.gateway.knowledge.shared_rates import SharedRates
+from wingfall.gateway.peers.loads.load_entries import Activity, note_activity
 
 POOL = 'pool'
 LONG = 6000
@@ -124,6 +126,17 @@
     assert speeds.average(POOL).tokens_per_ms == 60
 
 
+def test_what_peers_tell_of_an_engine_is_kept_until_it_is_listed(
+    rates: SharedRates, manual_clock: ManualClock
+):
+    knowledge = EndpointKnowledge(clock=manual_clock, rates=rates)
+    told = Activity(readings=[['e', -600], ['f', 200, 210]])
+    note_activity(told, knowledge)
+    knowledge.forget_departed()
+    assert rate_of(rates, 'e') == 60
+    assert rate_of(rates, 'f') == 20
+
+
 def test_engine_known_before_it_is_listed_follows_its_readings(
     rates: SharedRates,
 ):
