Engine groups: streams with short gaps go to engines that keep them beside reads, or are closed to reads

Cause: streams that bear 200 ms were sent to slow engines, since reads wait less there; beside reads their gaps are 140 to 180 ms, 370 in a slow spell, at quick ones 70 to 90 and 190. Typical gaps beside reads, told between gateways in heartbeats as readings are, tell the two apart. Change: policy.engine_groups 'by_gap' (default 'none'): engines in classes by their gaps, within a class by a hash; streams of short prompts go to those that keep their gap beside reads, further ones are closed to long reads as streams need them.

--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -12,6 +12,7 @@
 from wingfall.gateway.knowledge.endpoint_health import EndpointHealth
 from wingfall.gateway.knowledge.endpoint_table import EndpointTable
 from wingfall.gateway.knowledge.engine_speeds import EngineSpeeds
+from wingfall.gateway.knowledge.full_gaps import FullGaps
 from wingfall.gateway.knowledge.load import EndpointLoad, LoadTable
 from wingfall.gateway.knowledge.prefix_caches import PrefixCaches, SentPrompt
 from wingfall.gateway.model.prompt import PromptPart
@@ -39,6 +40,7 @@
         self.health = EndpointHealth(clock=clock)
         self.speeds = EngineSpeeds()
         self.customer_work = CustomerWork(clock=clock)
+        self.full_gaps = FullGaps(clock=clock)
         self.exchange = LoadExchange(
             name=name, zone=zone, clock=clock, knowledge=self
         )
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -9,8 +9,10 @@
 from wingfall.gateway.endpoints.kept_connections import KeptConnections
 from wingfall.gateway.endpoints.sending_gate import SendingGate
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
+from wingfall.gateway.knowledge.full_gaps import FullGaps
 from wingfall.gateway.model.binding import bindings
 from wingfall.gateway.rules.crashes.request_blocks import RequestBlocks
+from wingfall.gateway.rules.placement.engine_groups import keep_none
 from wingfall.gateway.rules.policies import find_policies
 from wingfall.gateway.rules.retries.retry_budget import RetryBudget
 from wingfall.gateway.state import GatewayState
@@ -58,6 +60,10 @@
         name=settings.name,
         rates=policies.read_rates(clock=clock),
         starts=policies.start_estimates(),
+        full_gaps=FullGaps(
+            clock=clock,
+            tells=policies.engine_groups is not keep_none,
+        ),
     )
     gate = SendingGate(
         name=settings.name,
--- a/wingfall/gateway/calls/destination.py
+++ b/wingfall/gateway/calls/destination.py
@@ -151,6 +151,9 @@
         long_reads=known.long_reads.tokens(endpoint.name),
         unseen_tokens=random.uniform(0, _UNSEEN_TOKENS),  # noqa: S311
         failing=known.health.failing(endpoint.name),
+        safe_gap_ms=state.kept_engines.safe_gap_ms(
+            endpoint.pool, endpoint.name
+        ),
     )
 
 
@@ -204,27 +207,40 @@
     pool: str,
     avoided: set[str],
 ) -> list[PoolEndpoint]:
-    usable = state.knowledge.table.usable(pool)
     is_out = state.knowledge.health.is_out
     is_held = _held_endpoints(state, call, pool)
+    find_sound = functools.partial(
+        list_sound,
+        avoided=avoided,
+        is_out=lambda name: is_out(name) or is_held(name),
+    )
+    usable = _narrow_to_group(state, call, pool, find_sound)
     prompt = call.head.prompt
-    if prompt is not None and state.routes is not None:
-        demand = describe_demand(call)
-        usable = state.kept_engines.narrow(state.routes, demand, usable)
     drawn = count_drawn(prompt.tokens if prompt else 0)
     if not is_weighed_whole(usable, drawn):
-        shortlist = shorten(usable, _endpoints_that_cache(state, call), drawn)
-        sound = list_sound(
-            shortlist,
-            avoided,
-            lambda name: is_out(name) or is_held(name),
-        )
+        caching = _endpoints_that_cache(state, call, usable)
+        sound = find_sound(shorten(usable, caching, drawn))
         if sound:
             return sound
     free = [each for each in usable if not is_held(each.name)]
     return prefer_sound(free, avoided, is_out)
 
 
+def _narrow_to_group(
+    state: GatewayState,
+    call: Call,
+    pool: str,
+    find_sound: Callable[[list[PoolEndpoint]], list[PoolEndpoint]],
+) -> list[PoolEndpoint]:
+    listed = state.knowledge.table.usable(pool)
+    if call.head.prompt is None or state.routes is None:
+        return listed
+    demand = describe_demand(call)
+    group = state.kept_engines.narrow(state.routes, demand, listed)
+    # Where none of them can be used, the others serve the call.
+    return group if group is listed or find_sound(group) else listed
+
+
 def _held_endpoints(
     state: GatewayState,
     call: Call,
@@ -241,13 +257,13 @@
 def _endpoints_that_cache(
     state: GatewayState,
     call: Call,
+    usable: list[PoolEndpoint],
 ) -> list[PoolEndpoint]:
     prompt = call.head.prompt
     if prompt is None:
         return []
     names = state.knowledge.caches.engines_with(prompt)
-    listed = map(state.knowledge.table.find, names)
-    return [endpoint for endpoint in listed if endpoint is not None]
+    return [endpoint for endpoint in usable if endpoint.name in names]
 
 
 def _offer_copies(
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -14,6 +14,7 @@
 from wingfall.gateway.knowledge.endpoint_signals import EndpointSignals
 from wingfall.gateway.knowledge.endpoint_table import EndpointTable
 from wingfall.gateway.knowledge.engine_speeds import EngineSpeeds
+from wingfall.gateway.knowledge.full_gaps import FullGaps
 from wingfall.gateway.knowledge.load import LoadTable
 from wingfall.gateway.knowledge.long_reads import SHORT_READ_TOKENS, LongReads
 from wingfall.gateway.knowledge.prefix_caches import PrefixCaches
@@ -34,6 +35,7 @@
         'caches',
         'crashes',
         'customer_work',
+        'full_gaps',
         'health',
         'lives',
         'load',
@@ -51,6 +53,7 @@
         name: str = '',
         rates: Rates | None = None,
         starts: StartEstimates | None = None,
+        full_gaps: FullGaps | None = None,
     ) -> None:
         """Start without an endpoint.
 
@@ -58,6 +61,7 @@
         :param name: name of this gateway.
         :param rates: how fast engines read.
         :param starts: how estimates of first events are corrected.
+        :param full_gaps: keeps gaps of streams beside reads.
         """
         self._clock = clock
         # Which there are, by the store.
@@ -68,8 +72,10 @@
         self.load = LoadTable()
         # Which parts of prompts they cache, by what was sent and told.
         self.caches = PrefixCaches()
+        # Gaps of their streams while they read, by all gateways.
+        self.full_gaps = full_gaps or FullGaps(clock=clock)
         # How fast they read and answer, by their streams.
-        self.speeds = EngineSpeeds(rates=rates)
+        self.speeds = EngineSpeeds(rates=rates, full_gaps=self.full_gaps)
         # How far estimates of first events are off, by those that came.
         self.starts = starts or StartEstimates()
         # Long prompts that they were sent lately, by all gateways.
@@ -102,6 +108,15 @@
         if known is not None:
             self.speeds.rates.take_told(name, known.pool, rates)
 
+    def take_gaps(self, name: str, gaps_ms: list[int]) -> None:
+        """Take gaps of an engine's streams that another gateway has seen.
+
+        :param name: the endpoint; one that isn't listed is passed over.
+        :param gaps_ms: their milliseconds, the newest last.
+        """
+        if self.table.find(name) is not None:
+            self.full_gaps.take_told(name, gaps_ms)
+
     def ready_ms(self, name: str) -> int:
         """Estimate when an engine will have read all that was sent to it.
 
@@ -141,4 +156,5 @@
         self.signals.forget(names)
         self.caches.forget(names)
         self.speeds.keep_only(names)
+        self.full_gaps.keep_only(names)
         self.long_reads.keep_only(names)
--- a/wingfall/gateway/knowledge/engine_speed.py
+++ b/wingfall/gateway/knowledge/engine_speed.py
@@ -8,7 +8,10 @@
 
 from __future__ import annotations
 
-from typing import Final, Protocol, final
+from typing import TYPE_CHECKING, Final, Protocol, final
+
+if TYPE_CHECKING:
+    from wingfall.gateway.knowledge.full_gaps import GapWindow
 
 # Tokens that an engine reads in a millisecond, before it has been seen to:
 # the slower half of the engines seen so far; a low guess only sends less.
@@ -35,6 +38,11 @@
 # late, since a pool's slowest engine counts.
 _LONGER_WEIGHT: Final = 0.3
 _SHORTER_WEIGHT: Final = 0.02
+# A gap tells how much an engine gets through while it reads only if so many
+# times as much was waiting as was read in it, since half of what is known to
+# wait may be read already; and if it is so much longer than gaps alone are.
+_SURE_WAITING: Final = 3
+_SURE_LONGER: Final = 1.5
 # Part by which what comes may differ from an estimate. Of 701 streams beside
 # 10,000 tokens or more, 91 in 100 had their longest gap within this part of
 # the median of their engine (two days at high load).
@@ -118,7 +126,7 @@
 class EngineSpeed:
     """What one engine has shown of its reading and its token gaps."""
 
-    __slots__ = ('_idle_gap_ms', '_longest_gap', 'rate')
+    __slots__ = ('_idle_gap_ms', '_longest_gap', 'full_gaps', 'rate')
 
     def __init__(
         self,
@@ -126,16 +134,19 @@
         tokens_per_ms: float = FIRST_RATE,
         rate: Rate | None = None,
         longest_gap: LongestGap | None = None,
+        full_gaps: GapWindow | None = None,
     ) -> None:
         """Start with what other engines of the pool have shown.
 
         :param tokens_per_ms: how fast they read.
         :param rate: how fast this one reads, if its owner learns that.
         :param longest_gap: the longest gaps that their reads cause.
+        :param full_gaps: keeps the gaps of this one beside reads, if given.
         """
         self.rate = rate or ReadRate(tokens_per_ms=tokens_per_ms)
         self._longest_gap = longest_gap or LongestGap()
         self._idle_gap_ms: float = _FIRST_GAP_MS
+        self.full_gaps = full_gaps
 
     @property
     def idle_gap_ms(self) -> float:
@@ -194,7 +205,12 @@
         :param gap_ms: the gap in milliseconds.
         :param reading_tokens: what waited to be read there meanwhile.
         """
-        self._longest_gap.note(gap_ms, self.read_ms(reading_tokens))
+        waiting_ms = self.read_ms(reading_tokens)
+        self._longest_gap.note(gap_ms, waiting_ms)
+        reads_all_through = waiting_ms >= gap_ms * _SURE_WAITING
+        longer = gap_ms > self._idle_gap_ms * _SURE_LONGER
+        if self.full_gaps is not None and reads_all_through and longer:
+            self.full_gaps.note(gap_ms)
 
 
 def late_chance(expected_ms: float, bound_ms: float) -> float:
--- a/wingfall/gateway/knowledge/engine_speeds.py
+++ b/wingfall/gateway/knowledge/engine_speeds.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
+    from wingfall.gateway.knowledge.full_gaps import FullGaps
 
 
 class Rates(Protocol):
@@ -144,14 +145,21 @@
 class EngineSpeeds:
     """How fast each engine is."""
 
-    __slots__ = ('_by_engine', '_longest_gaps', 'rates')
+    __slots__ = ('_by_engine', '_full_gaps', '_longest_gaps', 'rates')
 
-    def __init__(self, *, rates: Rates | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        rates: Rates | None = None,
+        full_gaps: FullGaps | None = None,
+    ) -> None:
         """Start without a measurement.
 
         :param rates: how fast engines read.
+        :param full_gaps: keeps gaps beside reads of each engine, if given.
         """
         self.rates: Rates = rates or OwnRates()
+        self._full_gaps = full_gaps
         self._by_engine: dict[str, EngineSpeed] = {}
         self._longest_gaps: dict[str, LongestGap] = {}
 
@@ -164,9 +172,11 @@
         """
         speed = self._by_engine.get(engine)
         if speed is None:
+            gaps = self._full_gaps
             speed = EngineSpeed(
                 rate=self.rates.find(engine, pool),
                 longest_gap=self._longest_gaps.setdefault(pool, LongestGap()),
+                full_gaps=gaps.find(engine) if gaps else None,
             )
             self._by_engine[engine] = speed
         return speed
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -249,6 +249,7 @@
                 outcomes=heartbeat.outcomes,
                 readings=heartbeat.readings,
                 work=heartbeat.work,
+                gaps=heartbeat.gaps,
             ),
             whole=heartbeat.whole,
         )
@@ -307,6 +308,7 @@
             signal_sum=self._news.signal_sum,
             readings=activity.readings,
             work=activity.work,
+            gaps=activity.gaps,
         )
 
 
--- a/wingfall/gateway/peers/loads/load_entries.py
+++ b/wingfall/gateway/peers/loads/load_entries.py
@@ -26,7 +26,7 @@
 class Activity:
     """What has happened since it was last told, as it is on the wire."""
 
-    __slots__ = ('outcomes', 'readings', 'sent', 'work')
+    __slots__ = ('gaps', 'outcomes', 'readings', 'sent', 'work')
 
     def __init__(
         self,
@@ -35,6 +35,7 @@
         outcomes: list[list[Any]] | None = None,
         readings: list[list[Any]] | None = None,
         work: list[list[Any]] | None = None,
+        gaps: list[list[Any]] | None = None,
     ) -> None:
         """Keep activity.
 
@@ -42,16 +43,19 @@
         :param outcomes: how requests ended, as in a heartbeat.
         :param readings: how fast engines read, as in a heartbeat.
         :param work: work that customers were given, as in a heartbeat.
+        :param gaps: gaps of streams beside reads, as in a heartbeat.
         """
         self.sent = sent or []
         self.outcomes = outcomes or []
         self.readings = readings or []
         self.work = work or []
+        self.gaps = gaps or []
 
     @property
     def empty(self) -> bool:
         """Whether nothing has happened."""
-        return not (self.sent or self.outcomes or self.readings or self.work)
+        told = (self.sent, self.outcomes, self.readings, self.work, self.gaps)
+        return not any(told)
 
     def add(self, other: Activity) -> None:
         """Add further activity.
@@ -62,6 +66,7 @@
         self.outcomes.extend(other.outcomes)
         self.readings.extend(other.readings)
         self.work.extend(other.work)
+        self.gaps.extend(other.gaps)
 
 
 def write_work(load: EndpointLoad) -> Work:
@@ -130,6 +135,8 @@
     _note_sent(activity, knowledge)
     for engine, *rates in activity.readings:
         knowledge.take_readings(engine, rates)
+    for name, *gaps_ms in activity.gaps:
+        knowledge.take_gaps(name, gaps_ms)
     for pool, customer, tokens in activity.work:
         knowledge.customer_work.take_from_peer(pool, customer, tokens)
 
--- a/wingfall/gateway/peers/loads/load_exchange.py
+++ b/wingfall/gateway/peers/loads/load_exchange.py
@@ -130,6 +130,7 @@
             outcomes=write_outcomes(outcomes),
             readings=self._knowledge.speeds.rates.take_untold(),
             work=self._knowledge.customer_work.take_untold(),
+            gaps=self._knowledge.full_gaps.take_untold(),
         )
         self._relay.note(activity)
         return activity
@@ -183,6 +184,7 @@
                 outcomes=zone_loads.outcomes,
                 readings=zone_loads.readings,
                 work=zone_loads.work,
+                gaps=zone_loads.gaps,
             ),
             self._knowledge,
         )
--- a/wingfall/gateway/peers/loads/zone_relay.py
+++ b/wingfall/gateway/peers/loads/zone_relay.py
@@ -159,6 +159,7 @@
             outcomes=activity.outcomes,
             readings=activity.readings,
             work=activity.work,
+            gaps=activity.gaps,
         )
 
 
--- a/wingfall/gateway/rules/placement/candidate.py
+++ b/wingfall/gateway/rules/placement/candidate.py
@@ -26,6 +26,7 @@
         'long_reads',
         'remote',
         'running',
+        'safe_gap_ms',
         'slots',
         'speed',
         'streams',
@@ -50,6 +51,7 @@
         long_reads: float = 0,
         unseen_tokens: float = 0,
         failing: float = 0,
+        safe_gap_ms: int | None = None,
     ) -> None:
         """Describe an endpoint.
 
@@ -70,6 +72,8 @@
         :param long_reads: tokens of long reads that it was sent lately.
         :param unseen_tokens: a guess at what other gateways sent it meanwhile.
         :param failing: share of its requests that fail, 0 to 1.
+        :param safe_gap_ms: the shortest gap that streams there bear beside
+            reads that never end, None if that is not known.
         """
         self.name = name
         self.remote = remote
@@ -86,6 +90,15 @@
         self.long_reads = long_reads
         self.unseen_tokens = unseen_tokens
         self.failing = failing
+        self.safe_gap_ms = safe_gap_ms
+
+    def is_safe(self, gap_ms: int) -> bool:
+        """Tell whether reads there are harmless to a stream.
+
+        :param gap_ms: the longest gap in milliseconds that the stream bears.
+        :returns: whether it is known that they are.
+        """
+        return self.safe_gap_ms is not None and gap_ms >= self.safe_gap_ms
 
 
 @final
--- a/wingfall/gateway/rules/placement/endpoint_choice.py
+++ b/wingfall/gateway/rules/placement/endpoint_choice.py
@@ -76,11 +76,13 @@
     late = sum(
         speed.held_up_share(long_read, gap_ms) * count
         for gap_ms, count in candidate.streams.items()
+        if not candidate.is_safe(gap_ms)
     )
-    if demand.gap_target_ms:
+    bears_ms = demand.gap_target_ms
+    if bears_ms and not candidate.is_safe(bears_ms):
         # Reads are taken to go on coming as they did.
         to_come = candidate.long_reads
-        late += speed.held_up_share(to_come, demand.gap_target_ms)
+        late += speed.held_up_share(to_come, bears_ms)
     return late
 
 
--- a/wingfall/gateway/rules/placement/shortlist.py
+++ b/wingfall/gateway/rules/placement/shortlist.py
@@ -24,7 +24,7 @@
 _MOST_WEIGHED: Final = 8
 # Tokens of a prompt that is short: about two pieces that an engine reads at
 # once, so that it holds nothing up for long.
-_SHORT_PROMPT_TOKENS: Final = 4096
+SHORT_PROMPT_TOKENS: Final = 4096
 # Endpoints that are drawn for a long prompt, and for a short one or a plain
 # request.
 _DRAWN_LONG: Final = 6
@@ -40,7 +40,7 @@
     :param prompt_tokens: length of its prompt, 0 without one.
     :returns: how many.
     """
-    long = prompt_tokens > _SHORT_PROMPT_TOKENS
+    long = prompt_tokens > SHORT_PROMPT_TOKENS
     return _DRAWN_LONG if long else _DRAWN_SHORT
 
 
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -95,6 +95,7 @@
             clock=clock,
             knowledge=knowledge,
             parts_pool=policies.engine_groups,
+            metrics=metrics,
         )
         # The configuration in force; only the object applier replaces it.
         self.routes: Routes | None = None
--- a/wingfall/gateway/status.py
+++ b/wingfall/gateway/status.py
@@ -38,5 +38,6 @@
         'limited_endpoints': state.gate.status(),
         'leaving_endpoints': sorted(signals.leaving),
         'resting_endpoints': signals.rests.names,
+        'engine_groups': state.kept_engines.status(),
         'duties': duties,
     }
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -65,6 +65,7 @@
     int,
     list,
     list,
+    list,
 )
 class GatewayHeartbeat(Message):
     """What a gateway tells its peers some times a second."""
@@ -88,6 +89,7 @@
         'signal_sum',
         'readings',
         'work',
+        'gaps',
     )
 
     def __init__(
@@ -111,6 +113,7 @@
         signal_sum: int = -1,
         readings: list[list[Any]] | None = None,
         work: list[list[Any]] | None = None,
+        gaps: list[list[Any]] | None = None,
     ) -> None:
         """Tell the state.
 
@@ -152,6 +155,8 @@
             tenths of a token a millisecond, one number a reading.
         :param work: work that customers were given since the last heartbeat:
             name of the pool, name of the customer, tokens.
+        :param gaps: the longest gaps of streams beside reads that never ended:
+            name of the engine, then milliseconds, one number a stream.
         """
         self.revisions = revisions
         self.loads = loads
@@ -171,10 +176,11 @@
         self.signal_sum = signal_sum
         self.readings = readings or []
         self.work = work or []
+        self.gaps = gaps or []
 
 
 @final
-@message(54, str, list, list, bool, list, list, list)
+@message(54, str, list, list, bool, list, list, list, list)
 class ZoneLoads(Message):
     """The work of all gateways of an availability zone."""
 
@@ -186,6 +192,7 @@
         'outcomes',
         'readings',
         'work',
+        'gaps',
     )
 
     def __init__(
@@ -198,6 +205,7 @@
         outcomes: list[list[Any]] | None = None,
         readings: list[list[Any]] | None = None,
         work: list[list[Any]] | None = None,
+        gaps: list[list[Any]] | None = None,
     ) -> None:
         """Tell the work.
 
@@ -208,6 +216,7 @@
         :param outcomes: how its requests ended, as in a heartbeat.
         :param readings: how fast engines read, as in a heartbeat.
         :param work: work that customers were given, as in a heartbeat.
+        :param gaps: gaps of streams beside reads, as in a heartbeat.
         """
         self.zone = zone
         self.loads = loads
@@ -216,3 +225,4 @@
         self.outcomes = outcomes or []
         self.readings = readings or []
         self.work = work or []
+        self.gaps = gaps or []
