--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -11,6 +11,7 @@
 from wingfall.gateway.knowledge.endpoint_health import EndpointHealth
 from wingfall.gateway.knowledge.endpoint_table import EndpointTable
 from wingfall.gateway.knowledge.engine_speeds import EngineSpeeds
+from wingfall.gateway.knowledge.full_gaps import FullGaps
 from wingfall.gateway.knowledge.load import LoadTable
 from wingfall.gateway.knowledge.prefix_caches import PrefixCaches
 from wingfall.gateway.knowledge.shared_rates import SharedRates
@@ -53,6 +54,7 @@
         self.rates = SharedRates(clock=clock)
         self.speeds = EngineSpeeds(rates=self.rates)
         self.customer_work = CustomerWork(clock=clock)
+        self.full_gaps = FullGaps(clock=clock)
         self.exchange = LoadExchange(
             name=name, zone=zone, clock=clock, knowledge=self
         )
--- a/wingfall/gateway/peers/heartbeat_writer.py
+++ b/wingfall/gateway/peers/heartbeat_writer.py
@@ -100,4 +100,5 @@
             signal_sum=self._news.signal_sum,
             readings=activity.readings,
             work=activity.work,
+            gaps=activity.gaps,
         )
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -253,6 +253,7 @@
                 outcomes=heartbeat.outcomes,
                 readings=heartbeat.readings,
                 work=heartbeat.work,
+                gaps=heartbeat.gaps,
             ),
             whole=heartbeat.whole,
         )
--- a/wingfall/gateway/status.py
+++ b/wingfall/gateway/status.py
@@ -42,5 +42,6 @@
         'resting_endpoints': signals.rests.names,
         'engine_rates': state.knowledge.speeds.shown_rates(),
         'start_errors': list_start_errors(state.knowledge.starts),
+        'engine_groups': state.kept_engines.status(),
         'duties': duties,
     }
