Admission by the pool's room and by customers' shares (policy.admission: fair)

Cause: a prompt was refused by the estimate of the one engine that placement chose, while other engines of the pool had less to read; customers were in no decision, so that one at many times its usual cost all others alike.

Change: with 'fair' (not the default) a prompt goes to another engine that begins in time, and is refused only if none does or its answer would end after its caller has left. Customers above their max-min fair share of what the pool has done meet a shorter bound, by what all gateways were asked and gave (in the heartbeats). Retry-After by tier and share, spread over a fifth.

--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -27,8 +27,10 @@
 from returns.result import Success
 
 from wingfall.clock import ManualClock
+from wingfall.gateway.calls.admission import admit_prompt
 from wingfall.gateway.calls.destination import choose_destination
 from wingfall.gateway.endpoints.sending_gate import SendingGate
+from wingfall.gateway.knowledge.customer_work import Work, prompt_work
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.knowledge.prefix_caches import SentPrompt
 from wingfall.gateway.model.attempt_end import AttemptEnd
@@ -37,10 +39,8 @@
 from wingfall.gateway.model.routes import CallerLimits, Pool, Routes
 from wingfall.gateway.peers.heartbeat_schedule import interval_ms
 from wingfall.gateway.peers.loads.load_exchange import LoadExchange
-from wingfall.gateway.rules.admission.early_refusal import (
-    StartEstimate,
-    admit_by_target,
-)
+from wingfall.gateway.rules.admission.early_refusal import admissions
+from wingfall.gateway.rules.admission.fair_shares import FairShares
 from wingfall.gateway.rules.admission.held_calls import HeldCalls
 from wingfall.gateway.rules.pacing.rate_share import share_among_few
 from wingfall.gateway.rules.placement.cache_transfer import copy_nothing
@@ -54,6 +54,7 @@
     RetryVerdict,
     judge_retry,
 )
+from wingfall.metrics import Metrics
 from wingfall.objects.request_class import Target
 
 if TYPE_CHECKING:
@@ -149,6 +150,7 @@
         kind: SimpleNamespace,
         gateway: ReplayedGateway,
         prompt: Prompt,
+        customer: str,
         now_ms: int,
     ) -> None:
         """Arrive.
@@ -156,6 +158,7 @@
         :param kind: what all prompts of its kind share.
         :param gateway: where it arrives.
         :param prompt: its prompt.
+        :param customer: whose it is.
         :param now_ms: the time.
         """
         self.kind = kind
@@ -166,9 +169,16 @@
         self.entry: Any = None
         self.call = SimpleNamespace(
             head=SimpleNamespace(prompt=prompt),
+            call_id='',
+            asked=False,
+            customer=SimpleNamespace(name=customer),
+            customer_name=customer,
+            deadline_ms=now_ms + kind.deadline_ms,
             priority=0,
             body=b'',
             route=SimpleNamespace(
+                tier=0 if kind.urgent else 1,
+                target_ms=kind.target_ms,
                 target=Target(
                     first_token_ms=kind.target_ms,
                     token_gap_ms=kind.gap_ms,
@@ -188,11 +198,14 @@
 class ReplayedGateway:
     """What one gateway knows, and what it tells the others."""
 
-    def __init__(self, *, name: str, clock: ManualClock) -> None:
+    def __init__(
+        self, *, name: str, clock: ManualClock, admission: str
+    ) -> None:
         """Start without an endpoint.
 
         :param name: its name.
         :param clock: the time of all.
+        :param admission: name of the rule that admits prompts.
         """
         self.knowledge = EndpointKnowledge(clock=clock)
         self.session = SimpleNamespace(name=name, zone='a')
@@ -214,14 +227,17 @@
                 knowledge=self.knowledge,
                 parts_pool=keep_none,
             ),
+            fair_shares=FairShares(clock=clock, knowledge=self.knowledge),
+            metrics=Metrics(),
             policies=SimpleNamespace(
+                admission=admissions.find(admission).unwrap(),
                 placement=place_by_reading,
                 cache_transfer=copy_nothing,
                 stream_backup=back_up_nothing,
             ),
             routes=Routes(
                 version=1,
-                routes=(),
+                routes=tuple(map(_make_route, (0, 1))),
                 pools=[Pool(name=POOL, memory_tokens=521_575)],
                 customers=(),
                 limits=CallerLimits(),
@@ -238,16 +254,27 @@
     of the names of engines in sets.
     """
 
-    def __init__(self, *, pattern: dict[str, Any], seed: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        pattern: dict[str, Any],
+        seed: int = 1,
+        admission: str = 'target',
+    ) -> None:
         """Set gateways and engines up.
 
         :param pattern: what a file under ``tests/patterns`` says.
         :param seed: of all draws, also those of the rules.
+        :param admission: name of the rule that admits prompts.
         """
         random.seed(seed)
         self.clock = ManualClock(start_ms=0)
         # How many calls of each kind ended how.
         self.ends: dict[str, collections.Counter[str]] = {}
+        # The same of each customer.
+        self.customers: dict[str, collections.Counter[str]] = (
+            collections.defaultdict(collections.Counter)
+        )
         # How many calls each engine was sent.
         self.sent: collections.Counter[str] = collections.Counter()
         self._pattern = SimpleNamespace(**pattern)
@@ -255,7 +282,9 @@
         self._due: list[tuple[int, int, Callable[[], None]]] = []
         self._engines: dict[str, Engine] = {}
         self._gateways = [
-            ReplayedGateway(name=f'g-{number}', clock=self.clock)
+            ReplayedGateway(
+                name=f'g-{number}', clock=self.clock, admission=admission
+            )
             for number in range(self._pattern.gateways)
         ]
 
@@ -321,6 +350,7 @@
             kind=kind,
             gateway=random.choice(self._gateways),
             prompt=Prompt(parts=(shared, own), output_tokens=100),
+            customer=_draw_customer(kind),
             now_ms=self.clock.now_ms(),
         )
         self._place(call)
@@ -332,21 +362,15 @@
         )
         if destination is None:
             self._end(call, 'no_endpoint')
-        elif self._is_refused(call, destination):
-            self._end(call, 'too_late')
         else:
-            self._send(call, destination)
-
-    def _is_refused(self, call: ReplayedCall, to: Destination) -> bool:
-        kind = call.kind
-        waited_ms = self.clock.now_ms() - call.arrived_ms
-        estimate = StartEstimate(
-            start_ms=to.start_ms,
-            target_ms=kind.target_ms,
-            left_ms=kind.deadline_ms - waited_ms,
-            urgent=kind.urgent,
-        )
-        return not isinstance(admit_by_target(estimate), Success)
+            self._admit(call, destination)
+
+    def _admit(self, call: ReplayedCall, to: Destination) -> None:
+        admitted = admit_prompt(call.gateway.state, call.call, POOL, to)
+        if isinstance(admitted, Success):
+            self._send(call, admitted.unwrap())
+        else:
+            self._end(call, 'too_late')
 
     def _send(self, call: ReplayedCall, to: Destination) -> None:
         name = to.endpoint.name
@@ -357,11 +381,16 @@
             return
         knowledge = call.gateway.knowledge
         call.entry = knowledge.load.start(name, to.load)
-        knowledge.note_prompt_sent(name, to.load.reading_tokens)
+        unread = to.load.reading_tokens
+        knowledge.note_prompt_sent(name, unread)
+        given = prompt_work(unread, call.prompt.output_tokens)
+        knowledge.customer_work.note(
+            POOL, call.call.customer_name, Work(given=given)
+        )
         sent = SentPrompt(
             endpoint=name,
             parts=call.prompt.shared,
-            unread=to.load.reading_tokens,
+            unread=unread,
         )
         now_ms = self.clock.now_ms()
         knowledge.caches.note_sent(sent, now_ms + int(to.start_ms))
@@ -413,6 +442,7 @@
 
     def _end(self, call: ReplayedCall, end: str) -> None:
         self.ends[call.kind.name][end] += 1
+        self.customers[call.call.customer_name][end] += 1
 
     def _tell(self, gateway: ReplayedGateway) -> None:
         loads = gateway.exchange.take_loads(whole=False)
@@ -477,6 +507,17 @@
             self._after(_LISTED_MS, functools.partial(remove, engine.name))
 
 
+def _make_route(tier: int) -> SimpleNamespace:
+    pools = (SimpleNamespace(pool=POOL),)
+    return SimpleNamespace(host='', path_prefix='', tier=tier, pools=pools)
+
+
+def _draw_customer(kind: SimpleNamespace) -> str:
+    # Kinds without customers draw as they did before there were any.
+    customers = getattr(kind, 'customers', None)
+    return random.choice(customers) if customers else ''
+
+
 def read_pattern(path: pathlib.Path) -> dict[str, Any]:
     """Read a pattern.
 
--- /dev/null
+++ b/tests/test_customer_work.py
@@ -0,0 +1,76 @@
+"""What is known of the work of customers."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingfall.clock import ManualClock
+from wingfall.gateway.knowledge.customer_work import (
+    CustomerWork,
+    Work,
+    prompt_work,
+)
+
+POOL = 'engines'
+HALF_LIFE_MS = 2000
+MOST_CUSTOMERS = 15_000
+
+
+@pytest.fixture
+def work(clock: ManualClock) -> CustomerWork:
+    """Give what is known at the start."""
+    return CustomerWork(clock=clock)
+
+
+def asked(work: CustomerWork, customer: str) -> float:
+    """Tell what a customer asked."""
+    return work.read(POOL)[customer].asked
+
+
+def test_work_fades(work: CustomerWork, clock: ManualClock):
+    work.note(POOL, 'aker', Work(asked=4000, given=2000))
+    clock.advance(HALF_LIFE_MS)
+    work.note(POOL, 'aker', Work(asked=1000))
+    known = work.read(POOL)['aker']
+    assert known.asked == pytest.approx(3000)
+    assert known.given == pytest.approx(1000)
+
+
+def test_work_of_pools_is_apart(work: CustomerWork):
+    work.note(POOL, 'aker', Work(asked=4000))
+    assert not work.read('others')
+
+
+def test_answers_count_beside_what_is_read():
+    assert prompt_work(1000, 0) == 1000
+    assert prompt_work(1000, 200) > 1000 + 200
+
+
+def test_work_is_told_once(work: CustomerWork):
+    work.note(POOL, 'aker', Work(asked=4000))
+    work.note(POOL, 'aker', Work(given=2000.4))
+    assert work.take_untold() == [[POOL, 'aker', 4000, 2000]]
+    assert not work.take_untold()
+
+
+def test_work_that_was_told_is_not_told_again(work: CustomerWork):
+    work.take_from_peer(POOL, 'aker', 4000, 2000)
+    assert asked(work, 'aker') == 4000
+    assert not work.take_untold()
+
+
+def test_faded_customers_are_forgotten(work: CustomerWork, clock: ManualClock):
+    work.note(POOL, 'aker', Work(asked=4000))
+    for _half_life in range(30):
+        clock.advance(HALF_LIFE_MS)
+        work.note(POOL, 'bryn', Work(asked=4000))
+    assert list(work.read(POOL)) == ['bryn']
+    assert asked(work, 'bryn') == pytest.approx(8000, rel=0.01)
+
+
+def test_customers_are_bounded_and_the_largest_are_kept(work: CustomerWork):
+    work.note(POOL, 'aker', Work(asked=90_000))
+    for number in range(2 * MOST_CUSTOMERS):
+        work.note(POOL, f'customer-{number}', Work(asked=1000))
+        assert number % 1000 or len(work.read(POOL)) <= MOST_CUSTOMERS
+    assert asked(work, 'aker') == 90_000
--- /dev/null
+++ b/tests/test_fair_admission.py
@@ -0,0 +1,229 @@
+"""Which prompts are refused by the pool's room and their customer's share."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from returns.result import Success
+
+from tests.load_replay import POOL, ReplayedCall, ReplayedGateway
+from wingfall.clock import ManualClock
+from wingfall.errors import Refusal
+from wingfall.gateway.calls.admission import admit_prompt
+from wingfall.gateway.calls.destination import Destination, choose_among
+from wingfall.gateway.knowledge.customer_work import Work
+from wingfall.gateway.knowledge.load import EndpointLoad
+from wingfall.gateway.model.pool_endpoint import PoolEndpoint
+from wingfall.gateway.model.prompt import Prompt, PromptPart
+from wingfall.gateway.rules.admission.early_refusal import (
+    StartEstimate,
+    admit_fairly,
+    fair_bound_ms,
+    tell_reason,
+)
+from wingfall.gateway.rules.admission.retry_after import spread_ms
+
+TARGET_MS = 1200
+# Tokens that an unseen engine reads in a millisecond.
+RATE = 25
+PROMPT_TOKENS = 5000
+
+
+def estimate(start_ms: float, **changes: Any) -> StartEstimate:
+    """Make the estimate of a fresh prompt that isn't urgent."""
+    known = {
+        'target_ms': TARGET_MS,
+        'left_ms': 8000,
+        'urgent': False,
+        **changes,
+    }
+    return StartEstimate(start_ms=start_ms, **known)
+
+
+def admitted(start_ms: float, **changes: Any) -> bool:
+    """Tell whether a prompt is admitted."""
+    return isinstance(admit_fairly(estimate(start_ms, **changes)), Success)
+
+
+def retry_ms(start_ms: float, **changes: Any) -> int:
+    """Tell when a refused prompt may come back."""
+    return admit_fairly(estimate(start_ms, **changes)).failure()
+
+
+def test_customer_within_its_share_meets_the_whole_target():
+    assert admitted(TARGET_MS, use=0.3)
+    assert admitted(TARGET_MS, use=1)
+    assert not admitted(TARGET_MS + 1, use=1)
+
+
+def test_bound_is_shorter_the_further_above_the_share():
+    bounds = [fair_bound_ms(estimate(0, use=use)) for use in (1, 1.5, 2, 4, 40)]
+    assert bounds == [1200, 800, 600, 300, 300]
+
+
+def test_customer_above_its_share_is_served_while_engines_run_out_of_work():
+    assert admitted(700, use=10, alone_ms=650)
+    assert not admitted(800, use=10, alone_ms=650)
+    # Not beyond what all must meet.
+    assert not admitted(TARGET_MS + 10, use=10, alone_ms=TARGET_MS)
+
+
+def test_no_tier_is_behind_a_lower_one():
+    assert admitted(TARGET_MS, lowest=False, use=40)
+    assert not admitted(TARGET_MS + 1, lowest=False, use=40)
+
+
+def test_most_urgent_tier_is_refused_last():
+    assert admitted(4000, urgent=True)
+    assert not admitted(4000, urgent=True, use=4)
+    assert admitted(TARGET_MS, urgent=True, lowest=False, use=40)
+
+
+def test_prompt_that_would_end_after_its_caller_left_is_refused():
+    assert admitted(500, stream_ms=7500)
+    assert not admitted(500, stream_ms=7501)
+
+
+def test_reasons():
+    assert tell_reason(estimate(TARGET_MS + 1, use=2)) == 'no_room'
+    assert tell_reason(estimate(TARGET_MS, use=2)) == 'over_share'
+    assert tell_reason(estimate(500, stream_ms=9000)) == 'ends_late'
+
+
+def test_caller_may_come_back_when_half_of_the_target_is_left_to_read():
+    assert retry_ms(2000) == 1400
+
+
+def test_customer_above_its_share_comes_back_later():
+    # A queue of half of its bound, and as much longer as it is above its share.
+    assert retry_ms(2000, use=2) == 3400
+    assert retry_ms(2000, use=40, left_ms=5000) == 5000
+
+
+def test_callers_that_are_told_together_come_back_apart():
+    told = [spread_ms(1000, 8000, draw / 10) for draw in range(11)]
+    assert told[0] == 1000
+    assert told[-1] == 1200
+    assert len(set(told)) == 11
+
+
+def test_nobody_is_told_to_come_back_after_the_time_is_over():
+    told = [spread_ms(5000, 3000, draw) for draw in (0, 0.5, 1)]
+    assert len(set(told)) == 3
+    assert max(told) <= 3000
+
+
+class Pool:
+    """A gateway and four engines of its pool."""
+
+    def __init__(self, *, admission: str = 'fair') -> None:
+        """Start without work.
+
+        :param admission: name of the rule.
+        """
+        clock = ManualClock(start_ms=1000)
+        self.gateway = ReplayedGateway(
+            name='g', clock=clock, admission=admission
+        )
+        self.knowledge = self.gateway.knowledge
+        for name in ('e1', 'e2', 'e3', 'e4'):
+            self.knowledge.table.put(
+                PoolEndpoint(
+                    name=name,
+                    pool=POOL,
+                    host='h',
+                    port=1,
+                    zone='a',
+                    slots=64,
+                    draining=False,
+                )
+            )
+
+    def fill(self, wait_ms: int, *names: str) -> None:
+        """Have prompts wait at engines."""
+        for name in names:
+            load = EndpointLoad(running=1, reading_tokens=wait_ms * RATE)
+            self.knowledge.load.start(name, load)
+
+    def admit(self, customer: str = 'aker', chosen: str = 'e1') -> Any:
+        """Ask for a prompt that placement would send to one engine."""
+        part = PromptPart(part_id='own', tokens=PROMPT_TOKENS)
+        kind = SimpleNamespace(
+            target_ms=TARGET_MS, deadline_ms=8000, gap_ms=800, urgent=False
+        )
+        arrived = ReplayedCall(
+            kind=kind,
+            gateway=self.gateway,
+            prompt=Prompt(parts=(part,), output_tokens=100),
+            customer=customer,
+            now_ms=self.gateway.state.clock.now_ms(),
+        )
+        state, call = self.gateway.state, arrived.call
+        endpoint = self.knowledge.table.find(chosen)
+        destination = choose_among(state, call, POOL, [endpoint])
+        outcome = admit_prompt(state, call, POOL, destination)
+        return outcome.value_or(None) or outcome.failure()
+
+
+def engine(outcome: Destination) -> str:
+    """Name the engine that a prompt goes to."""
+    return outcome.endpoint.name
+
+
+def test_prompt_goes_to_an_engine_that_begins_in_time():
+    pool = Pool()
+    pool.fill(2000, 'e1', 'e2', 'e4')
+    assert engine(pool.admit(chosen='e1')) == 'e3'
+
+
+def test_chosen_engine_that_is_in_time_stays_chosen():
+    pool = Pool()
+    pool.fill(900, 'e1')
+    assert engine(pool.admit(chosen='e1')) == 'e1'
+
+
+def test_prompt_is_refused_only_if_no_engine_is_in_time():
+    pool = Pool()
+    pool.fill(2000, 'e1', 'e2', 'e4')
+    pool.fill(1100, 'e3')
+    refusal = pool.admit(chosen='e1')
+    assert isinstance(refusal, Refusal)
+    # By the engine that begins soonest: 1300 ms, half of the target less.
+    assert 700 <= refusal.retry_after_ms <= 840
+
+
+@pytest.mark.parametrize('admission', ['target', 'always'])
+def test_baselines_ask_no_other_engine(admission: str):
+    pool = Pool(admission=admission)
+    pool.fill(2000, 'e1')
+    outcome = pool.admit(chosen='e1')
+    assert isinstance(outcome, Refusal) == (admission == 'target')
+
+
+def test_engine_that_is_left_out_gives_no_room():
+    pool = Pool()
+    pool.fill(2000, 'e1', 'e2', 'e4')
+    pool.knowledge.health.note_unreachable('e3')
+    assert isinstance(pool.admit(chosen='e1'), Refusal)
+
+
+def test_customer_above_its_share_is_refused_where_others_are_not():
+    pool = Pool()
+    for customer, asked in (('hot', 1_200_000), ('bryn', 100_000)):
+        work = Work(asked=asked, given=asked / 2)
+        pool.knowledge.customer_work.note(POOL, customer, work)
+    pool.fill(700, 'e1', 'e2', 'e3', 'e4')
+    assert isinstance(pool.admit('hot'), Refusal)
+    assert isinstance(pool.admit('bryn'), Destination)
+
+
+def test_asked_work_is_counted_once_and_also_if_refused():
+    pool = Pool()
+    pool.fill(2000, 'e1', 'e2', 'e3', 'e4')
+    assert isinstance(pool.admit('hot'), Refusal)
+    (told,) = pool.knowledge.customer_work.take_untold()
+    assert told[:2] == [POOL, 'hot']
+    assert told[2] > PROMPT_TOKENS
+    assert told[3] == 0
--- a/tests/test_load_replay.py
+++ b/tests/test_load_replay.py
@@ -3,20 +3,25 @@
 from __future__ import annotations
 
 import pathlib
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from tests.load_replay import LoadReplay, read_pattern
 
 if TYPE_CHECKING:
-    from collections import Counter
+    from typing import Any
 
 PATTERNS = pathlib.Path(__file__).parent / 'patterns'
 
 
+def read(name: str) -> dict[str, Any]:
+    """Read a pattern."""
+    return read_pattern(PATTERNS / f'{name}.yaml')
+
+
 def replay(name: str, seed: int = 1) -> LoadReplay:
     """Play a pattern."""
-    path = PATTERNS / f'{name}.yaml'
-    return LoadReplay(pattern=read_pattern(path), seed=seed).run()
+    return LoadReplay(pattern=read(name), seed=seed).run()
 
 
 def share(ends: Counter[str], end: str) -> float:
@@ -55,3 +60,27 @@
     # up after four engines that take no connection, 2 in 100 are.
     assert share(played.ends['long'], 'late') < 3
     assert not played.count('no_endpoint')
+
+
+def share_of_others(admission: str, *, hot: bool) -> tuple[float, int]:
+    """Tell how many in 100 of the others are in target, and how many of all."""
+    pattern = read('hot-customer-beside-burst')
+    pattern['kinds'] = [
+        each for each in pattern['kinds'] if hot or each['name'] != 'hot'
+    ]
+    played = LoadReplay(pattern=pattern, admission=admission).run()
+    others: Counter[str] = Counter()
+    for customer, ends in played.customers.items():
+        if customer != 'hot':
+            others.update(ends)
+    return share(others, 'in target'), played.count('in target')
+
+
+def test_hot_customer_takes_nothing_from_others():
+    alone, _served = share_of_others('fair', hot=False)
+    beside, served = share_of_others('fair', hot=True)
+    # By targets alone others fall from 99 in 100 to 87.
+    assert beside > alone - 3
+    # Nor does it cost service: what others gain, the hot one has lost.
+    _others, served_by_target = share_of_others('target', hot=True)
+    assert served > served_by_target * 0.97
--- a/wingfall/gateway/calls/admission.py
+++ b/wingfall/gateway/calls/admission.py
@@ -2,18 +2,31 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import random
+from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure, Result, Success
 
-from wingfall.gateway.rules.admission.early_refusal import StartEstimate
+from wingfall.gateway.calls.pool_room import (
+    PoolRoom,
+    estimate_start,
+    find_room,
+    take_room,
+)
+from wingfall.gateway.knowledge.customer_work import Work, prompt_work
+from wingfall.gateway.rules.admission.early_refusal import (
+    MOST_OVER_SHARE,
+    tell_reason,
+)
 from wingfall.gateway.rules.admission.refusals import refuse_early
+from wingfall.gateway.rules.admission.retry_after import spread_ms
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
     from wingfall.errors import Refusal
     from wingfall.gateway.calls.destination import Destination
     from wingfall.gateway.model.call import Call
+    from wingfall.gateway.rules.admission.early_refusal import StartEstimate
     from wingfall.gateway.state import GatewayState
 
 
@@ -31,29 +44,97 @@
     :param destination: where it is to go.
     :returns: where it goes, or the refusal that answers it.
     """
-    routes = state.routes
-    if call.head.prompt is None or routes is None:
+    if call.head.prompt is None or state.routes is None:
         return Success(destination)
-    estimate = StartEstimate(
-        start_ms=state.knowledge.starts.expected_ms(
-            pool, call.priority, destination.start_ms
-        ),
-        target_ms=call.route.target_ms,
-        left_ms=call.deadline_ms - state.clock.now_ms(),
-        urgent=call.route.tier <= routes.most_urgent(pool),
-    )
+    _note_asked(state, call, destination)
+    if state.policies.admission.weighs_pool:
+        return _admit_to_pool(state, call, pool, destination)
+    estimate = estimate_start(state, call, destination)
     admitted = state.policies.admission(estimate)
     if isinstance(admitted, Success):
         return Success(destination)
+    _log_refusal(call, destination, estimate)
+    return Failure(refuse_early(admitted.failure()))
+
+
+def _admit_to_pool(
+    state: GatewayState,
+    call: Call,
+    pool: str,
+    chosen: Destination,
+) -> Result[Destination, Refusal]:
+    admission = state.policies.admission
+    # What is in time for customers far above their shares is so for all.
+    estimate = estimate_start(state, call, chosen, MOST_OVER_SHARE)
+    if isinstance(admission(estimate), Success):
+        return Success(chosen)
+    use = state.fair_shares.find(pool).use(call.customer_name)
+    estimate = estimate_start(state, call, chosen, use)
+    if isinstance(admission(estimate), Success):
+        return Success(chosen)
+    room = find_room(state, call, chosen, admission, use)
+    if room.in_time:
+        _count(state, 'other_engine')
+        return Success(take_room(state, call, pool, room))
+    return Failure(_refuse(state, call, pool, room, use))
+
+
+def _refuse(
+    state: GatewayState, call: Call, pool: str, room: PoolRoom, use: float
+) -> Refusal:
+    estimate = estimate_start(state, call, room.soonest, use)
+    reason = tell_reason(estimate)
+    _count(state, reason)
+    shares = state.fair_shares.find(pool)
+    _log_refusal(
+        call,
+        room.soonest,
+        estimate,
+        pool=pool,
+        reason=reason,
+        use=round(use, 2),
+        share_age_ms=state.clock.now_ms() - shares.worked_out_ms,
+        estimate_age_ms=state.knowledge.first_event_age_ms(pool),
+        engines=room.engines,
+    )
+    retry_ms = state.policies.admission(estimate).swap().value_or(0)
+    draw = random.random()  # noqa: S311
+    return refuse_early(spread_ms(retry_ms, estimate.left_ms, draw))
+
+
+def _note_asked(
+    state: GatewayState, call: Call, destination: Destination
+) -> None:
+    prompt = call.head.prompt
+    if call.asked or prompt is None:
+        return
+    call.asked = True
+    unread = destination.load.reading_tokens
+    asked = prompt_work(unread, prompt.output_tokens)
+    state.knowledge.customer_work.note(
+        destination.endpoint.pool, call.customer_name, Work(asked=asked)
+    )
+
+
+def _count(state: GatewayState, reason: str) -> None:
+    state.metrics.decisions.inc({'part': 'admission', 'reason': reason})
+
+
+def _log_refusal(
+    call: Call,
+    soonest: Destination,
+    estimate: StartEstimate,
+    **further: Any,
+) -> None:
     log_event(
         'admission',
         'A prompt would start too late.',
         call=call.call_id,
         customer=call.customer.name if call.customer else None,
-        endpoint=destination.endpoint.name,
-        reading=destination.candidate.reading_tokens,
+        endpoint=soonest.endpoint.name,
+        reading=soonest.candidate.reading_tokens,
         start_ms=int(estimate.start_ms),
         target_ms=estimate.target_ms,
         left_ms=estimate.left_ms,
+        **further,
     )
-    return Failure(refuse_early(admitted.failure()))
--- a/wingfall/gateway/calls/destination.py
+++ b/wingfall/gateway/calls/destination.py
@@ -6,27 +6,26 @@
 
 from __future__ import annotations
 
-import functools
 import random
-from typing import TYPE_CHECKING, Callable, Final, final
+from typing import TYPE_CHECKING, Final, final
 
+from wingfall.gateway.calls.open_endpoints import (
+    describe_demand,
+    list_weighed,
+)
 from wingfall.gateway.knowledge.load import EndpointLoad
 from wingfall.gateway.rules.placement.cache_transfer import copied_tokens
-from wingfall.gateway.rules.placement.candidate import Candidate, Demand
-from wingfall.gateway.rules.placement.shortlist import (
-    count_drawn,
-    is_weighed_whole,
-    list_sound,
-    prefer_sound,
-    shorten,
-)
+from wingfall.gateway.rules.placement.candidate import Candidate
 from wingfall.gateway.rules.placement.stream_backup import choose_backup
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.model.prompt import Prompt
     from wingfall.gateway.model.routes import Pool
+    from wingfall.gateway.rules.placement.candidate import Demand
     from wingfall.gateway.state import GatewayState
 
 # What peers sent an engine in the last tenths of a second is not known yet, so
@@ -95,13 +94,33 @@
     :param avoided: endpoints that it was sent to before.
     :returns: the destination, None if the pool has no endpoint left.
     """
-    weighed = _endpoints_to_weigh(state, call, pool, avoided)
-    if not weighed:
-        return None
-    listed = {each.name: each for each in weighed}
+    weighed = list_weighed(state, call, pool, avoided)
+    return choose_among(state, call, pool, weighed) if weighed else None
+
+
+def choose_among(
+    state: GatewayState,
+    call: Call,
+    pool: str,
+    weighed: list[PoolEndpoint],
+    sources: Sequence[PoolEndpoint] = (),
+) -> Destination:
+    """Choose one of some endpoints.
+
+    :param state: what the gateway knows.
+    :param call: the call.
+    :param pool: name of its pool.
+    :param weighed: the endpoints, at least one.
+    :param sources: others that parts of the prompt may be copied from.
+    :returns: the destination.
+    """
+    listed = {each.name: each for each in (*weighed, *sources)}
     demand = describe_demand(call)
-    candidates = [describe_endpoint(state, call, each) for each in weighed]
-    source = _offer_copies(state, call, pool, candidates)
+    described = [
+        describe_endpoint(state, call, each) for each in listed.values()
+    ]
+    source = _offer_copies(state, call, pool, described)
+    candidates = described[: len(weighed)]
     chosen = state.policies.placement(demand, candidates)
     candidates.remove(chosen)
     backup = _choose_backup(state, call, pool, demand, candidates)
@@ -154,27 +173,6 @@
     )
 
 
-def describe_demand(call: Call) -> Demand:
-    """Collect what a call asks of an endpoint.
-
-    :param call: the call.
-    :returns: the inputs of the rules.
-    """
-    prompt = call.head.prompt
-    if prompt is None:
-        return Demand(body_bytes=len(call.body))
-    target = call.route.target
-    return Demand(
-        is_prompt=True,
-        tokens=prompt.tokens,
-        shared_tokens=sum(part.tokens for part in prompt.shared),
-        output_tokens=prompt.output_tokens,
-        start_target_ms=target.first_token_ms,
-        gap_target_ms=target.token_gap_ms,
-        body_bytes=len(call.body),
-    )
-
-
 def added_load(
     prompt: Prompt | None,
     demand: Demand,
@@ -198,58 +196,6 @@
     )
 
 
-def _endpoints_to_weigh(
-    state: GatewayState,
-    call: Call,
-    pool: str,
-    avoided: set[str],
-) -> list[PoolEndpoint]:
-    usable = state.knowledge.table.usable(pool)
-    is_out = state.knowledge.health.is_out
-    is_held = _held_endpoints(state, call, pool)
-    prompt = call.head.prompt
-    if prompt is not None and state.routes is not None:
-        demand = describe_demand(call)
-        usable = state.kept_engines.narrow(state.routes, demand, usable)
-    drawn = count_drawn(prompt.tokens if prompt else 0)
-    if not is_weighed_whole(usable, drawn):
-        shortlist = shorten(usable, _endpoints_that_cache(state, call), drawn)
-        sound = list_sound(
-            shortlist,
-            avoided,
-            lambda name: is_out(name) or is_held(name),
-        )
-        if sound:
-            return sound
-    free = [each for each in usable if not is_held(each.name)]
-    return prefer_sound(free, avoided, is_out)
-
-
-def _held_endpoints(
-    state: GatewayState,
-    call: Call,
-    pool: str,
-) -> Callable[[str], bool]:
-    spared = state.held_calls.gives_way(
-        pool,
-        call.priority,
-        state.clock.now_ms(),
-    )
-    return functools.partial(state.gate.is_held, spared=spared)
-
-
-def _endpoints_that_cache(
-    state: GatewayState,
-    call: Call,
-) -> list[PoolEndpoint]:
-    prompt = call.head.prompt
-    if prompt is None:
-        return []
-    names = state.knowledge.caches.engines_with(prompt)
-    listed = map(state.knowledge.table.find, names)
-    return [endpoint for endpoint in listed if endpoint is not None]
-
-
 def _offer_copies(
     state: GatewayState,
     call: Call,
--- a/wingfall/gateway/calls/stream_continuation.py
+++ b/wingfall/gateway/calls/stream_continuation.py
@@ -11,9 +11,9 @@
 from wingfall.gateway.calls.destination import (
     Destination,
     added_load,
-    describe_demand,
     describe_endpoint,
 )
+from wingfall.gateway.calls.open_endpoints import describe_demand
 from wingfall.gateway.endpoints.endpoint_probe import refuses_connections
 from wingfall.gateway.model.attempt_end import AttemptEnd
 
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -31,6 +31,7 @@
 
     __slots__ = (
         '_clock',
+        '_first_events_ms',
         'caches',
         'crashes',
         'customer_work',
@@ -60,6 +61,8 @@
         :param starts: how estimates of first events are corrected.
         """
         self._clock = clock
+        # When the last first event of each pool came to this gateway.
+        self._first_events_ms: dict[str, int] = {}
         # Which there are, by the store.
         self.table = EndpointTable(clock=clock)
         # Which of their incarnations is the newest, by the store.
@@ -112,6 +115,22 @@
         read_ms = self.speed(name).read_ms(reading)
         return self._clock.now_ms() + int(read_ms)
 
+    def note_first_event(self, pool: str) -> None:
+        """Note that a first event has come, from which estimates learn.
+
+        :param pool: name of the pool.
+        """
+        self._first_events_ms[pool] = self._clock.now_ms()
+
+    def first_event_age_ms(self, pool: str) -> int | None:
+        """Tell how old the newest first event is that estimates rest on.
+
+        :param pool: name of the pool.
+        :returns: milliseconds, None if none has come.
+        """
+        came_ms = self._first_events_ms.get(pool)
+        return None if came_ms is None else self._clock.now_ms() - came_ms
+
     def note_failure(self, name: str) -> None:
         """Note an attempt at an endpoint that failed.
 
--- a/wingfall/gateway/model/call.py
+++ b/wingfall/gateway/model/call.py
@@ -77,6 +77,7 @@
 
     __slots__ = (
         'arrived_ms',
+        'asked',
         'begun',
         'body',
         'customer',
@@ -122,12 +123,19 @@
         self.priority = route.tier if priority is None else priority
         # Whether an endpoint is known to have begun to run it.
         self.begun = False
+        # Whether its work was counted as asked by its customer.
+        self.asked = False
 
     @property
     def call_id(self) -> str:
         """Id of the request, for logs."""
         return self.head.call_id
 
+    @property
+    def customer_name(self) -> str:
+        """Name of the customer, empty on public routes."""
+        return self.customer.name if self.customer else ''
+
     @property
     def idempotent(self) -> bool:
         """Whether it may be sent again though it may have run."""
--- a/wingfall/gateway/model/routes.py
+++ b/wingfall/gateway/model/routes.py
@@ -53,6 +53,7 @@
     __slots__ = (
         'backs_up',
         'copy_tokens_per_ms',
+        'event_tokens',
         'memory_tokens',
         'name',
     )
@@ -64,6 +65,7 @@
         memory_tokens: int = 0,
         copy_tokens_per_ms: float = 0,
         backs_up: bool = False,
+        event_tokens: int = 0,
     ) -> None:
         """Describe a pool.
 
@@ -73,11 +75,14 @@
         :param copy_tokens_per_ms: kept tokens that engines copy from each
             other in a millisecond, 0 if they don't.
         :param backs_up: whether engines keep copies of each other's runs.
+        :param event_tokens: tokens of an answer that come with one event of
+            its stream, 0 if unknown.
         """
         self.name = name
         self.memory_tokens = memory_tokens
         self.copy_tokens_per_ms = copy_tokens_per_ms
         self.backs_up = backs_up
+        self.event_tokens = event_tokens
 
 
 @final
@@ -196,7 +201,7 @@
     __slots__ = (
         '_by_host',
         '_by_key',
-        '_urgent',
+        '_tiers',
         'customers',
         'limits',
         'pools',
@@ -230,7 +235,7 @@
         # Tiers of all routes, ascending, each once.
         self.tiers = tuple(sorted({route.tier for route in routes}))
         self._by_host = _index_hosts(routes)
-        self._urgent = _index_tiers(routes)
+        self._tiers = _index_tiers(routes)
         self._by_key = {
             key_hash: customer
             for customer in customers
@@ -249,13 +254,13 @@
                 return route
         return None
 
-    def most_urgent(self, pool: str) -> int:
-        """Tell the tier of a pool that goes before all others.
+    def tiers_of(self, pool: str) -> tuple[int, ...]:
+        """Tell the tiers whose requests go to a pool.
 
         :param pool: its name.
-        :returns: the tier.
+        :returns: the tiers, the one that goes before all others first.
         """
-        return self._urgent.get(pool, 0)
+        return self._tiers.get(pool, (0,))
 
     def find_customer(self, key: str) -> GatewayCustomer | None:
         """Find who holds an API key.
@@ -275,13 +280,12 @@
     return by_host
 
 
-def _index_tiers(routes: tuple[Route, ...]) -> dict[str, int]:
-    urgent: dict[str, int] = {}
+def _index_tiers(routes: tuple[Route, ...]) -> dict[str, tuple[int, ...]]:
+    tiers: dict[str, set[int]] = {}
     for route in routes:
         for entry in route.pools:
-            known = urgent.get(entry.pool, route.tier)
-            urgent[entry.pool] = min(known, route.tier)
-    return urgent
+            tiers.setdefault(entry.pool, set()).add(route.tier)
+    return {pool: tuple(sorted(known)) for pool, known in tiers.items()}
 
 
 def _prefix_length(route: Route) -> int:
--- a/wingfall/gateway/peers/loads/load_entries.py
+++ b/wingfall/gateway/peers/loads/load_entries.py
@@ -41,7 +41,7 @@
         :param sent: prompts that were sent, as in a heartbeat.
         :param outcomes: how requests ended, as in a heartbeat.
         :param readings: how fast engines read, as in a heartbeat.
-        :param work: work that customers were given, as in a heartbeat.
+        :param work: work of customers, as in a heartbeat.
         """
         self.sent = sent or []
         self.outcomes = outcomes or []
@@ -130,8 +130,9 @@
     _note_sent(activity, knowledge)
     for engine, *rates in activity.readings:
         knowledge.take_readings(engine, rates)
-    for pool, customer, tokens in activity.work:
-        knowledge.customer_work.take_from_peer(pool, customer, tokens)
+    # Fields that later versions add at the end are passed over.
+    for pool, customer, asked, given, *_later in activity.work:
+        knowledge.customer_work.take_from_peer(pool, customer, asked, given)
 
 
 def _note_outcomes(activity: Activity, knowledge: EndpointKnowledge) -> None:
--- a/wingfall/gateway/rules/admission/early_refusal.py
+++ b/wingfall/gateway/rules/admission/early_refusal.py
@@ -19,13 +19,30 @@
 # time that its callers wait: no tier goes before it, and those of lower tiers
 # that start meanwhile must not be served instead.
 _URGENT_PART: Final = 0.5
+# Multiple of its fair share from which on a customer's prompts meet the
+# shortest bound, that part of their tier's: as a queue grows, they are refused
+# long before it is too long for customers within their shares.
+MOST_OVER_SHARE: Final = 4
+# Milliseconds of work that engines hold before anybody is refused for a share.
+# Gateways hear a tenth of a second late that a prompt was read, so that an
+# engine with less runs out of work while prompts are refused.
+_KEPT_BUSY_MS: Final = 100
 
 
 @final
 class StartEstimate:
     """When a prompt would start, beside what its caller asks for."""
 
-    __slots__ = ('left_ms', 'start_ms', 'target_ms', 'urgent')
+    __slots__ = (
+        'alone_ms',
+        'left_ms',
+        'lowest',
+        'start_ms',
+        'stream_ms',
+        'target_ms',
+        'urgent',
+        'use',
+    )
 
     def __init__(
         self,
@@ -34,6 +51,10 @@
         target_ms: int,
         left_ms: int,
         urgent: bool,
+        lowest: bool = True,
+        alone_ms: float = 0,
+        stream_ms: float = 0,
+        use: float = 1,
     ) -> None:
         """Describe a prompt.
 
@@ -41,28 +62,81 @@
         :param target_ms: when it should.
         :param left_ms: how long its caller waits.
         :param urgent: whether no other tier of the pool goes before it.
+        :param lowest: whether it goes before no other tier of the pool.
+        :param alone_ms: when its answer would begin if nothing waited before
+            it.
+        :param stream_ms: from its start to the end of its answer.
+        :param use: what its customer uses as a multiple of its fair share.
         """
         self.start_ms = start_ms
         self.target_ms = target_ms
         self.left_ms = left_ms
         self.urgent = urgent
+        self.lowest = lowest
+        self.alone_ms = alone_ms
+        self.stream_ms = stream_ms
+        self.use = use
+
+
+Judgement = Callable[[StartEstimate], Result[None, int]]
+
+
+@final
+class Admission:
+    """A rule that admits prompts, and what it has to be told."""
+
+    __slots__ = ('_judge', 'weighs_pool')
+
+    def __init__(self, *, judge: Judgement, weighs_pool: bool) -> None:
+        """Describe a rule.
+
+        :param judge: admits a prompt at one engine or refuses it there.
+        :param weighs_pool: whether it is asked for each engine of the pool
+            before a prompt is refused, and told what customers use.
+        """
+        self._judge = judge
+        self.weighs_pool = weighs_pool
+
+    def __call__(self, estimate: StartEstimate) -> Result[None, int]:
+        """Admit a prompt at one engine or refuse it there.
+
+        :param estimate: the prompt.
+        :returns: nothing, or after how many milliseconds to ask again.
+        """
+        return self._judge(estimate)
 
 
-Admission = Callable[[StartEstimate], Result[None, int]]
 admissions: Final[Registry[Admission]] = Registry(kind='admission')
 
 
-@admissions.register('target')
+def register_admission(
+    name: str,
+    *,
+    weighs_pool: bool = False,
+) -> Callable[[Judgement], Judgement]:
+    """Register the decorated function as an admission.
+
+    :param name: the name that the settings use.
+    :param weighs_pool: see :class:`Admission`.
+    :returns: a decorator that gives its argument back.
+    """
+
+    def decorate(judge: Judgement) -> Judgement:
+        admission = Admission(judge=judge, weighs_pool=weighs_pool)
+        admissions.register(name)(admission)
+        return judge
+
+    return decorate
+
+
+@register_admission('target')
 def admit_by_target(estimate: StartEstimate) -> Result[None, int]:
     """Refuse what would start after its target.
 
     :param estimate: the prompt.
     :returns: nothing, or after how many milliseconds to ask again.
     """
-    bound_ms: float = estimate.target_ms
-    if estimate.urgent:
-        bound_ms = max(bound_ms, estimate.left_ms * _URGENT_PART)
-    if estimate.start_ms <= bound_ms:
+    if estimate.start_ms <= start_bound_ms(estimate):
         return Success(None)
     return Failure(
         retry_after_queue_ms(
@@ -73,7 +147,65 @@
     )
 
 
-@admissions.register('always')
+def start_bound_ms(estimate: StartEstimate) -> float:
+    """Tell when a prompt of its tier must start at the latest.
+
+    :param estimate: the prompt.
+    :returns: milliseconds from now.
+    """
+    if estimate.urgent:
+        return max(estimate.target_ms, estimate.left_ms * _URGENT_PART)
+    return estimate.target_ms
+
+
+@register_admission('fair', weighs_pool=True)
+def admit_fairly(estimate: StartEstimate) -> Result[None, int]:
+    """Refuse what would start or end too late by its customer's share.
+
+    :param estimate: the prompt.
+    :returns: nothing, or after how many milliseconds to ask again.
+    """
+    end_ms = estimate.start_ms + estimate.stream_ms
+    in_time = end_ms <= estimate.left_ms
+    if in_time and estimate.start_ms <= fair_bound_ms(estimate):
+        return Success(None)
+    over = _over_share(estimate)
+    retry_ms = retry_after_queue_ms(
+        estimate.start_ms, estimate.target_ms / over, estimate.left_ms
+    )
+    # Of a customer at so many times its share one prompt in so many has room.
+    return Failure(int(min(retry_ms * over, estimate.left_ms)))
+
+
+def fair_bound_ms(estimate: StartEstimate) -> float:
+    """Tell when a prompt must start at the latest by its customer's share.
+
+    :param estimate: the prompt.
+    :returns: milliseconds from now.
+    """
+    whole_ms = start_bound_ms(estimate)
+    bound_ms = whole_ms / _over_share(estimate)
+    if not estimate.lowest:
+        # No tier is refused for a lower one, whoever asks.
+        bound_ms = max(bound_ms, estimate.target_ms)
+    return max(bound_ms, min(whole_ms, estimate.alone_ms + _KEPT_BUSY_MS))
+
+
+def tell_reason(estimate: StartEstimate) -> str:
+    """Tell why a prompt is refused by :func:`admit_fairly`.
+
+    :param estimate: the prompt where it would start first.
+    :returns: ``ends_late``, ``over_share`` if other customers' prompts would be
+        admitted, or ``no_room``.
+    """
+    if estimate.start_ms > start_bound_ms(estimate):
+        return 'no_room'
+    if estimate.start_ms > fair_bound_ms(estimate):
+        return 'over_share'
+    return 'ends_late'
+
+
+@register_admission('always')
 def admit_always(estimate: StartEstimate) -> Result[None, int]:
     """Refuse nothing, as the baseline.
 
@@ -81,3 +213,7 @@
     :returns: nothing.
     """
     return Success(None)
+
+
+def _over_share(estimate: StartEstimate) -> float:
+    return min(MOST_OVER_SHARE, max(1, estimate.use))
--- a/wingfall/gateway/rules/admission/retry_after.py
+++ b/wingfall/gateway/rules/admission/retry_after.py
@@ -15,6 +15,9 @@
 # Of the target: the call starts by then if the estimate is right, so that the
 # estimate may be wrong by as much again.
 _TARGET_PART: Final = 0.5
+# Part by which such times are spread, so that those who were refused together
+# don't come back together.
+_SPREAD_PART: Final = 0.2
 # Where nothing is known: a caller that comes back still has three quarters of
 # its time.
 _LEFT_DIVISOR: Final = 4
@@ -24,7 +27,9 @@
 _MAX_UNKNOWN_RETRY_MS: Final = 1000
 
 
-def retry_after_queue_ms(start_ms: float, target_ms: int, left_ms: int) -> int:
+def retry_after_queue_ms(
+    start_ms: float, target_ms: float, left_ms: int
+) -> int:
     """Tell when an engine's queue will be short enough.
 
     :param start_ms: milliseconds until the call would start there.
@@ -36,6 +41,18 @@
     return int(max(_MIN_QUEUE_RETRY_MS, min(over_ms, left_ms)))
 
 
+def spread_ms(retry_ms: int, left_ms: int, draw: float) -> int:
+    """Spread the times at which callers come back.
+
+    :param retry_ms: milliseconds until the queue is short enough.
+    :param left_ms: milliseconds that the caller still waits.
+    :param draw: a random number from 0 to 1.
+    :returns: milliseconds to wait, not more than are left.
+    """
+    earliest_ms = min(retry_ms, left_ms / (1 + _SPREAD_PART))
+    return int(earliest_ms * (1 + _SPREAD_PART * draw))
+
+
 def retry_after_unknown_ms(left_ms: int) -> int:
     """Tell when to come back where no endpoint takes the call.
 
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING, final
 
+from wingfall.gateway.rules.admission.fair_shares import FairShares
 from wingfall.gateway.rules.admission.held_calls import HeldCalls
 from wingfall.gateway.rules.placement.kept_engines import KeptEngines
 
@@ -37,6 +38,7 @@
         'connections',
         'crash_watch',
         'draining',
+        'fair_shares',
         'gate',
         'held_calls',
         'kept_engines',
@@ -90,6 +92,8 @@
         self.gate = gate
         # What callers were told when no endpoint of their pool took a request.
         self.held_calls = HeldCalls()
+        # How far customers are above their shares of pools.
+        self.fair_shares = FairShares(clock=clock, knowledge=knowledge)
         # Engines that are kept for streams with short gaps.
         self.kept_engines = KeptEngines(
             clock=clock,
--- a/wingfall/platform/documents.py
+++ b/wingfall/platform/documents.py
@@ -140,6 +140,7 @@
         memory_tokens=int(engine.get('kv_capacity_tokens', 0)),
         copy_tokens_per_ms=_read_copy_rate(engine),
         backs_up=bool(engine.get('backups')),
+        event_tokens=int(engine.get('stride') or 0),
     )
 
 
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -150,8 +150,9 @@
             these; -1 from a program that knows none.
         :param readings: how fast engines read lately: name of the engine, then
             tenths of a token a millisecond, one number a reading.
-        :param work: work that customers were given since the last heartbeat:
-            name of the pool, name of the customer, tokens.
+        :param work: work of customers since the last heartbeat: name of the
+            pool, name of the customer, tokens of all prompts that it asked
+            for, tokens of those that were sent to an engine.
         """
         self.revisions = revisions
         self.loads = loads
@@ -207,7 +208,7 @@
         :param whole: whether the zone has no work at other endpoints.
         :param outcomes: how its requests ended, as in a heartbeat.
         :param readings: how fast engines read, as in a heartbeat.
-        :param work: work that customers were given, as in a heartbeat.
+        :param work: work of customers, as in a heartbeat.
         """
         self.zone = zone
         self.loads = loads
