--- a/wingfall/gateway/calls/destination.py
+++ b/wingfall/gateway/calls/destination.py
@@ -6,27 +6,26 @@
 
 from __future__ import annotations
 
-import functools
 import random
-from typing import TYPE_CHECKING, Callable, Final, final
+from typing import TYPE_CHECKING, Final, final
 
+from wingfall.gateway.calls.open_endpoints import (
+    describe_demand,
+    list_weighed,
+)
 from wingfall.gateway.knowledge.load import EndpointLoad
 from wingfall.gateway.rules.placement.cache_transfer import copied_tokens
-from wingfall.gateway.rules.placement.candidate import Candidate, Demand
-from wingfall.gateway.rules.placement.shortlist import (
-    count_drawn,
-    is_weighed_whole,
-    list_sound,
-    prefer_sound,
-    shorten,
-)
+from wingfall.gateway.rules.placement.candidate import Candidate
 from wingfall.gateway.rules.placement.stream_backup import choose_backup
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.model.prompt import Prompt
     from wingfall.gateway.model.routes import Pool
+    from wingfall.gateway.rules.placement.candidate import Demand
     from wingfall.gateway.state import GatewayState
 
 # What peers sent an engine in the last tenths of a second is not known yet, so
@@ -94,13 +93,33 @@
     :param avoided: endpoints that it was sent to before.
     :returns: the destination, None if the pool has no endpoint left.
     """
-    weighed = _endpoints_to_weigh(state, call, pool, avoided)
-    if not weighed:
-        return None
-    listed = {each.name: each for each in weighed}
+    weighed = list_weighed(state, call, pool, avoided)
+    return choose_among(state, call, pool, weighed) if weighed else None
+
+
+def choose_among(
+    state: GatewayState,
+    call: Call,
+    pool: str,
+    weighed: list[PoolEndpoint],
+    sources: Sequence[PoolEndpoint] = (),
+) -> Destination:
+    """Choose one of some endpoints.
+
+    :param state: what the gateway knows.
+    :param call: the call.
+    :param pool: name of its pool.
+    :param weighed: the endpoints, at least one.
+    :param sources: others that parts of the prompt may be copied from.
+    :returns: the destination.
+    """
+    listed = {each.name: each for each in (*weighed, *sources)}
     demand = describe_demand(call)
-    candidates = [describe_endpoint(state, call, each) for each in weighed]
-    source = _offer_copies(state, call, pool, candidates)
+    described = [
+        describe_endpoint(state, call, each) for each in listed.values()
+    ]
+    source = _offer_copies(state, call, pool, described)
+    candidates = described[: len(weighed)]
     chosen = state.policies.placement(demand, candidates)
     candidates.remove(chosen)
     backup = _choose_backup(state, call, pool, demand, candidates)
@@ -156,27 +175,6 @@
     )
 
 
-def describe_demand(call: Call) -> Demand:
-    """Collect what a call asks of an endpoint.
-
-    :param call: the call.
-    :returns: the inputs of the rules.
-    """
-    prompt = call.head.prompt
-    if prompt is None:
-        return Demand(body_bytes=len(call.body))
-    target = call.route.target
-    return Demand(
-        is_prompt=True,
-        tokens=prompt.tokens,
-        shared_tokens=sum(part.tokens for part in prompt.shared),
-        output_tokens=prompt.output_tokens,
-        start_target_ms=target.first_token_ms,
-        gap_target_ms=target.token_gap_ms,
-        body_bytes=len(call.body),
-    )
-
-
 def added_load(
     prompt: Prompt | None,
     demand: Demand,
@@ -200,71 +198,6 @@
     )
 
 
-def _endpoints_to_weigh(
-    state: GatewayState,
-    call: Call,
-    pool: str,
-    avoided: set[str],
-) -> list[PoolEndpoint]:
-    is_out = state.knowledge.health.is_out
-    is_held = _held_endpoints(state, call, pool)
-    find_sound = functools.partial(
-        list_sound,
-        avoided=avoided,
-        is_out=lambda name: is_out(name) or is_held(name),
-    )
-    usable = _narrow_to_group(state, call, pool, find_sound)
-    prompt = call.head.prompt
-    drawn = count_drawn(prompt.tokens if prompt else 0)
-    if not is_weighed_whole(usable, drawn):
-        caching = _endpoints_that_cache(state, call, usable)
-        sound = find_sound(shorten(usable, caching, drawn))
-        if sound:
-            return sound
-    free = [each for each in usable if not is_held(each.name)]
-    return prefer_sound(free, avoided, is_out)
-
-
-def _narrow_to_group(
-    state: GatewayState,
-    call: Call,
-    pool: str,
-    find_sound: Callable[[list[PoolEndpoint]], list[PoolEndpoint]],
-) -> list[PoolEndpoint]:
-    listed = state.knowledge.table.usable(pool)
-    if call.head.prompt is None or state.routes is None:
-        return listed
-    demand = describe_demand(call)
-    group = state.kept_engines.narrow(state.routes, demand, listed)
-    # Where none of them can be used, the others serve the call.
-    return group if group is listed or find_sound(group) else listed
-
-
-def _held_endpoints(
-    state: GatewayState,
-    call: Call,
-    pool: str,
-) -> Callable[[str], bool]:
-    spared = state.held_calls.gives_way(
-        pool,
-        call.priority,
-        state.clock.now_ms(),
-    )
-    return functools.partial(state.gate.is_held, spared=spared)
-
-
-def _endpoints_that_cache(
-    state: GatewayState,
-    call: Call,
-    usable: list[PoolEndpoint],
-) -> list[PoolEndpoint]:
-    prompt = call.head.prompt
-    if prompt is None:
-        return []
-    names = state.knowledge.caches.engines_with(prompt)
-    return [endpoint for endpoint in usable if endpoint.name in names]
-
-
 def _offer_copies(
     state: GatewayState,
     call: Call,
--- a/wingfall/gateway/peers/loads/load_entries.py
+++ b/wingfall/gateway/peers/loads/load_entries.py
@@ -42,7 +42,7 @@
         :param sent: prompts that were sent, as in a heartbeat.
         :param outcomes: how requests ended, as in a heartbeat.
         :param readings: how fast engines read, as in a heartbeat.
-        :param work: work that customers were given, as in a heartbeat.
+        :param work: work of customers, as in a heartbeat.
         :param gaps: gaps of streams beside reads, as in a heartbeat.
         """
         self.sent = sent or []
@@ -137,8 +137,9 @@
         knowledge.take_readings(engine, rates)
     for name, *gaps_ms in activity.gaps:
         knowledge.take_gaps(name, gaps_ms)
-    for pool, customer, tokens in activity.work:
-        knowledge.customer_work.take_from_peer(pool, customer, tokens)
+    # Fields that later versions add at the end are passed over.
+    for pool, customer, asked, given, *_later in activity.work:
+        knowledge.customer_work.take_from_peer(pool, customer, asked, given)
 
 
 def only_seen(readings: Iterable[list[Any]]) -> list[list[Any]]:
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -154,8 +154,9 @@
         :param readings: how fast engines read lately: name of the engine, then
             tenths of a token a millisecond, one number a reading; below
             zero the rate that the sender believes, in a greeting.
-        :param work: work that customers were given since the last heartbeat:
-            name of the pool, name of the customer, tokens.
+        :param work: work of customers since the last heartbeat: name of the
+            pool, name of the customer, tokens of all prompts that it asked
+            for, tokens of those that were sent to an engine.
         :param gaps: the longest gaps of streams beside reads that never ended:
             name of the engine, then milliseconds, one number a stream.
         """
@@ -216,7 +217,7 @@
         :param whole: whether the zone has no work at other endpoints.
         :param outcomes: how its requests ended, as in a heartbeat.
         :param readings: how fast engines read, as in a heartbeat.
-        :param work: work that customers were given, as in a heartbeat.
+        :param work: work of customers, as in a heartbeat.
         :param gaps: gaps of streams beside reads, as in a heartbeat.
         """
         self.zone = zone
