A test of the crash whose sender is lost before it tells, red

Cause of the known red: at the third crash only a popular request was known, since the gateway that had sent the crashing request there was killed before it told; it alone explained three crashes. Ruled out: that good answers had spoken for it (the site was younger than one of its streams, so none had come). Measured: it fails; without the call of note_gateway_lost, which isn't there yet, it fails on its assertion too: the popular request is refused at once.

--- a/tests/test_request_blocks.py
+++ b/tests/test_request_blocks.py
@@ -10,6 +10,7 @@
 from wingfall.gateway.rules.crashes.request_blocks import RequestBlocks
 
 REQUEST = b'r'
+POPULAR = b'popular'
 FIRST_TRY_MS = 60_000
 SECOND_TRY_MS = 600_000
 
@@ -92,6 +93,48 @@
     assert blocks.find(b'was there too')
 
 
+def crash_with(
+    ledger: CrashLedger, clock: ManualClock, name: str, *requests: bytes
+) -> None:
+    """Let an endpoint crash while some requests are there."""
+    ledger.note_crash(
+        EndpointCrash(
+            endpoint=name,
+            crashed_ms=clock.now_ms(),
+            told_by='g1',
+            silent=requests,
+        )
+    )
+
+
+def crash_beside_a_lost_gateway(
+    ledger: CrashLedger, clock: ManualClock
+) -> None:
+    """Let three endpoints crash; at the third only a popular request is known.
+
+    The gateway that had sent the crashing request there is lost before it
+    tells. No endpoint has answered the popular request yet.
+    """
+    for name in ('e1', 'e2'):
+        crash_with(ledger, clock, name, REQUEST, POPULAR)
+        clock.advance(200)
+    crash_with(ledger, clock, 'e3', POPULAR)
+    clock.advance(40)
+    ledger.note_gateway_lost('g2')
+
+
+def test_crash_beside_a_lost_gateway_blames_nobody_before_a_good_answer(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    crash_beside_a_lost_gateway(ledger, clock)
+    assert blocks.find(POPULAR) is None
+    clock.advance(370)
+    assert blocks.find(POPULAR) is None
+    ledger.note_served(POPULAR)
+    clock.advance(1000)
+    assert blocks.find(POPULAR) is None
+
+
 def test_request_is_tried_once_after_a_minute(
     blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
 ):
