A crash beside which a gateway was lost doesn't decide alone for a second

Cause: what a gateway had at an endpoint that crashes isn't told if it is lost in that moment, so a popular request can be the only one known there; it was refused as the cause of three crashes for 0.37 s, until a good answer. Ruled out: waiting for a fourth crash (the popular request has it before the cause, which is known at one less, and would hide it); leaving such crashes out (a cause whose gateways are lost again and again would not be found). Change: a crash within 0.3 s of the loss of a gateway that has not told of it is incomplete. It counts, but not in the order of suspects; a block that needs it waits for a second from the crash that decides, whatever is lost later. A gateway that has just started does the same for crashes before its start. Not covered: gateways that are paused, requests that an endpoint begins after their gateway was lost. The sums of the ledger have a module of their own, behaviour unchanged.

--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -91,6 +91,25 @@
     wait_until(lambda: ledger_of(second).crashes)
 
 
+@pytest.mark.parametrize('planned', [False, True], ids=['lost', 'planned'])
+def test_crash_is_incomplete_if_a_gateway_ends_beside_it_without_a_word(
+    gateway_site: GatewaySite, *, planned: bool
+):
+    first = gateway_site.start_gateway()
+    second = gateway_site.start_gateway()
+    wait_until(lambda: first._peers.names and second._peers.names)
+    now_ms = first._clock.now_ms()
+    ledger_of(first).note_crash(crash('e1', at_ms=now_ms))
+    if planned:
+        second._state.draining = True
+        (session,) = first._peers._sessions.values()
+        wait_until(lambda: session.leaving)
+    second._peers.stop()
+    wait_until(lambda: not first._peers.names)
+    (known,) = ledger_of(first).crashes
+    assert known.incomplete is not planned
+
+
 def test_good_answer_is_told(gateway_site: GatewaySite):
     first = gateway_site.start_gateway()
     second = gateway_site.start_gateway()
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -176,3 +176,30 @@
         ledger.note_served(b'%d' % number)
     assert not ledger.served_ms
     assert len(ledger._recently_served_ms) == 2048
+
+
+@pytest.mark.parametrize(
+    ('lost_after_ms', 'incomplete'),
+    [(300, True), (301, False), (-300, True), (-301, False)],
+)
+def test_crash_beside_a_lost_gateway_is_incomplete(
+    clock: ManualClock, lost_after_ms: int, *, incomplete: bool
+):
+    ledger = CrashLedger(clock=clock)
+    if lost_after_ms < 0:
+        ledger.note_gateway_lost('g2')
+        clock.advance(-lost_after_ms)
+        note(ledger, clock, 'e1', b'a')
+    else:
+        note(ledger, clock, 'e1', b'a')
+        clock.advance(lost_after_ms)
+        ledger.note_gateway_lost('g2')
+    assert ledger.crashes[0].incomplete == incomplete
+
+
+def test_crash_that_the_lost_gateway_has_told_itself_is_complete(
+    ledger: CrashLedger, clock: ManualClock
+):
+    note(ledger, clock, 'e1', b'a')
+    ledger.note_gateway_lost('g1')
+    assert not ledger.crashes[0].incomplete
--- a/tests/test_request_blocks.py
+++ b/tests/test_request_blocks.py
@@ -135,6 +135,68 @@
     assert blocks.find(POPULAR) is None
 
 
+def test_cause_is_found_at_the_next_crash_after_one_beside_a_lost_gateway(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    crash_beside_a_lost_gateway(ledger, clock)
+    clock.advance(500)
+    crash_with(ledger, clock, 'e4', REQUEST, POPULAR)
+    clock.advance(150)
+    assert blocks.find(REQUEST) is None
+    crash_with(ledger, clock, 'e5', REQUEST)
+    assert blocks.find(REQUEST)
+    assert blocks.find(POPULAR) is None
+
+
+def test_cause_is_refused_though_its_gateways_are_lost_again_and_again(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    for name in ('e1', 'e2', 'e3'):
+        crash_with(ledger, clock, name, REQUEST)
+        ledger.note_gateway_lost('g2')
+        clock.advance(250)
+    assert blocks.find(REQUEST) is None
+    # Further such crashes do not put it off.
+    crash_with(ledger, clock, 'e4', REQUEST)
+    ledger.note_gateway_lost('g2')
+    clock.advance(750)
+    assert blocks.find(REQUEST)
+
+
+def test_requests_at_the_same_crashes_are_refused_though_gateways_are_lost(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    for name in ('e1', 'e2', 'e3'):
+        crash_with(ledger, clock, name, REQUEST, POPULAR)
+    for number in range(4):
+        assert blocks.find(REQUEST) is None
+        crash_with(ledger, clock, f'l{number}', REQUEST)
+        ledger.note_gateway_lost('g2')
+        clock.advance(250)
+    assert blocks.find(REQUEST)
+
+
+def test_gateway_that_started_after_the_crashes_waits_for_a_good_answer(
+    ledger: CrashLedger, clock: ManualClock
+):
+    # It can't tell which gateways were lost before its start.
+    crashed_ms = clock.now_ms()
+    clock.advance(400)
+    started = RequestBlocks(name='g2', clock=clock, ledger=ledger)
+    for name in ('e1', 'e2', 'e3'):
+        ledger.take_crash(
+            EndpointCrash(
+                endpoint=name,
+                crashed_ms=crashed_ms,
+                told_by='g1',
+                silent=[REQUEST],
+            )
+        )
+    assert started.find(REQUEST) is None
+    clock.advance(600)
+    assert started.find(REQUEST)
+
+
 def test_request_is_tried_once_after_a_minute(
     blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
 ):
--- a/wingfall/gateway/knowledge/crash_ledger.py
+++ b/wingfall/gateway/knowledge/crash_ledger.py
@@ -9,14 +9,14 @@
 
 from __future__ import annotations
 
-import collections
-import hashlib
 import itertools
 import random
 from typing import TYPE_CHECKING, Final, final
 
 from gevent.event import Event
 
+from wingfall.gateway.knowledge.crash_sums import CrashSums
+from wingfall.gateway.knowledge.lost_gateways import LostGateways
 from wingfall.gateway.model.endpoint_crash import EndpointCrash
 
 if TYPE_CHECKING:
@@ -43,8 +43,6 @@
 # At 50 answers a second that is 40 s of unlike requests; about 0.4 MB.
 _MOST_SERVED: Final = 2048
 _SERVED_MS: Final = 60_000
-# Bytes of the number that crashes are compared by.
-_SUM_BYTES: Final = 8
 
 
 @final
@@ -55,6 +53,7 @@
         '_clock',
         '_crashes',
         '_last_crash_ms',
+        '_lost',
         '_recently_served_ms',
         '_served_ms',
         '_sums',
@@ -71,8 +70,8 @@
         """
         self._clock = clock
         self._crashes: dict[str, EndpointCrash] = {}
-        # What each crash adds to the number that it is compared by.
-        self._sums: dict[str, int] = collections.defaultdict(int)
+        self._sums = CrashSums()
+        self._lost = LostGateways(clock=clock)
         # When a suspect was last at a crash.
         self._last_crash_ms: dict[Fingerprint, int] = {}
         # When a suspect was last answered well, by any gateway.
@@ -100,10 +99,7 @@
     @property
     def recent_sum(self) -> int:
         """A number that is the same for gateways that know the same."""
-        combined = 0
-        for crash in self.recent():
-            combined ^= self._sums[crash.endpoint]
-        return combined
+        return self._sums.combine(self.recent())
 
     def recent(self) -> list[EndpointCrash]:
         """List the crashes that are compared with what peers know.
@@ -148,6 +144,15 @@
         self._merge(known, added)
         return added
 
+    def note_gateway_lost(self, name: str) -> None:
+        """Note that a gateway has ended without a planned stop.
+
+        :param name: its name.
+        """
+        self._lost.note(name)
+        for crash in self._crashes.values():
+            self._note_incomplete(crash)
+
     def note_served(self, fingerprint: Fingerprint) -> None:
         """Note a good answer of an endpoint.
 
@@ -245,17 +250,16 @@
             known.silent |= added.silent
             known.streaming |= added.streaming - known.silent
             known.crashed_ms = min(known.crashed_ms, added.crashed_ms)
+        self._note_incomplete(self._crashes[added.endpoint])
         self.revision += 1
         for suspect in added.suspects:
-            self._add_to_sum(added.endpoint, suspect)
+            self._sums.add(added.endpoint, suspect)
             self._note_suspect(suspect, added.crashed_ms)
 
-    def _add_to_sum(self, endpoint: str, suspect: Fingerprint) -> None:
-        digest = hashlib.blake2b(
-            endpoint.encode() + suspect,
-            digest_size=_SUM_BYTES,
-        )
-        self._sums[endpoint] ^= int.from_bytes(digest.digest(), 'big')
+    def _note_incomplete(self, crash: EndpointCrash) -> None:
+        if not crash.incomplete and self._lost.may_have_been_at(crash):
+            crash.incomplete = True
+            self.revision += 1
 
     def _note_suspect(self, suspect: Fingerprint, crashed_ms: int) -> None:
         last_ms = self._last_crash_ms.get(suspect, crashed_ms)
@@ -280,7 +284,7 @@
     def _drop(self, endpoints: Iterable[str]) -> None:
         for name in endpoints:
             self._crashes.pop(name)
-            self._sums.pop(name, None)
+            self._sums.drop(name)
             self._untold_crashes.pop(name, None)
         left = set(
             itertools.chain.from_iterable(
--- a/wingfall/gateway/model/endpoint_crash.py
+++ b/wingfall/gateway/model/endpoint_crash.py
@@ -17,6 +17,7 @@
     __slots__ = (
         'crashed_ms',
         'endpoint',
+        'incomplete',
         'silent',
         'streaming',
         'told_by',
@@ -44,6 +45,9 @@
         self.told_by = told_by
         self.silent = set(silent)
         self.streaming = set(streaming)
+        # Whether a gateway was lost at about that time, which may have had
+        # further requests there.
+        self.incomplete = False
 
     @property
     def suspects(self) -> set[Fingerprint]:
--- a/wingfall/gateway/peers/crash_exchange.py
+++ b/wingfall/gateway/peers/crash_exchange.py
@@ -119,6 +119,15 @@
         session.crashes_told_ms = self._clock.now_ms()
         return self._write(self._ledger.recent(), self._ledger.served_ms)
 
+    def forget(self, session: PeerSession) -> None:
+        """Note the end of a session.
+
+        :param session: the session; unless its peer was stopping, the peer
+            may have had requests at crashes that it could not tell of.
+        """
+        if not session.leaving:
+            self._ledger.note_gateway_lost(session.name)
+
     def take(self, news: CrashNews) -> None:
         """Take what a peer tells.
 
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -140,6 +140,7 @@
         """
         self._exchange.forget(session)
         self._load.forget(session.name)
+        self._news.forget(session)
         if self._duties is not None:
             self._duties.forget(session)
 
--- a/wingfall/gateway/peers/news_exchange.py
+++ b/wingfall/gateway/peers/news_exchange.py
@@ -99,6 +99,13 @@
             signals=self._signals.write_all(),
         )
 
+    def forget(self, session: PeerSession) -> None:
+        """Note the end of a session.
+
+        :param session: the session.
+        """
+        self._crashes.forget(session)
+
     def take(
         self,
         session: PeerSession,
--- a/wingfall/gateway/rules/crashes/crash_blame.py
+++ b/wingfall/gateway/rules/crashes/crash_blame.py
@@ -43,7 +43,15 @@
 class Blame:
     """The evidence that a request crashes endpoints."""
 
-    __slots__ = ('_weight', 'alone', 'crashes', 'needed')
+    __slots__ = (
+        '_complete_weight',
+        '_weight',
+        'alone',
+        'crashes',
+        'enough_ms',
+        'last_complete_ms',
+        'needed',
+    )
 
     def __init__(self, *, needed: int) -> None:
         """Start with nothing.
@@ -52,16 +60,27 @@
         """
         self.needed = needed
         self._weight = 0
+        # What crashes weigh at which all requests are known.
+        self._complete_weight = 0
         # Whether no other request with as much evidence was at its crashes.
         self.alone = True
         # The crashes that count against it.
         self.crashes: list[EndpointCrash] = []
+        # When the crash was by which it is the cause, 0 if it is not.
+        self.enough_ms = 0
+        # When the last complete crash was, 0 if there was none.
+        self.last_complete_ms = 0
 
     @property
     def is_enough(self) -> bool:
         """Whether it is the cause."""
         return self._weight >= self.needed
 
+    @property
+    def certain(self) -> bool:
+        """Whether it is the cause by the complete crashes alone."""
+        return self._complete_weight >= self.needed
+
     @property
     def excess(self) -> int:
         """Crashes beyond those that were enough."""
@@ -78,8 +97,9 @@
 
         One that was answered well needs more, so that a popular request, which
         is beside the cause at most crashes and at others too, does not hide it.
+        Incomplete crashes don't count here: the cause may have been there too.
         """
-        return self._weight / self.needed
+        return self._complete_weight / self.needed
 
     def has_one_with(self, crash: EndpointCrash) -> bool:
         """Tell whether a crash belongs to one that counts already.
@@ -101,8 +121,14 @@
         :param crash: the crash.
         :param weight: what it weighs.
         """
+        was_enough = self.is_enough
         self.crashes.append(crash)
         self._weight += weight
+        if not crash.incomplete:
+            self._complete_weight += weight
+            self.last_complete_ms = crash.crashed_ms
+        if self.is_enough and not was_enough:
+            self.enough_ms = crash.crashed_ms
 
 
 def find_causes(
--- a/wingfall/gateway/rules/crashes/request_blocks.py
+++ b/wingfall/gateway/rules/crashes/request_blocks.py
@@ -25,7 +25,8 @@
 # blamed wrongly, or whose cause is gone, is soon served again; a request that
 # ends endpoints ends two more at most. A restart and a repair by hand.
 _TRY_AFTER_MS: Final = (60_000, 600_000)
-# Milliseconds for which requests that were at the same crashes are all sent on:
+# Milliseconds for which requests are sent on that were at the same crashes, or
+# that are blamed for a crash at which others may have been that are not known:
 # a good answer or the next crash tells them apart. A third of the three seconds
 # in which the request must be blocked everywhere.
 _UNDECIDED_MS: Final = 1000
@@ -63,6 +64,7 @@
         '_ledger',
         '_name',
         '_revision',
+        '_started_ms',
         '_tried_ms',
     )
 
@@ -76,6 +78,7 @@
         self._name = name
         self._clock = clock
         self._ledger = ledger
+        self._started_ms = clock.now_ms()
         self._gateways = {name}
         self._revision = ledger.revision
         self._blamed: dict[Fingerprint, Blame] = {}
@@ -140,8 +143,18 @@
         return self._blamed
 
     def _is_undecided(self, blame: Blame) -> bool:
-        age_ms = self._clock.now_ms() - blame.last_ms
-        return not blame.alone and age_ms < _UNDECIDED_MS
+        if blame.alone and self._is_certain(blame):
+            return False
+        # Incomplete crashes after that don't count, so that gateways that are
+        # lost again and again can't put it off.
+        since_ms = blame.enough_ms
+        if not blame.alone:
+            since_ms = max(since_ms, blame.last_complete_ms)
+        return self._clock.now_ms() - since_ms < _UNDECIDED_MS
+
+    def _is_certain(self, blame: Blame) -> bool:
+        # Which gateways were lost before this one started is not known here.
+        return blame.certain and blame.enough_ms >= self._started_ms
 
     def _wait_ms(self, fingerprint: Fingerprint, blame: Blame) -> int | None:
         if blame.excess >= len(_TRY_AFTER_MS):
@@ -173,6 +186,7 @@
                 'A request is blocked: it ends the endpoints that run it.',
                 request=fingerprint.hex(),
                 alone=self._blamed[fingerprint].alone,
+                certain=self._blamed[fingerprint].certain,
                 crashes=len(crashes),
                 endpoints=[crash.endpoint for crash in crashes],
                 ages_ms=[now_ms - crash.crashed_ms for crash in crashes],
