Tests of an agent that leaves while a router has lost its link, red

Cause of the known red (cut + router frozen): routers had sent runs that the cut lost on their way. The agent, asked to leave, had one call of the other router, ended when that was done, after 0.9 s, and the router that was frozen for 1 s woke to nobody who could tell it that its runs had never begun: 502, run unknown, after resume_ms. Ruled out by the logs of two failing runs: that a run was cut off at the engine (none of the lost ones had begun there), the orphan window (2.5 s, not over), the time of the stop.

--- a/tests/relay.py
+++ b/tests/relay.py
@@ -44,6 +44,10 @@
         self._broken = True
         self.reset()
 
+    def refuse_new(self) -> None:
+        """Refuse new connections; those that there are stay."""
+        self._broken = True
+
     def heal(self) -> None:
         """Take connections again."""
         self._broken = False
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -147,6 +147,57 @@
     assert len(site.runs()) == 1
 
 
+def _leave(agent):
+    agent.drain()
+    agent.close()
+
+
+def test_agent_that_leaves_waits_for_a_router_that_lost_its_link(site, relay):
+    # The run is lost on its way, and the router is away for a while: only the
+    # agent can prove then that it never began.
+    site.add_class('plain', repeatable=False)
+    site.add_engine('engine', port=relay.port)
+    agent = site.agents['engine']
+    relay.aim(agent.port)
+    router = site.add_router()
+    relay.refuse_new()
+    relay.drop_next()
+    asked = gevent.spawn(lambda: site.ask(router, max_tokens=3))
+    wait_until(lambda: not agent.status()['routers'])
+    gevent.spawn(_leave, agent)
+    gevent.sleep(0.3)
+    relay.heal()
+    response = asked.get()
+    assert response.status == 503
+    assert response.headers['Wingfall-Run'] == 'not_run'
+    assert not site.runs()
+
+
+def test_agent_that_leaves_waits_for_a_lost_router_as_long_as_for_its_calls(
+    site, relay
+):
+    site.add_class('plain')
+    site.add_engine(
+        'engine', port=relay.port, agent={'limits': {'orphan_ms': 600}}
+    )
+    agent = site.agents['engine']
+    relay.aim(agent.port)
+    site.add_router()
+    relay.cut()
+    wait_until(lambda: not agent.status()['routers'])
+    leaving = gevent.spawn(agent.drain)
+    gevent.sleep(0.3)
+    assert not leaving.ready()
+    leaving.get(timeout=2)
+
+
+def test_agent_that_leaves_waits_for_no_router_that_is_there(site):
+    site.add_class('plain')
+    site.add_engine('engine')
+    site.add_router()
+    gevent.spawn(site.agents['engine'].drain).get(timeout=1)
+
+
 def test_waiting_offer_moves_on_when_its_agent_leaves(site):
     site.add_class('plain')
     site.add_engine(
