An agent that leaves waits for routers that lost their links

Cause: 'a call was cut off' in test_leaving_noticed[cut + router frozen], in two traced runs: the cut lost runs on their way from the router that was then frozen; the agent ended as soon as its other call was done (0.9 s), and the router, awake after 1 s, found nobody who could prove that they had never begun: 502, run unknown. So the product was wrong, not the check: a planned stop ended calls that could have gone elsewhere. Ruled out: a longer resume_ms (the agent is gone), answering not_run without a proof (it may have run). Change: a planned stop of an agent lasts till orphan_ms after it last lost a router's connection, the time for which it keeps a lost router's calls, within drain_ms; a log line says so.

--- a/wingfall/agent/application.py
+++ b/wingfall/agent/application.py
@@ -118,6 +118,8 @@
         logger.info('Leaving: %d calls run.', self._gate.in_use)
         self._admission.leave()
         self._send_reports()
+        if self._calls.awaits_router:
+            logger.info('Leaving: waits for routers that lost their links.')
         self._wait_while(self._busy)
         logger.info('Left: %d calls cut off.', self._gate.in_use)
 
@@ -157,8 +159,11 @@
         return self._identity.name, self.port
 
     def _busy(self) -> bool:
-        # A finished call is held until its router has the whole answer.
-        return bool(self._gate.in_use or self._calls.held)
+        # A finished call is held until its router has the whole answer, and a
+        # router that lost its connection may still ask what has run.
+        return bool(
+            self._gate.in_use or self._calls.held or self._calls.awaits_router
+        )
 
     def _tick(self) -> None:
         while not self._supervisor.stopped:
--- a/wingfall/agent/calls.py
+++ b/wingfall/agent/calls.py
@@ -40,6 +40,7 @@
         '_finished',
         '_greenlets',
         '_keys',
+        '_link_lost_ms',
         '_orphan_ms',
         '_pace',
         '_started',
@@ -66,7 +67,8 @@
         :param estimates: where times to first tokens are noted.
         :param keys: the idempotency keys.
         :param window: unconfirmed bytes of one call.
-        :param orphan_ms: how long a call outlives its connection.
+        :param orphan_ms: how long a call outlives its connection, and a router
+            that lost its connection may come back to ask for its calls.
         :param finished: called once for each call when its slot is free.
         """
         self._clock = clock
@@ -76,6 +78,8 @@
         self._keys = keys
         self._window = window
         self._orphan_ms = orphan_ms
+        # When the connection of a router was last lost, None if none was.
+        self._link_lost_ms: int | None = None
         self._finished = finished
         self._calls: dict[str, Call] = {}
         # Every id that was started, the latest 50,000.
@@ -94,6 +98,17 @@
         """Calls that run, or whose end no router has confirmed."""
         return len(self._calls)
 
+    @property
+    def awaits_router(self) -> bool:
+        """Whether a router that lost its connection may come back.
+
+        It may have sent calls that never arrived, which only this agent can
+        prove.
+        """
+        if self._link_lost_ms is None:
+            return False
+        return self._clock.now_ms() - self._link_lost_ms < self._orphan_ms
+
     @property
     def keys(self) -> KeyTable:
         """The idempotency keys of this agent."""
@@ -166,6 +181,7 @@
         :param owner: the router.
         """
         now_ms = self._clock.now_ms()
+        self._link_lost_ms = now_ms
         for call in self._calls.values():
             if call.owner == owner and call.orphaned_ms is None:
                 call.orphan(now_ms)
