Estimates: what came is held against the estimate of the sending, decisions read it as before

Cause: the estimate of a destination had been fixed as it was chosen, so that a prompt which waits for a shared part was judged by a rate some tenths of a second older, also with 'own' and 'plain', which must decide as before. Change: the property is as it was; the attempt's tracker keeps the estimate of its sending for what is learned and logged.

--- a/wingfall/gateway/calls/attempt_log.py
+++ b/wingfall/gateway/calls/attempt_log.py
@@ -27,6 +27,7 @@
     number: int,
     started_ms: int,
     now_ms: int,
+    estimate_ms: float,
     first_byte_ms: int | None,
 ) -> None:
     """Log the end of an attempt.
@@ -38,6 +39,7 @@
     :param number: which attempt it was, from 1.
     :param started_ms: when it began, by the clock.
     :param now_ms: when it ended.
+    :param estimate_ms: milliseconds to its first event by what was to be read.
     :param first_byte_ms: when the caller got the first byte, None if never.
     """
     first_ms = None
@@ -63,7 +65,7 @@
         gap_reading=gaps.longest_reading_tokens,
         **_show_work(destination.candidate),
         unread=destination.load.reading_tokens,
-        start_ms=int(destination.start_ms),
+        start_ms=int(estimate_ms),
         source=source.name if source else None,
         backup=backup.name if backup else None,
         continues=destination.continues,
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -41,6 +41,7 @@
     __slots__ = (
         '_call',
         '_destination',
+        '_estimate_ms',
         '_gaps',
         '_load_entry',
         '_number',
@@ -69,6 +70,8 @@
         self._call = call
         self._destination = destination
         self._number = number
+        # By the engine's speed as it was known when the prompt was sent.
+        self._estimate_ms = destination.start_ms
         self._load_entry = knowledge.load.start(name, destination.load)
         self._note_prompt()
         self._started_ms = state.clock.now_ms()
@@ -136,6 +139,7 @@
             number=self._number,
             started_ms=self._started_ms,
             now_ms=self._state.clock.now_ms(),
+            estimate_ms=self._estimate_ms,
             first_byte_ms=reply.first_byte_ms if reply.started else None,
         )
 
@@ -172,7 +176,7 @@
         name = destination.endpoint.name
         uncached = destination.load.reading_tokens
         self._state.knowledge.note_prompt_sent(name, uncached)
-        read_ms = int(destination.start_ms * _READ_SLACK)
+        read_ms = int(self._estimate_ms * _READ_SLACK)
         self._state.knowledge.caches.note_sent(
             SentPrompt(endpoint=name, parts=prompt.shared, unread=uncached),
             self._state.clock.now_ms() + read_ms,
@@ -185,7 +189,7 @@
         self._state.knowledge.starts.note(
             destination.endpoint.pool,
             self._call.priority,
-            destination.start_ms,
+            self._estimate_ms,
             self._state.clock.now_ms() - self._started_ms,
         )
 
--- a/wingfall/gateway/calls/destination.py
+++ b/wingfall/gateway/calls/destination.py
@@ -46,7 +46,6 @@
         'endpoint',
         'load',
         'source',
-        'start_ms',
     )
 
     def __init__(
@@ -74,10 +73,12 @@
         self.source = source
         self.backup = backup
         self.continues = continues
-        # Milliseconds until the answer begins, by what is to be read and by the
-        # engine's speed as it is known now: what came is held against it.
-        waiting = candidate.reading_tokens + load.reading_tokens
-        self.start_ms = candidate.speed.read_ms(waiting)
+
+    @property
+    def start_ms(self) -> float:
+        """Milliseconds until the answer begins, by what was to be read."""
+        waiting = self.candidate.reading_tokens + self.load.reading_tokens
+        return self.candidate.speed.read_ms(waiting)
 
 
 def choose_destination(
