Shared readings: gateways of a site, and a status that shows engines heard of only

Cause: `engine_rates` of /status left out engines that this gateway had not weighed yet. Change: it shows all listed engines of pools that read prompts, looked up without learning.

--- a/tests/test_shared_rates.py
+++ b/tests/test_shared_rates.py
@@ -216,3 +216,12 @@
     assert rates.fixed_ms(POOL) is None
     assert not rates.take_untold()
     assert not rates.write_all()
+
+
+def test_look_at_a_rate_changes_nothing(manual_clock: ManualClock):
+    for rates in (OwnRates(), SharedRates(clock=manual_clock)):
+        assert rates.look('new', POOL).tokens_per_ms == FIRST_RATE
+        rates.note('e', POOL, LONG, FAST_MS)
+        seen = rates.find('e', POOL).tokens_per_ms
+        assert rates.look('e', POOL).tokens_per_ms == seen
+        assert rates.look('new', POOL).tokens_per_ms == seen
--- a/wingfall/gateway/knowledge/engine_speeds.py
+++ b/wingfall/gateway/knowledge/engine_speeds.py
@@ -28,6 +28,9 @@
     def find(self, engine: str, pool: str) -> Rate:
         """Give the rate of an engine."""
 
+    def look(self, engine: str, pool: str) -> Rate:
+        """Give the rate of an engine, or its pool's, and learn nothing."""
+
     def of_pool(self, pool: str) -> Rate:
         """Give the rate of a pool's engines on the whole."""
 
@@ -101,6 +104,15 @@
             self._by_engine[engine] = rate
         return rate
 
+    def look(self, engine: str, pool: str) -> ReadRate:
+        """Give the rate of an engine, or its pool's while it is unseen.
+
+        :param engine: its name.
+        :param pool: its pool.
+        :returns: the rate.
+        """
+        return self._by_engine.get(engine) or self.of_pool(pool)
+
     def of_pool(self, pool: str) -> ReadRate:
         """Give how fast the engines of a pool read on average.
 
@@ -215,16 +227,6 @@
         """
         return self.rates.of_pool(pool)
 
-    def shown_rates(self) -> dict[str, float]:
-        """Show how fast engines read, for operators.
-
-        :returns: tokens a millisecond by engine.
-        """
-        return {
-            name: round(speed.rate.tokens_per_ms, 1)
-            for name, speed in sorted(self._by_engine.items())
-        }
-
     def note_start(
         self,
         engine: str,
--- a/wingfall/gateway/knowledge/shared_rates.py
+++ b/wingfall/gateway/knowledge/shared_rates.py
@@ -149,6 +149,15 @@
             rate.join(self.of_pool(pool))
         return rate
 
+    def look(self, engine: str, pool: str) -> SharedRate | PoolRate:
+        """Give the rate of an engine, or its pool's while it is unseen.
+
+        :param engine: its name.
+        :param pool: its pool.
+        :returns: the rate.
+        """
+        return self._engines.get(engine) or self.of_pool(pool)
+
     def of_pool(self, pool: str) -> PoolRate:
         """Give the median rate of a pool.
 
--- a/wingfall/gateway/status.py
+++ b/wingfall/gateway/status.py
@@ -40,7 +40,19 @@
         'limited_endpoints': state.gate.status(),
         'leaving_endpoints': sorted(signals.leaving),
         'resting_endpoints': signals.rests.names,
-        'engine_rates': state.knowledge.speeds.shown_rates(),
+        'engine_rates': _show_rates(state),
         'start_errors': list_start_errors(state.knowledge.starts),
         'duties': duties,
     }
+
+
+def _show_rates(state: GatewayState) -> dict[str, float]:
+    # Tokens a millisecond, for the endpoints of pools that read prompts.
+    pools = state.routes.pools if state.routes else {}
+    look = state.knowledge.speeds.rates.look
+    return {
+        each.name: round(look(each.name, name).tokens_per_ms, 1)
+        for name, pool in sorted(pools.items())
+        if pool.memory_tokens
+        for each in state.knowledge.table.usable(name)
+    }
