--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -166,15 +166,24 @@
 )
 
 
+# The work of a zone, told by a gateway that knows nothing of readings.
+ZONE_LOADS_WITHOUT_READINGS = (
+    '000000439636a6746578742d309294a46e616d6501020393a56f74686572'
+    '00ff9294a46e616d6502020393a56f7468657200ffc39294a46e616d6504'
+    '020393a56f7468657200ff'
+)
+
+
 @pytest.mark.parametrize(
     ('encoded', 'first_unknown'),
     [
         (EARLIER_HEARTBEAT, 'duties'),
         (HEARTBEAT_WITHOUT_LIMITS, 'limits'),
         (HEARTBEAT_WITHOUT_READINGS, 'readings'),
+        (ZONE_LOADS_WITHOUT_READINGS, 'readings'),
     ],
 )
-def test_earlier_heartbeat_is_understood_both_ways(
+def test_earlier_message_is_understood_both_ways(
     encoded: str, first_unknown: str
 ):
     earlier = bytes.fromhex(encoded)
--- a/tests/test_shared_rates_site.py
+++ b/tests/test_shared_rates_site.py
@@ -12,7 +12,7 @@
 # What an engine takes for a prompt of so many tokens, in milliseconds.
 READ_MS = 150
 TOKENS = 12_000
-# Part by which rates in a status may differ: one of ten thousand is rounded.
+# Part by which rates of two gateways may differ.
 AGREED = 0.15
 
 
--- a/wingfall/gateway/knowledge/quantile.py
+++ b/wingfall/gateway/knowledge/quantile.py
@@ -11,8 +11,8 @@
 def quantile(numbers: Iterable[float], part: float) -> float:
     """Find the number below which a part of some numbers lies.
 
-    Of three numbers or more none but the last part is the highest: one wrong
-    number among few doesn't count.
+    Of two numbers or more the highest is given for the part 1 only, so that one
+    that is far too high doesn't count.
 
     :param numbers: the numbers, at least one.
     :param part: the part, 0 to 1.
