Shared readings: a prompt behind much else counts if it shows a higher rate

Change: for shared readings such a prompt counts only where it shows more than is believed; 'own' passes over it as before, in its own module now.

--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -416,10 +416,9 @@
         knowledge.caches.confirm_read(engine.name, call.prompt)
         knowledge.starts.note(POOL, 0, to.start_ms, now_ms - sent_ms)
         waiting, own = to.candidate.reading_tokens, to.load.reading_tokens
-        if waiting <= own:
-            knowledge.speeds.note_start(
-                engine.name, POOL, waiting + own, now_ms - sent_ms, waiting
-            )
+        knowledge.speeds.note_start(
+            engine.name, POOL, waiting + own, now_ms - sent_ms, waiting
+        )
         self._after(call.kind.stream_ms, lambda: self._finish(call, engine))
 
     def _finish(self, call: ReplayedCall, engine: Engine) -> None:
--- a/tests/test_shared_rates.py
+++ b/tests/test_shared_rates.py
@@ -32,7 +32,7 @@
     return ManualClock(start_ms=1000)
 
 
-def rate_of(rates: SharedRates, engine: str) -> float:
+def rate_of(rates: SharedRates | OwnRates, engine: str) -> float:
     """Tell what is believed of an engine."""
     return rates.find(engine, POOL).tokens_per_ms
 
@@ -66,6 +66,27 @@
     assert not rates.find('f', POOL).window.rate
 
 
+def test_prompt_behind_much_else_tells_only_that_an_engine_is_faster(
+    rates: SharedRates,
+):
+    rates.note('e', POOL, LONG, SLOW_MS)
+    rates.note('e', POOL, 3 * LONG, 5 * SLOW_MS, waiting=2 * LONG)
+    assert rate_of(rates, 'e') == 20
+    # One such reading may be of a part that was cached after all.
+    rates.note('e', POOL, 3 * LONG, FAST_MS, waiting=2 * LONG)
+    assert rate_of(rates, 'e') == 20
+    rates.note('e', POOL, 3 * LONG, FAST_MS, waiting=2 * LONG)
+    assert rate_of(rates, 'e') == 60
+
+
+def test_gateway_that_learns_alone_passes_over_prompts_behind_much_else():
+    rates = OwnRates()
+    rates.note('e', POOL, 3 * LONG, FAST_MS, waiting=2 * LONG)
+    assert rate_of(rates, 'e') == FIRST_RATE
+    rates.note('e', POOL, 2 * LONG, FAST_MS, waiting=LONG)
+    assert rate_of(rates, 'e') > FIRST_RATE
+
+
 def test_short_reads_and_reads_without_time_do_not_count(rates: SharedRates):
     rates.note('e', POOL, SHORT, 1)
     rates.note('e', POOL, LONG, 0)
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -196,9 +196,6 @@
     def _learn_read_rate(self) -> None:
         waiting = self._destination.candidate.reading_tokens
         own = self._destination.load.reading_tokens
-        # Of what waited, part was read already; that must not count for much.
-        if waiting > own:
-            return
         endpoint = self._destination.endpoint
         self._state.knowledge.speeds.note_start(
             endpoint.name,
--- a/wingfall/gateway/knowledge/engine_speeds.py
+++ b/wingfall/gateway/knowledge/engine_speeds.py
@@ -135,8 +135,11 @@
         :param pool: its pool.
         :param tokens: what was to be read before it and for it.
         :param elapsed_ms: how long reading took.
-        :param waiting: how much of that was before it, all of which counts.
+        :param waiting: how much of that was before it.
         """
+        # Of what waited, part was read already; that must not count for much.
+        if waiting > tokens - waiting:
+            return
         self.find(engine, pool).note(tokens, elapsed_ms)
         self.of_pool(pool).note(tokens, elapsed_ms)
 
--- a/wingfall/gateway/knowledge/shared_rates.py
+++ b/wingfall/gateway/knowledge/shared_rates.py
@@ -200,6 +200,10 @@
             return
         rate = _bound(own / elapsed_ms)
         shared, now_ms = self.find(engine, pool), self._clock.now_ms()
+        # Behind much else a prompt tells no more than that the engine is at
+        # least so fast. Under high load there are few others.
+        if waiting > own and rate <= shared.tokens_per_ms:
+            return
         if shared.window.needs_more(now_ms):
             untold = self._untold.setdefault(
                 engine, collections.deque(maxlen=_MOST_TOLD)
