Engine groups: quick engines are closed first, tests and a replay of streams beside reads

Quick engines without long reads bear two to three times as many. Change: engines are closed from the front of the order; slower classes count as fit only if clearly within the bound; prompts of one kind go one way; two seconds until engines are given up. Modules: engine_classes, pool_look, prompt_kinds, pool_groups. Replay: engines may have slow spells and steps that grow with streams (off for the patterns before, whose figures stay); 'short-gaps-beside-reads' is below 90 of 100 short streams in target with 'none' and above with 'by_gap'.

--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -30,6 +30,7 @@
 from wingfall.gateway.calls.destination import choose_destination
 from wingfall.gateway.endpoints.sending_gate import SendingGate
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
+from wingfall.gateway.knowledge.full_gaps import FullGaps
 from wingfall.gateway.knowledge.prefix_caches import SentPrompt
 from wingfall.gateway.model.attempt_end import AttemptEnd
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
@@ -45,7 +46,7 @@
 from wingfall.gateway.rules.pacing.rate_share import share_among_few
 from wingfall.gateway.rules.placement.cache_transfer import copy_nothing
 from wingfall.gateway.rules.placement.endpoint_choice import place_by_reading
-from wingfall.gateway.rules.placement.engine_groups import keep_none
+from wingfall.gateway.rules.placement.engine_groups import engine_groups
 from wingfall.gateway.rules.placement.kept_engines import KeptEngines
 from wingfall.gateway.rules.placement.stream_backup import back_up_nothing
 from wingfall.gateway.rules.retries.retry import (
@@ -69,8 +70,8 @@
 _PIECE_TOKENS: Final = 2048
 _STEPS: Final = 4
 _STEP_MS: Final = 8
-# What waited to be read during a gap beside a long read.
-_LONG_READ_TOKENS: Final = 17_000
+# What waited to be read during a gap beside long reads.
+_LONG_READ_TOKENS: Final = 50_000
 # Milliseconds of a message between gateways.
 _MESSAGE_MS: Final = 2
 # Milliseconds for which an engine that has ended is still listed.
@@ -83,11 +84,21 @@
 class Engine:
     """An engine: what it reads, what it keeps, whether it runs."""
 
-    def __init__(self, *, name: str, tokens_per_ms: float) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        tokens_per_ms: float,
+        stream_tokens: float = 0,
+        slow_spell: float = 1,
+    ) -> None:
         """Start empty.
 
         :param name: its name.
         :param tokens_per_ms: how fast it reads.
+        :param stream_tokens: what each stream adds to a step, in tokens that
+            are read in the same time.
+        :param slow_spell: how many times as long steps take at times.
         """
         self.name = name
         self.up = True
@@ -96,16 +107,12 @@
         self.kept: set[str] = set()
         self.runs: set[ReplayedCall] = set()
         self._tokens_per_ms = tokens_per_ms
+        self._stream_tokens = stream_tokens
+        self._slow_spell = slow_spell
         self._free_at_ms: float = 0
         # Long reads: when they begin and end, in order.
         self._long_reads: list[tuple[float, float]] = []
 
-    @property
-    def full_gap_ms(self) -> int:
-        """Time between two events of a stream while a long prompt is read."""
-        step_ms = _PIECE_TOKENS / self._tokens_per_ms + _STEP_MS
-        return int(step_ms * _STEPS)
-
     def longest_gap_ms(self, begun_ms: int, ended_ms: int) -> int:
         """Tell the longest gap of a stream.
 
@@ -113,11 +120,25 @@
         :param ended_ms: when it ended.
         :returns: milliseconds.
         """
-        beside = any(
+        tokens = len(self.runs) * self._stream_tokens
+        if self.reads_beside(begun_ms, ended_ms):
+            tokens += _PIECE_TOKENS
+        step_ms = tokens / self._tokens_per_ms + _STEP_MS
+        if self._slow_spell > 1:
+            step_ms *= random.choice((1, self._slow_spell))
+        return int(step_ms * _STEPS)
+
+    def reads_beside(self, begun_ms: int, ended_ms: int) -> bool:
+        """Tell whether a long prompt is read beside a stream.
+
+        :param begun_ms: when the stream began.
+        :param ended_ms: when it ended.
+        :returns: whether one is.
+        """
+        return any(
             begin_ms < ended_ms and end_ms > begun_ms
             for begin_ms, end_ms in self._long_reads
         )
-        return self.full_gap_ms if beside else _STEP_MS * _STEPS
 
     def read(self, prompt: Prompt, now_ms: int) -> int:
         """Take a prompt in.
@@ -188,13 +209,24 @@
 class ReplayedGateway:
     """What one gateway knows, and what it tells the others."""
 
-    def __init__(self, *, name: str, clock: ManualClock) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        clock: ManualClock,
+        groups: str,
+        gaps_ms: list[int],
+    ) -> None:
         """Start without an endpoint.
 
         :param name: its name.
         :param clock: the time of all.
+        :param groups: name of the rule that keeps engines for short gaps.
+        :param gaps_ms: the gaps that streams bear, each once.
         """
-        self.knowledge = EndpointKnowledge(clock=clock)
+        self.knowledge = EndpointKnowledge(
+            clock=clock, full_gaps=FullGaps(clock=clock, tells=True)
+        )
         self.session = SimpleNamespace(name=name, zone='a')
         self.exchange = LoadExchange(
             name=name, zone='a', clock=clock, knowledge=self.knowledge
@@ -212,7 +244,7 @@
             kept_engines=KeptEngines(
                 clock=clock,
                 knowledge=self.knowledge,
-                parts_pool=keep_none,
+                parts_pool=engine_groups.find(groups).unwrap(),
             ),
             policies=SimpleNamespace(
                 placement=place_by_reading,
@@ -221,7 +253,7 @@
             ),
             routes=Routes(
                 version=1,
-                routes=(),
+                routes=tuple(map(_route, gaps_ms)),
                 pools=[Pool(name=POOL, memory_tokens=521_575)],
                 customers=(),
                 limits=CallerLimits(),
@@ -238,11 +270,18 @@
     of the names of engines in sets.
     """
 
-    def __init__(self, *, pattern: dict[str, Any], seed: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        pattern: dict[str, Any],
+        seed: int = 1,
+        groups: str = 'none',
+    ) -> None:
         """Set gateways and engines up.
 
         :param pattern: what a file under ``tests/patterns`` says.
         :param seed: of all draws, also those of the rules.
+        :param groups: name of the rule that keeps engines for short gaps.
         """
         random.seed(seed)
         self.clock = ManualClock(start_ms=0)
@@ -255,7 +294,12 @@
         self._due: list[tuple[int, int, Callable[[], None]]] = []
         self._engines: dict[str, Engine] = {}
         self._gateways = [
-            ReplayedGateway(name=f'g-{number}', clock=self.clock)
+            ReplayedGateway(
+                name=f'g-{number}',
+                clock=self.clock,
+                groups=groups,
+                gaps_ms=[kind['gap_ms'] for kind in self._pattern.kinds],
+            )
             for number in range(self._pattern.gateways)
         ]
 
@@ -401,8 +445,10 @@
         call.entry.end()
         knowledge = call.gateway.knowledge
         knowledge.health.note_success(engine.name)
-        gap_ms = engine.longest_gap_ms(call.begun_ms, self.clock.now_ms())
-        reading = _LONG_READ_TOKENS if gap_ms == engine.full_gap_ms else 0
+        now_ms = self.clock.now_ms()
+        gap_ms = engine.longest_gap_ms(call.begun_ms, now_ms)
+        beside = engine.reads_beside(call.begun_ms, now_ms)
+        reading = _LONG_READ_TOKENS if beside else 0
         knowledge.speed(engine.name).note_longest_gap(gap_ms, reading)
         if call.begun_ms - call.arrived_ms > call.kind.target_ms:
             self._end(call, 'late')
@@ -437,7 +483,10 @@
         number = len(self._engines)
         rates = self._pattern.tokens_per_ms
         engine = Engine(
-            name=f'i-{number}', tokens_per_ms=rates[number % len(rates)]
+            name=f'i-{number}',
+            tokens_per_ms=rates[number % len(rates)],
+            stream_tokens=getattr(self._pattern, 'stream_tokens', 0),
+            slow_spell=getattr(self._pattern, 'slow_spell', 1),
         )
         self._engines[engine.name] = engine
         listed = PoolEndpoint(
@@ -477,6 +526,16 @@
             self._after(_LISTED_MS, functools.partial(remove, engine.name))
 
 
+def _route(gap_ms: int) -> Any:
+    return SimpleNamespace(
+        host='h',
+        path_prefix=f'/{gap_ms}',
+        tier=0,
+        pools=(SimpleNamespace(pool=POOL),),
+        target=Target(token_gap_ms=gap_ms),
+    )
+
+
 def read_pattern(path: pathlib.Path) -> dict[str, Any]:
     """Read a pattern.
 
--- /dev/null
+++ b/tests/test_full_gaps.py
@@ -0,0 +1,85 @@
+"""What gateways know of gaps beside reads, and tell of them."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingfall.clock import ManualClock
+from wingfall.gateway.knowledge.engine_speed import EngineSpeed
+from wingfall.gateway.knowledge.full_gaps import FullGaps
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    """Make the time."""
+    return ManualClock(start_ms=1000)
+
+
+def test_slow_spells_do_not_change_the_typical_gap(clock: ManualClock):
+    window = FullGaps(clock=clock).find('e')
+    for gap_ms in (80, 190, 85, 190, 80, 190, 85, 190):
+        window.add(gap_ms)
+    assert window.typical_ms == 85
+    assert max(window.gaps_ms) == 190
+
+
+def test_engine_with_few_gaps_is_not_judged(clock: ManualClock):
+    window = FullGaps(clock=clock).find('e')
+    for _stream in range(3):
+        window.add(80)
+    assert window.typical_ms is None
+
+
+def test_old_gaps_go_once_there_are_newer_ones(clock: ManualClock):
+    window = FullGaps(clock=clock).find('e')
+    for _stream in range(8):
+        window.add(80)
+    clock.advance(11_000)
+    assert len(window.gaps_ms) == 8
+    for _stream in range(4):
+        window.add(170)
+    assert window.typical_ms == 170
+
+
+def test_gaps_are_told_once_and_few_of_them(clock: ManualClock):
+    gaps = FullGaps(clock=clock, tells=True)
+    for _stream in range(20):
+        gaps.find('e').note(90)
+    told = gaps.take_untold()
+    assert told == [['e', 90, 90, 90, 90]]
+    assert gaps.take_untold() == []
+    # Enough of them are recent for all gateways.
+    gaps.find('e').note(90)
+    assert gaps.take_untold() == []
+    heard = FullGaps(clock=clock, tells=True)
+    for name, *gaps_ms in told:
+        heard.take_told(name, gaps_ms)
+    assert heard.find('e').typical_ms == 90
+    assert heard.take_untold() == []
+
+
+def test_nothing_is_told_where_no_groups_are_asked_for(clock: ManualClock):
+    gaps = FullGaps(clock=clock)
+    gaps.find('e').note(90)
+    assert gaps.take_untold() == []
+
+
+def test_engines_that_are_gone_are_forgotten(clock: ManualClock):
+    gaps = FullGaps(clock=clock, tells=True)
+    gaps.find('e').note(90)
+    gaps.keep_only(set())
+    assert gaps.find('e').gaps_ms == []
+
+
+@pytest.mark.parametrize(
+    ('gap_ms', 'reading', 'kept'),
+    [(100, 40_000, True), (100, 8000, False), (40, 40_000, False)],
+    ids=['beside reads', 'reads may have ended', 'as long as alone'],
+)
+def test_gap_counts_if_reads_filled_it(
+    clock: ManualClock, gap_ms: int, reading: int, *, kept: bool
+):
+    window = FullGaps(clock=clock).find('e')
+    speed = EngineSpeed(tokens_per_ms=80, full_gaps=window)
+    speed.note_longest_gap(gap_ms, reading)
+    assert bool(window.gaps_ms) == kept
--- a/tests/test_load_replay.py
+++ b/tests/test_load_replay.py
@@ -13,10 +13,10 @@
 PATTERNS = pathlib.Path(__file__).parent / 'patterns'
 
 
-def replay(name: str, seed: int = 1) -> LoadReplay:
+def replay(name: str, seed: int = 1, groups: str = 'none') -> LoadReplay:
     """Play a pattern."""
-    path = PATTERNS / f'{name}.yaml'
-    return LoadReplay(pattern=read_pattern(path), seed=seed).run()
+    pattern = read_pattern(PATTERNS / f'{name}.yaml')
+    return LoadReplay(pattern=pattern, seed=seed, groups=groups).run()
 
 
 def share(ends: Counter[str], end: str) -> float:
@@ -55,3 +55,12 @@
     # up after four engines that take no connection, 2 in 100 are.
     assert share(played.ends['long'], 'late') < 3
     assert not played.count('no_endpoint')
+
+
+def test_streams_with_short_gaps_are_kept_from_long_reads():
+    name = 'short-gaps-beside-reads'
+    before, after = (replay(name, groups=rule) for rule in ('none', 'by_gap'))
+    # Callers of all kinds are to get nine in ten answers in target.
+    assert share(before.ends['short'], 'in target') < 90
+    assert share(after.ends['short'], 'in target') >= 90
+    assert share(after.ends['long'], 'in target') >= 90
--- a/wingfall/gateway/rules/placement/engine_classes.py
+++ b/wingfall/gateway/rules/placement/engine_classes.py
@@ -28,6 +28,10 @@
 # Times the bound at which reads count as harmless no longer: by as much do the
 # gaps of an engine differ from one time to the next.
 _STILL_FIT: Final = 1.15
+# Part of the bound within which gaps beside reads at slower engines must be:
+# their streams could go to quicker ones, and a slow spell makes gaps longer by
+# half and more.
+_CLEARLY_FIT: Final = 0.7
 # Longest gaps that must be known of a class of engines. Of fewer, one odd
 # stream would be what the quantile above takes.
 _NEEDED_GAPS: Final = 12
@@ -154,7 +158,9 @@
     """
     count = 0
     for number in sorted(gaps):
-        bound_ms = gap_ms * _STILL_FIT if count < known else gap_ms
+        bound_ms = gap_ms * _CLEARLY_FIT if count else gap_ms
+        if count < known:
+            bound_ms *= _STILL_FIT
         if gaps[number] > bound_ms:
             break
         count += 1
--- a/wingfall/gateway/rules/placement/engine_groups.py
+++ b/wingfall/gateway/rules/placement/engine_groups.py
@@ -23,18 +23,24 @@
 
     from wingfall.gateway.rules.placement.engine_classes import PoolEngine
 
-# Part of an engine's slots for streams with short gaps. Each stream makes the
-# steps of all longer, and its own prompt is read there too: with half of the
-# slots taken an engine reads half of the time, as it does beside long reads.
-_BEARS_PART: Final = 0.3
-# Times the streams that run which engines are kept for: a burst grows by a
-# quarter in the second that it takes until all gateways know of it.
-_RESERVE: Final = 1.25
+# Part of an engine's slots for streams with short gaps beside long reads. Each
+# stream makes the steps longer, those of reads too, and an engine that keeps a
+# gap beside reads may keep it by little.
+_BESIDE_PART: Final = 0.35
+# Part of its slots if it takes no long reads and its gaps beside them are just
+# as long as its streams bear; less by as much as they are longer. Its steps are
+# longer with each stream and with the short prompts that it reads.
+_CLOSED_PART: Final = 0.6
+_MOST_CLOSED_PART: Final = 0.7
+# Times the streams that run which engines are kept for: a burst that doubles in
+# two seconds grows by a tenth until all gateways know of it.
+_RESERVE: Final = 1.1
 # Engines in all of which nothing is kept: with one or two for long reads alone
 # a loss of one would leave none.
 _FEW_ENGINES: Final = 3
-# Part of the engines that is never closed to long reads.
-_OPEN_PART: Final = 0.5
+# Part of what a pool reads that may be given up for short gaps: callers of long
+# prompts wait for the rest.
+_GIVEN_UP_PART: Final = 0.5
 
 
 @final
@@ -87,7 +93,7 @@
     The streams that bear a gap go to the first engines of one order.
     """
 
-    __slots__ = ('classes', 'fit', 'fit_engines', 'needed', 'order')
+    __slots__ = ('classes', 'closed', 'fit', 'fit_engines', 'order')
 
     def __init__(
         self,
@@ -96,7 +102,7 @@
         classes: Mapping[str, int],
         fit: Mapping[int, int],
         fit_engines: Mapping[int, int],
-        needed: Mapping[int, int],
+        closed: Mapping[int, int],
     ) -> None:
         """Keep a decision.
 
@@ -105,14 +111,14 @@
         :param fit: for each gap, in how many classes reads are harmless.
         :param fit_engines: for each gap, how many engines of the order keep it
             beside reads.
-        :param needed: for each gap, how many engines of the order the streams
-            need that bear it or less.
+        :param closed: for each gap, how many engines of the order should take
+            no long reads for the streams that bear it or less.
         """
         self.order = order
         self.classes = classes
         self.fit = fit
         self.fit_engines = fit_engines
-        self.needed = needed
+        self.closed = closed
 
 
 EngineGroups = Callable[['PoolState'], 'Parting | None']
@@ -156,12 +162,13 @@
     }
     if min(fit_engines.values()) == len(engines):
         return None
+    full_gaps_ms = [gaps[classes[each.name]] for each in engines]
     return Parting(
         order=[each.name for each in engines],
         classes=classes,
         fit=fit,
         fit_engines=fit_engines,
-        needed=_count_needed(pool, engines, fit_engines),
+        closed=_count_all_closed(pool, engines, fit_engines, full_gaps_ms),
     )
 
 
@@ -173,25 +180,49 @@
     return sum(number in chosen for number in classes.values())
 
 
-def _count_needed(
+def _count_all_closed(
     pool: PoolState,
     engines: Sequence[PoolEngine],
     fit_engines: Mapping[int, int],
+    full_gaps_ms: Sequence[float],
 ) -> dict[int, int]:
-    needed = {}
+    closed = {}
     streams = 0
     for gap_ms in pool.gap_bounds_ms:
         streams += pool.streams.get(gap_ms, 0)
-        fit = fit_engines[gap_ms]
-        most = fit + int((len(engines) - fit) * _OPEN_PART)
-        needed[gap_ms] = min(most, _count_bearing(engines, streams * _RESERVE))
-    return needed
+        closed[gap_ms] = _count_closed(
+            engines,
+            fit_engines[gap_ms],
+            [_closed_part(full_ms, gap_ms) for full_ms in full_gaps_ms],
+            streams * _RESERVE,
+        )
+    return closed
 
 
-def _count_bearing(engines: Sequence[PoolEngine], streams: float) -> int:
-    borne: float = 0
+def _count_closed(
+    engines: Sequence[PoolEngine],
+    fit: int,
+    parts: Sequence[float],
+    streams: float,
+) -> int:
+    """Count the engines that must be closed for some streams.
+
+    :param engines: the engines in order.
+    :param fit: how many of them keep the gap beside reads.
+    :param parts: for each the part of its slots that it bears if closed.
+    :param streams: how many streams there are.
+    :returns: how many, the first of the order.
+    """
+    beside = [each.slots * _BESIDE_PART for each in engines[:fit]]
+    borne = sum(beside)
+    left = _GIVEN_UP_PART * sum(each.rate for each in engines)
     for count, engine in enumerate(engines):
-        if borne >= streams:
+        left -= engine.rate
+        if borne >= streams or left < 0:
             return count
-        borne += engine.slots * _BEARS_PART
+        borne += engine.slots * parts[count] - sum(beside[count : count + 1])
     return len(engines)
+
+
+def _closed_part(full_gap_ms: float, gap_ms: int) -> float:
+    return min(_MOST_CLOSED_PART, _CLOSED_PART * gap_ms / full_gap_ms)
--- a/wingfall/gateway/rules/placement/gap_group.py
+++ b/wingfall/gateway/rules/placement/gap_group.py
@@ -56,7 +56,7 @@
         self._needed = 0
         self.gap_ms = gap_ms
         # Where its streams go; those of them that keep the gap beside reads;
-        # those that don't, and are closed to long reads.
+        # those that are closed to long reads.
         self.engines: frozenset[str] = frozenset()
         self.fit: frozenset[str] = frozenset()
         self.closed: frozenset[str] = frozenset()
@@ -74,12 +74,11 @@
         :param held: whether the number of closed engines stays as it is.
         """
         fit = parting.fit_engines.get(self.gap_ms, 0)
-        self._needed = max(0, parting.needed.get(self.gap_ms, 0) - fit)
+        self._needed = parting.closed.get(self.gap_ms, 0)
         if not held and self._size.follow(self._needed, now_ms):
             self._count('moved')
-        last = fit + self._size.engines
         self.fit = frozenset(parting.order[:fit])
-        self.closed = frozenset(parting.order[fit:last])
+        self.closed = frozenset(parting.order[: self._size.engines])
         self.engines = self.fit | self.closed
 
     def show(self) -> dict[str, Any]:
--- a/wingfall/gateway/rules/placement/group_size.py
+++ b/wingfall/gateway/rules/placement/group_size.py
@@ -9,11 +9,11 @@
 # hundred more a second.
 _GROW_MS: Final = 250
 # Milliseconds for which a group must have been too large before it gives an
-# engine up: longer than the streams of a burst run. What its engines cache is
-# worth something.
-_ENOUGH_MS: Final = 4000
+# engine up: as long as short answers take, since a burst comes in waves. What
+# its engines cache is worth something.
+_ENOUGH_MS: Final = 2000
 # Milliseconds between two engines that a group gives up.
-_SHRINK_MS: Final = 1000
+_SHRINK_MS: Final = 500
 
 
 @final
--- a/wingfall/gateway/rules/placement/kept_engines.py
+++ b/wingfall/gateway/rules/placement/kept_engines.py
@@ -72,7 +72,8 @@
         groups = self._find(usable[0].pool)
         groups.note_prompt(demand)
         now_ms = self._clock.now_ms()
-        if now_ms - groups.reviewed_ms >= _REVIEW_MS:
+        seen_ms = groups.reviewed_ms
+        if seen_ms is None or now_ms - seen_ms >= _REVIEW_MS:
             groups.review(routes, usable, now_ms)
         return groups.narrow(demand, usable)
 
--- a/wingfall/gateway/rules/placement/pool_groups.py
+++ b/wingfall/gateway/rules/placement/pool_groups.py
@@ -1,4 +1,4 @@
-"""The groups of one pool: collects what the rule asks, keeps what it says.
+"""The groups of one pool: puts to the rule what is known, keeps what it says.
 
 Which engines have room is worked out some times a second, not for each prompt.
 """
@@ -7,17 +7,15 @@
 
 from typing import TYPE_CHECKING, Any, Final, final
 
-from wingfall.gateway.knowledge.long_reads import SHORT_READ_TOKENS
-from wingfall.gateway.rules.placement.engine_classes import PoolEngine
 from wingfall.gateway.rules.placement.engine_groups import PoolState
 from wingfall.gateway.rules.placement.gap_group import GapGroup
-from wingfall.gateway.rules.placement.shortlist import SHORT_PROMPT_TOKENS
+from wingfall.gateway.rules.placement.pool_look import PoolLook
+from wingfall.gateway.rules.placement.prompt_kinds import PromptKinds
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Sequence
 
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
-    from wingfall.gateway.knowledge.load import EndpointLoad
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.model.routes import Routes
     from wingfall.gateway.rules.placement.candidate import Demand
@@ -33,15 +31,6 @@
 # Milliseconds for which nothing moves after such a loss: until the streams that
 # were sent again have ended, and new engines are listed.
 _HOLD_MS: Final = 5000
-# Part of an engine's slots up to which it takes streams of its group, with the
-# streams of long reads: they too make its steps longer.
-_FULL_PART: Final = 0.45
-# Part of the time to a first event that may go by before a long read begins at
-# an engine, so that what other gateways send meanwhile makes it late seldom.
-_START_PART: Final = 0.75
-# Part of a new prompt's length in the average of its kind. Fifty prompts tell
-# what is asked.
-_LENGTH_WEIGHT: Final = 0.05
 
 
 @final
@@ -54,16 +43,14 @@
         '_fit',
         '_groups',
         '_held_until_ms',
-        '_idle_closed',
+        '_kinds',
         '_knowledge',
-        '_lengths',
         '_listed',
+        '_look',
         '_metrics',
         '_parts_pool',
         '_pool',
-        '_rates',
         '_safe_gaps',
-        '_waits_ms',
         'reviewed_ms',
     )
 
@@ -86,37 +73,28 @@
         self._knowledge = knowledge
         self._parts_pool = parts_pool
         self._metrics = metrics
-        # When the groups were looked at last, by the clock.
-        self.reviewed_ms = 0
+        self._kinds = PromptKinds()
+        self._look = PoolLook(usable=(), knowledge=knowledge)
+        # When the pool was looked at last, by the clock; None if never.
+        self.reviewed_ms: int | None = None
         self._groups: dict[int, GapGroup] = {}
+        # What the rule said last.
         self._classes: dict[str, int] = {}
         self._fit: dict[int, int] = {}
-        # Engines that take no long reads, and those of them without a stream
-        # of a short gap.
+        # Engines that take no long reads.
         self._closed: frozenset[str] = frozenset()
-        self._idle_closed: frozenset[str] = frozenset()
-        # For engines: the shortest gap that streams bear beside reads there,
-        # when all is read that waits, and tokens that they read in a
-        # millisecond.
+        # The shortest gap that streams bear beside reads, by engine.
         self._safe_gaps: dict[str, int] = {}
-        self._waits_ms: dict[str, float] = {}
-        self._rates: dict[str, float] = {}
-        # Mean length of the prompts whose streams bear a gap.
-        self._lengths: dict[int, float] = {}
         # How many engines there were, and until when nothing moves.
         self._listed = 0
         self._held_until_ms = 0
 
     def note_prompt(self, demand: Demand) -> None:
-        """Learn how long the prompts are whose streams bear a gap.
+        """Learn how long the prompts of each kind are.
 
         :param demand: what a prompt asks.
         """
-        gap_ms = demand.gap_target_ms
-        if gap_ms is not None:
-            mean = self._lengths.get(gap_ms, demand.tokens)
-            mean += (demand.tokens - mean) * _LENGTH_WEIGHT
-            self._lengths[gap_ms] = mean
+        self._kinds.note(demand)
 
     def narrow(
         self,
@@ -132,9 +110,7 @@
         if not self._groups:
             return usable
         group = self._groups.get(demand.gap_target_ms or 0)
-        if self._is_long(demand):
-            return self._list_open(demand, usable)
-        if group is None:
+        if group is None or self._kinds.is_long(demand):
             return self._list_open(demand, usable)
         for room in (group.room & group.fit, group.room):
             chosen = [each for each in usable if each.name in room]
@@ -173,134 +149,64 @@
         :param now_ms: the time.
         """
         self.reviewed_ms = now_ms
-        loads = {
-            each.name: self._knowledge.load.total(each.name) for each in usable
-        }
-        streams = self._count_streams(loads)
-        parting = self._parts_pool(self._describe(routes, usable, streams))
+        self._note_loss(len(usable), now_ms)
+        self._look = PoolLook(usable=usable, knowledge=self._knowledge)
+        state = self._describe(routes)
+        parting = self._parts_pool(state)
         if parting is None:
             self._forget_groups()
-            return
-        self._note_loss(len(usable), now_ms)
-        self._classes = dict(parting.classes)
-        self._fit = dict(parting.fit)
-        for gap_ms in parting.fit:
-            if gap_ms not in self._groups:
-                self._groups[gap_ms] = GapGroup(
-                    pool=self._pool, gap_ms=gap_ms, metrics=self._metrics
-                )
-        held = now_ms < self._held_until_ms
-        for gap_ms, group in self._groups.items():
-            group.follow(parting, now_ms, held=held)
-            group.log_change(streams, now_ms)
-        self._note_engines(parting, usable, loads)
+        else:
+            self._move_groups(parting, now_ms)
+            for group in self._groups.values():
+                group.log_change(state.streams, now_ms)
 
-    def _describe(
-        self,
-        routes: Routes,
-        usable: Sequence[PoolEndpoint],
-        streams: dict[int, int],
-    ) -> PoolState:
+    def _describe(self, routes: Routes) -> PoolState:
+        # Engines are closed only for streams of short prompts, and only while
+        # others bring long ones.
+        streams = {}
+        if self._look.reads_long:
+            streams = self._look.count_streams(self._kinds.is_short)
         return PoolState(
             name=self._pool,
-            engines=[self._describe_engine(each) for each in usable],
+            engines=list(self._look.engines.values()),
             gap_bounds_ms=_list_bounds(routes, self._pool),
             streams=streams,
             classes=self._classes,
             fit=self._fit,
         )
 
-    def _describe_engine(self, endpoint: PoolEndpoint) -> PoolEngine:
-        speed = self._knowledge.speed(endpoint.name)
-        gaps = self._knowledge.full_gaps.find(endpoint.name)
-        return PoolEngine(
-            name=endpoint.name,
-            rate=speed.rate.tokens_per_ms,
-            slots=endpoint.slots,
-            full_gaps_ms=gaps.gaps_ms,
-            typical_gap_ms=gaps.typical_ms,
-        )
-
-    def _count_streams(self, loads: dict[str, EndpointLoad]) -> dict[int, int]:
-        # Engines are closed only for streams of short prompts, and only while
-        # others bring long ones.
-        recent = self._knowledge.long_reads.tokens
-        if sum(map(recent, loads)) < SHORT_READ_TOKENS:
-            return {}
-        streams: dict[int, int] = {}
-        for load in loads.values():
-            for gap_ms, count in load.streams.items():
-                if self._is_short(gap_ms):
-                    streams[gap_ms] = streams.get(gap_ms, 0) + count
-        return streams
-
-    def _is_long(self, demand: Demand) -> bool:
-        # A short one among long ones is read with as many others.
-        gap_ms = demand.gap_target_ms
-        long = demand.tokens > SHORT_PROMPT_TOKENS
-        return long or (gap_ms is not None and not self._is_short(gap_ms))
-
-    def _is_short(self, gap_ms: int) -> bool:
-        return 0 < self._lengths.get(gap_ms, 0) <= SHORT_PROMPT_TOKENS
-
     def _note_loss(self, listed: int, now_ms: int) -> None:
         if listed <= self._listed * (1 - _LOST_PART):
             self._held_until_ms = now_ms + _HOLD_MS
         self._listed = listed
 
-    def _note_engines(
-        self,
-        parting: Parting,
-        usable: Sequence[PoolEndpoint],
-        loads: dict[str, EndpointLoad],
-    ) -> None:
-        self._rates = {
-            each.name: self._knowledge.speed(each.name).rate.tokens_per_ms
-            for each in usable
-        }
-        self._waits_ms = {
-            name: load.reading_tokens / self._rates[name]
-            for name, load in loads.items()
-        }
-        self._safe_gaps = {}
-        for gap_ms in sorted(parting.fit, reverse=True):
-            fit = self._groups[gap_ms].fit
-            self._safe_gaps.update(dict.fromkeys(fit, gap_ms))
-        self._note_room(usable, loads)
+    def _move_groups(self, parting: Parting, now_ms: int) -> None:
+        self._classes = dict(parting.classes)
+        self._fit = dict(parting.fit)
+        held = now_ms < self._held_until_ms
+        for gap_ms in parting.fit:
+            if gap_ms not in self._groups:
+                self._groups[gap_ms] = GapGroup(
+                    pool=self._pool, gap_ms=gap_ms, metrics=self._metrics
+                )
+        for group in self._groups.values():
+            group.follow(parting, now_ms, held=held)
+        self._note_engines()
 
-    def _note_room(
-        self,
-        usable: Sequence[PoolEndpoint],
-        loads: dict[str, EndpointLoad],
-    ) -> None:
+    def _note_engines(self) -> None:
         groups = self._groups.values()
         self._closed = frozenset().union(*(each.closed for each in groups))
-        self._idle_closed = frozenset(
-            name for name in self._closed if not self._has_short(loads[name])
-        )
+        self._safe_gaps = {}
+        for gap_ms in sorted(self._groups, reverse=True):
+            fit = self._groups[gap_ms].fit
+            self._safe_gaps.update(dict.fromkeys(fit, gap_ms))
         for group in groups:
             group.room = frozenset(
-                each.name
-                for each in usable
-                if each.name in group.engines
-                and loads[each.name].running < each.slots * _FULL_PART
+                name
+                for name in group.engines
+                if self._look.has_room(name, self._closed)
             )
 
-    def _has_short(self, load: EndpointLoad) -> bool:
-        return any(map(self._is_short, load.streams))
-
-    def _list_in_time(
-        self,
-        demand: Demand,
-        usable: Iterable[PoolEndpoint],
-        names: Iterable[str],
-    ) -> list[PoolEndpoint]:
-        most_ms = (demand.start_target_ms or 0) * _START_PART
-        in_time = {
-            name for name in names if self._start_ms(demand, name) <= most_ms
-        }
-        return [each for each in usable if each.name in in_time]
-
     def _list_open(
         self,
         demand: Demand,
@@ -308,27 +214,27 @@
     ) -> list[PoolEndpoint]:
         if not self._closed:
             return usable
-        names = [each.name for each in usable if each.name not in self._closed]
-        shut = self._closed
-        if not self._list_in_time(demand, usable, names):
-            shut -= self._idle_closed
-        return [each for each in usable if each.name not in shut] or usable
-
-    def _start_ms(self, demand: Demand, engine: str) -> float:
-        rate = self._rates.get(engine)
-        if rate is None:
-            return 0
-        return self._waits_ms[engine] + demand.tokens / rate
+        listed = [each for each in usable if each.name not in self._closed]
+        if any(self._look.begins_in_time(each.name, demand) for each in listed):
+            return listed
+        is_short = self._kinds.is_short
+        return [
+            each
+            for each in usable
+            if each.name not in self._closed
+            or not self._look.runs_any(each.name, is_short)
+        ] or usable
 
     def _forget_groups(self) -> None:
+        if not self._groups:
+            return
         for group in self._groups.values():
             group.log_end()
+        # Reads count as harmless until gaps are clearly too long again.
+        self._fit = dict.fromkeys(self._groups, len(self._classes))
         self._groups = {}
-        self._classes = {}
-        self._fit = {}
         self._safe_gaps = {}
         self._closed = frozenset()
-        self._idle_closed = frozenset()
 
 
 def _list_bounds(routes: Routes, pool: str) -> list[int]:
