Admission: shares don't move prompts, starts are judged by when three in four come

Cause: a customer's share moved prompts from engines that cache them, though in time; prompts whose median estimate met the bound were late half of the time; Retry-After of customers above their share brought them back into the same refusal; a gateway that starts judged shares by work of which most still waits.

--- a/tests/test_customer_work.py
+++ b/tests/test_customer_work.py
@@ -74,3 +74,13 @@
         work.note(POOL, f'customer-{number}', Work(asked=1000))
         assert number % 1000 or len(work.read(POOL)) <= MOST_CUSTOMERS
     assert asked(work, 'aker') == 90_000
+
+
+def test_work_is_settled_once_it_was_heard_of_for_a_half_life(
+    work: CustomerWork, clock: ManualClock
+):
+    work.take_from_peer(POOL, 'aker', 4000, 4000)
+    assert not work.is_settled(POOL)
+    clock.advance(HALF_LIFE_MS)
+    assert work.is_settled(POOL)
+    assert not work.is_settled('others')
--- a/wingfall/gateway/calls/admission.py
+++ b/wingfall/gateway/calls/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -16,6 +17,7 @@
 from wingfall.gateway.knowledge.customer_work import Work, prompt_work
 from wingfall.gateway.rules.admission.early_refusal import (
     MOST_OVER_SHARE,
+    start_margin,
     tell_reason,
 )
 from wingfall.gateway.rules.admission.refusals import refuse_early
@@ -63,26 +65,40 @@
     pool: str,
     chosen: Destination,
 ) -> Result[Destination, Refusal]:
-    admission = state.policies.admission
+    error = state.knowledge.starts.errors.get((pool, call.priority))
+    estimate = functools.partial(
+        estimate_start, state, call, margin=start_margin(error)
+    )
     # What is in time for customers far above their shares is so for all.
-    estimate = estimate_start(state, call, chosen, MOST_OVER_SHARE)
-    if isinstance(admission(estimate), Success):
+    if _is_in_time(state, estimate(chosen, MOST_OVER_SHARE)):
         return Success(chosen)
     use = state.fair_shares.find(pool).use(call.customer_name)
-    estimate = estimate_start(state, call, chosen, use)
-    if isinstance(admission(estimate), Success):
+    if _is_in_time(state, estimate(chosen, use)):
+        return Success(chosen)
+    room = find_room(
+        state,
+        call,
+        chosen,
+        lambda each: _is_in_time(state, estimate(each, use)),
+    )
+    if not room.in_time:
+        return Failure(_refuse(state, call, estimate(room.soonest, use), room))
+    # Its customer's share tells whether it is admitted, not where it goes: the
+    # chosen engine may cache the prompt.
+    if _is_in_time(state, estimate(chosen)):
         return Success(chosen)
-    room = find_room(state, call, chosen, admission, use)
-    if room.in_time:
-        _count(state, 'other_engine')
-        return Success(take_room(state, call, pool, room))
-    return Failure(_refuse(state, call, pool, room, use))
+    _count(state, 'other_engine')
+    return Success(take_room(state, call, pool, room))
+
+
+def _is_in_time(state: GatewayState, estimate: StartEstimate) -> bool:
+    return isinstance(state.policies.admission(estimate), Success)
 
 
 def _refuse(
-    state: GatewayState, call: Call, pool: str, room: PoolRoom, use: float
+    state: GatewayState, call: Call, estimate: StartEstimate, room: PoolRoom
 ) -> Refusal:
-    estimate = estimate_start(state, call, room.soonest, use)
+    pool = room.soonest.endpoint.pool
     reason = tell_reason(estimate)
     _count(state, reason)
     shares = state.fair_shares.find(pool)
@@ -92,7 +108,8 @@
         estimate,
         pool=pool,
         reason=reason,
-        use=round(use, 2),
+        use=round(estimate.use, 2),
+        margin=round(estimate.margin, 2),
         share_age_ms=state.clock.now_ms() - shares.worked_out_ms,
         estimate_age_ms=state.knowledge.first_event_age_ms(pool),
         engines=room.engines,
--- a/wingfall/gateway/calls/pool_room.py
+++ b/wingfall/gateway/calls/pool_room.py
@@ -9,9 +9,7 @@
 
 import functools
 import random
-from typing import TYPE_CHECKING, Final, final
-
-from returns.result import Success
+from typing import TYPE_CHECKING, Callable, Final, final
 
 from wingfall.gateway.calls.destination import (
     Destination,
@@ -25,7 +23,6 @@
 if TYPE_CHECKING:
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
-    from wingfall.gateway.rules.admission.early_refusal import Admission
     from wingfall.gateway.state import GatewayState
 
 # Engines in time that are drawn to be weighed: few, so that gateways that find
@@ -72,6 +69,7 @@
     call: Call,
     destination: Destination,
     use: float = 1,
+    margin: float = 1,
 ) -> StartEstimate:
     """Estimate when a prompt would start at an engine.
 
@@ -79,6 +77,8 @@
     :param call: the call, which has a prompt.
     :param destination: where it would go.
     :param use: what its customer uses as a multiple of its fair share.
+    :param margin: by how many times most starts are later than estimated at
+        most.
     :returns: the estimate.
     """
     pool, speed = destination.endpoint.pool, destination.candidate.speed
@@ -95,6 +95,7 @@
         alone_ms=expected_ms(speed.read_ms(destination.load.reading_tokens)),
         stream_ms=_stream_ms(state, call, destination),
         use=use,
+        margin=margin,
     )
 
 
@@ -102,16 +103,14 @@
     state: GatewayState,
     call: Call,
     chosen: Destination,
-    admission: Admission,
-    use: float,
+    judge: Callable[[Destination], bool],
 ) -> PoolRoom:
     """Look for room at all engines of a pool.
 
     :param state: what the gateway knows.
     :param call: the call, which was sent nowhere yet.
     :param chosen: where placement would send it, which is too late.
-    :param admission: tells which start is in time.
-    :param use: what its customer uses as a multiple of its fair share.
+    :param judge: tells whether it would be in time at an engine.
     :returns: what was found.
     """
     in_time: list[Destination] = []
@@ -120,9 +119,7 @@
         if endpoint.name == chosen.endpoint.name:
             continue
         destination = _describe_destination(state, call, endpoint)
-        admitted = admission(estimate_start(state, call, destination, use))
-        fits = isinstance(admitted, Success)
-        (in_time if fits else late).append(destination)
+        (in_time if judge(destination) else late).append(destination)
     return PoolRoom(in_time=in_time, late=late)
 
 
--- a/wingfall/gateway/knowledge/customer_work.py
+++ b/wingfall/gateway/knowledge/customer_work.py
@@ -68,7 +68,7 @@
 class PoolWork:
     """Work of the customers of one pool, as it was at one moment."""
 
-    __slots__ = ('_at_ms', '_by_customer')
+    __slots__ = ('_at_ms', '_by_customer', '_since_ms')
 
     def __init__(self, *, now_ms: int) -> None:
         """Start without work.
@@ -78,12 +78,21 @@
         # All sums are kept as they would be at this time, so that none has to
         # be changed only because time goes on.
         self._at_ms = now_ms
+        self._since_ms = now_ms
         self._by_customer: dict[str, Work] = {}
 
     def __len__(self) -> int:
         """Count the customers that are kept."""
         return len(self._by_customer)
 
+    def is_settled(self, now_ms: int) -> bool:
+        """Tell whether work is known for long enough to be compared.
+
+        :param now_ms: the time.
+        :returns: whether it is known for a half-life.
+        """
+        return now_ms - self._since_ms >= _HALF_LIFE_MS
+
     def add(self, customer: str, work: Work, now_ms: int) -> None:
         """Add work of a customer.
 
@@ -195,6 +204,15 @@
         known = self._pools.get(pool)
         return {} if known is None else dict(known.read(self._clock.now_ms()))
 
+    def is_settled(self, pool: str) -> bool:
+        """Tell whether work was heard of for long enough to be compared.
+
+        :param pool: name of the pool.
+        :returns: whether it was for a half-life.
+        """
+        known = self._pools.get(pool)
+        return known is not None and known.is_settled(self._clock.now_ms())
+
     def _add(self, pool: str, customer: str, work: Work) -> None:
         now_ms = self._clock.now_ms()
         known = self._pools.get(pool)
--- a/wingfall/gateway/rules/admission/early_refusal.py
+++ b/wingfall/gateway/rules/admission/early_refusal.py
@@ -8,13 +8,17 @@
 
 from __future__ import annotations
 
-from typing import Callable, Final, final
+import math
+from typing import TYPE_CHECKING, Callable, Final, final
 
 from returns.result import Failure, Result, Success
 
 from wingfall.gateway.rules.admission.retry_after import retry_after_queue_ms
 from wingfall.registry import Registry
 
+if TYPE_CHECKING:
+    from wingfall.gateway.knowledge.start_estimates import StartError
+
 # The most urgent tier is refused only if it would start after so much of the
 # time that its callers wait: no tier goes before it, and those of lower tiers
 # that start meanwhile must not be served instead.
@@ -27,6 +31,9 @@
 # Gateways hear a tenth of a second late that a prompt was read, so that an
 # engine with less runs out of work while prompts are refused.
 _KEPT_BUSY_MS: Final = 100
+# Bound of that margin, so that a failure of many engines, in which first events
+# come late or never, does not refuse all that comes after it.
+_MOST_MARGIN: Final = 2
 
 
 @final
@@ -37,6 +44,7 @@
         'alone_ms',
         'left_ms',
         'lowest',
+        'margin',
         'start_ms',
         'stream_ms',
         'target_ms',
@@ -55,6 +63,7 @@
         alone_ms: float = 0,
         stream_ms: float = 0,
         use: float = 1,
+        margin: float = 1,
     ) -> None:
         """Describe a prompt.
 
@@ -67,6 +76,8 @@
             it.
         :param stream_ms: from its start to the end of its answer.
         :param use: what its customer uses as a multiple of its fair share.
+        :param margin: by how many times most starts are later than estimated
+            at most.
         """
         self.start_ms = start_ms
         self.target_ms = target_ms
@@ -76,6 +87,7 @@
         self.alone_ms = alone_ms
         self.stream_ms = stream_ms
         self.use = use
+        self.margin = margin
 
 
 Judgement = Callable[[StartEstimate], Result[None, int]]
@@ -171,7 +183,9 @@
         return Success(None)
     over = _over_share(estimate)
     retry_ms = retry_after_queue_ms(
-        estimate.start_ms, estimate.target_ms / over, estimate.left_ms
+        estimate.start_ms,
+        estimate.target_ms / estimate.margin / over,
+        estimate.left_ms,
     )
     # Of a customer at so many times its share one prompt in so many has room.
     return Failure(int(min(retry_ms * over, estimate.left_ms)))
@@ -183,11 +197,11 @@
     :param estimate: the prompt.
     :returns: milliseconds from now.
     """
-    whole_ms = start_bound_ms(estimate)
+    whole_ms = start_bound_ms(estimate) / estimate.margin
     bound_ms = whole_ms / _over_share(estimate)
     if not estimate.lowest:
         # No tier is refused for a lower one, whoever asks.
-        bound_ms = max(bound_ms, estimate.target_ms)
+        bound_ms = max(bound_ms, estimate.target_ms / estimate.margin)
     return max(bound_ms, min(whole_ms, estimate.alone_ms + _KEPT_BUSY_MS))
 
 
@@ -198,13 +212,29 @@
     :returns: ``ends_late``, ``over_share`` if other customers' prompts would be
         admitted, or ``no_room``.
     """
-    if estimate.start_ms > start_bound_ms(estimate):
+    if estimate.start_ms > start_bound_ms(estimate) / estimate.margin:
         return 'no_room'
     if estimate.start_ms > fair_bound_ms(estimate):
         return 'over_share'
     return 'ends_late'
 
 
+def start_margin(error: StartError | None) -> float:
+    """Tell how much later than estimated three in four starts come at most.
+
+    Half of all starts are later than their estimate: a bound on the estimate
+    alone would let in as many prompts that are late as are in time, and these
+    would hold up those behind them.
+
+    :param error: how far estimates were off, None if that is unknown.
+    :returns: a factor on estimates.
+    """
+    if error is None or not error.median:
+        return 1
+    # Three in four lie about halfway between the median and the worst tenth.
+    return min(_MOST_MARGIN, math.sqrt(error.worst_tenth / error.median))
+
+
 @register_admission('always')
 def admit_always(estimate: StartEstimate) -> Result[None, int]:
     """Refuse nothing, as the baseline.
--- a/wingfall/gateway/rules/admission/fair_shares.py
+++ b/wingfall/gateway/rules/admission/fair_shares.py
@@ -136,8 +136,9 @@
         now_ms = self._clock.now_ms()
         known = self._pools.get(pool)
         if known is None or now_ms - known.worked_out_ms >= _HELD_MS:
+            work = self._knowledge.customer_work
             known = PoolShares(
-                work=self._knowledge.customer_work.read(pool),
+                work=work.read(pool) if work.is_settled(pool) else {},
                 waiting=self._waiting(pool),
                 now_ms=now_ms,
             )
