Admission: nothing is refused for its own length, the margin is bounded by a half

Change: a prompt that nothing waits before is admitted unless it ends late; the margin is at most 1.5.

--- a/wingfall/gateway/rules/admission/early_refusal.py
+++ b/wingfall/gateway/rules/admission/early_refusal.py
@@ -31,9 +31,9 @@
 # Gateways hear a tenth of a second late that a prompt was read, so that an
 # engine with less runs out of work while prompts are refused.
 _KEPT_BUSY_MS: Final = 100
-# Bound of that margin, so that a failure of many engines, in which first events
-# come late or never, does not refuse all that comes after it.
-_MOST_MARGIN: Final = 2
+# Bound of the margin on estimates: the first few starts of a pool, or a failure
+# of many engines, say little of the error of those that come after them.
+_MOST_MARGIN: Final = 1.5
 
 
 @final
@@ -202,7 +202,9 @@
     if not estimate.lowest:
         # No tier is refused for a lower one, whoever asks.
         bound_ms = max(bound_ms, estimate.target_ms / estimate.margin)
-    return max(bound_ms, min(whole_ms, estimate.alone_ms + _KEPT_BUSY_MS))
+    bound_ms = max(bound_ms, min(whole_ms, estimate.alone_ms + _KEPT_BUSY_MS))
+    # What nothing waits before starts no sooner when it comes back.
+    return max(bound_ms, estimate.alone_ms)
 
 
 def tell_reason(estimate: StartEstimate) -> str:
@@ -212,11 +214,11 @@
     :returns: ``ends_late``, ``over_share`` if other customers' prompts would be
         admitted, or ``no_room``.
     """
-    if estimate.start_ms > start_bound_ms(estimate) / estimate.margin:
-        return 'no_room'
-    if estimate.start_ms > fair_bound_ms(estimate):
+    if estimate.start_ms <= fair_bound_ms(estimate):
+        return 'ends_late'
+    if estimate.start_ms <= start_bound_ms(estimate) / estimate.margin:
         return 'over_share'
-    return 'ends_late'
+    return 'no_room'
 
 
 def start_margin(error: StartError | None) -> float:
