--- /dev/null
+++ b/tests/test_sized_rates.py
@@ -0,0 +1,82 @@
+"""Rates that are learned apart in small pools and together in large ones."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingfall.clock import ManualClock
+from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
+from wingfall.gateway.knowledge.shared_rates import SharedRates
+from wingfall.gateway.knowledge.start_estimates import CorrectedEstimates
+from wingfall.gateway.model.pool_endpoint import PoolEndpoint
+
+POOL = 'engines'
+# As another gateway tells it: tenths of a token a millisecond.
+TOLD = [1500, 1500, 1500]
+TOLD_RATE = 150
+FIRST_RATE = 25
+LARGE = 9
+
+
+@pytest.fixture(name='clock')
+def make_clock() -> ManualClock:
+    return ManualClock(start_ms=10_000)
+
+
+@pytest.fixture(name='knowledge')
+def make_knowledge(clock: ManualClock) -> EndpointKnowledge:
+    return EndpointKnowledge(
+        clock=clock,
+        rates=SharedRates(clock=clock),
+        starts=CorrectedEstimates(),
+        large_pool=LARGE,
+    )
+
+
+def list_engines(knowledge: EndpointKnowledge, count: int) -> None:
+    """Let the store list so many engines."""
+    for number in range(count):
+        knowledge.table.put(
+            PoolEndpoint(
+                name=f'i-{number}',
+                pool=POOL,
+                host='127.0.0.1',
+                port=1,
+                zone='a',
+                slots=64,
+                draining=False,
+            )
+        )
+
+
+@pytest.mark.parametrize(
+    ('count', 'rate'), [(LARGE - 1, FIRST_RATE), (LARGE, TOLD_RATE)]
+)
+def test_readings_of_others_count_in_large_pools_alone(
+    knowledge: EndpointKnowledge, count: int, rate: float
+):
+    list_engines(knowledge, count)
+    knowledge.take_readings('i-0', TOLD)
+    assert knowledge.speed('i-0').rate.tokens_per_ms == rate
+
+
+def test_pool_that_grows_counts_as_large_soon(
+    knowledge: EndpointKnowledge, clock: ManualClock
+):
+    list_engines(knowledge, LARGE - 1)
+    knowledge.take_readings('i-0', TOLD)
+    speed = knowledge.speed('i-0')
+    assert speed.rate.tokens_per_ms == FIRST_RATE
+    list_engines(knowledge, LARGE)
+    clock.advance(500)
+    assert speed.rate.tokens_per_ms == TOLD_RATE
+
+
+def test_estimates_of_a_small_pool_are_not_corrected(
+    knowledge: EndpointKnowledge, clock: ManualClock
+):
+    list_engines(knowledge, LARGE - 1)
+    assert knowledge.expected_start_ms(POOL, 0, 100) == 100
+    list_engines(knowledge, LARGE)
+    clock.advance(500)
+    assert knowledge.expected_start_ms(POOL, 0, 100) > 100
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -65,6 +65,7 @@
             clock=clock,
             tells=policies.engine_groups is not keep_none,
         ),
+        large_pool=settings.policy.large_pool,
     )
     gate = SendingGate(
         name=settings.name,
--- a/wingfall/gateway/calls/admission.py
+++ b/wingfall/gateway/calls/admission.py
@@ -17,6 +17,7 @@
 from wingfall.gateway.knowledge.customer_work import Work, prompt_work
 from wingfall.gateway.rules.admission.early_refusal import (
     MOST_OVER_SHARE,
+    admit_by_target,
     start_margin,
     tell_reason,
 )
@@ -28,7 +29,10 @@
     from wingfall.errors import Refusal
     from wingfall.gateway.calls.destination import Destination
     from wingfall.gateway.model.call import Call
-    from wingfall.gateway.rules.admission.early_refusal import StartEstimate
+    from wingfall.gateway.rules.admission.early_refusal import (
+        Admission,
+        StartEstimate,
+    )
     from wingfall.gateway.state import GatewayState
 
 
@@ -49,16 +53,25 @@
     if call.head.prompt is None or state.routes is None:
         return Success(destination)
     _note_asked(state, call, destination)
-    if state.policies.admission.weighs_pool:
+    admission = _choose_admission(state, pool)
+    if admission.weighs_pool:
         return _admit_to_pool(state, call, pool, destination)
     estimate = estimate_start(state, call, destination)
-    admitted = state.policies.admission(estimate)
+    admitted = admission(estimate)
     if isinstance(admitted, Success):
         return Success(destination)
     _log_refusal(call, destination, estimate)
     return Failure(refuse_early(admitted.failure()))
 
 
+def _choose_admission(state: GatewayState, pool: str) -> Admission:
+    # In a small pool there is hardly another engine to look for.
+    chosen = state.policies.admission
+    if chosen.weighs_pool and not state.knowledge.is_large(pool):
+        return admit_by_target
+    return chosen
+
+
 def _admit_to_pool(
     state: GatewayState,
     call: Call,
--- a/wingfall/gateway/calls/open_endpoints.py
+++ b/wingfall/gateway/calls/open_endpoints.py
@@ -104,6 +104,8 @@
     listed = state.knowledge.table.usable(pool)
     if call.head.prompt is None or state.routes is None:
         return listed
+    if not state.knowledge.is_large(pool):
+        return listed
     demand = describe_demand(call)
     group = state.kept_engines.narrow(state.routes, demand, listed)
     # Where none of them can be used, the others serve the call.
--- a/wingfall/gateway/calls/pool_room.py
+++ b/wingfall/gateway/calls/pool_room.py
@@ -83,7 +83,7 @@
     """
     pool, speed = destination.endpoint.pool, destination.candidate.speed
     expected_ms = functools.partial(
-        state.knowledge.starts.expected_ms, pool, call.priority
+        state.knowledge.expected_start_ms, pool, call.priority
     )
     tiers = state.routes.tiers_of(pool) if state.routes else (0,)
     return StartEstimate(
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, final
+from typing import TYPE_CHECKING, Final, final
 
 from wingfall.gateway.knowledge.crash_ledger import CrashLedger
 from wingfall.gateway.knowledge.customer_work import CustomerWork
@@ -17,7 +17,9 @@
 from wingfall.gateway.knowledge.full_gaps import FullGaps
 from wingfall.gateway.knowledge.load import LoadTable
 from wingfall.gateway.knowledge.long_reads import SHORT_READ_TOKENS, LongReads
+from wingfall.gateway.knowledge.own_rates import OwnRates
 from wingfall.gateway.knowledge.prefix_caches import PrefixCaches
+from wingfall.gateway.knowledge.sized_rates import SizedRates
 from wingfall.gateway.knowledge.start_estimates import StartEstimates
 
 if TYPE_CHECKING:
@@ -26,12 +28,35 @@
     from wingfall.gateway.knowledge.engine_speeds import Rates
 
 
+# Milliseconds between two looks at how many engines a pool has: asked for each
+# engine that a prompt is weighed at.
+_LOOK_MS: Final = 500
+
+
+@final
+class _PoolSize:
+    """Whether a pool counted as large when it was looked at."""
+
+    __slots__ = ('is_large', 'looked_ms')
+
+    def __init__(self, *, is_large: bool, at_ms: int) -> None:
+        """Keep it.
+
+        :param is_large: whether it did.
+        :param at_ms: when it was looked at.
+        """
+        self.is_large = is_large
+        self.looked_ms = at_ms
+
+
 @final
 class EndpointKnowledge:
     """Owns one table for each thing that is known of endpoints."""
 
     __slots__ = (
         '_clock',
+        '_large_pool',
+        '_sizes',
         '_first_events_ms',
         'caches',
         'crashes',
@@ -55,6 +80,7 @@
         rates: Rates | None = None,
         starts: StartEstimates | None = None,
         full_gaps: FullGaps | None = None,
+        large_pool: int = 0,
     ) -> None:
         """Start without an endpoint.
 
@@ -63,8 +89,11 @@
         :param rates: how fast engines read.
         :param starts: how estimates of first events are corrected.
         :param full_gaps: keeps gaps of streams beside reads.
+        :param large_pool: engines of a pool from which it counts as large.
         """
         self._clock = clock
+        self._large_pool = large_pool
+        self._sizes: dict[str, _PoolSize] = {}
         # When the last first event of each pool came to this gateway.
         self._first_events_ms: dict[str, int] = {}
         # Which there are, by the store.
@@ -78,6 +107,12 @@
         # Gaps of their streams while they read, by all gateways.
         self.full_gaps = full_gaps or FullGaps(clock=clock)
         # How fast they read and answer, by their streams.
+        if rates is not None and large_pool:
+            rates = SizedRates(
+                small=OwnRates(),
+                large=rates,
+                is_large=self.is_large,
+            )
         self.speeds = EngineSpeeds(rates=rates, full_gaps=self.full_gaps)
         # How far estimates of first events are off, by those that came.
         self.starts = starts or StartEstimates()
@@ -92,6 +127,34 @@
         # What they have said of themselves, to any gateway.
         self.signals = EndpointSignals(name=name, clock=clock)
 
+    def is_large(self, pool: str) -> bool:
+        """Tell whether a pool has many engines.
+
+        :param pool: its name.
+        :returns: whether it counts as large.
+        """
+        known = self._sizes.get(pool)
+        now_ms = self._clock.now_ms()
+        if known is None or now_ms - known.looked_ms >= _LOOK_MS:
+            count = len(self.table.usable(pool))
+            known = _PoolSize(is_large=count >= self._large_pool, at_ms=now_ms)
+            self._sizes[pool] = known
+        return known.is_large
+
+    def expected_start_ms(
+        self, pool: str, tier: int, estimate_ms: float
+    ) -> float:
+        """Estimate a first event, corrected in a large pool.
+
+        :param pool: name of the pool.
+        :param tier: how urgent the prompt is at its engine, 0 the most.
+        :param estimate_ms: milliseconds to the first event by what waits.
+        :returns: milliseconds to the first event as it is likely to come.
+        """
+        if not self.is_large(pool):
+            return estimate_ms
+        return self.starts.expected_ms(pool, tier, estimate_ms)
+
     def speed(self, name: str) -> EngineSpeed:
         """Give what an engine has shown of its speed.
 
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -103,6 +103,13 @@
             'How gateways divide what an endpoint with a limit takes.',
             'few_gateways',
         ),
+        large_pool=number(
+            0,
+            0,
+            100_000,
+            'Engines of a pool from which read_rates, start_estimates, '
+            'engine_groups and an admission by the pool take effect.',
+        ),
         read_rates=text('How gateways learn how fast engines read.', 'own'),
         start_estimates=text(
             'How estimates of first events are corrected by those that came.',
