--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -147,7 +147,10 @@
         """
         clock = ManualClock(start_ms=1000)
         self.gateway = ReplayedGateway(
-            name='g', clock=clock, admission=admission
+            name='g',
+            clock=clock,
+            policies={'admission': admission},
+            gaps_ms=[],
         )
         self.knowledge = self.gateway.knowledge
         self.knowledge.customer_work.take_from_peer(POOL, 'long ago', 0, 0)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -351,3 +351,13 @@
     assert not served
     assert gateway_site.ask('/safe/x').status == 200
     assert len(served) == 1
+
+
+def test_small_pool_is_asked_for_no_other_engine(
+    gateway_site: GatewaySite,
+):
+    policy = {'admission': 'fair', 'large_pool': 9}
+    gateway_site.add_server('e1', 'engines')
+    gateway_site.add_gateway(policy=policy)
+    answer = gateway_site.ask('/stream/x', X_Token_Count='10,5')
+    assert answer.status == 200
--- a/wingfall/gateway/calls/admission.py
+++ b/wingfall/gateway/calls/admission.py
@@ -17,7 +17,7 @@
 from wingfall.gateway.knowledge.customer_work import Work, prompt_work
 from wingfall.gateway.rules.admission.early_refusal import (
     MOST_OVER_SHARE,
-    admit_by_target,
+    admissions,
     start_margin,
     tell_reason,
 )
@@ -68,7 +68,7 @@
     # In a small pool there is hardly another engine to look for.
     chosen = state.policies.admission
     if chosen.weighs_pool and not state.knowledge.is_large(pool):
-        return admit_by_target
+        return admissions.find('target').unwrap()
     return chosen
 
 
