Work of customers is counted and told only where admission weighs the pool

Cause: gateways with another admission told each other of customers' work, bytes that nobody used and that earlier deployments would have paid for.

Change: asked and given work is noted only with an admission that weighs the pool; a test that the baselines tell nothing.

--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -27,10 +27,9 @@
 from returns.result import Success
 
 from wingfall.clock import ManualClock
-from wingfall.gateway.calls.admission import admit_prompt
+from wingfall.gateway.calls.admission import admit_prompt, note_given
 from wingfall.gateway.calls.destination import choose_destination
 from wingfall.gateway.endpoints.sending_gate import SendingGate
-from wingfall.gateway.knowledge.customer_work import Work, prompt_work
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.knowledge.prefix_caches import SentPrompt
 from wingfall.gateway.model.attempt_end import AttemptEnd
@@ -383,10 +382,7 @@
         call.entry = knowledge.load.start(name, to.load)
         unread = to.load.reading_tokens
         knowledge.note_prompt_sent(name, unread)
-        given = prompt_work(unread, call.prompt.output_tokens)
-        knowledge.customer_work.note(
-            POOL, call.call.customer_name, Work(given=given)
-        )
+        note_given(call.gateway.state, call.call, to)
         sent = SentPrompt(
             endpoint=name,
             parts=call.prompt.shared,
--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -239,6 +239,13 @@
     assert engine(pool.admit('hot', chosen='e1')) == 'e1'
 
 
+@pytest.mark.parametrize('admission', ['target', 'always'])
+def test_baselines_tell_nothing_of_customers(admission: str):
+    pool = Pool(admission=admission)
+    assert engine(pool.admit(chosen='e1')) == 'e1'
+    assert not pool.knowledge.customer_work.take_untold()
+
+
 def test_engine_that_is_left_out_gives_no_room():
     pool = Pool()
     pool.fill(2000, 'e1', 'e2', 'e4')
--- a/wingfall/gateway/calls/admission.py
+++ b/wingfall/gateway/calls/admission.py
@@ -48,8 +48,8 @@
     """
     if call.head.prompt is None or state.routes is None:
         return Success(destination)
-    _note_asked(state, call, destination)
     if state.policies.admission.weighs_pool:
+        _note_asked(state, call, destination)
         return _admit_to_pool(state, call, pool, destination)
     estimate = estimate_start(state, call, destination)
     admitted = state.policies.admission(estimate)
@@ -59,6 +59,22 @@
     return Failure(refuse_early(admitted.failure()))
 
 
+def note_given(
+    state: GatewayState, call: Call, destination: Destination
+) -> None:
+    """Count the work of a prompt that is sent as given to its customer.
+
+    :param state: what the gateway knows.
+    :param call: the call.
+    :param destination: where it is sent.
+    """
+    if state.policies.admission.weighs_pool:
+        given = Work(given=_work(call, destination))
+        state.knowledge.customer_work.note(
+            destination.endpoint.pool, call.customer_name, given
+        )
+
+
 def _admit_to_pool(
     state: GatewayState,
     call: Call,
@@ -122,17 +138,21 @@
 def _note_asked(
     state: GatewayState, call: Call, destination: Destination
 ) -> None:
-    prompt = call.head.prompt
-    if call.asked or prompt is None:
+    if call.asked:
         return
     call.asked = True
-    unread = destination.load.reading_tokens
-    asked = prompt_work(unread, prompt.output_tokens)
+    asked = Work(asked=_work(call, destination))
     state.knowledge.customer_work.note(
-        destination.endpoint.pool, call.customer_name, Work(asked=asked)
+        destination.endpoint.pool, call.customer_name, asked
     )
 
 
+def _work(call: Call, destination: Destination) -> float:
+    prompt = call.head.prompt
+    output_tokens = prompt.output_tokens if prompt else 0
+    return prompt_work(destination.load.reading_tokens, output_tokens)
+
+
 def _count(state: GatewayState, reason: str) -> None:
     state.metrics.decisions.inc({'part': 'admission', 'reason': reason})
 
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -8,9 +8,9 @@
 
 from typing import TYPE_CHECKING, Final, final
 
+from wingfall.gateway.calls.admission import note_given
 from wingfall.gateway.calls.attempt_log import log_attempt
 from wingfall.gateway.calls.token_gap_watch import TokenGapWatch
-from wingfall.gateway.knowledge.customer_work import Work, prompt_work
 from wingfall.gateway.knowledge.prefix_caches import SentPrompt
 from wingfall.gateway.model.attempt_end import AttemptEnd
 
@@ -173,11 +173,7 @@
         name = destination.endpoint.name
         uncached = destination.load.reading_tokens
         self._state.knowledge.note_prompt_sent(name, uncached)
-        self._state.knowledge.customer_work.note(
-            destination.endpoint.pool,
-            self._call.customer_name,
-            Work(given=prompt_work(uncached, prompt.output_tokens)),
-        )
+        note_given(self._state, self._call, destination)
         read_ms = int(destination.start_ms * _READ_SLACK)
         self._state.knowledge.caches.note_sent(
             SentPrompt(endpoint=name, parts=prompt.shared, unread=uncached),
