--- a/wingfall/gateway/calls/open_endpoints.py
+++ b/wingfall/gateway/calls/open_endpoints.py
@@ -8,6 +8,7 @@
 import functools
 from typing import TYPE_CHECKING, Callable
 
+from wingfall.gateway.calls.engine_group import narrow_to_group
 from wingfall.gateway.rules.placement.candidate import Demand
 from wingfall.gateway.rules.placement.shortlist import (
     count_drawn,
@@ -60,17 +61,16 @@
     """
     is_out = state.knowledge.health.is_out
     is_held = _held_endpoints(state, call, pool)
-    find_sound = functools.partial(
-        list_sound,
-        avoided=avoided,
-        is_out=lambda name: is_out(name) or is_held(name),
-    )
-    usable = _narrow_to_group(state, call, pool, find_sound)
+    usable = _list_group(state, call, pool, avoided)
     prompt = call.head.prompt
     drawn = count_drawn(prompt.tokens if prompt else 0)
     if not is_weighed_whole(usable, drawn):
         caching = _endpoints_that_cache(state, call, usable)
-        sound = find_sound(shorten(usable, caching, drawn))
+        sound = list_sound(
+            shorten(usable, caching, drawn),
+            avoided,
+            lambda name: is_out(name) or is_held(name),
+        )
         if sound:
             return sound
     free = [each for each in usable if not is_held(each.name)]
@@ -87,29 +87,27 @@
     """
     is_out = state.knowledge.health.is_out
     is_held = _held_endpoints(state, call, pool)
-    find_sound = functools.partial(
-        list_sound,
-        avoided=(),
-        is_out=lambda name: is_out(name) or is_held(name),
+    return list_sound(
+        _list_group(state, call, pool, set()),
+        (),
+        lambda name: is_out(name) or is_held(name),
     )
-    return find_sound(_narrow_to_group(state, call, pool, find_sound))
 
 
-def _narrow_to_group(
+def _list_group(
     state: GatewayState,
     call: Call,
     pool: str,
-    find_sound: Callable[[list[PoolEndpoint]], list[PoolEndpoint]],
+    avoided: set[str],
 ) -> list[PoolEndpoint]:
-    listed = state.knowledge.table.usable(pool)
-    if call.head.prompt is None or state.routes is None:
-        return listed
-    if not state.knowledge.is_large(pool):
-        return listed
-    demand = describe_demand(call)
-    group = state.kept_engines.narrow(state.routes, demand, listed)
-    # Where none of them can be used, the others serve the call.
-    return group if group is listed or find_sound(group) else listed
+    is_out = state.knowledge.health.is_out
+    is_held = _held_endpoints(state, call, pool)
+    return narrow_to_group(
+        state,
+        describe_demand(call),
+        state.knowledge.table.usable(pool),
+        lambda name: not (name in avoided or is_out(name) or is_held(name)),
+    )
 
 
 def _held_endpoints(
