--- a/tests/test_customer_work.py
+++ b/tests/test_customer_work.py
@@ -84,3 +84,20 @@
     clock.advance(HALF_LIFE_MS)
     assert work.is_settled(POOL)
     assert not work.is_settled('others')
+
+
+def test_customer_that_comes_to_a_full_pool_is_kept(work: CustomerWork):
+    for number in range(MOST_CUSTOMERS):
+        work.note(POOL, f'customer-{number}', Work(asked=1000))
+    work.note(POOL, 'aker', Work(asked=90_000))
+    assert asked(work, 'aker') == 90_000
+
+
+def test_work_after_a_quiet_time_is_settled_anew(
+    work: CustomerWork, clock: ManualClock
+):
+    work.note(POOL, 'aker', Work(asked=4000))
+    for _half_life in range(40):
+        clock.advance(HALF_LIFE_MS)
+    work.note(POOL, 'aker', Work(asked=4000))
+    assert not work.is_settled(POOL)
--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from types import SimpleNamespace
 from typing import Any
 
@@ -140,10 +141,11 @@
 class Pool:
     """A gateway and four engines of its pool."""
 
-    def __init__(self, *, admission: str = 'fair') -> None:
+    def __init__(self, *, admission: str = 'fair', engines: int = 4) -> None:
         """Start without work.
 
         :param admission: name of the rule.
+        :param engines: how many there are.
         """
         clock = ManualClock(start_ms=1000)
         self.gateway = ReplayedGateway(
@@ -155,10 +157,10 @@
         self.knowledge = self.gateway.knowledge
         self.knowledge.customer_work.take_from_peer(POOL, 'long ago', 0, 0)
         clock.advance(2000)
-        for name in ('e1', 'e2', 'e3', 'e4'):
+        for number in range(1, engines + 1):
             self.knowledge.table.put(
                 PoolEndpoint(
-                    name=name,
+                    name=f'e{number}',
                     pool=POOL,
                     host='h',
                     port=1,
@@ -272,3 +274,18 @@
     assert told[:2] == [POOL, 'hot']
     assert told[2] > PROMPT_TOKENS
     assert told[3] == 0
+
+
+def test_prompts_that_nothing_caches_spread_over_engines_in_time():
+    pool = Pool(engines=21)
+    pool.fill(2000, 'e1')
+    chosen = Counter(engine(pool.admit(chosen='e1')) for _prompt in range(200))
+    assert max(chosen.values()) < 40
+
+
+def test_small_pool_is_asked_for_no_other_engine():
+    pool = Pool()
+    pool.knowledge._large_pool = 5
+    pool.fill(2000, 'e1')
+    assert isinstance(pool.admit(chosen='e1'), Refusal)
+    assert not pool.knowledge.customer_work.take_untold()
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -248,3 +248,8 @@
     told = [[POOL, HOT, 4000, 2000, 'later']]
     note_activity(Activity(work=told), gateway.knowledge)
     assert gateway.knowledge.customer_work.read(POOL)[HOT].given == 2000
+
+
+def test_nonsense_of_a_peer_is_no_fault():
+    assert use_over_share(Work(asked=4000, given=-500), 100) <= 1
+    assert use_over_share(Work(asked=-4000, given=500), 100) == 0
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -353,7 +353,7 @@
     assert len(served) == 1
 
 
-def test_small_pool_is_asked_for_no_other_engine(
+def test_prompt_of_a_small_pool_is_served(
     gateway_site: GatewaySite,
 ):
     policy = {'admission': 'fair', 'large_pool': 9}
--- a/tests/test_sized_rates.py
+++ b/tests/test_sized_rates.py
@@ -80,3 +80,14 @@
     list_engines(knowledge, LARGE)
     clock.advance(500)
     assert knowledge.expected_start_ms(POOL, 0, 100) > 100
+
+
+def test_engine_that_was_heard_of_before_it_was_listed_joins_its_pool(
+    knowledge: EndpointKnowledge, clock: ManualClock
+):
+    speed = knowledge.speed('i-0')
+    assert speed.rate.tokens_per_ms == FIRST_RATE
+    list_engines(knowledge, LARGE)
+    clock.advance(500)
+    knowledge.take_readings('i-0', TOLD)
+    assert speed.rate.tokens_per_ms == TOLD_RATE
--- a/wingfall/gateway/calls/admission.py
+++ b/wingfall/gateway/calls/admission.py
@@ -93,7 +93,7 @@
     pool: str,
     chosen: Destination,
 ) -> Result[Destination, Refusal]:
-    error = state.knowledge.starts.errors.get((pool, call.priority))
+    error = state.knowledge.starts.error(pool, call.priority)
     estimate = functools.partial(
         estimate_start, state, call, margin=start_margin(error)
     )
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -177,7 +177,8 @@
         name = destination.endpoint.name
         uncached = destination.load.reading_tokens
         self._state.knowledge.note_prompt_sent(name, uncached)
-        note_given(self._state, self._call, destination)
+        if self._number == 1:
+            note_given(self._state, self._call, destination)
         read_ms = int(self._estimate_ms * _READ_SLACK)
         self._state.knowledge.caches.note_sent(
             SentPrompt(endpoint=name, parts=prompt.shared, unread=uncached),
--- a/wingfall/gateway/calls/engine_group.py
+++ b/wingfall/gateway/calls/engine_group.py
@@ -27,6 +27,7 @@
     if not (listed and demand.is_prompt and state.routes):
         return listed
     if not state.knowledge.is_large(listed[0].pool):
+        state.kept_engines.forget(listed[0].pool)
         return listed
     group = state.kept_engines.narrow(state.routes, demand, listed)
     if group is listed or any(is_sound(each.name) for each in group):
--- a/wingfall/gateway/calls/pool_room.py
+++ b/wingfall/gateway/calls/pool_room.py
@@ -134,12 +134,12 @@
     :param room: where there is room, at one engine at least.
     :returns: the destination.
     """
-    caching = sorted(room.in_time, key=_cached_tokens)[-_MOST_CACHING:]
+    caching = _list_caching(room.in_time)
     drawn = room.in_time
     if len(drawn) > _MOST_DRAWN:
         drawn = random.sample(drawn, _MOST_DRAWN)
     weighed = {each.endpoint.name: each.endpoint for each in (*caching, *drawn)}
-    sources = sorted(room.late, key=_cached_tokens)[-_MOST_CACHING:]
+    sources = _list_caching(room.late)
     return choose_among(
         state,
         call,
@@ -149,6 +149,12 @@
     )
 
 
+def _list_caching(destinations: list[Destination]) -> list[Destination]:
+    # None that caches nothing: they would be the same few for all gateways.
+    caching = [each for each in destinations if _cached_tokens(each)]
+    return sorted(caching, key=_cached_tokens)[-_MOST_CACHING:]
+
+
 def _describe_destination(
     state: GatewayState, call: Call, endpoint: PoolEndpoint
 ) -> Destination:
--- a/wingfall/gateway/knowledge/customer_work.py
+++ b/wingfall/gateway/knowledge/customer_work.py
@@ -104,9 +104,9 @@
             self._sweep(now_ms)
         known = self._by_customer.get(customer)
         if known is None:
+            self._bound()
             known = Work()
             self._by_customer[customer] = known
-            self._bound()
         known.add(work, 1 / self._left(now_ms))
 
     def read(self, now_ms: int) -> Iterator[tuple[str, Work]]:
@@ -132,9 +132,12 @@
             if work.asked >= _FORGOTTEN_TOKENS
         }
         self._at_ms = now_ms
+        if not self._by_customer:
+            # What comes now tells nothing of before.
+            self._since_ms = now_ms
 
     def _bound(self) -> None:
-        if len(self._by_customer) <= _MOST_CUSTOMERS:
+        if len(self._by_customer) < _MOST_CUSTOMERS:
             return
         # By halves, so that a pool at the bound isn't sorted at each prompt.
         largest = heapq.nlargest(
--- a/wingfall/gateway/knowledge/sized_rates.py
+++ b/wingfall/gateway/knowledge/sized_rates.py
@@ -62,6 +62,9 @@
     def find(self, engine: str, pool: str) -> SizedRate:
         """Give the rate of an engine.
 
+        An engine may be heard of before it is listed, so that its pool is taken
+        whenever it is told.
+
         :param engine: its name.
         :param pool: its pool, empty while the engine isn't listed.
         :returns: the rate, which follows later readings.
@@ -108,6 +111,7 @@
         :param elapsed_ms: how long reading took.
         :param waiting: how much of that was before it.
         """
+        self.find(engine, pool)
         for rates in (self._small, self._large):
             rates.note(engine, pool, tokens, elapsed_ms, waiting)
 
@@ -139,6 +143,7 @@
         :param pool: its pool.
         :param rates: what it told.
         """
+        self.find(engine, pool)
         self._large.take_told(engine, pool, rates)
 
     def take_untold(self) -> list[list[Any]]:
--- a/wingfall/gateway/knowledge/start_estimates.py
+++ b/wingfall/gateway/knowledge/start_estimates.py
@@ -9,11 +9,14 @@
 from __future__ import annotations
 
 import collections
-from typing import Callable, Final, Protocol, TypeAlias, final
+from typing import TYPE_CHECKING, Callable, Final, Protocol, TypeAlias, final
 
 from wingfall.gateway.knowledge.quantile import quantile
 from wingfall.registry import Registry
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 # First events of one pool and tier that are kept: some seconds of a gateway's.
 _KEPT: Final = 32
 # First events that are needed before an estimate is corrected.
@@ -75,13 +78,17 @@
     @property
     def errors(self) -> dict[_Kind, StartError]:
         """How far estimates were off, by pool and tier."""
-        return {
-            kind: StartError(
-                median=quantile(seen, _MEDIAN),
-                worst_tenth=quantile(seen, _WORST_TENTH),
-            )
-            for kind, seen in self._errors.items()
-        }
+        return {kind: _describe(seen) for kind, seen in self._errors.items()}
+
+    def error(self, pool: str, tier: int) -> StartError | None:
+        """Tell how far the estimates of one pool and tier were off.
+
+        :param pool: name of the pool.
+        :param tier: how urgent prompts are at their engines.
+        :returns: the figures, None while few first events have come.
+        """
+        seen = self._errors.get((pool, tier), ())
+        return _describe(seen) if len(seen) >= _NEEDED else None
 
     def expected_ms(self, pool: str, tier: int, estimate_ms: float) -> float:
         """Correct an estimate.
@@ -116,7 +123,7 @@
 class CorrectedEstimates(StartEstimates):
     """Estimates of first events, corrected by those that came."""
 
-    __slots__ = ('_ratios',)
+    __slots__ = ('_factors', '_ratios')
 
     def __init__(self, *, fixed_time: FixedTime = know_nothing) -> None:
         """Start without a correction.
@@ -126,6 +133,8 @@
         super().__init__(fixed_time=fixed_time)
         # First events over what they would be without other prompts.
         self._ratios: dict[_Kind, collections.deque[float]] = {}
+        # Their median, by which an estimate is corrected.
+        self._factors: dict[_Kind, float] = {}
 
     def expected_ms(self, pool: str, tier: int, estimate_ms: float) -> float:
         """Correct an estimate.
@@ -135,12 +144,8 @@
         :param estimate_ms: milliseconds to the first event by what waits.
         :returns: milliseconds to the first event as it is likely to come.
         """
-        ratios = self._ratios.get((pool, tier), ())
-        whole_ms = self._whole_ms(pool, estimate_ms)
-        if len(ratios) < _NEEDED:
-            return whole_ms
-        ratio = quantile(ratios, _MEDIAN)
-        return whole_ms * min(_MOST, max(_LEAST, ratio))
+        factor = self._factors.get((pool, tier), 1)
+        return self._whole_ms(pool, estimate_ms) * factor
 
     def note(
         self,
@@ -158,7 +163,12 @@
         """
         super().note(pool, tier, estimate_ms, came_ms)
         ratio = came_ms / self._whole_ms(pool, estimate_ms)
-        _keep(self._ratios, (pool, tier), ratio)
+        kind = (pool, tier)
+        _keep(self._ratios, kind, ratio)
+        ratios = self._ratios[kind]
+        if len(ratios) >= _NEEDED:
+            median = quantile(ratios, _MEDIAN)
+            self._factors[kind] = min(_MOST, max(_LEAST, median))
 
     def _whole_ms(self, pool: str, estimate_ms: float) -> float:
         fixed_ms = self._fixed_time(pool)
@@ -174,6 +184,13 @@
         """Make them without a first event."""
 
 
+def _describe(seen: Collection[float]) -> StartError:
+    return StartError(
+        median=quantile(seen, _MEDIAN),
+        worst_tenth=quantile(seen, _WORST_TENTH),
+    )
+
+
 def _keep(
     seen: dict[_Kind, collections.deque[float]],
     kind: _Kind,
--- a/wingfall/gateway/peers/loads/load_entries.py
+++ b/wingfall/gateway/peers/loads/load_entries.py
@@ -139,7 +139,8 @@
         knowledge.take_gaps(name, gaps_ms)
     # Fields that later versions add at the end are passed over.
     for pool, customer, asked, given, *_later in activity.work:
-        knowledge.customer_work.take_from_peer(pool, customer, asked, given)
+        if asked >= 0 and given >= 0:
+            knowledge.customer_work.take_from_peer(pool, customer, asked, given)
 
 
 def only_seen(readings: Iterable[list[Any]]) -> list[list[Any]]:
--- a/wingfall/gateway/rules/admission/fair_shares.py
+++ b/wingfall/gateway/rules/admission/fair_shares.py
@@ -71,7 +71,7 @@
     """
     if share <= 0:
         return 1
-    use = math.sqrt(work.asked * work.given) / share
+    use = math.sqrt(max(0, work.asked * work.given)) / share
     return min(use, 1) if work.given < share * _BEHIND_PART else use
 
 
--- a/wingfall/gateway/rules/placement/engine_groups.py
+++ b/wingfall/gateway/rules/placement/engine_groups.py
@@ -96,7 +96,14 @@
     The streams that bear a gap go to the first engines of one order.
     """
 
-    __slots__ = ('classes', 'closed', 'fit', 'fit_engines', 'order')
+    __slots__ = (
+        'classes',
+        'closed',
+        'fit',
+        'fit_engines',
+        'most_closed',
+        'order',
+    )
 
     def __init__(
         self,
@@ -106,6 +113,7 @@
         fit: Mapping[int, int],
         fit_engines: Mapping[int, int],
         closed: Mapping[int, int],
+        most_closed: int,
     ) -> None:
         """Keep a decision.
 
@@ -116,8 +124,11 @@
             beside reads.
         :param closed: for each gap, how many engines of the order should take
             no long reads for the streams that bear it or less.
+        :param most_closed: how many may be, so that enough is left to read
+            with.
         """
         self.order = order
+        self.most_closed = most_closed
         self.classes = classes
         self.fit = fit
         self.fit_engines = fit_engines
@@ -148,9 +159,9 @@
     """
     if len(pool.engines) <= _FEW_ENGINES or len(pool.gap_bounds_ms) < 2:
         return None
-    classes = class_engines(pool.engines, pool.classes)
+    classes = _join_few(class_engines(pool.engines, pool.classes))
     gaps = class_gaps(pool.engines, classes)
-    if not gaps or not _differ(classes):
+    if not gaps or len(set(classes.values())) < 2:
         return None
     engines = sorted(
         pool.engines,
@@ -173,13 +184,26 @@
         fit=fit,
         fit_engines=fit_engines,
         closed=_count_all_closed(pool, engines, fit_engines, full_gaps_ms),
+        most_closed=_count_most_closed(engines),
     )
 
 
-def _differ(classes: Mapping[str, int]) -> bool:
-    numbers = list(classes.values())
-    first = numbers.count(min(numbers))
-    return len(numbers) * _FIRST_CLASS_PART <= first < len(numbers)
+def _join_few(classes: dict[str, int]) -> dict[str, int]:
+    numbers = sorted(set(classes.values()))
+    first = [name for name, each in classes.items() if each == numbers[0]]
+    few = len(first) < len(classes) * _FIRST_CLASS_PART
+    if not few or len(numbers) < 2:
+        return classes
+    return {**classes, **dict.fromkeys(first, numbers[1])}
+
+
+def _count_most_closed(engines: Sequence[PoolEngine]) -> int:
+    left = _GIVEN_UP_PART * sum(each.rate for each in engines)
+    for count, engine in enumerate(engines):
+        left -= engine.rate
+        if left < 0:
+            return count
+    return len(engines)
 
 
 def _rank(pool: str, engine: str) -> bytes:
--- a/wingfall/gateway/rules/placement/gap_group.py
+++ b/wingfall/gateway/rules/placement/gap_group.py
@@ -78,7 +78,9 @@
         if not held and self._size.follow(self._needed, now_ms):
             self._count('moved')
         self.fit = frozenset(parting.order[:fit])
-        self.closed = frozenset(parting.order[: self._size.engines])
+        # Of a pool that has shrunk fewer may be closed at once.
+        closed = min(self._size.engines, parting.most_closed)
+        self.closed = frozenset(parting.order[:closed])
         self.engines = self.fit | self.closed
 
     def show(self) -> dict[str, Any]:
--- a/wingfall/gateway/rules/placement/kept_engines.py
+++ b/wingfall/gateway/rules/placement/kept_engines.py
@@ -80,6 +80,15 @@
             groups.review(routes, usable, now_ms)
         return groups.narrow(demand, usable)
 
+    def forget(self, pool: str) -> None:
+        """Let all engines of a pool be for all streams.
+
+        :param pool: name of the pool, one that has become small.
+        """
+        groups = self._pools.pop(pool, None)
+        if groups is not None:
+            groups.forget_groups()
+
     def safe_gap_ms(self, pool: str, engine: str) -> int | None:
         """Tell beside which streams reads at an engine are harmless.
 
--- a/wingfall/gateway/rules/placement/pool_groups.py
+++ b/wingfall/gateway/rules/placement/pool_groups.py
@@ -33,6 +33,11 @@
 _HOLD_MS: Final = 5000
 
 
+# Engines with room that are enough to choose among: what runs at them was
+# looked at a moment ago; a crowd of prompts would all go to the last one.
+_FEWEST_WEIGHED: Final = 3
+
+
 @final
 class PoolGroups:
     """The groups of one pool as they are now."""
@@ -114,7 +119,7 @@
             return self._list_open(demand, usable)
         for room in (group.room & group.fit, group.room):
             chosen = [each for each in usable if each.name in room]
-            if chosen:
+            if len(chosen) >= _FEWEST_WEIGHED:
                 return chosen
         return usable
 
@@ -154,12 +159,25 @@
         state = self._describe(routes)
         parting = self._parts_pool(state)
         if parting is None:
-            self._forget_groups()
+            self.forget_groups()
         else:
             self._move_groups(parting, now_ms)
             for group in self._groups.values():
                 group.log_change(state.streams, now_ms)
 
+    def forget_groups(self) -> None:
+        """Let all engines be for all streams."""
+        if not self._groups:
+            return
+        for group in self._groups.values():
+            group.log_end()
+        # Reads count as harmless until gaps are clearly too long again.
+        classes = len(set(self._classes.values()))
+        self._fit = dict.fromkeys(self._groups, classes)
+        self._groups = {}
+        self._safe_gaps = {}
+        self._closed = frozenset()
+
     def _describe(self, routes: Routes) -> PoolState:
         # Engines are closed only for streams of short prompts, and only while
         # others bring long ones.
@@ -189,6 +207,8 @@
                 self._groups[gap_ms] = GapGroup(
                     pool=self._pool, gap_ms=gap_ms, metrics=self._metrics
                 )
+        for gone in self._groups.keys() - parting.fit.keys():
+            self._groups.pop(gone).log_end()
         for group in self._groups.values():
             group.follow(parting, now_ms, held=held)
         self._note_engines()
@@ -225,17 +245,6 @@
             or not self._look.runs_any(each.name, is_short)
         ] or usable
 
-    def _forget_groups(self) -> None:
-        if not self._groups:
-            return
-        for group in self._groups.values():
-            group.log_end()
-        # Reads count as harmless until gaps are clearly too long again.
-        self._fit = dict.fromkeys(self._groups, len(self._classes))
-        self._groups = {}
-        self._safe_gaps = {}
-        self._closed = frozenset()
-
 
 def _list_bounds(routes: Routes, pool: str) -> list[int]:
     bounds = {
