The parts take effect where a pool is large and its configuration asks for short gaps; admission stays by target

Change: policy.short_gap_ms; a pool is judged together only if a route of it bears no longer gaps. Tests: tests/test_sized_rates.py.

--- a/tests/test_sized_rates.py
+++ b/tests/test_sized_rates.py
@@ -91,3 +91,25 @@
     clock.advance(500)
     knowledge.take_readings('i-0', TOLD)
     assert speed.rate.tokens_per_ms == TOLD_RATE
+
+
+@pytest.mark.parametrize(
+    ('asked_ms', 'together'),
+    [({}, False), ({POOL: 300}, False), ({POOL: 250}, True)],
+    ids=['none', 'long gaps', 'short gaps'],
+)
+def test_pool_without_short_gaps_is_judged_as_before(
+    clock: ManualClock, asked_ms: dict[str, int], *, together: bool
+):
+    knowledge = EndpointKnowledge(
+        clock=clock,
+        rates=SharedRates(clock=clock),
+        large_pool=LARGE,
+        short_gap_ms=250,
+    )
+    knowledge.note_gaps(asked_ms)
+    list_engines(knowledge, LARGE)
+    assert knowledge.judges_together(POOL) == together
+    knowledge.take_readings('i-0', TOLD)
+    rate = TOLD_RATE if together else FIRST_RATE
+    assert knowledge.speed('i-0').rate.tokens_per_ms == rate
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -66,6 +66,7 @@
             tells=policies.engine_groups is not keep_none,
         ),
         large_pool=settings.policy.large_pool,
+        short_gap_ms=settings.policy.short_gap_ms,
     )
     gate = SendingGate(
         name=settings.name,
--- a/wingfall/gateway/calls/admission.py
+++ b/wingfall/gateway/calls/admission.py
@@ -82,7 +82,7 @@
 def _choose_admission(state: GatewayState, pool: str) -> Admission:
     # In a small pool there is hardly another engine to look for.
     chosen = state.policies.admission
-    if chosen.weighs_pool and not state.knowledge.is_large(pool):
+    if chosen.weighs_pool and not state.knowledge.judges_together(pool):
         return admissions.find('target').unwrap()
     return chosen
 
--- a/wingfall/gateway/calls/engine_group.py
+++ b/wingfall/gateway/calls/engine_group.py
@@ -26,7 +26,7 @@
     """
     if not (listed and demand.is_prompt and state.routes):
         return listed
-    if not state.knowledge.is_large(listed[0].pool):
+    if not state.knowledge.judges_together(listed[0].pool):
         state.kept_engines.forget(listed[0].pool)
         return listed
     group = state.kept_engines.narrow(state.routes, demand, listed)
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -23,6 +23,8 @@
 from wingfall.gateway.knowledge.start_estimates import StartEstimates
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from wingfall.clock import Clock
     from wingfall.gateway.knowledge.engine_speed import EngineSpeed
     from wingfall.gateway.knowledge.engine_speeds import Rates
@@ -56,6 +58,8 @@
     __slots__ = (
         '_clock',
         '_large_pool',
+        '_short_gap_ms',
+        '_shortest_gaps_ms',
         '_sizes',
         '_first_events_ms',
         'caches',
@@ -81,6 +85,7 @@
         starts: StartEstimates | None = None,
         full_gaps: FullGaps | None = None,
         large_pool: int = 0,
+        short_gap_ms: int = 0,
     ) -> None:
         """Start without an endpoint.
 
@@ -90,9 +95,12 @@
         :param starts: how estimates of first events are corrected.
         :param full_gaps: keeps gaps of streams beside reads.
         :param large_pool: engines of a pool from which it counts as large.
+        :param short_gap_ms: token gaps that count as short, 0 if all do.
         """
         self._clock = clock
         self._large_pool = large_pool
+        self._short_gap_ms = short_gap_ms
+        self._shortest_gaps_ms: dict[str, int] = {}
         self._sizes: dict[str, _PoolSize] = {}
         # When the last first event of each pool came to this gateway.
         self._first_events_ms: dict[str, int] = {}
@@ -107,11 +115,11 @@
         # Gaps of their streams while they read, by all gateways.
         self.full_gaps = full_gaps or FullGaps(clock=clock)
         # How fast they read and answer, by their streams.
-        if rates is not None and large_pool:
+        if rates is not None and (large_pool or short_gap_ms):
             rates = SizedRates(
-                small=OwnRates(),
-                large=rates,
-                is_large=self.is_large,
+                own=OwnRates(),
+                shared=rates,
+                is_together=self.judges_together,
             )
         self.speeds = EngineSpeeds(rates=rates, full_gaps=self.full_gaps)
         # How far estimates of first events are off, by those that came.
@@ -127,31 +135,42 @@
         # What they have said of themselves, to any gateway.
         self.signals = EndpointSignals(name=name, clock=clock)
 
-    def is_large(self, pool: str) -> bool:
-        """Tell whether a pool has many engines.
+    def note_gaps(self, shortest_ms: Mapping[str, int]) -> None:
+        """Note which token gaps the configuration in force asks for.
+
+        :param shortest_ms: for each pool the shortest gap in milliseconds that
+            streams of its routes bear.
+        """
+        self._shortest_gaps_ms = dict(shortest_ms)
+        self._sizes = {}
+
+    def judges_together(self, pool: str) -> bool:
+        """Tell whether gateways judge the engines of a pool together.
+
+        They do where many gateways see little of each engine, and streams bear
+        only short gaps, so that a wrong choice of the engine makes them late.
 
         :param pool: its name.
-        :returns: whether it counts as large.
+        :returns: whether the pool is large and has such streams.
         """
         known = self._sizes.get(pool)
         now_ms = self._clock.now_ms()
         if known is None or now_ms - known.looked_ms >= _LOOK_MS:
-            count = len(self.table.usable(pool))
-            known = _PoolSize(is_large=count >= self._large_pool, at_ms=now_ms)
+            known = _PoolSize(is_large=self._is_large(pool), at_ms=now_ms)
             self._sizes[pool] = known
         return known.is_large
 
     def expected_start_ms(
         self, pool: str, tier: int, estimate_ms: float
     ) -> float:
-        """Estimate a first event, corrected in a large pool.
+        """Estimate a first event, corrected where gateways judge together.
 
         :param pool: name of the pool.
         :param tier: how urgent the prompt is at its engine, 0 the most.
         :param estimate_ms: milliseconds to the first event by what waits.
         :returns: milliseconds to the first event as it is likely to come.
         """
-        if not self.is_large(pool):
+        if not self.judges_together(pool):
             return estimate_ms
         return self.starts.expected_ms(pool, tier, estimate_ms)
 
@@ -240,3 +259,11 @@
         self.speeds.keep_only(names)
         self.full_gaps.keep_only(names)
         self.long_reads.keep_only(names)
+
+    def _is_large(self, pool: str) -> bool:
+        if not self._short_gap_ms:
+            return len(self.table.usable(pool)) >= self._large_pool
+        shortest_ms = self._shortest_gaps_ms.get(pool)
+        if shortest_ms is None or shortest_ms > self._short_gap_ms:
+            return False
+        return len(self.table.usable(pool)) >= self._large_pool
--- a/wingfall/gateway/knowledge/sized_rates.py
+++ b/wingfall/gateway/knowledge/sized_rates.py
@@ -1,7 +1,8 @@
-"""How fast engines read: learned apart in small pools, together in large ones.
+"""How fast engines read: in some pools learned apart, in others together.
 
 Answers a small pool, each engine of which each gateway sees so often that its
-own average settles and follows what the engine does at the moment.
+own average settles and follows what the engine does at the moment, beside a
+large one, where many gateways see little of each engine.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 
 @final
 class SizedRate:
-    """The rate of one engine, by the size that its pool has now."""
+    """The rate of one engine, by how its pool is judged now."""
 
     __slots__ = ('_rates', 'engine', 'pool')
 
@@ -37,26 +38,26 @@
 
 @final
 class SizedRates:
-    """Rates of two kinds, one for small pools and one for large ones."""
+    """Rates of two kinds, learned apart and together."""
 
-    __slots__ = ('_by_engine', '_is_large', '_large', '_small')
+    __slots__ = ('_by_engine', '_is_together', '_shared', '_own')
 
     def __init__(
         self,
         *,
-        small: Rates,
-        large: Rates,
-        is_large: Callable[[str], bool],
+        own: Rates,
+        shared: Rates,
+        is_together: Callable[[str], bool],
     ) -> None:
         """Join the kinds.
 
-        :param small: rates of engines of small pools.
-        :param large: those of large ones.
-        :param is_large: tells which a pool is.
+        :param own: rates that this gateway learns by itself.
+        :param shared: those that gateways share.
+        :param is_together: tells whether gateways judge a pool together.
         """
-        self._small = small
-        self._large = large
-        self._is_large = is_large
+        self._own = own
+        self._shared = shared
+        self._is_together = is_together
         self._by_engine: dict[str, SizedRate] = {}
 
     def find(self, engine: str, pool: str) -> SizedRate:
@@ -69,8 +70,8 @@
         :param pool: its pool, empty while the engine isn't listed.
         :returns: the rate, which follows later readings.
         """
-        self._small.find(engine, pool)
-        self._large.find(engine, pool)
+        self._own.find(engine, pool)
+        self._shared.find(engine, pool)
         rate = self._by_engine.get(engine)
         if rate is None:
             rate = SizedRate(rates=self, engine=engine)
@@ -112,7 +113,7 @@
         :param waiting: how much of that was before it.
         """
         self.find(engine, pool)
-        for rates in (self._small, self._large):
+        for rates in (self._own, self._shared):
             rates.note(engine, pool, tokens, elapsed_ms, waiting)
 
     def note_short(
@@ -125,7 +126,7 @@
         :param tokens: what was to be read.
         :param elapsed_ms: time from its sending to its first event.
         """
-        for rates in (self._small, self._large):
+        for rates in (self._own, self._shared):
             rates.note_short(engine, pool, tokens, elapsed_ms)
 
     def fixed_ms(self, pool: str) -> float | None:
@@ -144,31 +145,31 @@
         :param rates: what it told.
         """
         self.find(engine, pool)
-        self._large.take_told(engine, pool, rates)
+        self._shared.take_told(engine, pool, rates)
 
     def take_untold(self) -> list[list[Any]]:
         """Take the readings that peers have not heard of.
 
         :returns: for each engine its name and what is told.
         """
-        return self._large.take_untold()
+        return self._shared.take_untold()
 
     def write_all(self) -> list[list[Any]]:
         """Write what is known, for a gateway that starts.
 
         :returns: for each engine its name and what is told.
         """
-        return self._large.write_all()
+        return self._shared.write_all()
 
     def keep_only(self, names: set[str]) -> None:
         """Forget engines that are not listed any more.
 
         :param names: the engines that are listed.
         """
-        self._small.keep_only(names)
-        self._large.keep_only(names)
+        self._own.keep_only(names)
+        self._shared.keep_only(names)
         for name in self._by_engine.keys() - names:
             self._by_engine.pop(name)
 
     def _of(self, pool: str) -> Rates:
-        return self._large if self._is_large(pool) else self._small
+        return self._shared if self._is_together(pool) else self._own
--- a/wingfall/gateway/model/routes.py
+++ b/wingfall/gateway/model/routes.py
@@ -242,6 +242,17 @@
             for key_hash in customer.key_hashes
         }
 
+    @property
+    def shortest_gaps_ms(self) -> dict[str, int]:
+        """The shortest token gap in milliseconds that is asked of each pool."""
+        shortest: dict[str, int] = {}
+        for route in self.routes:
+            gap_ms = route.target.token_gap_ms
+            for entry in route.pools if gap_ms else ():
+                known_ms = shortest.get(entry.pool, gap_ms)
+                shortest[entry.pool] = min(known_ms, gap_ms)
+        return shortest
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Find the route of a request.
 
--- a/wingfall/gateway/rules/placement/engine_groups.py
+++ b/wingfall/gateway/rules/placement/engine_groups.py
@@ -159,9 +159,9 @@
     """
     if len(pool.engines) <= _FEW_ENGINES or len(pool.gap_bounds_ms) < 2:
         return None
-    classes = _join_few(class_engines(pool.engines, pool.classes))
+    classes = class_engines(pool.engines, pool.classes)
     gaps = class_gaps(pool.engines, classes)
-    if not gaps or len(set(classes.values())) < 2:
+    if not gaps or not _differ(classes):
         return None
     engines = sorted(
         pool.engines,
@@ -188,13 +188,10 @@
     )
 
 
-def _join_few(classes: dict[str, int]) -> dict[str, int]:
-    numbers = sorted(set(classes.values()))
-    first = [name for name, each in classes.items() if each == numbers[0]]
-    few = len(first) < len(classes) * _FIRST_CLASS_PART
-    if not few or len(numbers) < 2:
-        return classes
-    return {**classes, **dict.fromkeys(first, numbers[1])}
+def _differ(classes: Mapping[str, int]) -> bool:
+    numbers = list(classes.values())
+    first = numbers.count(min(numbers))
+    return len(numbers) * _FIRST_CLASS_PART <= first < len(numbers)
 
 
 def _count_most_closed(engines: Sequence[PoolEngine]) -> int:
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -110,6 +110,13 @@
             'Engines of a pool from which read_rates, start_estimates, '
             'engine_groups and an admission by the pool take effect.',
         ),
+        short_gap_ms=number(
+            0,
+            0,
+            60_000,
+            'The same by configuration: a pool must have a route whose streams '
+            'bear no longer token gaps than this; 0 for any.',
+        ),
         read_rates=text('How gateways learn how fast engines read.', 'own'),
         start_estimates=text(
             'How estimates of first events are corrected by those that came.',
