--- a/wingfall/gateway/knowledge/customer_work.py
+++ b/wingfall/gateway/knowledge/customer_work.py
@@ -25,7 +25,8 @@
 _SWEEP_MS: Final = 10_000
 # Tokens below which a customer is forgotten: less than any prompt.
 _FORGOTTEN_TOKENS: Final = 10
-# Customers of one pool that are kept, the size in two years.
+# Customers of one pool that are kept: bounds memory, and the time in which
+# shares are worked out.
 _MOST_CUSTOMERS: Final = 15_000
 
 
--- a/wingfall/gateway/knowledge/engine_speed.py
+++ b/wingfall/gateway/knowledge/engine_speed.py
@@ -43,9 +43,8 @@
 # wait may be read already; and if it is so much longer than gaps alone are.
 _SURE_WAITING: Final = 3
 _SURE_LONGER: Final = 1.5
-# Part by which what comes may differ from an estimate. Of 701 streams beside
-# 10,000 tokens or more, 91 in 100 had their longest gap within this part of
-# the median of their engine (two days at high load).
+# Part by which what comes may differ from an estimate: nearly all streams
+# beside long reads have their longest gap within it of their engine's median.
 _SPREAD: Final = 0.15
 # Reads are taken never to make a stream late if the longest gap that they cause
 # is below this part of what it bears.
--- a/wingfall/gateway/rules/crashes/crash_blame.py
+++ b/wingfall/gateway/rules/crashes/crash_blame.py
@@ -202,7 +202,7 @@
 
 def _find_repeated(crashes: Sequence[EndpointCrash]) -> set[Fingerprint]:
     # All others can be passed over, so that a flood of unlike requests costs
-    # little: 29 ms at 256 crashes with 128 each, 499 ms with all (one run).
+    # little.
     counts = collections.Counter(
         itertools.chain.from_iterable(crash.suspects for crash in crashes),
     )
--- a/wingfall/gateway/rules/placement/engine_classes.py
+++ b/wingfall/gateway/rules/placement/engine_classes.py
@@ -19,15 +19,15 @@
 _QUICK: Final = 0
 _USUAL: Final = 1
 _SLOW: Final = 2
-# Engines that read so many times as fast as the median are quick ones, and
-# those that read so many times slower are slow ones. What gateways take for an
-# engine's gaps differs by 15 in 100, so that two of them seldom disagree.
+# Engines whose gaps beside reads are so many times shorter than the median are
+# quick ones, those whose gaps are so many times longer are slow ones. What two
+# gateways take for an engine's gaps differs by less, so that they seldom put it
+# into unlike classes.
 _APART: Final = 1.4
 # An engine stays in its class until it is nearer to the median than this.
 _STILL_APART: Final = 1.25
 # Part of the streams whose longest gap must be within the bound before reads
-# beside them count as harmless: callers of all classes are to get nine in ten
-# answers in target.
+# beside them count as harmless: one in ten may meet a slow spell of its engine.
 _IN_BOUND_PART: Final = 0.9
 # Times the bound at which reads count as harmless no longer: by as much do the
 # gaps of an engine differ from one time to the next.
