Log each decision of the retry budget with its counts

Cause: nothing said why a retry was granted or denied, so an excess over all gateways could not be traced to a gateway, its age or its view of the others.

Change: a line per decision with the call, the pool, requests and retries of the window, the gateways that share the slack and since when, and how long this gateway has counted; wingfall_decisions_total counts part="retry" by granted and denied. No decision changes.

--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -264,7 +264,7 @@
         )
         verdict = decide_retry(end, self._progress, terms)
         if verdict is RetryDecision.from_budget:
-            return self._state.budget.take(self._pool)
+            return self._state.retry_charges.take(self._call, self._pool)
         return verdict is RetryDecision.free
 
     def _end_failed_call(self, end: AttemptEnd) -> Refusal | None:
--- a/wingfall/gateway/calls/stream_continuation.py
+++ b/wingfall/gateway/calls/stream_continuation.py
@@ -53,7 +53,7 @@
         return None
     continuation = _describe_continuation(state, call, destination.backup)
     pool = destination.endpoint.pool
-    if continuation is None or not state.budget.take(pool):
+    if continuation is None or not state.retry_charges.take(call, pool):
         return None
     return continuation
 
--- a/wingfall/gateway/rules/retries/retry_budget.py
+++ b/wingfall/gateway/rules/retries/retry_budget.py
@@ -18,6 +18,42 @@
 _USED_FRACTION: Final = 0.8
 
 
+@final
+class BudgetUsage:
+    """Counts that a decision of the budget is based on."""
+
+    __slots__ = (
+        'age_ms',
+        'gateways',
+        'gateways_age_ms',
+        'requests',
+        'retries',
+    )
+
+    def __init__(
+        self,
+        *,
+        requests: int,
+        retries: int,
+        gateways: int,
+        gateways_age_ms: int,
+        age_ms: int,
+    ) -> None:
+        """Initialize the counts.
+
+        :param requests: requests of the pool in the window at this gateway.
+        :param retries: retries among them.
+        :param gateways: number of gateways that share the slack.
+        :param gateways_age_ms: milliseconds since that number last changed.
+        :param age_ms: milliseconds since this gateway began to count.
+        """
+        self.requests = requests
+        self.retries = retries
+        self.gateways = gateways
+        self.gateways_age_ms = gateways_age_ms
+        self.age_ms = age_ms
+
+
 @final
 class RetryBudget:
     """Retry budget of each pool, over a sliding window."""
@@ -25,10 +61,12 @@
     __slots__ = (
         '_clock',
         '_gateways',
+        '_gateways_changed_ms',
         '_ratio',
         '_requests',
         '_retries',
         '_slack',
+        '_started_ms',
         '_window_ms',
     )
 
@@ -52,6 +90,8 @@
         self._slack = slack
         self._window_ms = window_ms
         self._gateways = 1
+        self._started_ms = clock.now_ms()
+        self._gateways_changed_ms = self._started_ms
         self._requests: dict[str, collections.deque[int]] = {}
         self._retries: dict[str, collections.deque[int]] = {}
 
@@ -71,6 +111,8 @@
 
         :param gateways: number of gateways, including this one.
         """
+        if gateways != self._gateways:
+            self._gateways_changed_ms = self._clock.now_ms()
         self._gateways = max(1, gateways)
 
     def note_request(self, pool: str) -> None:
@@ -94,6 +136,21 @@
         retries.append(self._clock.now_ms())
         return True
 
+    def usage(self, pool: str) -> BudgetUsage:
+        """Return the counts of a pool, for logs.
+
+        :param pool: name of the pool.
+        :returns: the counts at this moment.
+        """
+        now_ms = self._clock.now_ms()
+        return BudgetUsage(
+            requests=len(self._recent(self._requests, pool)),
+            retries=len(self._recent(self._retries, pool)),
+            gateways=self._gateways,
+            gateways_age_ms=now_ms - self._gateways_changed_ms,
+            age_ms=now_ms - self._started_ms,
+        )
+
     def _recent(
         self,
         times_ms: dict[str, collections.deque[int]],
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -10,6 +10,7 @@
 from wingfall.gateway.rules.admission.fair_shares import FairShares
 from wingfall.gateway.rules.admission.held_calls import DeferredCalls
 from wingfall.gateway.rules.placement.reserved_engines import ReservedEngines
+from wingfall.gateway.rules.retries.retry_charges import RetryCharges
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
@@ -45,6 +46,7 @@
         'knowledge',
         'metrics',
         'policies',
+        'retry_charges',
         'routes',
         'usage',
         'zone',
@@ -90,6 +92,9 @@
         self.blocks = blocks
         self.crash_detector = crash_detector
         self.gate = gate
+        self.retry_charges = RetryCharges(
+            budget=budget, clock=clock, metrics=metrics
+        )
         # Retry times of calls that no endpoint of their pool could take.
         self.deferred_calls = DeferredCalls()
         # Excess of customers over their shares of pools.
