Known red: gateways that are killed exceed the retry budget together

What callers see: engines that fail most requests get up to twice the retries that the budget allows, when gateways end meanwhile.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -21,9 +21,10 @@
 from standins.duty_platform import DutyPlatformStandIn
 from standins.serving import start_server
 from tools.fleet import HOST, wait_for
-from tools.soak import series, signal_promises
+from tools.soak import retry_promises, series, signal_promises
 from tools.soak.crashes import CrashingCaller
 from tools.soak.duties import LATE_S, LEASE_S, WINDOW_S, duty_faults
+from tools.soak.failing_pools import FAILING_POOL_BOUND, FailingPools
 from tools.soak.faults import Fault, faults
 from tools.soak.promises import promises
 from tools.soak.running_faults import RunningFaults
@@ -36,9 +37,11 @@
 from wingfall.http_server import HttpServer
 
 # Faults and promises are known once their modules are imported.
-IMPORTED = (series, signal_promises)
+IMPORTED = (retry_promises, series, signal_promises)
 
 _CALLERS = 8
+# Enough that a failing pool would get more retries than its bound allows.
+_CALLERS_OF_FAILING_POOLS = 24
 _SETTLE_S = 6
 _RECOVER_S = 12
 _MOST_SHOWN = 5
@@ -75,6 +78,11 @@
         action='store_true',
         help='endpoints name limits, ask for rest, say that they leave',
     )
+    parser.add_argument(
+        '--failures',
+        action='store_true',
+        help='pools fail most requests while gateways end',
+    )
     parser.add_argument(
         '--previous',
         help='commit that gateways are rolled from, and back to',
@@ -97,6 +105,8 @@
     if chosen.duties:
         duty_platform = DutyPlatformStandIn(lease_s=LEASE_S)
         changes['duties'] = _describe_duties(start_server(duty_platform.app))
+    if chosen.failures:
+        changes['resend'] = FAILING_POOL_BOUND
     site = SoakSite(
         folder=folder,
         gateways=chosen.gateways,
@@ -126,12 +136,15 @@
     chosen: argparse.Namespace,
     site: SoakSite,
 ) -> tuple[list[str], list[str], list[Outcome]]:
-    traffic = Traffic(site=site, seed=seed, callers=_CALLERS)
+    callers = _CALLERS_OF_FAILING_POOLS if chosen.failures else _CALLERS
+    traffic = Traffic(site=site, seed=seed, callers=callers)
     end_crashes = _start_crashes(site, traffic, chosen, seed)
     end_signals = _start_signals(site, chosen, seed)
+    end_failures = _start_failures(site, chosen, seed)
     join_upgrade = _start_upgrade(site, chosen, seed)
     struck = _strike(site, chance, chosen.seconds, _find_faults(chosen))
     join_upgrade()
+    end_failures()
     end_signals()
     end_crashes()
     broken = _check_recovery(site, traffic)
@@ -207,6 +220,16 @@
     return SpeakingEndpoints(site=site, seed=seed).stop
 
 
+def _start_failures(
+    site: SoakSite,
+    chosen: argparse.Namespace,
+    seed: int,
+) -> Callable[[], None]:
+    if not chosen.failures:
+        return lambda: None
+    return FailingPools(site=site, seed=seed).stop
+
+
 def _strike(
     site: SoakSite,
     chance: random.Random,
--- /dev/null
+++ b/tools/soak/failing_pools.py
@@ -0,0 +1,132 @@
+"""Faults of a soak: pools that fail most requests while gateways end."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import random
+from typing import TYPE_CHECKING, Final, final
+
+import gevent
+
+from tools.soak.faults import Fault, fail_store, kill_all_gateways
+from tools.soak.running_faults import RunningFaults
+from tools.soak.series import roll_gateways
+from tools.soak.site import POOLS
+from wingfall.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tools.soak.site import SoakSite
+
+pool_faults: Final[Registry[Fault]] = Registry(kind='pool fault')
+
+# Retry budget of the gateways: small beside the requests that fail.
+FAILING_POOL_BOUND: Final = {'ratio': 0.1, 'slack': 6, 'window_s': 8}
+# Seconds from the first failures to the end of gateways.
+_USED_S: Final = (0.2, 1.5)
+# One request in this many is answered well.
+_ANSWERED: Final = 10
+# More answers than a soak has requests.
+_MOST_ANSWERS: Final = 10_000
+# Seconds before each of these faults, so that gateways have requests of a
+# whole window to earn retries by.
+_PAUSE_S: Final = (8, 12)
+
+
+@pool_faults.register('pool_fails')
+def fail_pool(site: SoakSite, chance: random.Random, for_s: float) -> None:
+    """Have all endpoints of a pool fail most requests."""
+    with _failing(site, chance):
+        gevent.sleep(for_s)
+
+
+@pool_faults.register('pool_fails_beside_kills')
+def kill_beside_failures(
+    site: SoakSite, chance: random.Random, for_s: float
+) -> None:
+    """Kill all gateways while a pool fails."""
+    with _failing(site, chance):
+        gevent.sleep(chance.uniform(*_USED_S))
+        kill_all_gateways(site, chance, for_s)
+        gevent.sleep(for_s)
+
+
+@pool_faults.register('pool_fails_beside_kill_series')
+def kill_often_beside_failures(
+    site: SoakSite, chance: random.Random, for_s: float
+) -> None:
+    """Kill gateways one after the other while a pool fails."""
+    with _failing(site, chance):
+        for name in list(site.gateways):
+            gevent.sleep(chance.uniform(*_USED_S) / 2)
+            with site.held[name]:
+                site.disturb(name)
+                site.gateways[name].restart()
+                site.disturb(name)
+        gevent.sleep(for_s)
+
+
+@pool_faults.register('pool_fails_beside_stops')
+def stop_beside_failures(
+    site: SoakSite, chance: random.Random, for_s: float
+) -> None:
+    """Stop gateways by plan while a pool fails."""
+    with _failing(site, chance):
+        gevent.sleep(chance.uniform(*_USED_S))
+        roll_gateways(site, chance, for_s)
+
+
+@pool_faults.register('pool_fails_beside_store_down')
+def lose_store_beside_failures(
+    site: SoakSite, chance: random.Random, for_s: float
+) -> None:
+    """Kill all gateways while a pool fails and the store is away."""
+    with _failing(site, chance):
+        gevent.sleep(chance.uniform(*_USED_S))
+        store = gevent.spawn(fail_store, site, chance, for_s)
+        kill_all_gateways(site, chance, for_s)
+        store.get()
+        gevent.sleep(for_s)
+
+
+@final
+class FailingPools:
+    """Strikes with these faults beside all others, one after the other."""
+
+    def __init__(self, *, site: SoakSite, seed: int) -> None:
+        """Start to strike.
+
+        :param site: the site.
+        :param seed: what faults are drawn by.
+        """
+        self._chance = random.Random(seed)
+        self._running = RunningFaults(site=site, chance=self._chance)
+        self._stopped = False
+        self._striking = gevent.spawn(self._strike)
+
+    def stop(self) -> None:
+        """Strike no more, and wait until all have ended."""
+        self._stopped = True
+        self._striking.join()
+        self._running.join()
+
+    def _strike(self) -> None:
+        while not self._stopped:
+            gevent.sleep(self._chance.uniform(*_PAUSE_S))
+            name = self._chance.choice(pool_faults.names)
+            self._running.strike(pool_faults.find(name).unwrap())
+
+
+@contextlib.contextmanager
+def _failing(site: SoakSite, chance: random.Random) -> Iterator[None]:
+    failing = site.listed(chance.choice(POOLS))
+    answers = ('', *itertools.repeat('error', _ANSWERED - 1))
+    for server in failing:
+        server.standin.faults = chance.choices(answers, k=_MOST_ANSWERS)
+    try:
+        yield
+    finally:
+        for server in failing:
+            server.standin.faults = []
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -18,6 +18,7 @@
 from standins.pool_server import PoolServerStandIn
 from standins.serving import start_server
 from tools.fleet import HOST, Process
+from tools.soak.retry_bound import RetryBound
 from wingfall.clock import MS_PER_S
 
 if TYPE_CHECKING:
@@ -33,6 +34,8 @@
 # Requests on it end the engines that run them, in a soak that has such.
 CRASH_ROUTE: Final = 'crash'
 _SLOTS: Final = 8
+# Retry budget of the gateways, unless a soak changes it.
+_RETRY_BOUND: Final = {'ratio': 0.2, 'slack': 100, 'window_s': 10}
 _FIRST_PORT: Final = 20_000
 # Four for each gateway, of which a soak has 29 at most.
 _BLOCK_PORTS: Final = 120
@@ -109,7 +112,9 @@
         self._tells_starts = tells_starts
         # What is done to each endpoint before it is listed.
         self.arm: Callable[[Server], None] = _leave_as_it_is
-        self._changes = changes or {}
+        self._changes = {'resend': _RETRY_BOUND, **(changes or {})}
+        # The bound of the retries that a pool gets.
+        self.retry_bound = RetryBound(**self._changes['resend'])
         self.duty_platform = duty_platform
         self._earlier = earlier
         # From when to when gateways of two versions ran.
@@ -298,7 +303,6 @@
             'admin': {'host': HOST, 'port': next(self._ports)},
             'peers': {'listen': self._peers[number], 'seeds': self._peers[:3]},
             'store': {'address': self.store_links[name].address},
-            'resend': {'slack': 100},
             **self._changes,
         }
         earlier = self._earlier is not None
