--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -236,6 +236,9 @@
                 'address': f'{HOST}:{self._store_server.port}',
                 'watch_ms': 500,
             },
+            # A new gateway has earned no retries; with this it earns many
+            # within a millisecond.
+            'resend': {'slack': 1_000_000},
             **changes,
         }
 
@@ -291,6 +294,11 @@
     return gateway._state.knowledge.table
 
 
+def shared_gateways(gateway: GatewayApplication) -> int | None:
+    """Return the number of gateways that share the slack of the budget."""
+    return gateway._state.budget.usage('plain').gateways
+
+
 def holds_watch(gateway: GatewayApplication) -> bool:
     """Check if a gateway watches the store on behalf of its peers."""
     return gateway._peers.view.holds_watch
--- a/tests/retry_fleet.py
+++ b/tests/retry_fleet.py
@@ -93,6 +93,7 @@
 
     def worst(self) -> RetryWindow:
         """Return the window with the most retries beyond the bound."""
+        assert self.retries_s, 'no retry was granted'
         worst = find_worst_window(
             self.requests_s,
             sorted(self.retries_s),
--- a/tests/test_retry_charges.py
+++ b/tests/test_retry_charges.py
@@ -18,6 +18,7 @@
 def charge(clock: ManualClock, metrics: Metrics, calls: int) -> list[Any]:
     """Charge retries of calls to an empty budget; return the lines."""
     budget = RetryBudget(clock=clock, ratio=0, slack=0, window_ms=10_000)
+    budget.set_gateway_count(1)
     charges = RetryCharges(budget=budget, clock=clock, metrics=metrics)
     budget.note_request('pool')
     with collected_lines() as lines:
@@ -33,6 +34,7 @@
     assert fields['pool'] == 'pool'
     assert (fields['requests'], fields['retries']) == (1, 0)
     assert fields['gateways'] == 1
+    assert fields['available'] == 0
     assert fields['omitted'] == 0
 
 
--- a/wingfall/gateway/rules/retries/retry_charges.py
+++ b/wingfall/gateway/rules/retries/retry_charges.py
@@ -20,6 +20,8 @@
 # Maximum lines per second about denied retries. While a pool fails, nearly
 # every call is denied a retry.
 _MAX_DENIED_LINES_PER_S: Final = 50
+# Decimal digits of the logged fractions of a retry.
+_AVAILABLE_DIGITS: Final = 2
 
 
 @final
@@ -75,6 +77,7 @@
             sentence,
             call=call.call_id,
             pool=pool,
+            available=round(usage.available, _AVAILABLE_DIGITS),
             requests=usage.requests,
             retries=usage.retries,
             gateways=usage.gateways,
