--- a/tests/test_gateway_retry_budget.py
+++ b/tests/test_gateway_retry_budget.py
@@ -107,3 +107,13 @@
     clock.advance(2000)
     budget.set_bounds(0.5, 0, 1000)
     assert count_allowed(budget) == 0
+
+
+def test_window_without_a_length_is_no_error(clock: ManualClock):
+    budget = make_budget(clock, ratio=2, window_ms=0)
+    clock.advance(1)
+    note_requests(budget, 1)
+    assert count_allowed(budget) == 7
+    budget.set_bounds(2, 12.5, 0)
+    clock.advance(1)
+    assert count_allowed(budget) == 6
--- a/wingfall/gateway/rules/retries/retry_budget.py
+++ b/wingfall/gateway/rules/retries/retry_budget.py
@@ -113,7 +113,7 @@
         self._clock = clock
         self._ratio = ratio
         self._slack = slack
-        self._window_ms = window_ms
+        self._window_ms = max(1, window_ms)
         self._gateways: int | None = None
         self._started_ms = clock.now_ms()
         self._gateways_changed_ms = self._started_ms
@@ -131,7 +131,7 @@
         self._update_all()
         self._ratio = ratio
         self._slack = slack
-        self._window_ms = window_ms
+        self._window_ms = max(1, window_ms)
 
     def set_gateway_count(self, gateways: int | None) -> None:
         """Set the number of gateways that share the slack.
