Log the software version of endpoints and what continues a stream

The logs could not tell whether a stream of two versions came from a retry in one answer, from a caller that took it up, or from an entry that was wrong. The list of endpoints and each attempt now name the version; an attempt names the event that it continues after and, by the platform's Resumes header, the request whose answer began the stream. Nothing decides by any of it yet.

--- a/wingfall/gateway/calls/attempt_log.py
+++ b/wingfall/gateway/calls/attempt_log.py
@@ -29,6 +29,7 @@
     now_ms: int,
     estimate_ms: float,
     first_byte_ms: int | None,
+    after_event_id: str | None,
 ) -> None:
     """Log the end of an attempt.
 
@@ -42,6 +43,8 @@
     :param estimate_ms: estimated prefill before the first event, milliseconds.
     :param first_byte_ms: time in milliseconds at which the first byte was sent
         to the caller, None if none was.
+    :param after_event_id: id of the event after which the attempt was to
+        continue the stream, None if it was to begin one.
     """
     first_ms = None
     if first_byte_ms is not None:
@@ -57,6 +60,7 @@
         tier=call.priority,
         attempt=number,
         endpoint=destination.endpoint.name,
+        version=destination.endpoint.version,
         end=outcome.end,
         reason=outcome.reason,
         ms=now_ms - started_ms,
@@ -70,6 +74,8 @@
         source=source.name if source else None,
         backup=backup.name if backup else None,
         continues=destination.is_continuation,
+        after_event=after_event_id,
+        resumes=call.head.resumed_call_id,
         **_describe_performance(destination.candidate),
     )
 
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -40,6 +40,7 @@
     """Records of one attempt, from its sending to its end."""
 
     __slots__ = (
+        '_after_event_id',
         '_call',
         '_destination',
         '_estimate_ms',
@@ -58,6 +59,7 @@
         call: Call,
         destination: Destination,
         number: int,
+        after_event_id: str | None = None,
     ) -> None:
         """Create the records and add the attempt to the endpoint's load.
 
@@ -65,12 +67,15 @@
         :param call: the call.
         :param destination: the endpoint that the call is sent to.
         :param number: number of the attempt in its call, from 1.
+        :param after_event_id: id of the event after which the attempt continues
+            the stream, None if it begins one.
         """
         name, knowledge = destination.endpoint.name, state.knowledge
         self._state = state
         self._call = call
         self._destination = destination
         self._number = number
+        self._after_event_id = after_event_id
         # Estimated by the engine's speed at the time of sending.
         self._estimate_ms = destination.start_ms
         self._load_entry = knowledge.load.start(name, destination.load)
@@ -142,6 +147,7 @@
             now_ms=self._state.clock.now_ms(),
             estimate_ms=self._estimate_ms,
             first_byte_ms=reply.first_byte_ms if reply.started else None,
+            after_event_id=self._after_event_id,
         )
 
     def _note_usage(self, started_ms: int) -> None:
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -192,6 +192,9 @@
             call=self._call,
             destination=destination,
             number=len(self._progress.sent) + 1,
+            after_event_id=(
+                self._reply.last_event_id or self._call.head.last_event_id
+            ),
         )
         attempt = Attempt(
             call=self._call,
--- a/wingfall/gateway/knowledge/endpoint_table.py
+++ b/wingfall/gateway/knowledge/endpoint_table.py
@@ -91,6 +91,7 @@
                 pool=endpoint.pool,
                 zone=endpoint.zone,
                 draining=endpoint.draining,
+                version=endpoint.version,
             )
 
     def remove(self, instance: str) -> None:
@@ -156,5 +157,10 @@
 
 
 def _is_changed(previous: PoolEndpoint, endpoint: PoolEndpoint) -> bool:
-    previous_state = (previous.name, previous.pool, previous.draining)
-    return previous_state != (endpoint.name, endpoint.pool, endpoint.draining)
+    return _describe_state(previous) != _describe_state(endpoint)
+
+
+def _describe_state(
+    endpoint: PoolEndpoint,
+) -> tuple[str, str, bool, str | None]:
+    return endpoint.name, endpoint.pool, endpoint.draining, endpoint.version
--- a/wingfall/gateway/model/call.py
+++ b/wingfall/gateway/model/call.py
@@ -26,6 +26,7 @@
         'last_event_id',
         'method',
         'prompt',
+        'resumed_call_id',
         'target',
         'time_left_ms',
     )
@@ -42,6 +43,7 @@
         time_left_ms: int | None,
         last_event_id: str | None,
         prompt: Prompt | None,
+        resumed_call_id: str | None = None,
     ) -> None:
         """Create the head of a request.
 
@@ -55,6 +57,8 @@
         :param last_event_id: id of the event after which a stream continues,
             if any.
         :param prompt: description of the prompt, None for plain requests.
+        :param resumed_call_id: id of the request whose answer began the stream
+            that this request continues, if the caller names it.
         """
         self.method = method
         self.target = target
@@ -65,6 +69,7 @@
         self.time_left_ms = time_left_ms
         self.last_event_id = last_event_id
         self.prompt = prompt
+        self.resumed_call_id = resumed_call_id
 
     @property
     def path(self) -> str:
--- a/wingfall/gateway/model/pool_endpoint.py
+++ b/wingfall/gateway/model/pool_endpoint.py
@@ -18,6 +18,7 @@
         'pool',
         'port',
         'slots',
+        'version',
         'zone',
     )
 
@@ -33,6 +34,7 @@
         draining: bool,
         instance: str | None = None,
         born_ms: int | None = None,
+        version: str | None = None,
     ) -> None:
         """Create an endpoint.
 
@@ -47,6 +49,8 @@
             restart; defaults to the name.
         :param born_ms: start of this incarnation in Unix milliseconds; None on
             platforms that don't report it, where ids are never reused.
+        :param version: version of its software, compared for equality only;
+            None if the platform doesn't report it.
         """
         self.name = name
         self.instance = name if instance is None else instance
@@ -57,3 +61,4 @@
         self.zone = zone
         self.slots = slots
         self.draining = draining
+        self.version = version
--- a/wingfall/platform/endpoint_entry.py
+++ b/wingfall/platform/endpoint_entry.py
@@ -70,4 +70,6 @@
         slots=int(spec['slots']),
         draining=spec['state'] == _DRAINING,
         born_ms=None if born is None else int(born),
+        # An empty text names no version.
+        version=spec.get('version') or None,
     )
--- a/wingfall/platform/headers.py
+++ b/wingfall/platform/headers.py
@@ -26,6 +26,7 @@
 _CUSTOMER: Final = b'X-Tenant'
 _PRIORITY: Final = b'X-Request-Priority'
 _LAST_EVENT: Final = b'last-event-id'
+_RESUMES: Final = b'resumes'
 _TOKENS: Final = b'x-token-count'
 _PARTS: Final = b'x-prompt-prefix'
 _LENGTH_HINT: Final = b'x-length-hint'
@@ -87,6 +88,7 @@
         time_left_ms=left_ms,
         last_event_id=_text(first.get(_LAST_EVENT)) or None,
         prompt=_read_prompt(first),
+        resumed_call_id=_text(first.get(_RESUMES)) or None,
     )
 
 
