Known red: streams go on at another version than the one that began them

make soak VERSIONS=2 has engines of several versions, releases, entries without a version and engines that start again as another one; two promises hold in each mode: at most two streams of two versions, and streams that are taken up go on at least half as often as new ones begin.

--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -3,7 +3,8 @@
 It speaks raw HTTP/1.1 so that it can break every rule of it. What it does is
 told by ``faults``, taken one a request, oldest first; without one it answers
 rightly. A streaming request (one with ``X-Token-Count``) gets ``events``
-events, ids from 1, or from the one after ``Last-Event-Id``.
+events, ids from 1, or from the one after ``Last-Event-Id``; each holds the id
+of the request, its own number and the version of the endpoint's software.
 
 The faults: ``error`` (500), ``shed`` (503, not run), ``late_shed`` (the same
 after the body's first bytes), ``reset`` (no answer), ``torn`` (half of the
@@ -84,6 +85,8 @@
         """
         self.name = name
         self.zone = ''
+        # Version of its software, which each event of a stream names.
+        self.version = 'v1'
         self.faults: list[str] = []
         # What its answers say of itself, and the ledger of that.
         self.signals = AnswerSignalsStandIn()
@@ -343,7 +346,9 @@
         for number in range(first, self.events + 1):
             gevent.sleep(self.event_ms / _MS)
             run.began_s = run.began_s or time.monotonic()
-            event = f'id: {number}\ndata: {run.call_id} {number}\n\n'.encode()
+            event = (
+                f'id: {number}\ndata: {run.call_id} {number} {self.version}\n\n'
+            ).encode()
             if fault == 'crash' and number > _CUT_AFTER:
                 self._server.close()
                 _reset(sock)
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -11,6 +11,10 @@
     in_force,
     revoked_keys_are_refused,
 )
+from tools.soak.stream_promises import (
+    streams_stay_at_their_version,
+    streams_that_are_taken_up_go_on,
+)
 from tools.soak.traffic import Outcome
 
 REVOKED_S = 100.0
@@ -78,3 +82,40 @@
         each.status = 404
     (broken,) = added_routes_are_there(_Site(), asked)
     assert broken == f'call: {ROUTE} is unknown after 4.0 s'
+
+
+def stream(
+    call_id: str, version: str, first: int, resumes: str = ''
+) -> Outcome:
+    """Make a request for a stream that got two events."""
+    outcome = Outcome(call_id=call_id, kind='stream', gateway='g', key=KEY)
+    outcome.resumes = resumes
+    outcome.engines_of_version = 2
+    outcome.status = 200
+    outcome.body = b''.join(
+        f'id: {number}\ndata: {call_id} {number} {version}\n\n'.encode()
+        for number in (first, first + 1)
+    )
+    return outcome
+
+
+def test_three_streams_of_two_versions_break_a_promise():
+    outcomes = []
+    for number in range(3):
+        outcomes.append(stream(f'a{number}', 'v1', 1))
+        outcomes.append(stream(f'b{number}', 'v2', 3, resumes=f'a{number}'))
+    assert not list(streams_stay_at_their_version(_Site(), outcomes[:4]))
+    (broken,) = streams_stay_at_their_version(_Site(), outcomes)
+    assert broken.startswith('3 streams of two versions')
+
+
+def test_streams_that_rarely_go_on_break_a_promise():
+    outcomes = [stream('new', 'v1', 1)]
+    for number in range(12):
+        outcomes.append(stream(f'r{number}', 'v1', 3, resumes='new'))
+    assert not list(streams_that_are_taken_up_go_on(_Site(), outcomes))
+    for refused in outcomes[-7:]:
+        refused.status = 503
+        refused.body = b''
+    (broken,) = streams_that_are_taken_up_go_on(_Site(), outcomes)
+    assert broken == '0.42 of 12 streams went on, 1.00 of new ones began'
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -21,23 +21,30 @@
 from standins.duty_platform import DutyPlatformStandIn
 from standins.serving import start_server
 from tools.fleet import HOST, wait_for
-from tools.soak import retry_promises, series, signal_promises
+from tools.soak import (
+    retry_promises,
+    series,
+    signal_promises,
+    stream_promises,
+)
 from tools.soak.crashes import CrashingCaller
 from tools.soak.duties import LATE_S, LEASE_S, WINDOW_S, duty_faults
 from tools.soak.failing_pools import FAILING_POOL_BOUND, FailingPools
 from tools.soak.faults import Fault, faults
 from tools.soak.promises import promises
+from tools.soak.resuming_callers import ResumingCallers
 from tools.soak.running_faults import RunningFaults
 from tools.soak.signal_faults import SpeakingEndpoints
 from tools.soak.site import STEADY_KEY, SoakSite
 from tools.soak.traffic import KINDS, Outcome, Traffic
 from tools.soak.upgrade import Upgrade, unpack_version
+from tools.soak.version_faults import version_faults
 from tools.soak.writers import writer_faults
 from wingfall.clock import MS_PER_S
 from wingfall.http_server import HttpServer
 
 # Faults and promises are known once their modules are imported.
-IMPORTED = (retry_promises, series, signal_promises)
+IMPORTED = (retry_promises, series, signal_promises, stream_promises)
 
 _CALLERS = 8
 # Enough that a failing pool would get more retries than its bound allows.
@@ -83,6 +90,12 @@
         action='store_true',
         help='pools fail most requests while gateways end',
     )
+    parser.add_argument(
+        '--versions',
+        type=int,
+        default=1,
+        help='software versions of the endpoints; callers take streams up',
+    )
     parser.add_argument(
         '--previous',
         help='commit that gateways are rolled from, and back to',
@@ -110,7 +123,8 @@
     site = SoakSite(
         folder=folder,
         gateways=chosen.gateways,
-        servers=3,
+        servers=3 * chosen.versions,
+        versions=tuple(f'v{number + 1}' for number in range(chosen.versions)),
         changes=changes,
         tells_starts=chosen.writers,
         duty_platform=duty_platform,
@@ -141,9 +155,11 @@
     end_crashes = _start_crashes(site, traffic, chosen, seed)
     end_signals = _start_signals(site, chosen, seed)
     end_failures = _start_failures(site, chosen, seed)
+    end_streams = _start_streams(site, traffic, chosen, seed)
     join_upgrade = _start_upgrade(site, chosen, seed)
     struck = _strike(site, chance, chosen.seconds, _find_faults(chosen))
     join_upgrade()
+    end_streams()
     end_failures()
     end_signals()
     end_crashes()
@@ -182,6 +198,8 @@
         registries.append(writer_faults)
     if chosen.duties:
         registries.append(duty_faults)
+    if chosen.versions > 1:
+        registries.append(version_faults)
     return {
         name: registry.find(name).unwrap()
         for registry in registries
@@ -210,6 +228,17 @@
     return CrashingCaller(site=site, traffic=traffic, seed=seed).stop
 
 
+def _start_streams(
+    site: SoakSite,
+    traffic: Traffic,
+    chosen: argparse.Namespace,
+    seed: int,
+) -> Callable[[], None]:
+    if chosen.versions == 1:
+        return lambda: None
+    return ResumingCallers(site=site, traffic=traffic, seed=seed).stop
+
+
 def _start_signals(
     site: SoakSite,
     chosen: argparse.Namespace,
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -166,7 +166,7 @@
     for each in outcomes:
         unanswered = each.sent_whole and not each.status and not each.left
         passed_on = bool(runs[each.call_id])
-        if unanswered and passed_on and not _gateway_disturbed(site, each):
+        if unanswered and passed_on and not is_gateway_disturbed(site, each):
             yield f'{each.call_id} ran and got no answer at {each.gateway}'
 
 
@@ -187,7 +187,7 @@
             for run in server.standin.runs
             if run.target == target
             and run.arrived_s > known_s
-            and not _gateway_disturbed(site, sent[run.call_id])
+            and not is_gateway_disturbed(site, sent[run.call_id])
         ]
         if len(late) > _MOST_TRIES:
             yield f'{target} ended {len(crashed_s)} and came as {late}'
@@ -217,9 +217,10 @@
 
 def _compare_stream(outcome: Outcome) -> Iterator[str]:
     ids = [int(number) for number in _EVENT_ID.findall(outcome.body)]
-    if ids != list(range(1, len(ids) + 1)):
+    first = int(outcome.last_event_id or 0) + 1
+    if ids != list(range(first, first + len(ids))):
         yield f'{outcome.call_id} got events {ids}'
-    elif outcome.whole and len(ids) != EVENTS:
+    elif outcome.whole and first + len(ids) - 1 != EVENTS:
         yield f'{outcome.call_id} looks whole with events {ids}'
 
 
@@ -241,10 +242,16 @@
 
 def _must_know(site: SoakSite, since_s: float, outcome: Outcome) -> bool:
     learned = in_force(site, since_s, outcome.sent_s)
-    return learned and not _gateway_disturbed(site, outcome)
+    return learned and not is_gateway_disturbed(site, outcome)
 
 
-def _gateway_disturbed(site: SoakSite, outcome: Outcome) -> bool:
+def is_gateway_disturbed(site: SoakSite, outcome: Outcome) -> bool:
+    """Check if a gateway was disturbed about the time of a request.
+
+    :param site: the site.
+    :param outcome: the request, which names its gateway.
+    :returns: whether it was killed, paused or started otherwise than by plan.
+    """
     return any(
         outcome.sent_s - _CALM_S < disturbed_s < outcome.sent_s + _CALM_S
         for disturbed_s in site.disturbed.get(outcome.gateway, ())
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -54,16 +54,21 @@
         name: str,
         pool: str,
         arm: Callable[[Server], None],
+        version: str,
     ) -> None:
         """Start it.
 
         :param name: its id, which it keeps if it starts again.
         :param pool: its pool.
         :param arm: what is done to its stand-in before each start.
+        :param version: version of its software.
         """
         self.name = name
         self.pool = pool
         self.arm = arm
+        self.version = version
+        # Whether its entry names the version.
+        self.names_version = True
         self.standin = PoolServerStandIn(name=name)
         self.set_up()
         self.link = Link(target=self.standin.address)
@@ -78,6 +83,7 @@
         self.standin.events = EVENTS
         self.standin.event_ms = 40
         self.standin.delay_ms = 30
+        self.standin.version = self.version
         self.arm(self)
 
 
@@ -95,6 +101,7 @@
         tells_starts: bool = False,
         duty_platform: DutyPlatformStandIn | None = None,
         earlier: pathlib.Path | None = None,
+        versions: tuple[str, ...] = ('v1',),
     ) -> None:
         """Start everything and wait until the gateways listen.
 
@@ -107,9 +114,12 @@
             None for this one.
         :param duty_platform: takes what one gateway does for all, None without
             duties.
+        :param versions: versions of the endpoints' software; each pool has
+            about the same number of each.
         """
         self._folder = folder
-        self._tells_starts = tells_starts
+        self.tells_starts = tells_starts
+        self.versions = versions
         # What is done to each endpoint before it is listed.
         self.arm: Callable[[Server], None] = _leave_as_it_is
         self._changes = {'resend': _RETRY_BOUND, **(changes or {})}
@@ -203,16 +213,19 @@
             self.added_s[f'added-{number}'] = now_s
         self.write_config()
 
-    def add_server(self, pool: str) -> Server:
+    def add_server(self, pool: str, version: str | None = None) -> Server:
         """Start an endpoint and list it.
 
         :param pool: its pool.
+        :param version: version of its software, by default the one of which
+            the pool has the fewest.
         :returns: the endpoint.
         """
         server = Server(
             name=f'server-{next(self._numbers)}',
             pool=pool,
             arm=self.arm,
+            version=version or self._rarest_version(pool),
         )
         self.servers.append(server)
         self.list_server(server, 'ready')
@@ -233,12 +246,15 @@
         :param state: ``ready`` or ``draining``.
         :returns: what it says.
         """
-        told = {'born': server.born_ms} if self._tells_starts else {}
+        told: dict[str, Any] = {}
+        if self.tells_starts:
+            told['born'] = server.born_ms
+        if server.names_version:
+            told['version'] = server.version
         return {
             'service': server.pool,
             'address': server.link.address,
             'zone': ZONES[self.servers.index(server) % len(ZONES)],
-            'version': 'v1',
             'slots': _SLOTS,
             'state': state,
             **told,
@@ -258,6 +274,14 @@
             and server.draining_since_s is None
         ]
 
+    def listed_versions(self, pool: str) -> list[str]:
+        """List the versions of the endpoints that take new work.
+
+        :param pool: the pool.
+        :returns: a version for each endpoint.
+        """
+        return [server.version for server in self.listed(pool)]
+
     def disturb(self, gateway: str) -> None:
         """Note that a gateway was disturbed.
 
@@ -289,6 +313,9 @@
         self._store_server.stop()
         self._guard.close()
 
+    def _rarest_version(self, pool: str) -> str:
+        return min(self.versions, key=self.listed_versions(pool).count)
+
     def _start_gateway(self, number: int) -> None:
         name = f'gateway-{number}'
         store_address = f'{HOST}:{self._store_server.port}'
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+import re
 import socket
 import time
 from typing import TYPE_CHECKING, Final, final
@@ -13,6 +14,7 @@
 
 from standins.received_answer import ReceivedAnswer
 from tools.fleet import HOST
+from tools.soak.site import STEADY_KEY
 
 if TYPE_CHECKING:
     from gevent import Greenlet
@@ -29,6 +31,9 @@
 _REVOKED: Final = 0.1
 _ADDED: Final = 0.2
 _PARTS: Final = 'aa:200,bb:100'
+_EVENT: Final = re.compile(
+    rb'^id: (\d+)\ndata: \S+ \d+ (\S+)\n\n', re.MULTILINE
+)
 
 
 @final
@@ -64,6 +69,14 @@
         self.parts = _PARTS
         self.first_s: float = 0
         self.left = False
+        # The request whose answer began the stream that this one takes up, and
+        # the last event that came of it; empty for a new stream.
+        self.resumes = ''
+        self.last_event_id = ''
+        # Engines of the stream's version that took new work when this was sent.
+        self.engines_of_version = 0
+        # Number of events after which the caller leaves, 0 for none.
+        self.leaves_after = 0
 
     def take(self, event: h11.Event) -> None:
         """Take a piece of the answer.
@@ -74,6 +87,14 @@
         if isinstance(event, h11.Response):
             self.first_s = time.monotonic() - self.sent_s
 
+    @property
+    def events(self) -> list[tuple[str, str]]:
+        """Id and version of the endpoint of each whole event that came."""
+        return [
+            (event_id.decode(), version.decode())
+            for event_id, version in _EVENT.findall(self.body)
+        ]
+
 
 @final
 class Traffic:
@@ -124,13 +145,46 @@
         """
         outcome = self._begin(kind, gateway, key, route)
         outcome.parts = parts
+        self._send_alone(outcome)
+        return outcome
+
+    def begin_stream(self, gateway: str, leaves_after: int) -> Outcome:
+        """Send a request for a stream that may be taken up later.
+
+        :param gateway: where it goes.
+        :param leaves_after: events after which the caller leaves, 0 for none.
+        :returns: what came back.
+        """
+        outcome = self._begin('stream', gateway, STEADY_KEY)
+        outcome.leaves_after = leaves_after
+        self._send_alone(outcome)
+        return outcome
+
+    def take_up_stream(self, gateway: str, tries: list[Outcome]) -> Outcome:
+        """Send a request that goes on after the last event of earlier ones.
+
+        :param gateway: where it goes.
+        :param tries: the requests of the stream so far.
+        :returns: what came back.
+        """
+        events = [event for each in tries for event in each.events]
+        outcome = self._begin('stream', gateway, STEADY_KEY)
+        outcome.resumes = next(each.call_id for each in tries if each.events)
+        outcome.last_event_id = events[-1][0]
+        version = events[0][1]
+        outcome.engines_of_version = self._site.listed_versions(
+            'engines'
+        ).count(version)
+        self._send_alone(outcome)
+        return outcome
+
+    def _send_alone(self, outcome: Outcome) -> None:
         try:
-            with self._connect(gateway) as sock:
+            with self._connect(outcome.gateway) as sock:
                 self._exchange(sock, h11.Connection(h11.CLIENT), outcome)
         except (OSError, h11.ProtocolError):
             outcome.whole = False
         outcome.ended_s = time.monotonic()
-        return outcome
 
     def _call_forever(self, chance: random.Random, keep: float) -> None:
         while not self._stopped:
@@ -228,6 +282,9 @@
             return
         else:
             outcome.take(event)
+        if outcome.leaves_after and len(outcome.events) >= outcome.leaves_after:
+            outcome.left = True
+            return
 
 
 def _encode(http: h11.Connection, outcome: Outcome) -> bytes:
@@ -240,6 +297,9 @@
     if outcome.kind in {'stream', 'oneway'}:
         headers.append(('X-Token-Count', '300,40'))
         headers.append(('X-Prompt-Prefix', outcome.parts))
+    if outcome.resumes:
+        headers.append(('Resumes', outcome.resumes))
+        headers.append(('Last-Event-Id', outcome.last_event_id))
     method = 'GET' if outcome.kind == 'safe' else 'POST'
     if method == 'POST':
         headers.append(('Content-Length', '0'))
--- a/tools/soak/writers.py
+++ b/tools/soak/writers.py
@@ -59,7 +59,7 @@
     if not server.lock.acquire(blocking=False):
         return
     earlier = site.entry(server, 'ready')
-    _restart(server, chance.uniform(0, _MOST_DOWN_S))
+    restart_server(server, chance.uniform(0, _MOST_DOWN_S))
     server.born_ms += 1 + int(for_s * MS_PER_S)
     _beat(site, server)
     gevent.sleep(_LATE_WRITE_S)
@@ -118,7 +118,12 @@
         site.list_server(server, 'ready')
 
 
-def _restart(server: Server, down_s: float) -> None:
+def restart_server(server: Server, down_s: float) -> None:
+    """End an endpoint and start it again at its address.
+
+    :param server: the endpoint.
+    :param down_s: seconds until it listens again.
+    """
     before = server.standin
     before.stop()
     server.link.reset()
