Continue a stream only at the version that began it, within one answer

What callers saw: an answer that looks whole, signed by the engine that began it, with later events of another software version (the operators' case: v1 crashed, v1.2 two milliseconds later). Cause: no choice of an endpoint knew the version. Change: a call keeps the origin of its stream from the first event. All choices (retry, choice after a wait, second endpoint for room, held calls) read the table through calls/stream_endpoints.py; a backup asks the same rule; each attempt asks it again after its connection is up and before its first event is forwarded, against what is listed then, so that no way passes it by.

--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -55,6 +55,7 @@
         '_connection',
         '_connections',
         '_destination',
+        '_may_send',
         '_now_ms',
         '_on_output',
         '_on_signals',
@@ -73,6 +74,7 @@
         now_ms: Callable[[], int],
         on_output: Callable[[], None],
         on_signals: Callable[[AnswerSignals, int], None],
+        may_send: Callable[[], bool],
     ) -> None:
         """Create an attempt that is not sent yet.
 
@@ -85,6 +87,7 @@
         :param on_output: called whenever events of a stream arrive.
         :param on_signals: called with the endpoint's signals in an answer and
             the time in milliseconds at which the request was sent.
+        :param may_send: checks if the endpoint may serve the call now.
         """
         self._call = call
         self._destination = destination
@@ -94,6 +97,7 @@
         self._now_ms = now_ms
         self._on_output = on_output
         self._on_signals = on_signals
+        self._may_send = may_send
         self._sent_ms = 0
         self._connection: EndpointConnection | None = None
 
@@ -127,6 +131,9 @@
             allow_reuse=call.idempotent,
         )
         self._connection = connection
+        # The endpoint may have changed since it was chosen.
+        if not self._may_send():
+            raise EndpointWithheldError('not the version of the stream')
         self._sent_ms = self._now_ms()
         connection.send(
             call.head.method,
@@ -207,18 +214,27 @@
         limits: AttemptLimits,
     ) -> AttemptOutcome:
         splitter = EventSplitter(last_event_id=self._reply.last_event_id)
+        has_events = False
         while True:
             event = self._receive(limits)
             if isinstance(event, h11.EndOfMessage):
                 break
             events = splitter.feed(bytes(event.data))
             if events:
+                self._check_version(is_first=not has_events)
+                has_events = True
                 self._forward_events(response, events, splitter.last_event_id)
         if splitter.has_partial_event or not self._reply.started:
             raise BrokenAnswerError('the stream ended inside an event')
         self._release_connection()
         return AttemptOutcome(end=AttemptEnd.answered, reason='stream')
 
+    def _check_version(self, *, is_first: bool) -> None:
+        # The endpoint may have started again as another version under its id
+        # before it received the request.
+        if is_first and not self._may_send():
+            raise BrokenAnswerError('not the version of the stream')
+
     def _forward_events(
         self,
         response: h11.Response,
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING, Final, final
 
 from returns.result import Failure, Result, Success
@@ -23,6 +24,10 @@
 from wingfall.gateway.calls.destination import choose_destination
 from wingfall.gateway.calls.shared_prefill_wait import await_shared_prefill
 from wingfall.gateway.calls.stream_continuation import find_continuation
+from wingfall.gateway.calls.stream_endpoints import (
+    may_serve,
+    note_first_event,
+)
 from wingfall.gateway.calls.withheld_pool import (
     defer_attempt,
     defer_call,
@@ -51,6 +56,7 @@
     from wingfall.gateway.calls.destination import Destination
     from wingfall.gateway.calls.reply import Reply
     from wingfall.gateway.model.call import Call
+    from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.state import GatewayState
 
 
@@ -203,8 +209,13 @@
             binding=state.binding,
             connections=state.connections,
             now_ms=state.clock.now_ms,
-            on_output=tracker.note_output,
+            on_output=functools.partial(
+                self._note_output, tracker, destination.endpoint
+            ),
             on_signals=tracker.note_signals,
+            may_send=functools.partial(
+                may_serve, state, self._call, destination.endpoint
+            ),
         )
         outcome = AttemptOutcome(
             end=AttemptEnd.cut,
@@ -217,6 +228,12 @@
             tracker.end(outcome, self._reply)
         return outcome
 
+    def _note_output(
+        self, tracker: AttemptTracker, endpoint: PoolEndpoint
+    ) -> None:
+        tracker.note_output()
+        note_first_event(self._state, self._call, endpoint)
+
     def _limits(self, destination: Destination) -> AttemptLimits:
         call, now_ms = self._call, self._state.clock.now_ms()
         number = len(self._progress.sent) + 1
@@ -277,7 +294,7 @@
             self._send_whole(self._failed_answer)
             return None
         if end is AttemptEnd.not_run and is_pool_withheld(
-            self._state, self._pool
+            self._state, self._call, self._pool
         ):
             deferred = self._defer()
             if deferred is not None:
--- a/wingfall/gateway/calls/open_endpoints.py
+++ b/wingfall/gateway/calls/open_endpoints.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Callable
 
 from wingfall.gateway.calls.engine_group import narrow_to_group
+from wingfall.gateway.calls.stream_endpoints import list_usable
 from wingfall.gateway.rules.placement.candidate import Demand
 from wingfall.gateway.rules.placement.shortlist import (
     choose_sample_size,
@@ -107,7 +108,7 @@
     return narrow_to_group(
         state,
         describe_demand(call),
-        state.knowledge.table.usable(pool),
+        list_usable(state, call, pool),
         lambda name: (
             not (name in avoided or is_ejected(name) or is_withheld(name))
         ),
--- a/wingfall/gateway/calls/stream_continuation.py
+++ b/wingfall/gateway/calls/stream_continuation.py
@@ -14,6 +14,7 @@
     describe_endpoint,
 )
 from wingfall.gateway.calls.open_endpoints import describe_demand
+from wingfall.gateway.calls.stream_endpoints import may_serve
 from wingfall.gateway.endpoints.endpoint_probe import refuses_connections
 from wingfall.gateway.model.attempt_end import AttemptEnd
 
@@ -73,6 +74,8 @@
     listed = state.knowledge.table.find(backup.name)
     if listed is None or listed.draining:
         return None
+    if not may_serve(state, call, listed):
+        return None
     if state.knowledge.health.is_ejected(backup.name):
         return None
     if state.gate.withheld_reason(backup.name) is not None:
--- /dev/null
+++ b/wingfall/gateway/calls/stream_endpoints.py
@@ -0,0 +1,69 @@
+"""Endpoints that may serve a call, by the origin of its stream.
+
+Every choice of an endpoint for a call reads the table through this module, and
+each attempt is checked again when it is sent: a stream that has begun continues
+only at the software version that began it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wingfall.gateway.model.stream_origin import StreamOrigin
+
+if TYPE_CHECKING:
+    from wingfall.gateway.model.call import Call
+    from wingfall.gateway.model.pool_endpoint import PoolEndpoint
+    from wingfall.gateway.state import GatewayState
+
+
+def list_usable(
+    state: GatewayState, call: Call, pool: str
+) -> list[PoolEndpoint]:
+    """List the endpoints of a pool that take new work and may serve a call.
+
+    :param state: state of the gateway.
+    :param call: the call.
+    :param pool: name of the pool.
+    :returns: the endpoints; after the first event of a stream only those at
+        which it may continue.
+    """
+    usable = state.knowledge.table.usable(pool)
+    if call.origin is None:
+        return usable
+    return list(filter(call.origin.allows, usable))
+
+
+def may_serve(state: GatewayState, call: Call, endpoint: PoolEndpoint) -> bool:
+    """Check if an endpoint may serve a call at this moment.
+
+    :param state: state of the gateway.
+    :param call: the call.
+    :param endpoint: the endpoint as it was when it was chosen.
+    :returns: whether the stream of the call, if it has begun, may continue at
+        the incarnation that is listed now under the endpoint's id.
+    """
+    if call.origin is None:
+        return True
+    listed = state.knowledge.table.find_instance(endpoint.instance)
+    return call.origin.allows(listed or endpoint)
+
+
+def note_first_event(
+    state: GatewayState, call: Call, endpoint: PoolEndpoint
+) -> None:
+    """Record the origin of a stream at its first event.
+
+    :param state: state of the gateway.
+    :param call: the call.
+    :param endpoint: the endpoint that sent the event.
+    """
+    if call.origin is not None:
+        return
+    # A later incarnation under the same id may have sent the event.
+    is_superseded = state.knowledge.incarnations.is_superseded(endpoint)
+    call.origin = StreamOrigin(
+        pool=endpoint.pool,
+        version=None if is_superseded else endpoint.version,
+        endpoint=endpoint.name,
+    )
--- a/wingfall/gateway/calls/withheld_pool.py
+++ b/wingfall/gateway/calls/withheld_pool.py
@@ -7,6 +7,7 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.gateway.calls.attempt_outcome import AttemptOutcome
+from wingfall.gateway.calls.stream_endpoints import list_usable
 from wingfall.gateway.model.attempt_end import AttemptEnd
 from wingfall.gateway.model.held import WithholdReason
 from wingfall.gateway.rules.admission.held_calls import AdmissionSlots
@@ -31,7 +32,7 @@
     :param pool: name of the call's pool.
     :returns: the refusal, None if no endpoint is withheld.
     """
-    withheld = _list_withheld(state, pool)
+    withheld = _list_withheld(state, call, pool)
     if not withheld:
         return None
     slots = _describe_slots(state, withheld)
@@ -85,24 +86,25 @@
     return AttemptOutcome(end=AttemptEnd.held, reason=reason)
 
 
-def is_pool_withheld(state: GatewayState, pool: str) -> bool:
+def is_pool_withheld(state: GatewayState, call: Call, pool: str) -> bool:
     """Check if all usable endpoints of a pool are withheld.
 
     :param state: state of the gateway.
+    :param call: the call.
     :param pool: name of the pool.
     :returns: whether there are usable endpoints and each is withheld.
     """
-    usable = state.knowledge.table.usable(pool)
+    usable = list_usable(state, call, pool)
     return bool(usable) and all(
         state.gate.is_withheld(each.name, exclude_limited=False)
         for each in usable
     )
 
 
-def _list_withheld(state: GatewayState, pool: str) -> list[str]:
+def _list_withheld(state: GatewayState, call: Call, pool: str) -> list[str]:
     return [
         each.name
-        for each in state.knowledge.table.usable(pool)
+        for each in list_usable(state, call, pool)
         if state.gate.is_withheld(each.name, exclude_limited=True)
         # A leaving endpoint takes no more requests.
         and state.gate.withheld_reason(each.name) is not WithholdReason.leaving
--- a/wingfall/gateway/knowledge/endpoint_table.py
+++ b/wingfall/gateway/knowledge/endpoint_table.py
@@ -69,6 +69,14 @@
         """
         return self._by_name.get(name)
 
+    def find_instance(self, instance: str) -> PoolEndpoint | None:
+        """Return the newest incarnation of a listed endpoint.
+
+        :param instance: id of the endpoint, the same across restarts.
+        :returns: the endpoint, or None if it is not listed.
+        """
+        return self._by_instance.get(instance)
+
     def put(self, endpoint: PoolEndpoint) -> None:
         """Add an endpoint or replace its entry.
 
--- a/wingfall/gateway/model/call.py
+++ b/wingfall/gateway/model/call.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from wingfall.gateway.model.prompt import Prompt
     from wingfall.gateway.model.routes import GatewayCustomer, Route
+    from wingfall.gateway.model.stream_origin import StreamOrigin
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -90,6 +91,7 @@
         'deadline_ms',
         'fingerprint',
         'head',
+        'origin',
         'priority',
         'route',
     )
@@ -129,6 +131,8 @@
         self.priority = route.tier if priority is None else priority
         # Whether an endpoint is known to have started the run.
         self.run_started = False
+        # Where the stream of the call began; None before its first event.
+        self.origin: StreamOrigin | None = None
         # Whether the work was counted in its customer's demand.
         self.asked = False
 
