Know at any gateway which version began a stream that a caller takes up

Cause: Resumes was not read, and nobody but the first gateway knew the version. Change: a gateway keeps the origin of each stream that may be taken up (pool, version, key of customer and request) and reports it to three peers, chosen in a ring by the key, before it forwards the first event. A gateway that takes a stream up asks four of the ring, 0.5 s at most; a new session begins with the records that the peer should hold. Where none knows, a pool that had one version for longer than a stream lives decides. Else the caller gets 503 (stream_version_unknown, stream_pool_changed, stream_version_gone) with a time to come back: a guess would join two versions. Gateways of before ignore it: messages go only to those whose hello names the feature; the hello has one field more, which earlier ones pass over.

test_last_event_id_of_the_caller_is_sent_to_the_engine sent Last-Event-Id to a gateway that had just started and named no stream. That is what the rule forbids to guess, so the test now begins the stream first and names it, and checks in addition that the engine got the header exactly once.

--- a/tests/fake_connection.py
+++ b/tests/fake_connection.py
@@ -27,12 +27,17 @@
         self.sent.append(message)
 
 
-def make_peer(name: str, zone: str) -> PeerSession:
+def make_peer(
+    name: str, zone: str, features: list[str] | None = None
+) -> PeerSession:
     """Create a session with a peer over a fake connection.
 
     :param name: name of the peer.
     :param zone: availability zone of the peer.
+    :param features: messages that it understands beyond the first ones.
     :returns: session with the peer.
     """
-    hello = GatewayHello(name=name, address=name, known=[], zone=zone)
+    hello = GatewayHello(
+        name=name, address=name, known=[], zone=zone, features=features
+    )
     return PeerSession(hello=hello, connection=FakeConnection())
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -190,6 +190,7 @@
         self.begun_ms: int | None = None
         self.entry: Any = None
         self.call = SimpleNamespace(
+            origin=None,
             head=SimpleNamespace(prompt=prompt),
             call_id='',
             asked=False,
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -174,9 +174,17 @@
 )
 
 
+# The hello of a gateway that knows nothing of the origins of streams.
+HELLO_WITHOUT_FEATURES = (
+    '0000002d9630a6746578742d30a6746578742d319294a46e616d6502020393'
+    'a56f7468657200ffa6746578742d33cd0fa7'
+)
+
+
 @pytest.mark.parametrize(
     ('encoded', 'first_unknown'),
     [
+        (HELLO_WITHOUT_FEATURES, 'features'),
         (EARLIER_HEARTBEAT, 'duties'),
         (HEARTBEAT_WITHOUT_LIMITS, 'limits'),
         (HEARTBEAT_WITHOUT_READINGS, 'readings'),
--- a/tests/test_endpoint_versions.py
+++ b/tests/test_endpoint_versions.py
@@ -39,14 +39,10 @@
     gateway_site.add_server('e1', 'engines')
     gateway = gateway_site.add_gateway()
     wait_until(lambda: known_endpoints(gateway).find('e1') is not None)
+    prompt = {'method': 'POST', 'X_Token_Count': '300,40'}
+    gateway_site.ask('/stream/x', X_Attempt_Id='a0', **prompt)
     with collected_lines() as lines:
-        gateway_site.ask(
-            '/stream/x',
-            method='POST',
-            X_Token_Count='300,40',
-            Last_Event_Id='1',
-            Resumes='a0',
-        )
+        gateway_site.ask('/stream/x', Last_Event_Id='1', Resumes='a0', **prompt)
         wait_until(lambda: any('attempt' in fields for _, fields in lines))
     (fields,) = [fields for _, fields in lines if 'attempt' in fields]
     assert fields['version'] == 'v1'
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -95,10 +95,17 @@
 def test_last_event_id_of_the_caller_is_sent_to_the_engine(
     engine_site: GatewaySite,
 ):
+    engine_site.ask('/stream/x', method='POST', X_Attempt_Id='a0', **PROMPT)
     answer = engine_site.ask(
-        '/stream/x', method='POST', Last_Event_Id='1', **PROMPT
+        '/stream/x',
+        method='POST',
+        Last_Event_Id='1',
+        Resumes='a0',
+        **PROMPT,
     )
     assert parse_event_ids(answer.body) == [2, 3]
+    runs = [run for each in engine_site.servers.values() for run in each.runs]
+    assert [run.headers.get('last-event-id') for run in runs].count('1') == 1
 
 
 def test_prompts_with_a_shared_part_go_to_one_engine(
--- /dev/null
+++ b/tests/test_stream_resumption.py
@@ -0,0 +1,269 @@
+"""Streams that callers take up at another gateway."""
+
+from __future__ import annotations
+
+import random
+from typing import Any, Final
+
+import pytest
+
+from standins.received_answer import ReceivedAnswer
+from tests.gateway_site import API_KEY, GatewaySite, known_endpoints, route
+from tests.local_site import wait_until
+from tests.test_gateway_streams import PROMPT, parse_event_ids
+from wingfall.gateway.application import GatewayApplication
+from wingfall.gateway.knowledge.stream_origins import make_stream_key
+
+VERSIONS: Final = ('v1', 'v2')
+# Callers that take up a stream by chance at its own version: one in 2^12.
+CALLERS: Final = 12
+
+
+def add_engine(site: GatewaySite, name: str, version: str | None) -> None:
+    """Start an engine of a version."""
+    server = site.add_server(name, 'engines')
+    server.version = version or 'unnamed'
+    server.events = 4
+    list_engine(site, name, version)
+
+
+def list_engine(site: GatewaySite, name: str, version: str | None) -> None:
+    """Write the entry of an engine, without a version if there is none."""
+    entry = site.make_entry(name, 'engines', version=version)
+    if version is None:
+        entry.pop('version')
+    site.store.put('servers', name, entry)
+
+
+def begin_stream(
+    site: GatewaySite, call_id: str, gateway: int = 0
+) -> ReceivedAnswer:
+    """Send a request for a whole stream, which a caller may take up later."""
+    caller = site.caller(gateway)
+    caller.send('/stream/x', method='POST', X_Attempt_Id=call_id, **PROMPT)
+    answer = caller.receive()
+    caller.close()
+    return answer
+
+
+def take_up(
+    site: GatewaySite, resumes: str, gateway: int = 1, **headers: str
+) -> ReceivedAnswer:
+    """Take up a stream after its second event."""
+    caller = site.caller(gateway)
+    caller.send(
+        '/stream/x',
+        method='POST',
+        X_Attempt_Id=f'{resumes}-{random.random()}',
+        Last_Event_Id='2',
+        Resumes=resumes,
+        **{**PROMPT, **headers},
+    )
+    answer = caller.receive()
+    caller.close()
+    return answer
+
+
+def version_of(answer: ReceivedAnswer) -> str:
+    """Return the only version in the events of an answer."""
+    versions = {
+        line.split(b' ')[-1].decode()
+        for line in answer.body.split(b'\n')
+        if line.startswith(b'data: ')
+    }
+    (version,) = versions
+    return version
+
+
+def knows_stream(gateway: GatewayApplication, call_id: str) -> bool:
+    """Check if a gateway knows where a stream began, without asking."""
+    key = make_stream_key('oslo', call_id)
+    return gateway._state.knowledge.streams.find(key) is not None
+
+
+def connect_gateways(site: GatewaySite, count: int) -> None:
+    """Start gateways and wait until they are connected and ready."""
+    for _gateway in range(count):
+        site.add_gateway()
+    wait_until(
+        lambda: all(
+            len(each._peers.names) == count - 1 for each in site.gateways
+        )
+    )
+    wait_until(
+        lambda: all(
+            known_endpoints(each).names == set(site.servers)
+            for each in site.gateways
+        )
+    )
+
+
+@pytest.fixture
+def mixed_site(gateway_site: GatewaySite) -> GatewaySite:
+    """Return a site of two engines of each version, without gateways."""
+    for number in range(4):
+        add_engine(gateway_site, f'e{number}', VERSIONS[number % 2])
+    return gateway_site
+
+
+def test_stream_is_taken_up_at_its_version_at_another_gateway(
+    mixed_site: GatewaySite,
+):
+    connect_gateways(mixed_site, 2)
+    for number in range(CALLERS):
+        begun = begin_stream(mixed_site, f's{number}')
+        taken_up = take_up(mixed_site, f's{number}')
+        assert parse_event_ids(taken_up.body) == [3, 4]
+        assert version_of(taken_up) == version_of(begun)
+
+
+def test_stream_is_taken_up_after_its_gateway_has_ended(
+    mixed_site: GatewaySite,
+):
+    connect_gateways(mixed_site, 3)
+    begun = [
+        begin_stream(mixed_site, f's{number}') for number in range(CALLERS)
+    ]
+    mixed_site.gateways[0].close()
+    for number, answer in enumerate(begun):
+        taken_up = take_up(mixed_site, f's{number}', gateway=1 + number % 2)
+        assert version_of(taken_up) == version_of(answer)
+
+
+def test_gateway_that_has_just_started_knows_streams_of_its_peers(
+    mixed_site: GatewaySite,
+):
+    connect_gateways(mixed_site, 2)
+    begun = begin_stream(mixed_site, 's0')
+    mixed_site.start_gateway()
+    taken_up = take_up(mixed_site, 's0', gateway=2)
+    assert version_of(taken_up) == version_of(begun)
+
+
+def test_stream_is_taken_up_while_the_store_is_away(mixed_site: GatewaySite):
+    connect_gateways(mixed_site, 2)
+    mixed_site.store.script = {'status': 503}
+    begun = begin_stream(mixed_site, 's0')
+    assert version_of(take_up(mixed_site, 's0')) == version_of(begun)
+
+
+def test_stream_of_unknown_origin_is_refused(mixed_site: GatewaySite):
+    connect_gateways(mixed_site, 2)
+    answer = take_up(mixed_site, 'never-begun')
+    assert answer.status == 503
+    assert b'stream_version_unknown' in answer.body
+    assert float(answer.headers['retry-after']) > 0
+    assert not any(server.runs for server in mixed_site.servers.values())
+
+
+def test_stream_of_another_customer_is_not_found(mixed_site: GatewaySite):
+    mixed_site.config['tenants'] = [
+        {'name': 'oslo', 'api_keys': [API_KEY], 'priority': 1},
+        {'name': 'bergen', 'api_keys': ['key-of-bergen'], 'priority': 1},
+    ]
+    mixed_site.write_config()
+    connect_gateways(mixed_site, 2)
+    begin_stream(mixed_site, 's0')
+    answer = take_up(mixed_site, 's0', Authorization='Token key-of-bergen')
+    assert answer.status == 503
+
+
+def test_stream_is_refused_after_its_route_got_another_pool(
+    mixed_site: GatewaySite,
+):
+    connect_gateways(mixed_site, 2)
+    begin_stream(mixed_site, 's0')
+    mixed_site.add_server('other', 'moved')
+    routes = mixed_site.config['routes']
+    routes[3] = route('stream', 'moved', kind='stream', resumable=True)
+    mixed_site.config['services'].append(
+        {**mixed_site.config['services'][1], 'name': 'moved'}
+    )
+    mixed_site.write_config()
+    gateway = mixed_site.gateways[1]
+    version = mixed_site.config['version']
+    wait_until(lambda: gateway.status()['config'] == version)
+    wait_until(lambda: 'other' in known_endpoints(gateway).names)
+    answer = take_up(mixed_site, 's0')
+    assert answer.status == 503
+    assert b'stream_pool_changed' in answer.body
+
+
+def test_stream_of_a_version_that_is_gone_is_refused(mixed_site: GatewaySite):
+    connect_gateways(mixed_site, 2)
+    begun = begin_stream(mixed_site, 's0')
+    gone = version_of(begun)
+    for number in range(4):
+        if VERSIONS[number % 2] == gone:
+            entry = mixed_site.make_entry(
+                f'e{number}', 'engines', version=gone, state='draining'
+            )
+            mixed_site.store.put('servers', f'e{number}', entry)
+    table = known_endpoints(mixed_site.gateways[1])
+    wait_until(lambda: len(table.usable('engines')) == 2)
+    answer = take_up(mixed_site, 's0')
+    assert answer.status == 503
+    assert b'stream_version_gone' in answer.body
+
+
+def test_engine_that_starts_as_another_version_gets_no_earlier_stream(
+    gateway_site: GatewaySite,
+):
+    gateway_site.add_server('e0', 'engines').events = 4
+    put_started(gateway_site, 'v1', born=1000)
+    gateway_site.add_gateway()
+    begin_stream(gateway_site, 's0')
+    put_started(gateway_site, 'v2', born=2000)
+    table = known_endpoints(gateway_site.gateways[0])
+    wait_until(lambda: 'e0@2000' in table.names)
+    answer = take_up(gateway_site, 's0', gateway=0)
+    assert answer.status == 503
+    assert len(gateway_site.servers['e0'].runs) == 1
+
+
+def put_started(site: GatewaySite, version: str, born: int) -> None:
+    """Write the entry of a start of an engine."""
+    entry = site.make_entry('e0', 'engines', version=version, born=born)
+    site.store.put('servers', 'e0', entry)
+
+
+def test_stream_without_a_named_version_is_not_joined_with_another(
+    gateway_site: GatewaySite,
+):
+    add_engine(gateway_site, 'e0', None)
+    connect_gateways(gateway_site, 2)
+    begin_stream(gateway_site, 's0')
+    add_engine(gateway_site, 'e1', 'v1')
+    add_engine(gateway_site, 'e2', None)
+    wait_until(
+        lambda: all(
+            len(known_endpoints(each).names) == 3
+            for each in gateway_site.gateways
+        )
+    )
+    for _caller in range(CALLERS):
+        # The engine that began it is of its version for certain.
+        assert take_up(gateway_site, 's0').status == 200
+    assert len(gateway_site.servers['e0'].runs) == 1 + CALLERS
+
+
+@pytest.mark.parametrize('gateway', [0, 1])
+def test_counter_tells_why_a_stream_can_not_continue(
+    mixed_site: GatewaySite, gateway: int
+):
+    connect_gateways(mixed_site, 2)
+    begin_stream(mixed_site, 's0')
+    take_up(mixed_site, 's0', gateway=gateway)
+    take_up(mixed_site, 'never-begun', gateway=gateway)
+    counted = count_decisions(mixed_site.gateways[gateway])
+    assert counted['continued'] == 1
+    assert counted['version_unknown'] == 1
+
+
+def count_decisions(gateway: GatewayApplication) -> dict[str, Any]:
+    """Return the counted decisions on streams by their reasons."""
+    return {
+        labels['reason']: count
+        for labels, count in gateway._metrics.decisions.get_all()
+        if labels['part'] == 'streams'
+    }
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -128,6 +128,7 @@
                 lease=self._duties.lease,
             ),
         )
+        self._state.stream_peers = self._peers.streams
         self._ready_server = HttpServer(
             app=make_readiness_app(
                 path=self._state.binding.ready_path,
@@ -282,10 +283,17 @@
         within_ms = self._settings.store.watch_ms + _WATCH_TOLERANCE_MS
         return all(each.has_answered(within_ms) for each in self._followers)
 
+    def _receives_changes(self) -> bool:
+        return self._is_watching_store() or self._peers.view.receives_changes
+
     def _remove_departed(self) -> None:
         while not self._supervisor.stopped:
             gevent.sleep(_CLEANUP_INTERVAL_MS / MS_PER_S)
             self._state.knowledge.forget_departed()
+            self._state.knowledge.versions.update(
+                self._state.knowledge.table.listed,
+                is_current=self._receives_changes(),
+            )
             set_start_errors(
                 self._metrics, self._state.knowledge.start_estimates
             )
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -25,9 +25,14 @@
 from wingfall.gateway.calls.shared_prefill_wait import await_shared_prefill
 from wingfall.gateway.calls.stream_continuation import find_continuation
 from wingfall.gateway.calls.stream_endpoints import (
+    list_usable,
     may_serve,
     note_first_event,
 )
+from wingfall.gateway.calls.stream_resumption import (
+    find_origin,
+    note_stream_begun,
+)
 from wingfall.gateway.calls.withheld_pool import (
     defer_attempt,
     defer_call,
@@ -37,6 +42,7 @@
 from wingfall.gateway.rules.admission.refusals import (
     refuse_after,
     refuse_blocked,
+    refuse_stream_without_endpoint,
 )
 from wingfall.gateway.rules.placement.pool_choice import pick_pool
 from wingfall.gateway.rules.retries.attempt_time import (
@@ -57,6 +63,7 @@
     from wingfall.gateway.calls.reply import Reply
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
+    from wingfall.gateway.model.stream_origin import StreamOrigin
     from wingfall.gateway.state import GatewayState
 
 
@@ -114,6 +121,10 @@
         :returns: the refusal, None if an endpoint's answer was sent.
         :raises ReplyCutError: if a stream that has begun can't be continued.
         """
+        found_origin = find_origin(self._state, self._call)
+        if not isinstance(found_origin, Success):
+            return found_origin.failure()
+        self._set_origin(found_origin.unwrap())
         self._state.budget.note_request(self._pool)
         while not is_time_over(self._left_ms()):
             found = self._find_destination()
@@ -132,6 +143,11 @@
                 return self._end_failed_call(outcome.end)
         return self._end_failed_call(AttemptEnd.late)
 
+    def _set_origin(self, origin: StreamOrigin | None) -> None:
+        self._call.origin = origin
+        if origin is not None:
+            self._pool = origin.pool
+
     def _find_destination(self) -> Result[Destination, Refusal | None]:
         refusal = self._refuse_blocked()
         if refusal is not None:
@@ -193,6 +209,11 @@
         if deferred is not None:
             return deferred
         state.blocks.note_sent(self._call.fingerprint)
+        if self._call.origin is not None:
+            engines = list_usable(state, self._call, self._pool)
+            state.stream_log.note_sent(
+                self._call, destination.endpoint, len(engines)
+            )
         tracker = AttemptTracker(
             state=state,
             call=self._call,
@@ -232,7 +253,9 @@
         self, tracker: AttemptTracker, endpoint: PoolEndpoint
     ) -> None:
         tracker.note_output()
-        note_first_event(self._state, self._call, endpoint)
+        if self._call.origin is None:
+            note_first_event(self._state, self._call, endpoint)
+            note_stream_begun(self._state, self._call)
 
     def _limits(self, destination: Destination) -> AttemptLimits:
         call, now_ms = self._call, self._state.clock.now_ms()
@@ -288,6 +311,8 @@
         return verdict is RetryDecision.free
 
     def _end_failed_call(self, end: AttemptEnd) -> Refusal | None:
+        if end is _NO_ENDPOINT and self._call.origin is not None:
+            self._note_no_endpoint()
         if self._reply.started:
             raise ReplyCutError
         if self._failed_answer is not None:
@@ -299,8 +324,23 @@
             deferred = self._defer()
             if deferred is not None:
                 return deferred
+        if (
+            end is _NO_ENDPOINT
+            and self._call.origin is not None
+            and self._run_state is RunState.not_run
+        ):
+            return refuse_stream_without_endpoint(self._left_ms())
         return refuse_after(end, self._run_state, self._left_ms())
 
+    def _note_no_endpoint(self) -> None:
+        listed = self._state.knowledge.table.usable(self._pool)
+        self._state.stream_log.note_refused(
+            self._call,
+            'no_endpoint',
+            engines=len(list_usable(self._state, self._call, self._pool)),
+            listed=len(listed),
+        )
+
     @property
     def _run_state(self) -> RunState:
         ran = self._progress.may_have_run
--- a/wingfall/gateway/calls/stream_endpoints.py
+++ b/wingfall/gateway/calls/stream_endpoints.py
@@ -44,7 +44,7 @@
         the incarnation that is listed now under the endpoint's id.
     """
     if call.origin is None:
-        return True
+        return not (call.route.streaming and call.head.last_event_id)
     listed = state.knowledge.table.find_instance(endpoint.instance)
     return call.origin.allows(listed or endpoint)
 
@@ -58,12 +58,11 @@
     :param call: the call.
     :param endpoint: the endpoint that sent the event.
     """
-    if call.origin is not None:
-        return
     # A later incarnation under the same id may have sent the event.
-    is_superseded = state.knowledge.incarnations.is_superseded(endpoint)
+    listed = state.knowledge.table.find_instance(endpoint.instance) or endpoint
+    is_certain = listed.version == endpoint.version
     call.origin = StreamOrigin(
         pool=endpoint.pool,
-        version=None if is_superseded else endpoint.version,
+        version=endpoint.version if is_certain else None,
         endpoint=endpoint.name,
     )
--- /dev/null
+++ b/wingfall/gateway/calls/stream_resumption.py
@@ -0,0 +1,130 @@
+"""Origin of a stream that a caller takes up at this gateway.
+
+The caller names the request whose answer began the stream. Its origin is known
+here, or to a few peers, or follows from a pool that had one version for longer
+than a stream lives. Otherwise the caller is refused: a guess could join what
+two versions wrote.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure, Result, Success
+
+from wingfall.gateway.knowledge.stream_origins import (
+    StreamRecord,
+    make_stream_key,
+    stream_life_ms,
+)
+from wingfall.gateway.model.stream_origin import StreamOrigin
+from wingfall.gateway.rules.admission.refusals import (
+    refuse_moved_stream,
+    refuse_unknown_stream,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from wingfall.errors import Refusal
+    from wingfall.gateway.model.call import Call
+    from wingfall.gateway.state import GatewayState
+
+# Maximum milliseconds to wait for peers: long enough for those that a gateway
+# connects to after its start, short beside the gap that callers bear.
+_MAX_ASK_MS: Final = 500
+# The same where the origin follows from the pool's only version.
+_MAX_ASK_WITH_ONLY_VERSION_MS: Final = 100
+# Maximum fraction of the caller's remaining time.
+_MAX_ASK_FRACTION: Final = 0.25
+
+
+def find_origin(
+    state: GatewayState, call: Call
+) -> Result[StreamOrigin | None, Refusal]:
+    """Find where the stream that a call takes up began.
+
+    :param state: state of the gateway.
+    :param call: the call, which was not sent to any endpoint yet.
+    :returns: the origin, None for a new stream; or the refusal if it is unknown
+        or the call's route no longer leads to its pool.
+    """
+    head = call.head
+    if not call.route.streaming or head.last_event_id is None:
+        return Success(None)
+    pools = [each.pool for each in call.route.pools]
+    only = _find_only_version(state, call, pools)
+    record = _find_record(state, call, _ask_ms(state, call, only))
+    if record is None and only is None:
+        state.stream_log.note_refused(call, 'version_unknown')
+        return Failure(refuse_unknown_stream(_left_ms(state, call)))
+    origin = only if record is None else record.origin
+    if origin is None or origin.pool not in pools:
+        state.stream_log.note_refused(call, 'pool_changed')
+        return Failure(refuse_moved_stream(_left_ms(state, call)))
+    state.stream_log.note_found(call, origin, record)
+    return Success(origin)
+
+
+def note_stream_begun(state: GatewayState, call: Call) -> None:
+    """Record the origin of a stream that may be taken up, and report it.
+
+    :param state: state of the gateway.
+    :param call: the call, whose first event was received.
+    """
+    if call.origin is None or not call.route.resumable or not call.call_id:
+        return
+    began_ms = state.clock.now_ms()
+    record = StreamRecord(
+        origin=call.origin,
+        began_ms=began_ms,
+        expires_ms=began_ms + _life_ms(call),
+    )
+    key = make_stream_key(call.customer_name, call.call_id)
+    state.knowledge.streams.note(key, record)
+    if state.stream_peers is not None:
+        state.stream_peers.report(key, record)
+
+
+def _find_record(
+    state: GatewayState, call: Call, ask_ms: int
+) -> StreamRecord | None:
+    if call.head.resumed_call_id is None:
+        return None
+    key = make_stream_key(call.customer_name, call.head.resumed_call_id)
+    record = state.knowledge.streams.find(key)
+    if record is not None or state.stream_peers is None:
+        return record
+    state.stream_peers.ask(key, ask_ms)
+    return state.knowledge.streams.find(key)
+
+
+def _find_only_version(
+    state: GatewayState, call: Call, pools: Sequence[str]
+) -> StreamOrigin | None:
+    # The stream may have begun at any pool of the route.
+    if len(pools) != 1:
+        return None
+    pool = pools[0]
+    versions = {each.version for each in state.knowledge.table.usable(pool)}
+    if len(versions) != 1:
+        return None
+    version = versions.pop()
+    if not state.knowledge.versions.has_only(pool, version, _life_ms(call)):
+        return None
+    return StreamOrigin(pool=pool, version=version, is_only_version=True)
+
+
+def _ask_ms(state: GatewayState, call: Call, only: StreamOrigin | None) -> int:
+    longest_ms = _MAX_ASK_WITH_ONLY_VERSION_MS if only else _MAX_ASK_MS
+    return int(min(longest_ms, _left_ms(state, call) * _MAX_ASK_FRACTION))
+
+
+def _life_ms(call: Call) -> int:
+    return stream_life_ms(
+        max(call.route.timeout_ms, call.head.time_left_ms or 0)
+    )
+
+
+def _left_ms(state: GatewayState, call: Call) -> int:
+    return call.deadline_ms - state.clock.now_ms()
--- a/wingfall/gateway/configuration/object_applier.py
+++ b/wingfall/gateway/configuration/object_applier.py
@@ -93,6 +93,7 @@
         match self._state.knowledge.incarnations.note(endpoint):
             case EntryStatus.newest:
                 self._state.knowledge.table.put(endpoint)
+                self._state.knowledge.versions.note_listed(endpoint)
                 self._set_cache_capacity(endpoint)
             case EntryStatus.earlier:
                 log_event(
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -24,9 +24,11 @@
     LongPrefills,
 )
 from wingfall.gateway.knowledge.own_rates import OwnRates
+from wingfall.gateway.knowledge.pool_versions import PoolVersions
 from wingfall.gateway.knowledge.prefix_caches import PrefixCaches
 from wingfall.gateway.knowledge.selected_rates import SelectedRates
 from wingfall.gateway.knowledge.start_estimates import StartEstimates
+from wingfall.gateway.knowledge.stream_origins import StreamOrigins
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -79,7 +81,9 @@
         'signals',
         'speeds',
         'start_estimates',
+        'streams',
         'table',
+        'versions',
     )
 
     def __init__(
@@ -139,6 +143,10 @@
         self.crashes = CrashLedger(clock=clock)
         # Work of customers by pool, from all gateways.
         self.customer_work = CustomerWork(clock=clock)
+        # Software versions of the listed endpoints, from the store and peers.
+        self.versions = PoolVersions(clock=clock)
+        # Where recent streams began, from this gateway and its peers.
+        self.streams = StreamOrigins(clock=clock)
         # Signals that endpoints sent to any gateway.
         self.signals = EndpointSignals(name=name, clock=clock)
 
@@ -263,8 +271,9 @@
             self.long_reads.note(name, excess_tokens)
 
     def forget_departed(self) -> None:
-        """Remove the state of unlisted endpoints, and old crashes."""
+        """Remove the state of unlisted endpoints, and old entries."""
         self.crashes.forget_old()
+        self.streams.forget_expired()
         names = self.table.names
         self.health.retain_only(names)
         self.signals.remove_expired(names)
--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -25,9 +25,10 @@
 from wingfall.gateway.peers.peer_dialer import PeerDialer
 from wingfall.gateway.peers.peer_session import PeerSession
 from wingfall.gateway.peers.peer_view import PeerView
+from wingfall.gateway.peers.streams.stream_exchange import StreamExchange
 from wingfall.log import log_event
 from wingfall.wire.connection import Connection
-from wingfall.wire.gateway_messages import GatewayHello
+from wingfall.wire.gateway_messages import STREAMS_FEATURE, GatewayHello
 
 if TYPE_CHECKING:
     import socket
@@ -61,6 +62,7 @@
         '_metrics',
         '_name',
         '_server',
+        '_streams',
         '_sessions',
         '_supervisor',
         '_transfer',
@@ -112,6 +114,13 @@
         self._transfer = transfer
         self._supervisor = supervisor
         self._sessions: dict[str, PeerSession] = {}
+        self._streams = StreamExchange(
+            clock=clock,
+            origins=knowledge.streams,
+            versions=knowledge.versions,
+            sessions=self._sessions,
+            get_known_count=lambda: self._addresses.count,
+        )
         self._heartbeats = Heartbeats(
             name=name,
             zone=zone,
@@ -124,6 +133,7 @@
                 zone=zone,
             ),
             transfer=transfer,
+            streams=self._streams,
             watches=is_watching,
             is_stopping=is_stopping,
             duties=duties,
@@ -155,6 +165,11 @@
         """View of the peers, for the store watch and the lease."""
         return self._view
 
+    @property
+    def streams(self) -> StreamExchange:
+        """Exchange of the origins of streams."""
+        return self._streams
+
     def start(self) -> None:
         """Start to accept and open connections."""
         self._update_bounds()
@@ -284,6 +299,7 @@
             known=self._addresses.sample(),
             zone=self._zone,
             incarnation=self._incarnation,
+            features=[STREAMS_FEATURE],
         )
 
 
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -22,6 +22,12 @@
 )
 from wingfall.wire.codec import encode
 from wingfall.wire.gateway_messages import GatewayHeartbeat, ZoneLoads
+from wingfall.wire.stream_messages import (
+    StreamFetch,
+    StreamFound,
+    StreamsBegun,
+    VersionsListed,
+)
 from wingfall.wire.transfer_messages import (
     ObjectsFetch,
     ObjectsPage,
@@ -38,6 +44,7 @@
     from wingfall.gateway.peers.duty_exchange import DutyExchange
     from wingfall.gateway.peers.objects.object_exchange import ObjectExchange
     from wingfall.gateway.peers.peer_session import PeerSession
+    from wingfall.gateway.peers.streams.stream_exchange import StreamExchange
     from wingfall.wire.message import Message
 
 
@@ -58,6 +65,7 @@
         '_sessions',
         '_sent_revisions',
         '_sent_watching',
+        '_streams',
         '_transfer',
         '_is_watching',
         '_writer',
@@ -74,6 +82,7 @@
         sessions: dict[str, PeerSession],
         exchange: ObjectExchange,
         transfer: PartsTransfer,
+        streams: StreamExchange,
         watches: Callable[[], bool],
         is_stopping: Callable[[], bool],
         duties: DutyExchange | None,
@@ -87,6 +96,7 @@
         :param sessions: sessions by name of the peer, updated by their owner.
         :param exchange: sends and receives objects.
         :param transfer: sends and receives cached prompt parts.
+        :param streams: sends and receives the origins of streams.
         :param watches: returns whether this gateway watches the store.
         :param is_stopping: returns whether a planned stop has begun.
         :param duties: exchange for the duties, None without duties.
@@ -99,6 +109,7 @@
         self._duties = duties
         self._exchange = exchange
         self._transfer = transfer
+        self._streams = streams
         self._is_watching = watches
         self._loads = LoadExchange(
             name=name,
@@ -125,6 +136,10 @@
             ObjectsPage: exchange.process_page,
             PartsFetch: transfer.send_parts,
             PartsPage: transfer.record_page,
+            StreamsBegun: streams.merge_streams,
+            StreamFetch: streams.answer_fetch,
+            StreamFound: streams.merge_answer,
+            VersionsListed: streams.merge_versions,
         }
 
     def send_full_state(self, session: PeerSession) -> None:
@@ -142,6 +157,7 @@
             duties=self._duties.encode_state() if self._duties else None,
         )
         session.connection.send(heartbeat)
+        self._streams.send_state(session)
 
     def forget(self, session: PeerSession) -> None:
         """Discard what a disconnected peer has reported.
--- /dev/null
+++ b/wingfall/gateway/peers/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange of the origins of streams between gateways."""
--- a/wingfall/gateway/rules/admission/refusals.py
+++ b/wingfall/gateway/rules/admission/refusals.py
@@ -108,6 +108,45 @@
     )
 
 
+def refuse_unknown_stream(left_ms: int) -> Refusal:
+    """Return the refusal of a stream whose origin nobody knows.
+
+    :param left_ms: milliseconds that its caller still waits.
+    :returns: the refusal.
+    """
+    message = (
+        'The software version that began the stream is unknown.'
+        ' Request it without Last-Event-Id to begin anew.'
+    )
+    return _unavailable('stream_version_unknown', message, left_ms)
+
+
+def refuse_moved_stream(left_ms: int) -> Refusal:
+    """Return the refusal of a stream whose route has another pool now.
+
+    :param left_ms: milliseconds that its caller still waits.
+    :returns: the refusal.
+    """
+    message = (
+        'The route no longer leads to the pool that began the stream.'
+        ' Request it without Last-Event-Id to begin anew.'
+    )
+    return _unavailable('stream_pool_changed', message, left_ms)
+
+
+def refuse_stream_without_endpoint(left_ms: int) -> Refusal:
+    """Return the refusal of a stream if no endpoint has its version.
+
+    :param left_ms: milliseconds that its caller still waits.
+    :returns: the refusal.
+    """
+    message = (
+        'No endpoint of the version that began the stream can be reached.'
+        ' Request it without Last-Event-Id to begin anew.'
+    )
+    return _unavailable('stream_version_gone', message, left_ms)
+
+
 def refuse_no_routes(left_ms: int) -> Refusal:
     """Return the refusal of a call that arrives before any configuration.
 
--- /dev/null
+++ b/wingfall/gateway/rules/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Reports on streams that continue at a second endpoint."""
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -11,6 +11,7 @@
 from wingfall.gateway.rules.admission.held_calls import DeferredCalls
 from wingfall.gateway.rules.placement.reserved_engines import ReservedEngines
 from wingfall.gateway.rules.retries.retry_charges import RetryCharges
+from wingfall.gateway.rules.streams.stream_log import StreamLog
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
@@ -18,6 +19,7 @@
     from wingfall.gateway.endpoints.crash_detector import CrashDetector
     from wingfall.gateway.endpoints.sending_gate import SendingGate
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
+    from wingfall.gateway.knowledge.stream_origins import StreamPeers
     from wingfall.gateway.knowledge.usage_counts import UsageCounts
     from wingfall.gateway.model.binding import Binding
     from wingfall.gateway.model.routes import Routes
@@ -48,6 +50,8 @@
         'policies',
         'retry_charges',
         'routes',
+        'stream_log',
+        'stream_peers',
         'usage',
         'zone',
     )
@@ -95,6 +99,7 @@
         self.retry_charges = RetryCharges(
             budget=budget, clock=clock, metrics=metrics
         )
+        self.stream_log = StreamLog(clock=clock, metrics=metrics)
         # Retry times of calls that no endpoint of their pool could take.
         self.deferred_calls = DeferredCalls()
         # Excess of customers over their shares of pools.
@@ -110,6 +115,8 @@
         self.routes: Routes | None = None
         # Whether a planned stop has begun; only the application sets it.
         self.draining = False
+        # Asks peers for the origins of streams; only the application sets it.
+        self.stream_peers: StreamPeers | None = None
         # Request counts for the duty that reports them, None without that duty;
         # only the application sets it.
         self.usage: UsageCounts | None = None
--- a/wingfall/wire/codec.py
+++ b/wingfall/wire/codec.py
@@ -14,6 +14,7 @@
     handshake_messages,
     offer_messages,
     peer_messages,
+    stream_messages,
     transfer_messages,
 )
 from wingfall.wire.message import Message, build_message
@@ -31,6 +32,7 @@
     handshake_messages,
     offer_messages,
     peer_messages,
+    stream_messages,
     transfer_messages,
 )
 
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Any, final
+from typing import Any, Final, final
 
 from wingfall.wire.message import Message, message
 
+# The sender understands the messages of :mod:`wingfall.wire.stream_messages`.
+STREAMS_FEATURE: Final = 'streams'
+
 
 @final
-@message(48, str, str, list, str, int)
+@message(48, str, str, list, str, int, list)
 class GatewayHello(Message):
     """First message of both sides."""
 
@@ -18,6 +21,7 @@
         'known',
         'zone',
         'incarnation',
+        'features',
     )
 
     def __init__(
@@ -28,6 +32,7 @@
         known: list[str],
         zone: str = '',
         incarnation: int = 0,
+        features: list[str] | None = None,
     ) -> None:
         """Introduce the sender.
 
@@ -36,12 +41,14 @@
         :param known: addresses of the gateways that it knows.
         :param zone: its availability zone.
         :param incarnation: a number drawn at its start.
+        :param features: messages beyond the first ones that it understands.
         """
         self.name = name
         self.address = address
         self.known = known
         self.zone = zone
         self.incarnation = incarnation
+        self.features = features or []
 
 
 @final
