Keep backups of streams at engines of their version

What callers saw: nothing yet; since a backup of another version may not go on with a run, a stream that can be neither repeated nor resumed would have ended with its engine although a backup was paid for. Cause: the backup was any other engine. Change: it is chosen among the engines at which the run may continue; a pool that names no version counts as one.

--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -5,7 +5,7 @@
 import pytest
 
 from standins.pool_server import PoolServerStandIn
-from tests.gateway_site import GatewaySite
+from tests.gateway_site import GatewaySite, known_endpoints
 from tests.local_site import wait_until
 from tests.test_gateway_streams import parse_event_ids
 from wingfall.gateway.rules.placement.stream_backup import (
@@ -172,3 +172,30 @@
     assert not back_up_long_answers(long_answer, resumable=True)
     assert not back_up_long_answers(short_answer, resumable=False)
     assert not back_up_nothing(long_answer, resumable=False)
+
+
+def test_backup_is_not_held_by_another_version(backup_site: GatewaySite):
+    entry = backup_site.make_entry('two', 'engines', version='v2')
+    backup_site.store.put('servers', 'two', entry)
+    table = known_endpoints(backup_site.gateways[0])
+    wait_until(lambda: {each.version for each in table.listed} == {'v1', 'v2'})
+    assert ask(backup_site).whole
+    (run,) = sort_engines(backup_site)[0].runs
+    assert 'x-kv-backup' not in run.headers
+
+
+def test_run_is_not_continued_at_a_backup_of_another_version(
+    backup_site: GatewaySite,
+):
+    for server in backup_site.servers.values():
+        server.event_ms = 200
+        server.faults = ['crash']
+    caller = backup_site.caller()
+    caller.send('/oneway/x', method='POST', X_Attempt_Id='r1', **LONG_ANSWER)
+    servers = backup_site.servers
+    wait_until(lambda: any(each.runs for each in servers.values()))
+    (other,) = [name for name, each in servers.items() if not each.runs]
+    entry = backup_site.make_entry(other, 'engines', version='v2')
+    backup_site.store.put('servers', other, entry)
+    assert not caller.receive().whole
+    assert not servers[other].runs
--- a/wingfall/gateway/calls/destination.py
+++ b/wingfall/gateway/calls/destination.py
@@ -14,12 +14,13 @@
     list_candidates,
 )
 from wingfall.gateway.knowledge.load import EndpointLoad
+from wingfall.gateway.model.stream_origin import StreamOrigin
 from wingfall.gateway.rules.placement.cache_transfer import copied_tokens
 from wingfall.gateway.rules.placement.candidate import Candidate
 from wingfall.gateway.rules.placement.stream_backup import choose_backup
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
@@ -126,7 +127,13 @@
     candidates = described[: len(endpoints)]
     chosen = state.policies.placement(demand, candidates)
     candidates.remove(chosen)
-    backup = _choose_backup(state, call, pool, demand, candidates)
+    backup = _choose_backup(
+        state,
+        call,
+        pool,
+        demand,
+        _list_same_version(endpoints_by_name, chosen, candidates),
+    )
     copies = source is not None and chosen.copied_tokens
     return Destination(
         endpoint=endpoints_by_name[chosen.name],
@@ -202,6 +209,25 @@
     )
 
 
+def _list_same_version(
+    endpoints: Mapping[str, PoolEndpoint],
+    chosen: Candidate,
+    candidates: Sequence[Candidate],
+) -> list[Candidate]:
+    # Memory of a run that another version wrote can't be continued.
+    origin = StreamOrigin(
+        pool=endpoints[chosen.name].pool,
+        version=endpoints[chosen.name].version,
+        is_only_version=_has_no_versions(endpoints.values()),
+    )
+    return [each for each in candidates if origin.allows(endpoints[each.name])]
+
+
+def _has_no_versions(endpoints: Iterable[PoolEndpoint]) -> bool:
+    # A platform that names no version at all is taken to have one.
+    return all(each.version is None for each in endpoints)
+
+
 def _set_copied_tokens(
     state: GatewayState,
     call: Call,
