Copy cached prompt parts only between engines of one version

What callers saw: nothing that was reported. The class is the same: an engine was told to take over memory that another software version wrote, which the platform says doesn't fit together and engines don't check. Cause: the source was the engine of the pool that caches the most. Change: each version of the pool has its own source; engines that name no version copy only where none of the pool does. Evidence: test_idle_engine_copies_a_cached_part_only_from_its_version failed before for another version and for none (2 failed), and passes. Cost: while a pool has two versions, a part is read once by each.

--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -166,14 +166,19 @@
     assert sorted(counts)[-2:] == [0, 3]
 
 
-def test_idle_engine_copies_a_cached_part_from_another(
-    gateway_site: GatewaySite,
+@pytest.mark.parametrize(
+    ('version', 'copies'), [('v1', True), ('v2', False), ('', False)]
+)
+def test_idle_engine_copies_a_cached_part_only_from_its_version(
+    gateway_site: GatewaySite, version: str, copies: bool
 ):
     engine = gateway_site.config['services'][1]['engine']
     engine.update(kv_token_bytes=18_432, link_mbps=180_000, moves=True)
     gateway_site.write_config()
     keeper = gateway_site.add_server('keeper', 'engines')
     idle = gateway_site.add_server('idle', 'engines')
+    entry = gateway_site.make_entry('idle', 'engines', version=version)
+    gateway_site.store.put('servers', 'idle', entry)
     keeper.held = [('aa', 5000)]
     keeper.delay_ms = 1500
     gateway = gateway_site.add_gateway()
@@ -183,7 +188,8 @@
     wait_until(keeper.run_ids)
     gateway_site.ask('/stream/x', X_Prompt_Prefix='aa:5000,bb:10')
     (run,) = idle.runs
-    assert run.headers['kv-fetch'] == keeper.address
+    source = keeper.address if copies else None
+    assert run.headers.get('kv-fetch') == source
 
 
 def test_urgent_route_is_admitted_for_all_customer_priorities(
--- a/wingfall/gateway/calls/destination.py
+++ b/wingfall/gateway/calls/destination.py
@@ -123,7 +123,9 @@
         describe_endpoint(state, call, each)
         for each in endpoints_by_name.values()
     ]
-    source = _set_copied_tokens(state, call, pool, described)
+    sources_by_version = _set_copied_tokens(
+        state, call, pool, described, endpoints_by_name
+    )
     candidates = described[: len(endpoints)]
     chosen = state.policies.placement(demand, candidates)
     candidates.remove(chosen)
@@ -134,6 +136,7 @@
         demand,
         _list_same_version(endpoints_by_name, chosen, candidates),
     )
+    source = sources_by_version.get(endpoints_by_name[chosen.name].version)
     copies = source is not None and chosen.copied_tokens
     return Destination(
         endpoint=endpoints_by_name[chosen.name],
@@ -233,18 +236,35 @@
     call: Call,
     pool: str,
     candidates: list[Candidate],
-) -> Candidate | None:
+    endpoints: Mapping[str, PoolEndpoint],
+) -> dict[str | None, Candidate | None]:
     known_pool = _find_pool(state, pool)
     if known_pool is None or call.head.prompt is None:
-        return None
+        return {}
     rate = state.knowledge.speeds.pool_rate(pool).tokens_per_ms
-    source = state.policies.cache_transfer(
-        candidates,
-        known_pool.copy_tokens_per_ms / rate,
-    )
+    speedup = known_pool.copy_tokens_per_ms / rate
+    sources: dict[str | None, Candidate | None] = {}
+    # An engine reads only memory that its own version wrote.
+    for version, members in _group_by_version(candidates, endpoints).items():
+        source = state.policies.cache_transfer(members, speedup)
+        sources[version] = source
+        for candidate in members:
+            candidate.copied_tokens = copied_tokens(candidate, source)
+    return sources
+
+
+def _group_by_version(
+    candidates: Sequence[Candidate],
+    endpoints: Mapping[str, PoolEndpoint],
+) -> dict[str | None, list[Candidate]]:
+    groups: dict[str | None, list[Candidate]] = {}
     for candidate in candidates:
-        candidate.copied_tokens = copied_tokens(candidate, source)
-    return source
+        version = endpoints[candidate.name].version
+        groups.setdefault(version, []).append(candidate)
+    if len(groups) > 1:
+        # Engines that name no version may be of different ones.
+        groups.pop(None, None)
+    return groups
 
 
 def _choose_backup(
