Let a stream wait for an engine of its version

Change: a stream without an endpoint waits up to 1.5 s, below the two seconds after which callers leave a stream that pauses, and half of the time left, if its version was listed within 5 s. For the caller that is better than an end: nobody else can go on with it either. Evidence: test_cut_stream_waits_for_another_endpoint_of_its_version failed before (1 failed) and passes.

--- a/tests/test_stream_origin.py
+++ b/tests/test_stream_origin.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import gevent
 import pytest
 
 from tests.gateway_site import GatewaySite
+from tests.local_site import wait_until
 from tests.test_gateway_streams import PROMPT, parse_event_ids
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 from wingfall.gateway.model.stream_origin import StreamOrigin
@@ -84,3 +86,35 @@
     assert answer.whole
     assert parse_event_ids(answer.body) == [1, 2, 3, 4, 5, 6]
     assert (b' v1\n' in answer.body) is not (b' v2\n' in answer.body)
+
+
+def test_cut_stream_waits_for_another_endpoint_of_its_version(
+    gateway_site: GatewaySite,
+):
+    for name, version in (('one', 'v1'), ('two', 'v2')):
+        server = gateway_site.add_server(name, 'engines')
+        server.version = version
+        server.faults = ['crash']
+        server.events = 6
+        gateway_site.store.put(
+            'servers',
+            name,
+            gateway_site.make_entry(name, 'engines', version=version),
+        )
+    gateway_site.add_gateway()
+    caller = gateway_site.caller()
+    caller.send('/stream/x', method='POST', **PROMPT)
+    servers = gateway_site.servers
+    wait_until(lambda: any(each.runs for each in servers.values()))
+    (version,) = [each.version for each in servers.values() if each.runs]
+    # The replacement is listed while the stream has no endpoint left.
+    gevent.sleep(0.4)
+    replacement = gateway_site.add_server('three', 'engines')
+    replacement.version = version
+    replacement.events = 6
+    entry = gateway_site.make_entry('three', 'engines', version=version)
+    gateway_site.store.put('servers', 'three', entry)
+    answer = caller.receive()
+    assert answer.whole
+    assert parse_event_ids(answer.body) == [1, 2, 3, 4, 5, 6]
+    assert (b' v1\n' in answer.body) is not (b' v2\n' in answer.body)
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -10,8 +10,10 @@
 import functools
 from typing import TYPE_CHECKING, Final, final
 
+import gevent
 from returns.result import Failure, Result, Success
 
+from wingfall.clock import MS_PER_S
 from wingfall.errors import RunState
 from wingfall.gateway.calls.admission import admit_prompt
 from wingfall.gateway.calls.attempt import Attempt
@@ -28,6 +30,7 @@
     list_usable,
     may_serve,
     note_first_event,
+    version_wait_until_ms,
 )
 from wingfall.gateway.calls.stream_resumption import (
     find_origin,
@@ -67,6 +70,8 @@
     from wingfall.gateway.state import GatewayState
 
 
+# Interval of the checks for an endpoint that may continue a stream.
+_POLL_INTERVAL_MS: Final = 20
 # End of a call if there is no endpoint left.
 _NO_ENDPOINT: Final = AttemptEnd.not_sent
 
@@ -152,7 +157,7 @@
         refusal = self._refuse_blocked()
         if refusal is not None:
             return Failure(refusal)
-        destination = self._choose()
+        destination = self._choose() or self._await_version()
         if destination is None:
             return Failure(self._defer() or self._end_failed_call(_NO_ENDPOINT))
         admitted = self._admit(destination)
@@ -176,6 +181,16 @@
             return choose_destination(state, call, self._pool, unreached)
         return destination
 
+    def _await_version(self) -> Destination | None:
+        # An engine that ended is often soon replaced by one of its version.
+        until_ms = version_wait_until_ms(self._state, self._call)
+        while self._state.clock.now_ms() < until_ms:
+            gevent.sleep(_POLL_INTERVAL_MS / MS_PER_S)
+            destination = self._choose()
+            if destination is not None:
+                return destination
+        return None
+
     def _defer(self) -> Refusal | None:
         if self._reply.started or self._run_state is not RunState.not_run:
             return None
--- a/wingfall/gateway/calls/stream_endpoints.py
+++ b/wingfall/gateway/calls/stream_endpoints.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from wingfall.gateway.model.stream_origin import StreamOrigin
 
@@ -16,6 +16,13 @@
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.state import GatewayState
 
+# Maximum milliseconds to wait for an endpoint of a stream's version. Callers
+# leave a stream that pauses for two seconds.
+_MAX_VERSION_WAIT_MS: Final = 1500
+# Milliseconds after which a version that is no longer listed is not expected
+# again. Entries of crashed endpoints stay listed until a replacement is up.
+_MAX_UNLISTED_MS: Final = 5000
+
 
 def list_usable(
     state: GatewayState, call: Call, pool: str
@@ -49,6 +56,25 @@
     return call.origin.allows(listed or endpoint)
 
 
+def version_wait_until_ms(state: GatewayState, call: Call) -> int:
+    """Return until when a stream waits for an endpoint of its version.
+
+    :param state: state of the gateway.
+    :param call: the call.
+    :returns: time in milliseconds; now, if nothing is to be waited for.
+    """
+    now_ms, origin = state.clock.now_ms(), call.origin
+    if origin is None:
+        return now_ms
+    unlisted_ms = state.knowledge.versions.unlisted_ms(
+        origin.pool, origin.version
+    )
+    if unlisted_ms is None or unlisted_ms > _MAX_UNLISTED_MS:
+        return now_ms
+    left_ms = call.deadline_ms - now_ms
+    return now_ms + min(_MAX_VERSION_WAIT_MS, left_ms // 2)
+
+
 def note_first_event(
     state: GatewayState, call: Call, endpoint: PoolEndpoint
 ) -> None:
--- a/wingfall/gateway/knowledge/pool_versions.py
+++ b/wingfall/gateway/knowledge/pool_versions.py
@@ -105,6 +105,16 @@
         if self._complete_since_ms is not None:
             self._complete_since_ms = min(self._complete_since_ms, since_ms)
 
+    def unlisted_ms(self, pool: str, version: Version) -> int | None:
+        """Return how long ago a version was last listed.
+
+        :param pool: name of the pool.
+        :param version: the version.
+        :returns: milliseconds, None if it was not listed lately.
+        """
+        listed_ms = self._last_listed_ms.get(pool, {}).get(version)
+        return None if listed_ms is None else self._clock.now_ms() - listed_ms
+
     def has_only(self, pool: str, version: Version, life_ms: int) -> bool:
         """Check if a pool had only one version for a time.
 
