Order the peers that hold streams once for all records

A gateway that opens a session orders its peers for each record that it hands over: 68 ms for 2,000 records at 298 gateways, in which nothing else ran. The order is now made anew only after a session began or ended: 4.8 ms, and 8.8 us instead of 46.5 for a stream that is reported (processor time, one run each).

--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -167,6 +167,7 @@
         self._exchange.cancel_fetches(session)
         self._load.remove_peer(session.name)
         self._updates.forget(session)
+        self._streams.note_session_ended()
         if self._duties is not None:
             self._duties.forget(session)
 
--- a/wingfall/gateway/peers/streams/stream_exchange.py
+++ b/wingfall/gateway/peers/streams/stream_exchange.py
@@ -148,6 +148,7 @@
 
         :param session: the session with the peer.
         """
+        self._replicas.note_sessions_changed()
         if not session.knows_streams:
             return
         session.connection.send(
@@ -164,6 +165,10 @@
         if streams:
             session.connection.send(StreamsBegun(streams=streams))
 
+    def note_session_ended(self) -> None:
+        """Choose other peers from now on."""
+        self._replicas.note_sessions_changed()
+
     def merge_streams(
         self, session: PeerSession, message: StreamsBegun
     ) -> None:
--- a/wingfall/gateway/peers/streams/stream_replicas.py
+++ b/wingfall/gateway/peers/streams/stream_replicas.py
@@ -13,7 +13,7 @@
 from wingfall.gateway.peers.ranking import compute_rank
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Mapping
 
     from wingfall.gateway.knowledge.stream_origins import StreamKey
     from wingfall.gateway.peers.peer_session import PeerSession
@@ -27,7 +27,7 @@
 class StreamReplicas:
     """Peers in the order of their ranks, as a ring."""
 
-    __slots__ = ('_names', '_ranks', '_sessions')
+    __slots__ = ('_ranks', '_sessions')
 
     def __init__(self, *, sessions: Mapping[str, PeerSession]) -> None:
         """Create the ring of the connected peers.
@@ -36,8 +36,12 @@
             owner.
         """
         self._sessions = sessions
-        self._names: set[str] = set()
-        self._ranks: list[tuple[bytes, str]] = []
+        # Ranks and names of the peers, None after a session began or ended.
+        self._ranks: list[tuple[bytes, str]] | None = None
+
+    def note_sessions_changed(self) -> None:
+        """Order the peers again; called when a session began or ended."""
+        self._ranks = None
 
     def choose(self, key: StreamKey, count: int) -> list[PeerSession]:
         """Choose the peers that hold the origin of a stream.
@@ -47,17 +51,18 @@
         :returns: the peers that follow the key in the ring; all if there are
             not more.
         """
-        self._update()
-        start = bisect.bisect(self._ranks, (key, ''))
-        ordered = self._ranks[start:] + self._ranks[:start]
-        return [self._sessions[name] for _rank, name in ordered[:count]]
-
-    def _update(self) -> None:
-        names = {each.name for each in _list_capable(self._sessions.values())}
-        if names != self._names:
-            self._names = names
-            self._ranks = sorted((compute_rank(name), name) for name in names)
-
-
-def _list_capable(sessions: Iterable[PeerSession]) -> list[PeerSession]:
-    return [each for each in sessions if each.knows_streams]
+        ranks = self._order_peers()
+        start = bisect.bisect(ranks, (key, ''))
+        chosen = ranks[start : start + count]
+        chosen += ranks[: min(start, count - len(chosen))]
+        sessions = (self._sessions.get(name) for _rank, name in chosen)
+        return [each for each in sessions if each is not None]
+
+    def _order_peers(self) -> list[tuple[bytes, str]]:
+        if self._ranks is None:
+            self._ranks = sorted(
+                (compute_rank(each.name), each.name)
+                for each in self._sessions.values()
+                if each.knows_streams
+            )
+        return self._ranks
