Keep the versions that pools had over the end of all gateways

Cause: which versions a pool had was known in memory alone. Change: one object in the platform's store names the versions of each pool in the last minute. The first gateways that watch the store add a version as soon as it is listed, and remove it a minute after it left; a gateway that starts reads it once. Without it all is as before.

--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -267,3 +267,18 @@
         for labels, count in gateway._metrics.decisions.get_all()
         if labels['part'] == 'streams'
     }
+
+
+@pytest.mark.parametrize(
+    ('versions', 'status'), [(['v1'], 200), (['v1', 'v2'], 503), ([], 503)]
+)
+def test_stream_continues_after_all_gateways_ended_if_the_pool_had_one_version(
+    gateway_site: GatewaySite, versions: list[str], status: int
+):
+    add_engine(gateway_site, 'e0', 'v1')
+    if versions:
+        history = {'complete_ms': 60_000, 'pools': {'engines': versions}}
+        gateway_site.store.put('wingfall-versions', 'pools', history)
+    gateway_site.add_gateway()
+    # The gateway at which the stream began has ended, and so have all others.
+    assert take_up(gateway_site, 'before', gateway=0).status == status
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -22,6 +22,7 @@
     ROUTES_KIND,
     ObjectReplica,
 )
+from wingfall.gateway.configuration.version_history import VersionHistory
 from wingfall.gateway.duties.assembly import GatewayDuties
 from wingfall.gateway.knowledge.start_figures import set_start_errors
 from wingfall.gateway.peers.caches.memory_survey import CacheSurvey
@@ -68,6 +69,7 @@
         '_replicas',
         '_state',
         '_transfer',
+        '_version_history',
     )
 
     def __init__(
@@ -129,6 +131,12 @@
             ),
         )
         self._state.stream_peers = self._peers.streams
+        self._version_history = VersionHistory(
+            store=binding.versions_store(),
+            versions=self._state.knowledge.versions,
+            may_write=self._may_write_history,
+            get_rank=lambda: self._peers.view.rank,
+        )
         self._ready_server = HttpServer(
             app=make_readiness_app(
                 path=self._state.binding.ready_path,
@@ -175,9 +183,7 @@
         """Start serving and return."""
         super().start()
         log_event('gateway', 'Started.', name=self._settings.name)
-        for follower in self._followers:
-            body = functools.partial(follower.follow, self._stop)
-            self._supervisor.start(follower.kind, body)
+        self._start_following()
         self._supervisor.start('forget_departed', self._remove_departed)
         self._peers.start()
         if self._duties is not None:
@@ -283,6 +289,16 @@
         within_ms = self._settings.store.watch_ms + _WATCH_TOLERANCE_MS
         return all(each.has_answered(within_ms) for each in self._followers)
 
+    def _start_following(self) -> None:
+        for follower in self._followers:
+            body = functools.partial(follower.follow, self._stop)
+            self._supervisor.start(follower.kind, body)
+        body = functools.partial(self._version_history.run, self._stop)
+        self._supervisor.start('version_history', body)
+
+    def _may_write_history(self) -> bool:
+        return self._is_watching_store() and self._peers.view.is_among_first
+
     def _receives_changes(self) -> bool:
         return self._is_watching_store() or self._peers.view.receives_changes
 
--- a/wingfall/gateway/calls/stream_resumption.py
+++ b/wingfall/gateway/calls/stream_resumption.py
@@ -10,8 +10,10 @@
 
 from typing import TYPE_CHECKING, Final
 
+import gevent
 from returns.result import Failure, Result, Success
 
+from wingfall.clock import MS_PER_S
 from wingfall.gateway.knowledge.stream_origins import (
     StreamRecord,
     make_stream_key,
@@ -35,6 +37,8 @@
 _MAX_ASK_MS: Final = 500
 # The same where the origin follows from the pool's only version.
 _MAX_ASK_WITH_ONLY_VERSION_MS: Final = 100
+# Interval of the checks whether the history was read.
+_POLL_INTERVAL_MS: Final = 10
 # Maximum fraction of the caller's remaining time.
 _MAX_ASK_FRACTION: Final = 0.25
 
@@ -53,8 +57,8 @@
     if not call.route.streaming or head.last_event_id is None:
         return Success(None)
     pools = [each.pool for each in call.route.pools]
-    only = _find_only_version(state, call, pools)
-    record = _find_record(state, call, _ask_ms(state, call, only))
+    record = _find_record(state, call, pools)
+    only = None if record else _await_only_version(state, call, pools)
     if record is None and only is None:
         state.stream_log.note_refused(call, 'version_unknown')
         return Failure(refuse_unknown_stream(_left_ms(state, call)))
@@ -87,7 +91,7 @@
 
 
 def _find_record(
-    state: GatewayState, call: Call, ask_ms: int
+    state: GatewayState, call: Call, pools: Sequence[str]
 ) -> StreamRecord | None:
     if call.head.resumed_call_id is None:
         return None
@@ -95,10 +99,25 @@
     record = state.knowledge.streams.find(key)
     if record is not None or state.stream_peers is None:
         return record
-    state.stream_peers.ask(key, ask_ms)
+    only = _find_only_version(state, call, pools)
+    state.stream_peers.ask(key, _ask_ms(state, call, only))
     return state.knowledge.streams.find(key)
 
 
+def _await_only_version(
+    state: GatewayState, call: Call, pools: Sequence[str]
+) -> StreamOrigin | None:
+    # A gateway that starts has not read the history yet.
+    until_ms = state.clock.now_ms() + _ask_ms(state, call, None)
+    only = _find_only_version(state, call, pools)
+    while only is None and state.knowledge.versions.is_loading:
+        if state.clock.now_ms() >= until_ms:
+            break
+        gevent.sleep(_POLL_INTERVAL_MS / MS_PER_S)
+        only = _find_only_version(state, call, pools)
+    return only
+
+
 def _find_only_version(
     state: GatewayState, call: Call, pools: Sequence[str]
 ) -> StreamOrigin | None:
--- a/wingfall/gateway/knowledge/pool_versions.py
+++ b/wingfall/gateway/knowledge/pool_versions.py
@@ -8,6 +8,8 @@
 
 from typing import TYPE_CHECKING, Final, final
 
+from gevent.event import Event
+
 from wingfall.gateway.knowledge.stream_origins import MAX_STREAM_LIFE_MS
 
 if TYPE_CHECKING:
@@ -31,6 +33,8 @@
         '_complete_since_ms',
         '_last_listed_ms',
         '_reported',
+        'has_new',
+        'is_loading',
     )
 
     def __init__(self, *, clock: Clock) -> None:
@@ -44,13 +48,18 @@
         self._complete_since_ms: int | None = None
         # The same as peers reported it, and when.
         self._reported: tuple[int, int] | None = None
+        # Set when a version is listed that was not known.
+        self.has_new = Event()
+        # Whether the history is still to be read; only its owner sets it.
+        self.is_loading = False
 
     @property
     def complete_ms(self) -> int:
         """Milliseconds for which no change of the list was missed."""
+        now_ms = self._clock.now_ms()
         if self._complete_since_ms is None:
-            return 0
-        return self._clock.now_ms() - self._complete_since_ms
+            return now_ms - self._reported_since(now_ms)
+        return now_ms - self._complete_since_ms
 
     @property
     def ages_ms(self) -> list[tuple[str, Version, int]]:
@@ -148,4 +157,6 @@
 
     def _note(self, pool: str, version: Version, listed_ms: int) -> None:
         versions = self._last_listed_ms.setdefault(pool, {})
+        if version not in versions:
+            self.has_new.set()
         versions[version] = max(listed_ms, versions.get(version, listed_ms))
--- a/wingfall/gateway/model/binding.py
+++ b/wingfall/gateway/model/binding.py
@@ -153,6 +153,9 @@
     def leases_store(self) -> ObjectWriter:
         """Return the store of the leases."""
 
+    def versions_store(self) -> ObjectWriter:
+        """Return the store of the history of software versions."""
+
     def duty_calls(self, address: str) -> DutyCalls:
         """Return the platform calls reserved to the holder of a duty."""
 
--- a/wingfall/gateway/peers/peer_view.py
+++ b/wingfall/gateway/peers/peer_view.py
@@ -73,11 +73,16 @@
             for each in self._sessions.values()
         )
 
+    @property
+    def rank(self) -> int:
+        """Number of connected peers that precede this gateway."""
+        within_ms = max_seen_age_ms(len(self._sessions))
+        return len(self._preceding_peers(within_ms))
+
     @property
     def is_among_first(self) -> bool:
         """Whether this gateway is among the first to retry a lost store."""
-        within_ms = max_seen_age_ms(len(self._sessions))
-        return len(self._preceding_peers(within_ms)) < WATCHER_COUNT
+        return self.rank < WATCHER_COUNT
 
     def snapshot(self) -> PeerSnapshot:
         """Return a snapshot of the peers, for eligibility for the lease.
--- a/wingfall/platform/binding.py
+++ b/wingfall/platform/binding.py
@@ -39,8 +39,9 @@
 # The one object of its kind that is in force.
 _CONFIG_NAME: Final = 'main'
 _ENDPOINT_KIND: Final = 'servers'
-# A kind of wingfall's own.
+# Kinds of wingfall's own.
 _LEASE_KIND: Final = 'wingfall-leases'
+_VERSIONS_KIND: Final = 'wingfall-versions'
 
 
 @final
@@ -133,6 +134,10 @@
         """Give the store of the leases."""
         return self._store(_LEASE_KIND)
 
+    def versions_store(self) -> HttpObjectStore:
+        """Give the store of the history of software versions."""
+        return self._store(_VERSIONS_KIND)
+
     def duty_calls(self, address: str) -> HttpDutyCalls:
         """Give the calls that only the holder of a duty makes."""
         return HttpDutyCalls(address=address, metrics=self._metrics)
