--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -12,7 +12,10 @@
 from tests.local_site import wait_until
 from tests.test_gateway_streams import PROMPT, parse_event_ids
 from wingfall.gateway.application import GatewayApplication
+from wingfall.gateway.endpoints.connection_cache import ConnectionCache
+from wingfall.gateway.endpoints.endpoint_connection import EndpointConnection
 from wingfall.gateway.knowledge.stream_origins import make_stream_key
+from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 
 VERSIONS: Final = ('v1', 'v2')
 # Callers that take up a stream by chance at its own version: one in 2^12.
@@ -140,6 +143,23 @@
     assert version_of(taken_up) == version_of(begun)
 
 
+def test_gateway_that_does_not_hold_a_stream_asks_its_peers(
+    mixed_site: GatewaySite,
+):
+    connect_gateways(mixed_site, 6)
+    begun = begin_stream(mixed_site, 's0')
+    gateways = mixed_site.gateways
+    wait_until(lambda: sum(knows_stream(each, 's0') for each in gateways) == 4)
+    others = [
+        number
+        for number, gateway in enumerate(gateways)
+        if not knows_stream(gateway, 's0')
+    ]
+    for number in others:
+        taken_up = take_up(mixed_site, 's0', gateway=number)
+        assert version_of(taken_up) == version_of(begun)
+
+
 def test_stream_is_taken_up_while_the_store_is_away(mixed_site: GatewaySite):
     connect_gateways(mixed_site, 2)
     mixed_site.store.script = {'status': 503}
@@ -221,10 +241,80 @@
     assert len(gateway_site.servers['e0'].runs) == 1
 
 
-def put_started(site: GatewaySite, version: str, born: int) -> None:
+def put_started(
+    site: GatewaySite, version: str, born: int, name: str = 'e0'
+) -> None:
     """Write the entry of a start of an engine."""
-    entry = site.make_entry('e0', 'engines', version=version, born=born)
-    site.store.put('servers', 'e0', entry)
+    entry = site.make_entry(name, 'engines', version=version, born=born)
+    site.store.put('servers', name, entry)
+
+
+def resumed_runs(site: GatewaySite, name: str) -> list[Any]:
+    """Return the runs of an engine that continue a stream."""
+    return [
+        run for run in site.servers[name].runs if 'last-event-id' in run.headers
+    ]
+
+
+@pytest.fixture
+def restarting_site(gateway_site: GatewaySite) -> GatewaySite:
+    """Return a site of two engines of one version, and a stream."""
+    for name in ('e0', 'e1'):
+        gateway_site.add_server(name, 'engines').events = 4
+        put_started(gateway_site, 'v1', born=1000, name=name)
+    gateway_site.add_gateway()
+    table = known_endpoints(gateway_site.gateways[0])
+    wait_until(lambda: table.names == {'e0@1000', 'e1@1000'})
+    begin_stream(gateway_site, 's0')
+    return gateway_site
+
+
+def test_stream_is_not_sent_to_an_engine_that_changed_after_the_choice(
+    restarting_site: GatewaySite, monkeypatch: pytest.MonkeyPatch
+):
+    changed: list[str] = []
+    acquire = ConnectionCache.acquire
+    table = known_endpoints(restarting_site.gateways[0])
+
+    def acquire_late(
+        cache: ConnectionCache, endpoint: PoolEndpoint, **options: Any
+    ) -> EndpointConnection:
+        if not changed:
+            changed.append(endpoint.instance)
+            put_started(restarting_site, 'v2', 2000, endpoint.instance)
+            wait_until(lambda: f'{endpoint.instance}@2000' in table.names)
+        return acquire(cache, endpoint, **options)
+
+    monkeypatch.setattr(ConnectionCache, 'acquire', acquire_late)
+    answer = take_up(restarting_site, 's0', gateway=0)
+    assert parse_event_ids(answer.body) == [3, 4]
+    assert not resumed_runs(restarting_site, changed[0])
+
+
+def test_events_of_an_engine_that_changed_after_the_sending_are_dropped(
+    restarting_site: GatewaySite,
+):
+    for server in restarting_site.servers.values():
+        server.delay_ms = 500
+    caller = restarting_site.caller(0)
+    caller.send(
+        '/stream/x',
+        method='POST',
+        X_Attempt_Id='s1',
+        Last_Event_Id='2',
+        Resumes='s0',
+        **PROMPT,
+    )
+    names = list(restarting_site.servers)
+    wait_until(
+        lambda: any(resumed_runs(restarting_site, each) for each in names)
+    )
+    (changed,) = [each for each in names if resumed_runs(restarting_site, each)]
+    restarting_site.servers[changed].version = 'v2'
+    put_started(restarting_site, 'v2', 2000, changed)
+    answer = caller.receive()
+    assert b' v2\n' not in answer.body
+    assert parse_event_ids(answer.body) == [3, 4]
 
 
 def test_stream_without_a_named_version_is_not_joined_with_another(
