Ask a store that is away less often for the history of versions

Each gateway that starts asked once a second until the store answered: 298 calls a second by calculation while the store is away, where the following of the list is left to a few. The interval now doubles up to 8 s.

--- a/wingfall/gateway/configuration/version_history.py
+++ b/wingfall/gateway/configuration/version_history.py
@@ -15,6 +15,7 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.log import log_event
+from wingfall.supervisor import Backoff
 
 if TYPE_CHECKING:
     from gevent.event import Event
@@ -31,6 +32,8 @@
 MIN_COMPLETE_MS: Final = 20_000
 # Interval of the checks whether the object is up to date.
 _CHECK_INTERVAL_MS: Final = 1000
+# Maximum interval of the attempts to read the object at a start.
+_MAX_READ_DELAY_MS: Final = 8000
 # Delay of a change for each gateway that precedes this one in the common order,
 # so that one gateway writes it.
 _RANK_DELAY_MS: Final = 300
@@ -83,8 +86,10 @@
 
         :param stop: set when the process ends.
         """
+        # A store that is away is not asked by all gateways each second.
+        backoff = Backoff(min_ms=_CHECK_INTERVAL_MS, max_ms=_MAX_READ_DELAY_MS)
         while not self._read():
-            if stop.wait(_CHECK_INTERVAL_MS / MS_PER_S):
+            if stop.wait(backoff.take_ms() / MS_PER_S):
                 return
         self._versions.merge(
             [
