--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -42,6 +42,10 @@
 # gateway that starts may retry at once.
 FAILURE_SEEDS = (1, 2)
 
+# With engines of two versions and callers that take streams up; 46 streams were
+# of two versions where any engine of the pool could continue them.
+VERSION_SEEDS = (9001,)
+
 
 @pytest.mark.processes
 def test_gateways_lead_sessions_of_their_own(tmp_path: pathlib.Path):
@@ -172,6 +176,14 @@
     run_soak(tmp_path, seed, '--failures', seconds=25)
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize('seed', VERSION_SEEDS)
+def test_streams_stay_at_their_version_beside_faults(
+    tmp_path: pathlib.Path, seed: int
+):
+    run_soak(tmp_path, seed, '--versions', '2', seconds=10)
+
+
 @pytest.mark.processes
 def test_promises_hold_while_gateways_are_of_two_versions(
     tmp_path: pathlib.Path,
