Log the shared prompt parts of attempts and of crashes

The logs of the incident name requests but no parts of prompts, so that a part that crashes engines can't be told from engines that crash by themselves. Each attempt lists the fingerprints of the parts that other prompts may share (16 at most), each crash those of the prompts there (32 at most).

--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -112,6 +112,26 @@
     assert not knowledge.crashes.crashes
 
 
+def test_prompt_parts_of_a_crash_are_logged(
+    watch: CrashDetector,
+    listener: socket.socket,
+    monkeypatch: pytest.MonkeyPatch,
+):
+    lines = []
+    monkeypatch.setattr(
+        'wingfall.gateway.endpoints.crash_detector.log_event',
+        lambda _part, _sentence, **fields: lines.append(fields),
+    )
+    endpoint = endpoint_at(listener)
+    listener.close()
+    watch.note_broken(endpoint, b'waits', None, [b'part-1', b'part-2'])
+    watch.note_broken(endpoint, b'begun', 10, [b'part-1', b'part-3'])
+    watch.note_broken(endpoint, b'has run', 1000, [b'part-4'])
+    wait_until(lambda: lines)
+    parts = [bytes.fromhex(part) for part in lines[0]['parts']]
+    assert parts == [b'part-1', b'part-2', b'part-3']
+
+
 def test_restarted_endpoint_has_crashed(
     watch: CrashDetector, knowledge: EndpointKnowledge, listener: socket.socket
 ):
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from wingfall.gateway.model.fingerprint import make_fingerprint
+from wingfall.gateway.model.fingerprint import (
+    is_part,
+    make_fingerprint,
+    make_part_fingerprint,
+)
+from wingfall.gateway.model.prompt import PromptPart
 from wingfall.gateway.model.request_body import BodyReader
 from wingfall.platform.headers import read_call
 
@@ -75,3 +80,13 @@
     assert body.payload == b'onetwo'
     assert body.digest == hashlib.blake2b(b'onetwo', digest_size=16).digest()
     assert reader.size == 6
+
+
+def test_part_has_one_fingerprint_in_all_prompts():
+    part = make_part_fingerprint(PromptPart(part_id='5c1e07a2', tokens=800))
+    same = make_part_fingerprint(PromptPart(part_id='5c1e07a2', tokens=810))
+    other = make_part_fingerprint(PromptPart(part_id='5c1e07a3', tokens=800))
+    assert part == same
+    assert part != other
+    assert is_part(part)
+    assert not is_part(fingerprint())
--- a/wingfall/gateway/calls/attempt_log.py
+++ b/wingfall/gateway/calls/attempt_log.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 from wingfall.log import log_event
 
@@ -17,6 +17,9 @@
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.rules.placement.candidate import Candidate
 
+# Parts of a prompt that are listed, so that a line stays short.
+_MAX_LISTED_PARTS: Final = 16
+
 
 def log_attempt(
     *,
@@ -55,6 +58,7 @@
         'An attempt ended.',
         call=call.call_id,
         request=call.fingerprint.hex(),
+        parts=_list_parts(call),
         route=call.route.name,
         customer=call.customer.name if call.customer else None,
         tier=call.priority,
@@ -80,6 +84,11 @@
     )
 
 
+def _list_parts(call: Call) -> list[str]:
+    listed = call.part_fingerprints[:_MAX_LISTED_PARTS]
+    return [part.hex() for part in listed]
+
+
 def _describe_load(candidate: Candidate) -> dict[str, Any]:
     return {
         'running': candidate.running,
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -168,7 +168,10 @@
             state.crash_detector.note_abandoned(endpoint, fingerprint)
         elif outcome.end in _BROKEN_ENDS and not is_abandoned:
             state.crash_detector.note_broken(
-                endpoint, fingerprint, self._output_duration_ms()
+                endpoint,
+                fingerprint,
+                self._output_duration_ms(),
+                self._call.part_fingerprints,
             )
 
     def _output_duration_ms(self) -> int | None:
--- a/wingfall/gateway/endpoints/crash_detector.py
+++ b/wingfall/gateway/endpoints/crash_detector.py
@@ -18,6 +18,8 @@
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
     from wingfall.clock import Clock
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
     from wingfall.gateway.model.fingerprint import Fingerprint
@@ -35,13 +37,15 @@
 _ABANDONED_RETENTION_MS: Final = 2000
 # Covers two seconds in which all callers of a busy gateway give up.
 _MAX_ABANDONED: Final = 256
+# Requests, and prompt parts, that the line of a crash lists.
+_MAX_LISTED: Final = 32
 
 
 @final
 class _BrokenRequests:
     """Requests that broke at an endpoint since its last check."""
 
-    __slots__ = ('first_broken_ms', 'silent', 'streaming')
+    __slots__ = ('first_broken_ms', 'parts', 'silent', 'streaming')
 
     def __init__(self, *, first_broken_ms: int) -> None:
         """Create an empty collection.
@@ -51,6 +55,8 @@
         self.first_broken_ms = first_broken_ms
         self.silent: set[Fingerprint] = set()
         self.streaming: set[Fingerprint] = set()
+        # Shared prompt parts of both.
+        self.parts: set[Fingerprint] = set()
 
 
 @final
@@ -94,6 +100,7 @@
         endpoint: PoolEndpoint,
         fingerprint: Fingerprint,
         output_ms: int | None,
+        parts: Sequence[Fingerprint] = (),
     ) -> None:
         """Record a connection that broke before the end of an answer.
 
@@ -101,6 +108,7 @@
         :param fingerprint: request on the connection.
         :param output_ms: milliseconds since the first output of the request,
             None without output.
+        :param parts: parts of its prompt that other prompts may share.
         """
         broken = self._broken.get(endpoint.name)
         if broken is None:
@@ -109,8 +117,10 @@
             gevent.spawn(self._check_endpoint, endpoint)
         if output_ms is None:
             broken.silent.add(fingerprint)
+            broken.parts.update(parts)
         elif output_ms < _MAX_SUSPECT_OUTPUT_MS:
             broken.streaming.add(fingerprint)
+            broken.parts.update(parts)
 
     def note_abandoned(
         self,
@@ -157,8 +167,9 @@
             endpoint=endpoint.name,
             pool=endpoint.pool,
             seen_ms=self._clock.now_ms() - broken.first_broken_ms,
-            requests=sorted(each.hex() for each in broken.silent),
+            requests=_list_some(broken.silent),
             streaming=len(broken.streaming),
+            parts=_list_some(broken.parts),
         )
 
     def _has_crashed(self, endpoint: PoolEndpoint) -> bool:
@@ -170,3 +181,7 @@
         if self._knowledge.incarnations.is_superseded(endpoint):
             return True
         return closes_connections(endpoint)
+
+
+def _list_some(fingerprints: Iterable[Fingerprint]) -> list[str]:
+    return sorted(each.hex() for each in fingerprints)[:_MAX_LISTED]
--- a/wingfall/gateway/model/call.py
+++ b/wingfall/gateway/model/call.py
@@ -7,7 +7,10 @@
 
 from typing import TYPE_CHECKING, final
 
+from wingfall.gateway.model.fingerprint import make_part_fingerprint
+
 if TYPE_CHECKING:
+    from wingfall.gateway.model.fingerprint import Fingerprint
     from wingfall.gateway.model.prompt import Prompt
     from wingfall.gateway.model.routes import GatewayCustomer, Route
     from wingfall.gateway.model.stream_origin import StreamOrigin
@@ -92,6 +95,7 @@
         'fingerprint',
         'head',
         'origin',
+        'part_fingerprints',
         'priority',
         'route',
     )
@@ -106,7 +110,7 @@
         arrived_ms: int,
         deadline_ms: int,
         priority: int | None = None,
-        fingerprint: bytes = b'',
+        fingerprint: Fingerprint = b'',
     ) -> None:
         """Create a call for an accepted request.
 
@@ -128,6 +132,12 @@
         self.arrived_ms = arrived_ms
         self.deadline_ms = deadline_ms
         self.fingerprint = fingerprint
+        # Fingerprints of the parts that other prompts may share, in order.
+        self.part_fingerprints: tuple[Fingerprint, ...] = ()
+        if head.prompt is not None:
+            self.part_fingerprints = tuple(
+                map(make_part_fingerprint, head.prompt.shared_parts),
+            )
         self.priority = route.tier if priority is None else priority
         # Whether an endpoint is known to have started the run.
         self.run_started = False
