Known red: prompts that share a part which crashes engines are sent on

Four gateway processes, ten engines that are back after 1.5 s, two callers whose prompts share one part and nothing else, eight callers of sound prompts.

--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -15,7 +15,8 @@
 (it is reset there, and nothing listens any more).
 
 A request for a target that ``ends_by`` names ends the endpoint as it begins to
-run: all connections are reset, and nothing listens any more.
+run: all connections are reset, and nothing listens any more. So does a prompt
+that ``prompt_crash`` names.
 """
 
 from __future__ import annotations
@@ -26,6 +27,7 @@
     monkey.patch_all()
 
 import argparse
+import functools
 import socket
 import struct
 import time
@@ -38,6 +40,7 @@
 from gevent.server import StreamServer
 
 from standins.answer_signals import AnswerSignalsStandIn
+from standins.prompt_crash import PromptCrash
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -48,6 +51,8 @@
 _CUT_AFTER: Final = 2
 _RESET_AFTER_S: Final = 0.05
 _UNAVAILABLE: Final = 503
+# Faults that end a stream before its end.
+_BREAKS: Final = frozenset(('crash', 'cut'))
 _HELD_PATH: Final = '/wingfall/kv-list'
 
 
@@ -72,6 +77,12 @@
         self.whole = False
         self.left = False
 
+    @property
+    def parts(self) -> list[str]:
+        """Ids of the prompt parts that others may share: all but the last."""
+        prefix = self.headers.get('x-prompt-prefix', '')
+        return [part.partition(':')[0] for part in prefix.split(',')[:-1]]
+
 
 @final
 class PoolServerStandIn:
@@ -102,6 +113,10 @@
         # Which targets' requests end the endpoint, and who is told of that.
         self.ends_by: Callable[[str], bool] = lambda _target: False
         self.on_crash: Callable[[Run], None] | None = None
+        # Which prompts end the endpoint.
+        self.prompt_crash = PromptCrash()
+        # Whether streams have neither a length nor chunks.
+        self.unframed_streams = False
         self._open: set[socket.socket] = set()
         # Parts of prompts that it says it keeps: ids and tokens.
         self.held: list[tuple[str, int]] = []
@@ -120,11 +135,14 @@
         self._server.stop(timeout=0)
 
     def crash(self) -> None:
-        """Reset all connections and refuse new ones."""
+        """End all connections and refuse new ones."""
         self.crashed = True
         self._server.close()
         for sock in list(self._open):
-            _reset(sock)
+            if self.prompt_crash.closes:
+                sock.close()
+            else:
+                _reset(sock)
         self._open.clear()
 
     def run_ids(self) -> list[str]:
@@ -167,8 +185,7 @@
         delay_ms = self.draw_delay_ms() if self.draw_delay_ms else self.delay_ms
         if delay_ms:
             self._work(sock, run, delay_ms)
-        if self.ends_by(run.target):
-            self._crash_by(run)
+        self._crash_if_due(run, 0)
         if 'x-token-count' in run.headers:
             return self._answer_stream(sock, http, run, fault)
         return self._answer_whole(sock, http, run, fault)
@@ -194,11 +211,21 @@
                 raise ConnectionError
 
     def _crash_by(self, run: Run) -> None:
+        if self.crashed:
+            raise ConnectionError
         self.crash()
         if self.on_crash is not None:
             self.on_crash(run)
         raise ConnectionError
 
+    def _crash_if_due(self, run: Run, events: int) -> None:
+        if not events and self.ends_by(run.target):
+            self._crash_by(run)
+        if self.prompt_crash.is_due(run.parts, events):
+            # What was sent must be read before a reset drops it.
+            gevent.sleep(_RESET_AFTER_S if events else 0)
+            self._crash_by(run)
+
     def _next_fault(self, *, listing: bool) -> str:
         if listing:
             return self.held_fault
@@ -289,15 +316,15 @@
         run: Run,
         fault: str,
     ) -> bool:
-        # By hand: h11 would frame an answer without a length as chunks.
-        head = (
-            'HTTP/1.1 200 OK\r\n'
-            f'X-Attempt-Id: {run.call_id}\r\n'
-            f'X-Response-Seal: seal.{self.name}\r\n'
-            'Connection: close\r\n\r\n'
+        head = _encode_head(
+            [
+                ('X-Attempt-Id', run.call_id),
+                ('X-Response-Seal', f'seal.{self.name}'),
+                ('Connection', 'close'),
+            ],
         )
         body = f'{self.name} {run.call_id} {run.target}'
-        encoded = f'{head}{body}'.encode()
+        encoded = head + body.encode()
         if fault == 'unframed_reset':
             sock.sendall(encoded[: -len(body) // 2])
             # What was sent must be read before the reset drops it.
@@ -340,8 +367,28 @@
             ('Content-Type', 'text/event-stream'),
             *self.signals.headers(run.call_id),
         ]
-        response = h11.Response(status_code=200, headers=headers)
-        sock.sendall(_encode(http, response))
+        if self.unframed_streams:
+            sock.sendall(_encode_head(headers))
+            frame = _frame_plainly
+        else:
+            response = h11.Response(status_code=200, headers=headers)
+            sock.sendall(_encode(http, response))
+            frame = functools.partial(_frame_by_h11, http)
+        if not self._send_events(sock, run, fault, frame):
+            return False
+        run.whole = True
+        if self.unframed_streams:
+            return False
+        sock.sendall(_encode(http, h11.EndOfMessage()))
+        return True
+
+    def _send_events(
+        self,
+        sock: socket.socket,
+        run: Run,
+        fault: str,
+        frame: Callable[[bytes], bytes],
+    ) -> bool:
         first = int(run.headers.get('last-event-id', '0')) + 1
         for number in range(first, self.events + 1):
             gevent.sleep(self.event_ms / _MS)
@@ -349,20 +396,20 @@
             event = (
                 f'id: {number}\ndata: {run.call_id} {number} {self.version}\n\n'
             ).encode()
-            if fault == 'crash' and number > _CUT_AFTER:
-                self._server.close()
-                _reset(sock)
+            if fault in _BREAKS and number > _CUT_AFTER:
+                self._break_off(sock, fault, frame(event[: len(event) // 2]))
                 return False
-            if fault == 'cut' and number > _CUT_AFTER:
-                half = h11.Data(data=event[: len(event) // 2])
-                sock.sendall(_encode(http, half))
-                _reset(sock)
-                return False
-            sock.sendall(_encode(http, h11.Data(data=event)))
-        run.whole = True
-        sock.sendall(_encode(http, h11.EndOfMessage()))
+            sock.sendall(frame(event))
+            self._crash_if_due(run, number - first + 1)
         return True
 
+    def _break_off(self, sock: socket.socket, fault: str, half: bytes) -> None:
+        if fault == 'crash':
+            self._server.close()
+        else:
+            sock.sendall(half)
+        _reset(sock)
+
 
 def _read_events(
     sock: socket.socket,
@@ -395,6 +442,20 @@
     return b''.join(filter(None, map(http.send, events)))
 
 
+def _encode_head(headers: list[tuple[str, str]]) -> bytes:
+    # By hand: h11 would frame an answer without a length as chunks.
+    lines = ['HTTP/1.1 200 OK', *(f'{name}: {text}' for name, text in headers)]
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
+def _frame_plainly(piece: bytes) -> bytes:
+    return piece
+
+
+def _frame_by_h11(http: h11.Connection, piece: bytes) -> bytes:
+    return _encode(http, h11.Data(data=piece))
+
+
 def _reset(sock: socket.socket) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
     sock.close()
--- a/tests/crash_site.py
+++ b/tests/crash_site.py
@@ -23,6 +23,8 @@
 if TYPE_CHECKING:
     import pathlib
 
+    from collections.abc import Callable
+
     from gevent import Greenlet
 
     from standins.pool_server import Run
@@ -34,24 +36,35 @@
 _LISTED_S: Final = 1
 # Milliseconds that a request waits at an endpoint before it runs.
 _WAITS_MS: Final = (50, 300)
-_PROMPT: Final = {'X_Token_Count': '300,40', 'X_Prompt_Prefix': 'aa:200,bb:100'}
+_TOKENS: Final = '300,40'
+_PARTS: Final = 'aa:200,bb:100'
 _DEADLINES_MS: Final = (2500, 4000, 8000)
 # The code of the answer to a request that is not sent on.
 REFUSED_CODE: Final = 'request_crashes_endpoints'
+# The same, and that of a request with a part that crashes endpoints.
+REFUSED_CODES: Final = (REFUSED_CODE, 'prompt_part_crashes_endpoints')
 
 
 @final
 class Ask:
     """A request that may be sent many times."""
 
-    def __init__(self, *, target: str, body: bytes = b'') -> None:
+    def __init__(
+        self,
+        *,
+        target: str,
+        body: bytes = b'',
+        parts: str = _PARTS,
+    ) -> None:
         """Describe it.
 
         :param target: its path; of a stream if it begins with ``/stream/``.
         :param body: its body, empty for a plain GET.
+        :param parts: the parts of its prompt, as in ``X-Prompt-Prefix``.
         """
         self.target = target
         self.body = body
+        self.parts = parts
         self.streams = target.startswith('/stream/')
 
 
@@ -68,6 +81,7 @@
         seed: int = 1,
         crash_targets: tuple[str, ...] = (),
         forwarded: bool = False,
+        arm: Callable[[PoolServerStandIn], None] | None = None,
     ) -> None:
         """Start everything.
 
@@ -78,13 +92,18 @@
         :param crash_targets: targets whose requests end their endpoint.
         :param forwarded: whether a forwarder stands before each endpoint,
             which takes connections also while its endpoint is away.
+        :param arm: what is done to each endpoint before it is listed.
         """
+        self._arm = arm or _leave_as_it_is
         self.chance = random.Random(seed)
         self._crash_targets = frozenset(crash_targets)
         # Forwarders by the address that they lead to, None without them.
         self._forwarders: dict[str, Link] | None = {} if forwarded else None
         self._numbers = itertools.count()
         self._calls = itertools.count()
+        # When each call was sent, and its target.
+        self.sent_s: dict[str, float] = {}
+        self.targets: dict[str, str] = {}
         self._background: list[Greenlet] = []
         self._stopped = False
         # All incarnations that there were.
@@ -109,15 +128,18 @@
         :returns: what came back.
         """
         gateway = self.chance.choice(list(self.site.gateways.values()))
+        call_id = f'call-{next(self._calls)}'
+        self.sent_s[call_id] = time.monotonic()
+        self.targets[call_id] = ask.target
         caller = CallerStandIn(port=gateway.port)
         caller.send(
             ask.target,
             method='POST' if ask.streams else 'GET',
             body=ask.body if ask.streams else b'',
             Authorization=f'Token {STEADY_KEY}',
-            X_Attempt_Id=f'call-{next(self._calls)}',
+            X_Attempt_Id=call_id,
             X_Deadline_Ms=str(self.chance.choice(_DEADLINES_MS)),
-            **(_PROMPT if ask.streams else {}),
+            **(_describe_prompt(ask) if ask.streams else {}),
         )
         answer = caller.receive()
         caller.close()
@@ -143,6 +165,19 @@
             asking = gevent.spawn(self._keep_asking, prefix, alike=alike)
             self._background.append(asking)
 
+    def run_callers(
+        self, callers: int, every_s: float, make: Callable[[], Ask]
+    ) -> None:
+        """Have callers send a request each, again and again.
+
+        :param callers: how many callers.
+        :param every_s: seconds between an answer and the next request.
+        :param make: makes the next request.
+        """
+        for _caller in range(callers):
+            calling = gevent.spawn(self._run_caller, every_s, make)
+            self._background.append(calling)
+
     def end_endpoints(self, pool: str, count: int) -> None:
         """End endpoints at once, whatever runs there.
 
@@ -181,7 +216,7 @@
             target
             for target, answers in self.answers.items()
             for answer in answers
-            if target not in but and _code(answer) == REFUSED_CODE
+            if target not in but and read_code(answer) in REFUSED_CODES
         ]
 
     def close(self) -> None:
@@ -194,6 +229,11 @@
         for endpoint in self.endpoints:
             endpoint.stop()
 
+    def _run_caller(self, every_s: float, make: Callable[[], Ask]) -> None:
+        while not self._stopped:
+            self._try(make())
+            gevent.sleep(every_s * 2 * self.chance.random())
+
     def _repeat(self, ask: Ask, every_s: float) -> None:
         while not self._stopped:
             self._background.append(gevent.spawn(self._try, ask))
@@ -219,6 +259,7 @@
         endpoint.draw_delay_ms = lambda: self.chance.randint(*_WAITS_MS)
         endpoint.ends_by = self._crash_targets.__contains__
         endpoint.on_crash = lambda run: self._note_crash(endpoint, run)
+        self._arm(endpoint)
         self.endpoints.append(endpoint)
         self.site.store.put(
             'servers',
@@ -269,7 +310,20 @@
                 gevent.sleep(0.1)
 
 
-def _code(answer: ReceivedAnswer) -> str:
+def _describe_prompt(ask: Ask) -> dict[str, str]:
+    return {'X_Token_Count': _TOKENS, 'X_Prompt_Prefix': ask.parts}
+
+
+def _leave_as_it_is(_endpoint: PoolServerStandIn) -> None:
+    """Change nothing at an endpoint."""
+
+
+def read_code(answer: ReceivedAnswer) -> str:
+    """Return the code of a refusal.
+
+    :param answer: an answer.
+    :returns: its code, empty if it is no refusal.
+    """
     try:
         return orjson.loads(answer.body)['error']['code']
     except (orjson.JSONDecodeError, KeyError, TypeError):
