--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -174,6 +174,19 @@
 )
 
 
+# A heartbeat of a gateway that knows nothing of prompt parts at crashes.
+HEARTBEAT_WITHOUT_PARTS = (
+    '000000e8dc00143181a36b6579009294a46e616d6501020393a56f746865'
+    '7200ff9294a46e616d6502020393a56f7468657200ffc3c2c3c29294a46e'
+    '616d6507020393a56f7468657200ffcd1f479294a46e616d6509020393a5'
+    '6f7468657200ff9294a46e616d650a020393a56f7468657200ffcd2aff92'
+    '94a46e616d650c020393a56f7468657200ff9294a46e616d650d020393a5'
+    '6f7468657200ff9294a46e616d650e020393a56f7468657200ffcd3a9f92'
+    '94a46e616d6510020393a56f7468657200ff9294a46e616d6511020393a5'
+    '6f7468657200ff9294a46e616d6512020393a56f7468657200ff'
+)
+
+
 # The hello of a gateway that knows nothing of the origins of streams.
 HELLO_WITHOUT_FEATURES = (
     '0000002d9630a6746578742d30a6746578742d319294a46e616d6502020393'
@@ -182,21 +195,22 @@
 
 
 @pytest.mark.parametrize(
-    ('encoded', 'first_unknown'),
+    ('encoded', 'first_unknown', 'untold'),
     [
-        (HELLO_WITHOUT_FEATURES, 'features'),
-        (EARLIER_HEARTBEAT, 'duties'),
-        (HEARTBEAT_WITHOUT_LIMITS, 'limits'),
-        (HEARTBEAT_WITHOUT_READINGS, 'readings'),
-        (ZONE_LOADS_WITHOUT_READINGS, 'readings'),
+        (HELLO_WITHOUT_FEATURES, 'features', []),
+        (EARLIER_HEARTBEAT, 'duties', []),
+        (HEARTBEAT_WITHOUT_LIMITS, 'limits', []),
+        (HEARTBEAT_WITHOUT_READINGS, 'readings', []),
+        (HEARTBEAT_WITHOUT_PARTS, 'part_digest', -1),
+        (ZONE_LOADS_WITHOUT_READINGS, 'readings', []),
     ],
 )
 def test_earlier_message_is_understood_both_ways(
-    encoded: str, first_unknown: str
+    encoded: str, first_unknown: str, untold: Any
 ):
     earlier = bytes.fromhex(encoded)
     (read,) = codec.FrameDecoder(max_bytes=10_000).feed(earlier)
-    assert not getattr(read, first_unknown)
+    assert getattr(read, first_unknown) == untold
     # An earlier program reads the fields that it knows and no more.
     unknown = read.__slots__.index(first_unknown)
     known = read.fields()[: 1 + unknown]
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -12,6 +12,10 @@
 
 CAUSE = b'cause'
 OTHER = b'other'
+# Fingerprints of prompt parts have eight bytes.
+PART = b'the part'
+SHARED = b'is share'
+POPULAR = b'populous'
 
 
 def crash(
@@ -36,7 +40,7 @@
     crashes.append(crash(2, CAUSE))
     (blame,) = find_causes(crashes, {}).values()
     assert len(blame.crashes) == 3
-    assert blame.excess_crashes == 0
+    assert blame.late_crashes == 0
     assert blame.last_crash_ms == 2000
 
 
@@ -96,7 +100,7 @@
     assert not find_causes(crashes, served_ms)
     crashes.append(crash(4, OTHER))
     (blame,) = find_causes(crashes, served_ms).values()
-    assert blame.excess_crashes == 0
+    assert blame.late_crashes == 0
 
 
 def test_served_request_does_not_hide_the_cause():
@@ -128,6 +132,93 @@
     assert set(find_causes(crashes, {})) == {CAUSE}
 
 
+def test_part_of_unlike_requests_is_a_cause():
+    crashes = [crash(number, b'%d' % number, PART) for number in range(4)]
+    assert not find_causes(crashes[:3], {})
+    (blame,) = find_causes(crashes, {}).values()
+    assert blame.is_only_suspect
+    assert blame.tied_parts == {PART}
+
+
+def test_part_is_a_cause_whether_or_not_output_had_begun():
+    crashes = [
+        crash(number, b'w%d' % number, streaming=(b'%d' % number, PART))
+        for number in range(4)
+    ]
+    assert PART in find_causes(crashes, {})
+
+
+def test_part_of_one_retried_request_is_no_cause():
+    crashes = [crash(number, CAUSE, PART, SHARED) for number in range(5)]
+    assert set(find_causes(crashes, {})) == {CAUSE}
+
+
+def test_part_of_two_retried_requests_is_the_cause_at_the_fifth_crash():
+    crashes = [crash(number, CAUSE, PART) for number in range(4)]
+    crashes.append(crash(4, OTHER, PART))
+    assert set(find_causes(crashes, {})) == {PART}
+
+
+def test_retried_neighbour_of_a_part_that_crashes_is_no_cause():
+    # A sound request and its retry were at four of five crashes.
+    crashes = [crash(number, b'%d' % number, PART) for number in range(5)]
+    for each in crashes[:4]:
+        each.streaming.add(OTHER)
+        each.silent.add(CAUSE)
+    assert set(find_causes(crashes, {})) == {PART}
+
+
+def test_part_that_was_served_does_not_hide_the_part_that_crashes():
+    crashes = [
+        crash(number, b'%d' % number, PART, POPULAR) for number in range(6)
+    ]
+    assert set(find_causes(crashes, {POPULAR: -1})) == {PART}
+
+
+def test_part_that_turned_bad_is_a_cause_after_five_crashes():
+    served_ms = {PART: 2500, POPULAR: 7500}
+    crashes = [
+        crash(number, b'%d' % number, PART, POPULAR) for number in range(8)
+    ]
+    assert not find_causes(crashes[:7], served_ms)
+    assert set(find_causes(crashes, served_ms)) == {PART}
+
+
+def test_popular_part_is_no_cause_when_half_a_pool_fails():
+    crashes = [
+        crash(number, b'%d' % number, POPULAR, at_ms=number * 10)
+        for number in range(6)
+    ]
+    assert not find_causes(crashes, {POPULAR: -1})
+
+
+def test_parts_that_came_together_are_tied():
+    crashes = [
+        crash(number, b'%d' % number, PART, SHARED) for number in range(4)
+    ]
+    causes = find_causes(crashes, {})
+    assert set(causes) == {PART, SHARED}
+    assert all(each.tied_parts == {PART, SHARED} for each in causes.values())
+    crashes.append(crash(4, b'more', PART))
+    assert set(find_causes(crashes, {})) == {PART}
+
+
+def test_two_parts_that_crash_are_both_found():
+    crashes = [
+        crash(number, b'%d' % number, (PART, SHARED)[number % 2], POPULAR)
+        for number in range(9)
+    ]
+    assert set(find_causes(crashes, {POPULAR: -1})) == {PART, SHARED}
+
+
+def test_request_and_part_that_crash_are_both_found():
+    crashes = [
+        crash(number, CAUSE, SHARED, at_ms=number * 1000) for number in range(3)
+    ]
+    crashes += [crash(9 + number, b'%d' % number, PART) for number in range(4)]
+    assert set(find_causes(crashes, {})) == {CAUSE, PART}
+
+
 def _draw_crash_offsets(rng: random.Random) -> set[int]:
     """Return random offsets of the crashes at which a neighbour is present.
 
--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -18,6 +18,7 @@
 from wingfall.wire.message import build_message
 
 REQUEST = b'0123456789abcdef'
+PART = b'the part'
 SETTLE_TIME_MS = 500
 
 
@@ -112,6 +113,21 @@
     assert known.incomplete is not planned
 
 
+def test_prompt_parts_of_a_crash_reach_other_gateways(
+    gateway_site: GatewaySite,
+):
+    first = gateway_site.start_gateway()
+    second = gateway_site.start_gateway()
+    wait_until(lambda: second._peers.names)
+    seen = crash('e1', at_ms=first._clock.now_ms())
+    seen.silent.add(PART)
+    ledger_of(first).note_crash(seen)
+    wait_until(lambda: ledger_of(second).crashes)
+    assert ledger_of(second).crashes[0].silent == {REQUEST, PART}
+    ledger_of(second).note_served(b'another request!', [PART])
+    wait_until(lambda: PART in ledger_of(first).served_ms)
+
+
 def test_served_request_is_reported(gateway_site: GatewaySite):
     first = gateway_site.start_gateway()
     second = gateway_site.start_gateway()
@@ -151,6 +167,16 @@
     assert exchange.answer_digest(session(), -1, 1).is_empty
 
 
+def test_missed_prompt_parts_are_resent(
+    exchange: CrashExchange, clock: ManualClock
+):
+    clock.advance(SETTLE_TIME_MS)
+    digests = (exchange.recent_digest, 1, exchange.recent_part_digest)
+    assert exchange.answer_digest(session(), *digests).is_empty
+    missed = (exchange.recent_digest, 1, exchange.recent_part_digest + 1)
+    assert not exchange.answer_digest(session(), *missed).is_empty
+
+
 def test_updates_in_transit_are_not_resent(
     exchange: CrashExchange,
 ):
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -8,7 +8,9 @@
 
 from wingfall.clock import ManualClock
 from wingfall.gateway.knowledge.crash_ledger import (
+    MAX_REPORTED_PARTS,
     MAX_REPORTED_SUSPECTS,
+    MAX_SUSPECT_PARTS,
     MAX_SUSPECTS,
     CrashLedger,
 )
@@ -180,7 +182,7 @@
     for number in range(5000):
         ledger.note_served(b'%d' % number)
     assert not ledger.served_ms
-    assert len(ledger._recently_served_ms) == 2048
+    assert len(ledger._recently_served) == 2048
 
 
 @pytest.mark.parametrize(
@@ -222,3 +224,59 @@
     record_crash(ledger, clock, 'e1', b'a')
     ledger.note_gateway_lost('g1')
     assert not ledger.crashes[0].incomplete
+
+
+def parts(count: int, letter: bytes = b'p') -> list[bytes]:
+    """Return the fingerprints of some prompt parts."""
+    return [letter + b'%07d' % number for number in range(count)]
+
+
+def test_flood_of_parts_does_not_hide_a_part_of_other_crashes(
+    ledger: CrashLedger, clock: ManualClock
+):
+    again = b'is again'
+    record_crash(ledger, clock, 'e1', b'r1', again)
+    record_crash(
+        ledger, clock, 'e2', b'r2', again, *parts(MAX_REPORTED_PARTS * 9)
+    )
+    crash = ledger.crashes[1]
+    assert {b'r2', again} <= crash.suspects
+    assert len(crash.suspects) == MAX_REPORTED_PARTS + 1
+
+
+def test_parts_served_lately_give_way_to_others(
+    ledger: CrashLedger, clock: ManualClock
+):
+    popular = parts(30)
+    ledger.note_served(b'r0', popular)
+    unserved = parts(MAX_REPORTED_PARTS, b'q')
+    record_crash(ledger, clock, 'e1', b'r1', *popular, *unserved)
+    assert ledger.crashes[0].suspects == {b'r1', *unserved}
+
+
+def test_parts_of_one_crash_are_bounded(
+    ledger: CrashLedger, clock: ManualClock
+):
+    for part in parts(MAX_SUSPECT_PARTS * 2):
+        record_crash(ledger, clock, 'e1', b'r1', part)
+    assert len(ledger.crashes[0].suspects) == MAX_SUSPECT_PARTS + 1
+
+
+def test_answers_to_prompts_of_many_parts_do_not_replace_others(
+    ledger: CrashLedger, clock: ManualClock
+):
+    popular = b'populous'
+    ledger.note_served(b'r0', [popular])
+    for letter in (b'a', b'b', b'c'):
+        ledger.note_served(b'r1', parts(1000, letter))
+    record_crash(ledger, clock, 'e1', b'r2', popular)
+    assert popular in ledger.served_ms
+
+
+def test_digest_of_requests_is_independent_of_parts(clock: ManualClock):
+    # A gateway of an earlier version knows the requests only.
+    first, second = CrashLedger(clock=clock), CrashLedger(clock=clock)
+    record_crash(first, clock, 'e1', b'a', b'the part')
+    record_crash(second, clock, 'e1', b'a')
+    assert first.recent_digest == second.recent_digest
+    assert first.recent_part_digest != second.recent_part_digest
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -124,12 +124,12 @@
     )
     endpoint = endpoint_at(listener)
     listener.close()
-    watch.note_broken(endpoint, b'waits', None, [b'part-1', b'part-2'])
-    watch.note_broken(endpoint, b'begun', 10, [b'part-1', b'part-3'])
-    watch.note_broken(endpoint, b'has run', 1000, [b'part-4'])
+    watch.note_broken(endpoint, b'waits', None, [b'a part 1', b'a part 2'])
+    watch.note_broken(endpoint, b'begun', 10, [b'a part 1', b'a part 3'])
+    watch.note_broken(endpoint, b'has run', 1000, [b'a part 4'])
     wait_until(lambda: lines)
     parts = [bytes.fromhex(part) for part in lines[0]['parts']]
-    assert parts == [b'part-1', b'part-2', b'part-3']
+    assert parts == [b'a part 1', b'a part 2', b'a part 3']
 
 
 def test_restarted_endpoint_has_crashed(
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -361,7 +361,7 @@
     gateway = gateway_site.add_gateway()
     server.faults = ['error', 'error']
     assert gateway_site.ask('/safe/x').status == 500
-    served = gateway._state.knowledge.crashes._recently_served_ms
+    served = gateway._state.knowledge.crashes._recently_served
     assert not served
     assert gateway_site.ask('/safe/x').status == 200
     assert len(served) == 1
--- a/tests/test_log_trace.py
+++ b/tests/test_log_trace.py
@@ -56,6 +56,20 @@
     assert [each.time_s for each in story] == [10, 20, 90]
 
 
+def test_story_has_the_crashes_that_a_blocked_prompt_part_was_at():
+    lines = (
+        line(10, 'crash: An endpoint has crashed.', parts=['p1', 'p2']),
+        line(11, 'crash: An endpoint has crashed.', parts=['p1']),
+        line(20, 'blocks: A prompt part is blocked.', prompt_part='p2'),
+        line(90, 'refusal: A call was refused.', call='c1', prompt_part='p2'),
+        line(95, 'dispatch: An attempt ended.', call='c2', parts=['p1']),
+    )
+    story = trace_call('c1', read_lines(lines))
+    assert [each.time_s for each in story] == [10, 20, 90]
+    story = trace_call('c2', read_lines(lines))
+    assert [each.time_s for each in story] == [95]
+
+
 def test_command_prints_it(
     tmp_path: pathlib.Path,
     capsys: pytest.CaptureFixture[str],
--- a/tests/test_request_blocks.py
+++ b/tests/test_request_blocks.py
@@ -11,6 +11,10 @@
 
 REQUEST = b'r'
 POPULAR = b'popular'
+# Fingerprints of prompt parts have eight bytes.
+PART = b'the part'
+SHARED = b'is share'
+SYSTEM = b'a system'
 FIRST_TRIAL_MS = 60_000
 SECOND_TRIAL_MS = 600_000
 
@@ -258,3 +262,81 @@
             )
         )
     assert blocks.find_block(b'') is None
+
+
+def record_part_crashes(
+    ledger: CrashLedger, clock: ManualClock, count: int, *parts: bytes
+) -> None:
+    """Record crashes by unlike requests that share some parts."""
+    for _crash in range(count):
+        number = len(ledger.crashes)
+        request = b'r%d' % number
+        record_crash(ledger, clock, f'e{number}', request, *parts)
+        clock.advance(100)
+
+
+def test_unlike_requests_with_a_part_that_crashes_are_refused(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    ledger.note_served(b'before', [SYSTEM])
+    record_part_crashes(ledger, clock, 3, SYSTEM, PART)
+    assert blocks.find_block(b'new', [SYSTEM, PART]) is None
+    record_part_crashes(ledger, clock, 1, SYSTEM, PART)
+    block = blocks.find_block(b'new', [SYSTEM, PART])
+    assert block is not None
+    assert block.cause == PART
+    assert blocks.find_block(b'sound', [SYSTEM, SHARED]) is None
+    assert (blocks.count, blocks.part_count) == (0, 1)
+
+
+def test_prompts_with_one_of_two_tied_parts_are_sent(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    record_part_crashes(ledger, clock, 4, SHARED, PART)
+    clock.advance(1000)
+    assert blocks.find_block(b'new', [SHARED, PART])
+    assert blocks.find_block(b'sound', [SHARED]) is None
+    assert blocks.find_block(b'bad', [PART]) is None
+    # A good answer to one of them shows that the other is the cause.
+    ledger.note_served(b'sound', [SHARED])
+    assert blocks.find_block(b'bad', [PART])
+    assert blocks.find_block(b'sound', [SHARED]) is None
+
+
+def test_crash_with_one_of_two_tied_parts_shows_the_cause(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    record_part_crashes(ledger, clock, 4, SHARED, PART)
+    clock.advance(1000)
+    record_part_crashes(ledger, clock, 1, PART)
+    assert blocks.find_block(b'bad', [PART])
+    assert blocks.find_block(b'sound', [SHARED]) is None
+
+
+def test_blocked_part_gets_two_trials_of_all_requests_in_a_day(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    # More engines than needed crashed before all gateways knew.
+    record_part_crashes(ledger, clock, 12, PART)
+    trials = 0
+    for second in range(20_000):
+        clock.advance(4000)
+        request = b'n%d' % second
+        if blocks.find_block(request, [PART]) is None:
+            blocks.note_sent(request, [PART])
+            assert blocks.find_block(b'beside it', [PART])
+            trials += 1
+            record_crash(ledger, clock, f'tried-{trials}', request, PART)
+    assert trials == 2
+
+
+def test_part_served_in_its_trial_is_unblocked(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    record_part_crashes(ledger, clock, 12, PART)
+    clock.advance(FIRST_TRIAL_MS)
+    assert blocks.find_block(b'trial', [PART]) is None
+    blocks.note_sent(b'trial', [PART])
+    ledger.note_served(b'trial', [PART])
+    assert blocks.find_block(b'next', [PART]) is None
+    assert blocks.part_count == 0
--- a/wingfall/errors.py
+++ b/wingfall/errors.py
@@ -78,7 +78,15 @@
     The fields follow the error body of OpenAI's API, with ``run`` added.
     """
 
-    __slots__ = ('code', 'kind', 'message', 'retry_after_ms', 'run', 'status')
+    __slots__ = (
+        'cause',
+        'code',
+        'kind',
+        'message',
+        'retry_after_ms',
+        'run',
+        'status',
+    )
 
     def __init__(
         self,
@@ -89,6 +97,7 @@
         message: str,
         run: RunState = RunState.not_run,
         retry_after_ms: int | None = None,
+        cause: str | None = None,
     ) -> None:
         """Describe a refusal.
 
@@ -98,6 +107,8 @@
         :param message: sentence for people.
         :param run: whether the call ran.
         :param retry_after_ms: when to ask again, if that is worth it.
+        :param cause: fingerprint of the part of the request that is refused,
+            for logs; None if it is no single part.
         """
         self.status = status
         self.kind = kind
@@ -105,6 +116,7 @@
         self.message = message
         self.run = run
         self.retry_after_ms = retry_after_ms
+        self.cause = cause
 
 
 class WireError(Exception):
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -26,6 +26,9 @@
 # complete. The first event shows the exact end, so this only limits how long
 # other prompts wait for a shared part.
 _PREFILL_TIMEOUT_FACTOR: Final = 2
+# A prompt with this much output has run well so far as its parts are concerned:
+# one that crashes endpoints does so as the output begins.
+_PROVEN_OUTPUT_MS: Final = 500
 # Ends that a crash of the endpoint may have caused.
 _BROKEN_ENDS: Final = frozenset((AttemptEnd.lost, AttemptEnd.cut))
 # Ends after which a plain endpoint is assumed to have begun the request: it
@@ -48,6 +51,7 @@
         '_load_entry',
         '_number',
         '_first_output_ms',
+        '_is_proven',
         '_started_ms',
         '_state',
     )
@@ -83,6 +87,8 @@
         self._started_ms = state.clock.now_ms()
         # Time in milliseconds of the first events of this attempt.
         self._first_output_ms: int | None = None
+        # Whether the output so far was recorded as proof for the parts.
+        self._is_proven = False
         self._gap_watch = TokenGapWatch(
             endpoint=name,
             load=knowledge.load,
@@ -96,6 +102,7 @@
         if self._first_output_ms is None:
             self._first_output_ms = self._state.clock.now_ms()
             self._note_usage(self._first_output_ms)
+        self._note_proof()
         if not self._load_entry.begin_output():
             return
         name, prompt = self._destination.endpoint.name, self._call.head.prompt
@@ -150,6 +157,14 @@
             after_event_id=self._after_event_id,
         )
 
+    def _note_proof(self) -> None:
+        output_ms = self._output_duration_ms() or 0
+        if not self._is_proven and output_ms >= _PROVEN_OUTPUT_MS:
+            self._is_proven = True
+            self._state.knowledge.crashes.note_parts_served(
+                self._call.part_fingerprints,
+            )
+
     def _note_usage(self, started_ms: int) -> None:
         # A call counts once, even if several endpoints run it.
         call, usage = self._call, self._state.usage
@@ -161,17 +176,18 @@
     def _note_crash_evidence(self, outcome: AttemptOutcome) -> None:
         state, endpoint = self._state, self._destination.endpoint
         fingerprint = self._call.fingerprint
+        parts = self._call.part_fingerprints
         is_abandoned = outcome.is_abandoned or outcome.end is AttemptEnd.late
         if outcome.succeeded:
-            state.knowledge.crashes.note_served(fingerprint)
+            state.knowledge.crashes.note_served(fingerprint, parts)
         elif is_abandoned and self._first_output_ms is None:
-            state.crash_detector.note_abandoned(endpoint, fingerprint)
+            state.crash_detector.note_abandoned(endpoint, fingerprint, parts)
         elif outcome.end in _BROKEN_ENDS and not is_abandoned:
             state.crash_detector.note_broken(
                 endpoint,
                 fingerprint,
                 self._output_duration_ms(),
-                self._call.part_fingerprints,
+                parts,
             )
 
     def _output_duration_ms(self) -> int | None:
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -197,12 +197,19 @@
         return defer_call(self._state, self._call, self._pool)
 
     def _refuse_blocked(self) -> Refusal | None:
-        block = self._state.blocks.find_block(self._call.fingerprint)
+        call = self._call
+        block = self._state.blocks.find_block(
+            call.fingerprint, call.part_fingerprints
+        )
         if block is None:
             return None
         if self._reply.started:
             raise ReplyCutError
-        return refuse_blocked(self._run_state, block.retry_after_ms)
+        return refuse_blocked(
+            self._run_state,
+            block.retry_after_ms,
+            call.find_part(block.cause),
+        )
 
     def _admit(self, destination: Destination) -> Result[Destination, Refusal]:
         if self._progress.sent:
@@ -223,7 +230,9 @@
         deferred = defer_attempt(state, self._call, destination)
         if deferred is not None:
             return deferred
-        state.blocks.note_sent(self._call.fingerprint)
+        state.blocks.note_sent(
+            self._call.fingerprint, self._call.part_fingerprints
+        )
         if self._call.origin is not None:
             engines = list_usable(state, self._call, self._pool)
             state.stream_log.note_sent(
--- a/wingfall/gateway/calls/final_answer.py
+++ b/wingfall/gateway/calls/final_answer.py
@@ -55,6 +55,7 @@
         'A call was refused.',
         call=head.call_id,
         request=call.fingerprint.hex() if call else None,
+        prompt_part=refusal.cause,
         route=call.route.name if call else None,
         customer=call.customer.name if call and call.customer else None,
         status=refusal.status,
--- a/wingfall/gateway/calls/intake.py
+++ b/wingfall/gateway/calls/intake.py
@@ -12,7 +12,10 @@
 from returns.result import Failure, Result, Success
 
 from wingfall.gateway.model.call import Call
-from wingfall.gateway.model.fingerprint import make_fingerprint
+from wingfall.gateway.model.fingerprint import (
+    make_fingerprint,
+    make_part_fingerprint,
+)
 from wingfall.gateway.rules.admission.refusals import (
     refuse_no_routes,
     refuse_request,
@@ -84,6 +87,12 @@
                 customer.name if customer else '',
                 body.digest,
             ),
+            part_fingerprints=tuple(
+                map(
+                    make_part_fingerprint,
+                    head.prompt.shared_parts if head.prompt else (),
+                ),
+            ),
             deadline_ms=arrived_ms + left_ms - _NETWORK_DELAY_MS,
             priority=engine_priority(
                 route.tier,
--- a/wingfall/gateway/endpoints/crash_detector.py
+++ b/wingfall/gateway/endpoints/crash_detector.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING, Final, final
 
 import gevent
@@ -15,6 +16,7 @@
 from wingfall.clock import MS_PER_S
 from wingfall.gateway.endpoints.endpoint_probe import closes_connections
 from wingfall.gateway.model.endpoint_crash import EndpointCrash
+from wingfall.gateway.model.fingerprint import is_part
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
@@ -40,12 +42,16 @@
 # Requests, and prompt parts, that the line of a crash lists.
 _MAX_LISTED: Final = 32
 
+# Time, name of the endpoint, and fingerprints of the request and of the parts
+# of its prompt.
+_Abandoned = tuple[int, str, tuple['Fingerprint', ...]]
+
 
 @final
 class _BrokenRequests:
     """Requests that broke at an endpoint since its last check."""
 
-    __slots__ = ('first_broken_ms', 'parts', 'silent', 'streaming')
+    __slots__ = ('first_broken_ms', 'silent', 'streaming')
 
     def __init__(self, *, first_broken_ms: int) -> None:
         """Create an empty collection.
@@ -55,8 +61,6 @@
         self.first_broken_ms = first_broken_ms
         self.silent: set[Fingerprint] = set()
         self.streaming: set[Fingerprint] = set()
-        # Shared prompt parts of both.
-        self.parts: set[Fingerprint] = set()
 
 
 @final
@@ -92,8 +96,8 @@
         self._knowledge = knowledge
         self._metrics = metrics
         self._broken: dict[str, _BrokenRequests] = {}
-        # Requests abandoned before their first output: time, endpoint, request.
-        self._abandoned: list[tuple[int, str, Fingerprint]] = []
+        # Requests abandoned before their first output.
+        self._abandoned: list[_Abandoned] = []
 
     def note_broken(
         self,
@@ -116,27 +120,28 @@
             self._broken[endpoint.name] = broken
             gevent.spawn(self._check_endpoint, endpoint)
         if output_ms is None:
-            broken.silent.add(fingerprint)
-            broken.parts.update(parts)
+            broken.silent.update((fingerprint, *parts))
         elif output_ms < _MAX_SUSPECT_OUTPUT_MS:
-            broken.streaming.add(fingerprint)
-            broken.parts.update(parts)
+            broken.streaming.update((fingerprint, *parts))
 
     def note_abandoned(
         self,
         endpoint: PoolEndpoint,
         fingerprint: Fingerprint,
+        parts: Sequence[Fingerprint] = (),
     ) -> None:
         """Record a request that was abandoned before its first output.
 
         :param endpoint: endpoint at which the request may still start.
         :param fingerprint: the abandoned request.
+        :param parts: parts of its prompt that other prompts may share.
         """
         self._abandoned = self._recently_abandoned()[1 - _MAX_ABANDONED :]
-        abandoned = (self._clock.now_ms(), endpoint.name, fingerprint)
-        self._abandoned.append(abandoned)
+        self._abandoned.append(
+            (self._clock.now_ms(), endpoint.name, (fingerprint, *parts)),
+        )
 
-    def _recently_abandoned(self) -> list[tuple[int, str, Fingerprint]]:
+    def _recently_abandoned(self) -> list[_Abandoned]:
         oldest_ms = self._clock.now_ms() - _ABANDONED_RETENTION_MS
         return [each for each in self._abandoned if each[0] >= oldest_ms]
 
@@ -146,11 +151,9 @@
         broken = self._broken.pop(endpoint.name)
         if not crashed:
             return
-        broken.silent.update(
-            fingerprint
-            for _abandoned_ms, name, fingerprint in self._recently_abandoned()
-            if name == endpoint.name
-        )
+        for _abandoned_ms, name, suspects in self._recently_abandoned():
+            if name == endpoint.name:
+                broken.silent.update(suspects)
         self._knowledge.crashes.note_crash(
             EndpointCrash(
                 endpoint=endpoint.name,
@@ -167,9 +170,11 @@
             endpoint=endpoint.name,
             pool=endpoint.pool,
             seen_ms=self._clock.now_ms() - broken.first_broken_ms,
-            requests=_list_some(broken.silent),
-            streaming=len(broken.streaming),
-            parts=_list_some(broken.parts),
+            requests=_list_some(itertools.filterfalse(is_part, broken.silent)),
+            streaming=sum(not is_part(each) for each in broken.streaming),
+            parts=_list_some(
+                filter(is_part, broken.silent | broken.streaming),
+            ),
         )
 
     def _has_crashed(self, endpoint: PoolEndpoint) -> bool:
--- a/wingfall/gateway/knowledge/crash_ledger.py
+++ b/wingfall/gateway/knowledge/crash_ledger.py
@@ -1,10 +1,11 @@
-"""Endpoint crashes, and the requests that were present at each.
+"""Endpoint crashes, and the suspects that were present at each.
 
-Each gateway sees only some of the crashes that one request causes, since the
-request is retried at any of them; they report crashes to each other (see
+A suspect is a request or a part of prompts, known by its fingerprint. Each
+gateway sees only some of the crashes that a suspect causes, since it comes
+again at any of them; they report crashes to each other (see
 :mod:`wingfall.gateway.peers.crash_exchange`). Owns the crashes, and the
-successful answers that clear suspect requests. Only crashes are stored, so
-requests that crash nothing can't fill the ledger.
+successful answers that clear suspects. Only crashes are stored, so requests
+that crash nothing can't fill the ledger.
 """
 
 from __future__ import annotations
@@ -17,33 +18,42 @@
 
 from wingfall.gateway.knowledge.crash_digests import CrashDigests
 from wingfall.gateway.knowledge.lost_gateways import LostGateways
+from wingfall.gateway.knowledge.recent_answers import RecentAnswers
 from wingfall.gateway.model.endpoint_crash import EndpointCrash
+from wingfall.gateway.model.fingerprint import is_part
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from wingfall.clock import Clock
     from wingfall.gateway.model.fingerprint import Fingerprint
 
 # Stored crashes. Some 170 VMs fail a day at the size expected in two years,
-# with 12,000 endpoints. 3 MB with the maximum number of suspects.
+# with 12,000 endpoints. 9 MB with the maximum number of suspects.
 _MAX_CRASHES: Final = 256
 # Requests stored for one crash: twice the slots of a large engine.
 MAX_SUSPECTS: Final = 128
-# Requests that one gateway reports for one crash, so that a flood of different
-# requests at some gateways leaves capacity for the reports of others.
+# Prompt parts stored for one crash: two for each of these requests.
+MAX_SUSPECT_PARTS: Final = 256
+# Requests, and prompt parts, that one gateway reports for one crash, so that a
+# flood of different requests at some gateways leaves capacity for the reports
+# of others.
 MAX_REPORTED_SUSPECTS: Final = 32
+MAX_REPORTED_PARTS: Final = 64
 # Milliseconds for which a crash is stored: a day, so that a request retried
 # each night crashes no more endpoints than in one night.
 _RETENTION_MS: Final = 86_400_000
 # Milliseconds for which a crash is part of the digest for peers. Many
 # heartbeats, and longer than gateways are disconnected from each other.
 _DIGEST_WINDOW_MS: Final = 60_000
-# Requests whose last successful answer is stored, and its validity in
-# milliseconds. At 50 answers a second that is 40 s of different requests;
-# about 0.4 MB.
+# Requests, and prompt parts, whose last successful answer is stored. At 50
+# answers a second that is 40 s of different requests; about 0.4 MB each.
 _MAX_SERVED_REQUESTS: Final = 2048
-_SERVED_RETENTION_MS: Final = 60_000
+_MAX_SERVED_PARTS: Final = 4096
+# Parts of one prompt whose answer is recorded, so that prompts with hundreds of
+# parts don't replace the parts of others. Parts that many prompts share are
+# among the first.
+_MAX_PARTS_PER_ANSWER: Final = 32
 
 
 @final
@@ -55,9 +65,11 @@
         '_crashes',
         '_last_crash_ms',
         '_lost',
-        '_recently_served_ms',
+        '_recently_served',
+        '_recently_served_parts',
         '_served_ms',
         '_digests',
+        '_part_digests',
         '_unreported_crashes',
         '_unreported_served',
         'updates_available',
@@ -72,13 +84,19 @@
         self._clock = clock
         self._crashes: dict[str, EndpointCrash] = {}
         self._digests = CrashDigests()
+        self._part_digests = CrashDigests()
         self._lost = LostGateways(clock=clock)
         # Time of the last crash of each suspect.
         self._last_crash_ms: dict[Fingerprint, int] = {}
         # Time of the last successful answer to each suspect, by any gateway.
         self._served_ms: dict[Fingerprint, int] = {}
-        # Successful answers of this gateway, the latest last.
-        self._recently_served_ms: dict[Fingerprint, int] = {}
+        # Successful answers of this gateway.
+        self._recently_served = RecentAnswers(
+            clock=clock, max_entries=_MAX_SERVED_REQUESTS
+        )
+        self._recently_served_parts = RecentAnswers(
+            clock=clock, max_entries=_MAX_SERVED_PARTS
+        )
         # Changes not yet reported to peers.
         self._unreported_crashes: dict[str, EndpointCrash] = {}
         self._unreported_served: set[Fingerprint] = set()
@@ -99,9 +117,14 @@
 
     @property
     def recent_digest(self) -> int:
-        """A number equal for gateways with equal recent crashes."""
+        """A number equal for gateways with equal requests at recent crashes."""
         return self._digests.combine(self.recent())
 
+    @property
+    def recent_part_digest(self) -> int:
+        """The same for the prompt parts at recent crashes."""
+        return self._part_digests.combine(self.recent())
+
     def recent(self) -> list[EndpointCrash]:
         """Return the crashes that are part of the digest.
 
@@ -120,7 +143,7 @@
         :param crash: the crash, with this gateway's suspects.
         """
         selected = self._select_suspects(
-            crash, crash.suspects, MAX_REPORTED_SUSPECTS
+            crash, crash.suspects, MAX_REPORTED_SUSPECTS, MAX_REPORTED_PARTS
         )
         added = self.merge_crash(crash.restricted_to(selected))
         if added is not None:
@@ -139,8 +162,13 @@
             return None
         known = self._crashes.get(crash.endpoint)
         suspects = known.suspects if known else set()
-        capacity = MAX_SUSPECTS - len(suspects)
-        new = self._select_suspects(crash, crash.suspects - suspects, capacity)
+        parts = sum(map(is_part, suspects))
+        new = self._select_suspects(
+            crash,
+            crash.suspects - suspects,
+            MAX_SUSPECTS - len(suspects) + parts,
+            MAX_SUSPECT_PARTS - parts,
+        )
         if known is not None and not new:
             return None
         added = crash.restricted_to(new)
@@ -159,29 +187,33 @@
                 crash.incomplete = True
                 self.revision += 1
 
-    def note_served(self, fingerprint: Fingerprint) -> None:
+    def note_served(
+        self,
+        fingerprint: Fingerprint,
+        parts: Sequence[Fingerprint] = (),
+    ) -> None:
         """Record a successful answer of an endpoint.
 
         :param fingerprint: the request.
+        :param parts: parts of its prompt that other prompts may share.
         """
-        now_ms = self._clock.now_ms()
-        self._recently_served_ms.pop(fingerprint, None)
-        self._recently_served_ms[fingerprint] = now_ms
-        if len(self._recently_served_ms) > _MAX_SERVED_REQUESTS:
-            self._recently_served_ms.pop(next(iter(self._recently_served_ms)))
-        crashed_ms = self._last_crash_ms.get(fingerprint)
-        if crashed_ms is None:
-            return
-        # One successful answer after a crash clears the request; further
-        # answers add nothing.
-        if self._served_ms.get(fingerprint, crashed_ms - 1) < crashed_ms:
-            self._set_served(fingerprint, now_ms)
-            self._report_served(fingerprint)
+        self._recently_served.note(fingerprint)
+        self._clear(fingerprint)
+        self.note_parts_served(parts)
+
+    def note_parts_served(self, parts: Sequence[Fingerprint]) -> None:
+        """Record that a prompt with some parts runs well at an endpoint.
+
+        :param parts: parts of the prompt that other prompts may share.
+        """
+        for part in parts[:_MAX_PARTS_PER_ANSWER]:
+            self._recently_served_parts.note(part)
+            self._clear(part)
 
     def merge_served(self, fingerprint: Fingerprint, served_ms: int) -> None:
         """Merge a successful answer that a peer reports.
 
-        :param fingerprint: the request.
+        :param fingerprint: the request, or a part of its prompt.
         :param served_ms: time of the answer, by this gateway's clock.
         """
         if fingerprint in self._last_crash_ms:
@@ -231,23 +263,41 @@
         )
         self._remove(ordered[:excess])
 
+    def _clear(self, suspect: Fingerprint) -> None:
+        crashed_ms = self._last_crash_ms.get(suspect)
+        if crashed_ms is None:
+            return
+        # One successful answer after a crash clears a suspect; further answers
+        # add nothing.
+        if self._served_ms.get(suspect, crashed_ms - 1) < crashed_ms:
+            self._set_served(suspect, self._clock.now_ms())
+            self._report_served(suspect)
+
     def _select_suspects(
         self,
         crash: EndpointCrash,
         suspects: set[Fingerprint],
-        capacity: int,
+        request_capacity: int,
+        part_capacity: int,
     ) -> set[Fingerprint]:
         # Suspects of other crashes first, then in random order, so that a
-        # flood of different requests can't hide a retried request.
+        # flood of different requests can't hide a retried request. Parts that
+        # were served lately come last: most prompts share some.
         ordered = sorted(
             suspects,
             key=lambda each: (
+                self._recently_served_parts.find_ms(each) is not None,
                 each not in self._last_crash_ms,
                 each not in crash.silent,
                 random.random(),  # noqa: S311
             ),
         )
-        return set(ordered[: max(0, capacity)])
+        requests = [each for each in ordered if not is_part(each)]
+        parts = [each for each in ordered if is_part(each)]
+        return {
+            *requests[: max(0, request_capacity)],
+            *parts[: max(0, part_capacity)],
+        }
 
     def _merge(self, known: EndpointCrash | None, added: EndpointCrash) -> None:
         if known is None:
@@ -262,16 +312,20 @@
             merged.incomplete = True
         self.revision += 1
         for suspect in added.suspects:
-            self._digests.add(added.endpoint, suspect)
+            digests = self._part_digests if is_part(suspect) else self._digests
+            digests.add(added.endpoint, suspect)
             self._note_suspect(suspect, added.crashed_ms)
 
     def _note_suspect(self, suspect: Fingerprint, crashed_ms: int) -> None:
         last_ms = self._last_crash_ms.get(suspect, crashed_ms)
         self._last_crash_ms[suspect] = max(last_ms, crashed_ms)
-        served_ms = self._recently_served_ms.get(suspect)
-        if served_ms is None or suspect in self._served_ms:
+        if suspect in self._served_ms:
             return
-        if self._clock.now_ms() - served_ms < _SERVED_RETENTION_MS:
+        answers = self._recently_served
+        if is_part(suspect):
+            answers = self._recently_served_parts
+        served_ms = answers.find_ms(suspect)
+        if served_ms is not None:
             self._set_served(suspect, served_ms)
             self._report_served(suspect)
 
@@ -289,6 +343,7 @@
         for name in endpoints:
             self._crashes.pop(name)
             self._digests.drop(name)
+            self._part_digests.drop(name)
             self._unreported_crashes.pop(name, None)
         remaining = set(
             itertools.chain.from_iterable(
--- a/wingfall/gateway/model/call.py
+++ b/wingfall/gateway/model/call.py
@@ -7,11 +7,8 @@
 
 from typing import TYPE_CHECKING, final
 
-from wingfall.gateway.model.fingerprint import make_part_fingerprint
-
 if TYPE_CHECKING:
-    from wingfall.gateway.model.fingerprint import Fingerprint
-    from wingfall.gateway.model.prompt import Prompt
+    from wingfall.gateway.model.prompt import Prompt, PromptPart
     from wingfall.gateway.model.routes import GatewayCustomer, Route
     from wingfall.gateway.model.stream_origin import StreamOrigin
 
@@ -110,7 +107,8 @@
         arrived_ms: int,
         deadline_ms: int,
         priority: int | None = None,
-        fingerprint: Fingerprint = b'',
+        fingerprint: bytes = b'',
+        part_fingerprints: tuple[bytes, ...] = (),
     ) -> None:
         """Create a call for an accepted request.
 
@@ -124,6 +122,8 @@
             defaults to the route's tier.
         :param fingerprint: equal for retries of the same request; empty if
             the request is not to be tracked.
+        :param part_fingerprints: fingerprints of the shared parts of the
+            prompt, in order.
         """
         self.head = head
         self.body = body
@@ -132,12 +132,7 @@
         self.arrived_ms = arrived_ms
         self.deadline_ms = deadline_ms
         self.fingerprint = fingerprint
-        # Fingerprints of the parts that other prompts may share, in order.
-        self.part_fingerprints: tuple[Fingerprint, ...] = ()
-        if head.prompt is not None:
-            self.part_fingerprints = tuple(
-                map(make_part_fingerprint, head.prompt.shared_parts),
-            )
+        self.part_fingerprints = part_fingerprints
         self.priority = route.tier if priority is None else priority
         # Whether an endpoint is known to have started the run.
         self.run_started = False
@@ -161,3 +156,14 @@
         """Whether a retry is allowed although the request may have run."""
         route = self.route
         return route.resumable if route.streaming else route.repeatable
+
+    def find_part(self, fingerprint: bytes) -> PromptPart | None:
+        """Find a part of the prompt that other prompts may share.
+
+        :param fingerprint: fingerprint of the part.
+        :returns: the part, None if the prompt has no such part.
+        """
+        if fingerprint not in self.part_fingerprints or not self.head.prompt:
+            return None
+        index = self.part_fingerprints.index(fingerprint)
+        return self.head.prompt.shared_parts[index]
--- a/wingfall/gateway/model/endpoint_crash.py
+++ b/wingfall/gateway/model/endpoint_crash.py
@@ -1,4 +1,4 @@
-"""Crash of an endpoint, and the requests that ran there."""
+"""Crash of an endpoint, and the requests and prompt parts that were there."""
 
 from __future__ import annotations
 
@@ -37,8 +37,9 @@
         :param endpoint: name of the incarnation that crashed.
         :param crashed_ms: time of the crash by this gateway's clock.
         :param reported_by: the gateway that reported the crash first.
-        :param silent: requests without output at the crash.
-        :param streaming: requests whose output had just started.
+        :param silent: requests without output at the crash, and the parts
+            of their prompts.
+        :param streaming: the same of requests whose output had just started.
         """
         self.endpoint = endpoint
         self.crashed_ms = crashed_ms
@@ -51,21 +52,21 @@
 
     @property
     def suspects(self) -> set[Fingerprint]:
-        """All requests that may have caused the crash."""
+        """All requests and prompt parts that may have caused the crash."""
         return self.silent | self.streaming
 
     def involves(self, fingerprint: Fingerprint) -> bool:
-        """Check if a request ran at the endpoint.
+        """Check if a request or a prompt part was at the endpoint.
 
-        :param fingerprint: fingerprint of the request.
-        :returns: whether the request is a suspect.
+        :param fingerprint: its fingerprint.
+        :returns: whether it is a suspect.
         """
         return fingerprint in self.silent or fingerprint in self.streaming
 
     def restricted_to(self, suspects: set[Fingerprint]) -> EndpointCrash:
-        """Return a copy of the crash limited to some of its requests.
+        """Return a copy of the crash limited to some of its suspects.
 
-        :param suspects: the requests to retain.
+        :param suspects: the suspects to retain.
         :returns: the copy.
         """
         return EndpointCrash(
--- a/wingfall/gateway/peers/crash_exchange.py
+++ b/wingfall/gateway/peers/crash_exchange.py
@@ -9,10 +9,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, final
+from typing import TYPE_CHECKING, Any, Final, final
 
 from wingfall.gateway.model.endpoint_crash import EndpointCrash
-from wingfall.gateway.model.fingerprint import FINGERPRINT_BYTES
+from wingfall.gateway.model.fingerprint import (
+    FINGERPRINT_BYTES,
+    PART_FINGERPRINT_BYTES,
+)
 from wingfall.gateway.peers.anti_entropy import AntiEntropy
 
 if TYPE_CHECKING:
@@ -23,6 +26,8 @@
     from wingfall.gateway.model.fingerprint import Fingerprint
     from wingfall.gateway.peers.peer_session import PeerSession
 
+_FINGERPRINT_LENGTHS: Final = (FINGERPRINT_BYTES, PART_FINGERPRINT_BYTES)
+
 
 @final
 class CrashUpdates:
@@ -39,9 +44,11 @@
         """Create updates.
 
         :param crashes: for each crash the endpoint, its age in milliseconds,
-            the gateway that reported it first, requests without output,
-            requests whose output had begun.
-        :param served: requests that succeeded, and their ages in milliseconds.
+            the gateway that reported it first, requests without output and
+            the parts of their prompts, the same of requests whose output had
+            begun.
+        :param served: requests that succeeded and the parts of their prompts,
+            and their ages in milliseconds.
         """
         self.crashes = crashes or []
         self.served = served or []
@@ -70,9 +77,14 @@
 
     @property
     def recent_digest(self) -> int:
-        """The digest of the crashes of the last minute."""
+        """The digest of the requests at the crashes of the last minute."""
         return self._ledger.recent_digest
 
+    @property
+    def recent_part_digest(self) -> int:
+        """The same of the prompt parts."""
+        return self._ledger.recent_part_digest
+
     def wait(self) -> None:
         """Wait for entries that this gateway has not sent."""
         self._ledger.updates_available.wait()
@@ -100,20 +112,30 @@
         session: PeerSession,
         peer_digest: int,
         sessions: int,
+        peer_part_digest: int = -1,
     ) -> CrashUpdates:
         """Return the entries that a peer may have missed.
 
         :param session: the session with the peer.
         :param peer_digest: digest of the peer, negative if it sent none.
         :param sessions: number of gateways that receive the digest.
+        :param peer_part_digest: the peer's digest of prompt parts, negative if
+            it sent none.
         :returns: the updates, empty if none were missed or others resend.
         """
         self._anti_entropy.note_state(self._ledger.revision)
-        if not self._anti_entropy.is_due(
-            peer_digest=peer_digest,
-            own_digest=self._ledger.recent_digest,
-            resent_ms=session.crashes_resent_ms,
-            sessions=sessions,
+        digests = (
+            (peer_digest, self._ledger.recent_digest),
+            (peer_part_digest, self._ledger.recent_part_digest),
+        )
+        if not any(
+            self._anti_entropy.is_due(
+                peer_digest=peer,
+                own_digest=own,
+                resent_ms=session.crashes_resent_ms,
+                sessions=sessions,
+            )
+            for peer, own in digests
         ):
             return CrashUpdates()
         session.crashes_resent_ms = self._clock.now_ms()
@@ -173,4 +195,5 @@
 
 
 def _decode_fingerprints(encoded: Iterable[bytes]) -> set[Fingerprint]:
-    return {each for each in encoded if len(each) == FINGERPRINT_BYTES}
+    # Gateways of earlier versions take the requests only.
+    return {each for each in encoded if len(each) in _FINGERPRINT_LENGTHS}
--- a/wingfall/gateway/peers/heartbeat_writer.py
+++ b/wingfall/gateway/peers/heartbeat_writer.py
@@ -101,4 +101,5 @@
             readings=activity.readings,
             work=activity.work,
             gaps=activity.gaps,
+            part_digest=self._updates.part_digest,
         )
--- a/wingfall/gateway/peers/update_exchange.py
+++ b/wingfall/gateway/peers/update_exchange.py
@@ -72,6 +72,11 @@
         """The digest of the crashes of the last minute."""
         return self._crashes.recent_digest
 
+    @property
+    def part_digest(self) -> int:
+        """The digest of the prompt parts at these crashes."""
+        return self._crashes.recent_part_digest
+
     @property
     def signal_digest(self) -> int:
         """The digest of the recent signals of endpoints."""
@@ -127,7 +132,10 @@
         )
         return PeerUpdates(
             crashes=self._crashes.answer_digest(
-                session, heartbeat.crash_digest, sessions
+                session,
+                heartbeat.crash_digest,
+                sessions,
+                heartbeat.part_digest,
             ),
             signals=self._signals.answer_digest(
                 session, heartbeat.signal_digest, sessions
--- a/wingfall/gateway/rules/admission/refusals.py
+++ b/wingfall/gateway/rules/admission/refusals.py
@@ -7,11 +7,19 @@
 from __future__ import annotations
 
 import http
+from typing import TYPE_CHECKING, Final
 
 from wingfall.errors import Refusal, RunState
 from wingfall.gateway.model.attempt_end import AttemptEnd
+from wingfall.gateway.model.fingerprint import make_part_fingerprint
 from wingfall.gateway.rules.admission.retry_after import retry_after_unknown_ms
 
+if TYPE_CHECKING:
+    from wingfall.gateway.model.prompt import PromptPart
+
+# Characters of the id of a prompt part in a message; callers choose the ids.
+_MAX_PART_ID: Final = 64
+
 
 def refuse_after(end: AttemptEnd, run: RunState, left_ms: int) -> Refusal:
     """Return the refusal of a call that is abandoned.
@@ -86,14 +94,27 @@
     )
 
 
-def refuse_blocked(run: RunState, retry_after_ms: int) -> Refusal:
+def refuse_blocked(
+    run: RunState,
+    retry_after_ms: int,
+    part: PromptPart | None = None,
+) -> Refusal:
     """Return the refusal of a request that crashes endpoints.
 
     :param run: whether this call of the request may have run.
     :param retry_after_ms: milliseconds after which the request may be retried.
+    :param part: the part of its prompt that does so, None if it is the request.
     :returns: the refusal.
     """
     not_run = run is RunState.not_run
+    code = 'request_crashes_endpoints'
+    message = 'Endpoints crash when they run this request.'
+    if part is not None:
+        code = 'prompt_part_crashes_endpoints'
+        message = (
+            'Endpoints crash when they run a prompt with the part'
+            f' {part.part_id[:_MAX_PART_ID]}.'
+        )
     return Refusal(
         status=(
             http.HTTPStatus.SERVICE_UNAVAILABLE
@@ -101,10 +122,11 @@
             else http.HTTPStatus.BAD_GATEWAY
         ),
         kind='endpoint',
-        code='request_crashes_endpoints',
-        message='Endpoints crash when they run this request.',
+        code=code,
+        message=message,
         run=run,
         retry_after_ms=retry_after_ms if not_run else None,
+        cause=part and make_part_fingerprint(part).hex(),
     )
 
 
--- a/wingfall/gateway/rules/crashes/request_blocks.py
+++ b/wingfall/gateway/rules/crashes/request_blocks.py
@@ -1,8 +1,9 @@
-"""Blocking of requests that crash the endpoints that run them.
+"""Blocking of requests and prompt parts that crash the endpoints that run them.
 
 All other limits apply to one call at one gateway. Such a request is retried as
-another call at another gateway, so its limit applies to the request itself and
-uses the crashes that all gateways have seen.
+another call at another gateway, and such a part comes in requests of which no
+two are alike. So the limit applies to the request or the part itself and uses
+the crashes that all gateways have seen.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import hashlib
 from typing import TYPE_CHECKING, Final, final
 
+from wingfall.gateway.model.fingerprint import is_part
 from wingfall.gateway.rules.crashes.crash_evidence import (
     CrashEvidence,
     find_causes,
@@ -17,21 +19,21 @@
 from wingfall.log import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from wingfall.clock import Clock
     from wingfall.gateway.knowledge.crash_ledger import CrashLedger
     from wingfall.gateway.model.fingerprint import Fingerprint
 
-# Milliseconds from the last crash to a trial of a blocked request, indexed by
-# the crashes beyond those that blocked it: times for a restart and for a manual
-# repair. A request that was blocked wrongly, or whose fault is gone, is soon
-# served again; a request that crashes endpoints crashes at most two more.
+# Milliseconds from the last crash to a trial of a blocked request or part,
+# indexed by the crashes after all gateways had blocked it: times for a restart
+# and for a manual repair. What was blocked wrongly, or whose fault is gone, is
+# soon served again; what crashes endpoints crashes at most two more.
 _TRIAL_DELAYS_MS: Final = (60_000, 600_000)
-# Milliseconds for which requests are still sent that were at the same crashes,
+# Milliseconds for which suspects are still sent that were at the same crashes,
 # or at a crash where unknown requests may have been: a successful answer or the
 # next crash distinguishes them. A third of the three seconds within which all
-# gateways must block the request.
+# gateways must block the cause.
 _DECISION_DELAY_MS: Final = 1000
 # Retry delay in milliseconds sent to a caller if there is no further trial: the
 # longest of the above.
@@ -44,21 +46,29 @@
 class RequestBlock:
     """The reason why a request is not sent to an endpoint."""
 
-    __slots__ = ('evidence', 'retry_after_ms')
+    __slots__ = ('cause', 'evidence', 'retry_after_ms')
 
-    def __init__(self, *, evidence: CrashEvidence, retry_after_ms: int) -> None:
+    def __init__(
+        self,
+        *,
+        cause: Fingerprint,
+        evidence: CrashEvidence,
+        retry_after_ms: int,
+    ) -> None:
         """Initialize a block.
 
-        :param evidence: evidence that the request crashes endpoints.
+        :param cause: the request, or the part of its prompt, that is blocked.
+        :param evidence: evidence that it crashes endpoints.
         :param retry_after_ms: milliseconds until the next trial.
         """
+        self.cause = cause
         self.evidence = evidence
         self.retry_after_ms = retry_after_ms
 
 
 @final
 class RequestBlocks:
-    """Blocks requests that crash endpoints and schedules their trials."""
+    """Blocks what crashes endpoints and schedules the trials of it."""
 
     __slots__ = (
         '_causes',
@@ -85,13 +95,18 @@
         self._gateways = {name}
         self._revision = ledger.revision
         self._causes: dict[Fingerprint, CrashEvidence] = {}
-        # Time of the last trial of a blocked request by this gateway.
+        # Time of the last trial of a blocked suspect by this gateway.
         self._last_trial_ms: dict[Fingerprint, int] = {}
 
     @property
     def count(self) -> int:
         """Number of blocked requests."""
-        return len(self._find_causes())
+        return sum(not is_part(each) for each in self._find_causes())
+
+    @property
+    def part_count(self) -> int:
+        """Number of blocked prompt parts."""
+        return sum(map(is_part, self._find_causes()))
 
     def set_peers(self, names: Iterable[str]) -> None:
         """Set the gateways among which trials are assigned.
@@ -100,37 +115,65 @@
         """
         self._gateways = {self._name, *names}
 
-    def find_block(self, fingerprint: Fingerprint) -> RequestBlock | None:
+    def find_block(
+        self,
+        fingerprint: Fingerprint,
+        parts: Sequence[Fingerprint] = (),
+    ) -> RequestBlock | None:
         """Return the block of a request.
 
         :param fingerprint: the request.
+        :param parts: parts of its prompt that other prompts may share.
         :returns: the block, None if the request may be sent.
         """
-        evidence = self._find_causes().get(fingerprint)
-        if evidence is None or not fingerprint or self._is_undecided(evidence):
-            return None
-        wait_ms = self._trial_wait_ms(fingerprint, evidence)
-        if wait_ms == 0:
-            return None
-        return RequestBlock(
-            evidence=evidence, retry_after_ms=wait_ms or _NO_TRIAL_RETRY_MS
-        )
+        for cause, evidence in self._list_causes(fingerprint, parts):
+            wait_ms = self._trial_wait_ms(cause, evidence)
+            if wait_ms != 0:
+                return RequestBlock(
+                    cause=cause,
+                    evidence=evidence,
+                    retry_after_ms=wait_ms or _NO_TRIAL_RETRY_MS,
+                )
+        return None
 
-    def note_sent(self, fingerprint: Fingerprint) -> None:
+    def note_sent(
+        self,
+        fingerprint: Fingerprint,
+        parts: Sequence[Fingerprint] = (),
+    ) -> None:
         """Record that a request is sent; for a blocked one this is a trial.
 
         :param fingerprint: the request.
+        :param parts: parts of its prompt that other prompts may share.
         """
-        evidence = self._find_causes().get(fingerprint)
-        if evidence is not None and not self._is_undecided(evidence):
-            self._last_trial_ms[fingerprint] = self._clock.now_ms()
+        for cause, evidence in self._list_causes(fingerprint, parts):
+            self._last_trial_ms[cause] = self._clock.now_ms()
             log_event(
                 'blocks',
                 'A blocked request is tried once more.',
                 request=fingerprint.hex(),
+                prompt_part=cause.hex() if is_part(cause) else None,
                 crashes=len(evidence.crashes),
             )
 
+    def _list_causes(
+        self, fingerprint: Fingerprint, parts: Sequence[Fingerprint]
+    ) -> list[tuple[Fingerprint, CrashEvidence]]:
+        # The decided causes that concern a request. Parts with equal evidence
+        # are not told apart until a prompt with only some of them has run, so
+        # that only prompts with all of them are blocked.
+        known = self._find_causes()
+        if not known or not fingerprint:
+            return []
+        held = set(parts)
+        return [
+            (suspect, known[suspect])
+            for suspect in (fingerprint, *parts)
+            if suspect in known
+            and known[suspect].tied_parts <= held
+            and not self._is_undecided(suspect, known[suspect])
+        ]
+
     def _find_causes(self) -> dict[Fingerprint, CrashEvidence]:
         if self._revision == self._ledger.revision:
             return self._causes
@@ -147,13 +190,15 @@
         self._log_changes(previous)
         return self._causes
 
-    def _is_undecided(self, evidence: CrashEvidence) -> bool:
+    def _is_undecided(
+        self, suspect: Fingerprint, evidence: CrashEvidence
+    ) -> bool:
         if evidence.is_only_suspect and self._is_conclusive(evidence):
             return False
         # Later incomplete crashes don't count, so that repeated gateway losses
         # can't postpone the block.
         since_ms = evidence.identified_ms
-        if not evidence.is_only_suspect:
+        if not evidence.is_only_suspect and not is_part(suspect):
             since_ms = max(since_ms, evidence.last_complete_crash_ms)
         return self._clock.now_ms() - since_ms < _DECISION_DELAY_MS
 
@@ -164,50 +209,66 @@
         )
 
     def _trial_wait_ms(
-        self, fingerprint: Fingerprint, evidence: CrashEvidence
+        self, cause: Fingerprint, evidence: CrashEvidence
     ) -> int | None:
-        if evidence.excess_crashes >= len(_TRIAL_DELAYS_MS):
+        if evidence.late_crashes >= len(_TRIAL_DELAYS_MS):
             return None
-        wait_ms = _TRIAL_DELAYS_MS[evidence.excess_crashes]
-        last_trial_ms = self._last_trial_ms.get(
-            fingerprint, evidence.last_crash_ms
-        )
+        wait_ms = _TRIAL_DELAYS_MS[evidence.late_crashes]
+        last_trial_ms = self._last_trial_ms.get(cause, evidence.last_crash_ms)
         since_ms = max(last_trial_ms, evidence.last_crash_ms)
         remaining_ms = since_ms + wait_ms - self._clock.now_ms()
         if remaining_ms > 0:
             return remaining_ms
-        return 0 if self._is_trial_owner(fingerprint) else wait_ms
+        return 0 if self._is_trial_owner(cause) else wait_ms
 
-    def _is_trial_owner(self, fingerprint: Fingerprint) -> bool:
+    def _is_trial_owner(self, cause: Fingerprint) -> bool:
         # Connected gateways all choose the same gateway for the trial.
         return self._name == max(
             self._gateways,
             key=lambda name: hashlib.blake2b(
-                name.encode() + fingerprint,
+                name.encode() + cause,
                 digest_size=_RANK_HASH_BYTES,
             ).digest(),
         )
 
     def _log_changes(self, previous: dict[Fingerprint, CrashEvidence]) -> None:
-        now_ms = self._clock.now_ms()
-        for fingerprint in self._causes.keys() - previous.keys():
-            crashes = self._causes[fingerprint].crashes
-            log_event(
-                'blocks',
-                'A request is blocked: it ends the endpoints that run it.',
-                request=fingerprint.hex(),
-                alone=self._causes[fingerprint].is_only_suspect,
-                certain=self._causes[fingerprint].is_certain,
-                crashes=len(crashes),
-                endpoints=[crash.endpoint for crash in crashes],
-                ages_ms=[now_ms - crash.crashed_ms for crash in crashes],
-                told_by=sorted({crash.reported_by for crash in crashes}),
-            )
-        for fingerprint in previous.keys() - self._causes.keys():
-            self._last_trial_ms.pop(fingerprint, None)
+        for cause in self._causes.keys() - previous.keys():
+            self._log_block(cause, self._causes[cause])
+        for cause in previous.keys() - self._causes.keys():
+            self._last_trial_ms.pop(cause, None)
             log_event(
                 'blocks',
-                'A request is blocked no longer.',
-                request=fingerprint.hex(),
-                served=fingerprint in self._ledger.served_ms,
+                (
+                    'A prompt part is blocked no longer.'
+                    if is_part(cause)
+                    else 'A request is blocked no longer.'
+                ),
+                **_name_cause(cause),
+                served=cause in self._ledger.served_ms,
             )
+
+    def _log_block(self, cause: Fingerprint, evidence: CrashEvidence) -> None:
+        crashes, now_ms = evidence.crashes, self._clock.now_ms()
+        log_event(
+            'blocks',
+            (
+                'A prompt part is blocked: it ends the endpoints that run it.'
+                if is_part(cause)
+                else 'A request is blocked: it ends the endpoints that run it.'
+            ),
+            **_name_cause(cause),
+            alone=evidence.is_only_suspect,
+            tied_parts=sorted(
+                part.hex() for part in evidence.tied_parts - {cause}
+            ),
+            certain=evidence.is_certain,
+            crashes=len(crashes),
+            endpoints=[crash.endpoint for crash in crashes],
+            ages_ms=[now_ms - crash.crashed_ms for crash in crashes],
+            told_by=sorted({crash.reported_by for crash in crashes}),
+        )
+
+
+def _name_cause(cause: Fingerprint) -> dict[str, str]:
+    name = 'prompt_part' if is_part(cause) else 'request'
+    return {name: cause.hex()}
--- a/wingfall/gateway/status.py
+++ b/wingfall/gateway/status.py
@@ -37,6 +37,7 @@
         'peers': list(peers),
         'calls': calls,
         'blocked_requests': state.blocks.count,
+        'blocked_prompt_parts': state.blocks.part_count,
         'limited_endpoints': state.gate.status(),
         'leaving_endpoints': sorted(signals.leaving),
         'resting_endpoints': signals.rests.resting_names,
--- a/wingfall/log_trace.py
+++ b/wingfall/log_trace.py
@@ -76,7 +76,8 @@
     :returns: the call's own lines, and of the gateways that served it those
         on its endpoints, the store and peers some seconds around it and the
         last configuration before; of all gateways those on crashes that its
-        request was at and on its being blocked; in the order of their times.
+        request, or a part of its prompt that was blocked, was at and on the
+        block; in the order of their times.
     """
     known = sorted(lines, key=_by_time)
     own = [line for line in known if line.fields.get('call') == call_id]
@@ -90,19 +91,35 @@
         and line.process == own[0].process
         and line.time_s <= own[0].time_s
     ]
-    crashes = [line for line in known if _is_on_crashes(line, own)]
+    suspects = _list_suspects(known, own)
+    crashes = [line for line in known if _is_on_crashes(line, suspects)]
     chosen = {
         id(line): line for line in last_config[-1:] + own + beliefs + crashes
     }
     return sorted(chosen.values(), key=_by_time)
 
 
-def _is_on_crashes(line: LogLine, own: list[LogLine]) -> bool:
+def _list_suspects(known: list[LogLine], own: list[LogLine]) -> set[str]:
+    # The request, and those parts of its prompt that were ever blocked: most
+    # prompts share some part with others at every crash.
+    parts = {part for each in own for part in each.fields.get('parts', ())}
+    parts.update(str(each.fields.get('prompt_part')) for each in own)
+    blocked = {str(each.fields.get('prompt_part')) for each in known}
+    requests = {each.fields.get('request') for each in own}
+    return (parts & blocked | requests) - {None, 'None', ''}
+
+
+def _is_on_crashes(line: LogLine, suspects: set[str]) -> bool:
     if not line.message.startswith(_CRASHES):
         return False
-    named = {line.fields.get('request'), *line.fields.get('requests', ())}
-    requests = {each.fields.get('request') for each in own}
-    return not named.isdisjoint(requests - {None, ''})
+    fields = line.fields
+    named = {
+        fields.get('request'),
+        fields.get('prompt_part'),
+        *fields.get('requests', ()),
+        *fields.get('parts', ()),
+    }
+    return not named.isdisjoint(suspects)
 
 
 def _parse(text: str) -> Any:
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -73,6 +73,7 @@
     list,
     list,
     list,
+    int,
 )
 class GatewayHeartbeat(Message):
     """What a gateway tells its peers some times a second."""
@@ -97,6 +98,7 @@
         'readings',
         'work',
         'gaps',
+        'part_digest',
     )
 
     def __init__(
@@ -121,6 +123,7 @@
         readings: list[list[Any]] | None = None,
         work: list[list[Any]] | None = None,
         gaps: list[list[Any]] | None = None,
+        part_digest: int = -1,
     ) -> None:
         """Tell the state.
 
@@ -141,9 +144,10 @@
         :param reach: how many other availability zones the sender hears.
         :param crashes: endpoints that crashed: name, age in milliseconds, the
             gateway that told first, fingerprints of the requests there
-            without output, and of those whose output had begun.
-        :param served: fingerprints of requests beside a crash that were
-            answered well, and how many milliseconds ago.
+            without output, and of those whose output had begun, each with
+            those of the parts of their prompts.
+        :param served: fingerprints of requests and prompt parts beside a
+            crash that were answered well, and how many milliseconds ago.
         :param crash_digest: the same number for gateways that know the same
             crashes of the last minute; -1 from a program that knows none.
         :param duties: empty if nothing is told of them, else the last window
@@ -166,6 +170,9 @@
             for, tokens of those that were sent to an engine.
         :param gaps: the longest gaps of streams beside reads that never ended:
             name of the engine, then milliseconds, one number a stream.
+        :param part_digest: the same number for gateways that know the same
+            prompt parts at crashes of the last minute; -1 from a program that
+            knows none.
         """
         self.revisions = revisions
         self.loads = loads
@@ -186,6 +193,7 @@
         self.readings = readings or []
         self.work = work or []
         self.gaps = gaps or []
+        self.part_digest = part_digest
 
 
 @final
