Split events whose lines end with CR or CRLF wherever a read ends

What callers saw: an event of a stream with CRLF came only with the next one where a read of the gateway ended between CR and LF, the last one as a cut stream; or a lone CR was passed on inside an event. Streams with CR alone gave no event. Cause: CRLF was replaced in each read by itself. Change: a read that begins with LF after one that ended with CR drops it; CR is a line end as LF is.

--- a/wingfall/gateway/endpoints/event_stream.py
+++ b/wingfall/gateway/endpoints/event_stream.py
@@ -1,7 +1,8 @@
 """Splitting of an event stream into complete events.
 
 The bytes of an incomplete event are never passed on, so that another endpoint
-can continue the stream after its last complete event.
+can continue the stream after its last complete event. Lines may end with CR, LF
+or both; they are passed on with LF.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 class EventSplitter:
     """Buffers the bytes of an event until the event is complete."""
 
-    __slots__ = ('_buffer', 'last_event_id')
+    __slots__ = ('_buffer', '_ended_with_cr', 'last_event_id')
 
     def __init__(self, *, last_event_id: str | None = None) -> None:
         """Create a splitter with an empty buffer.
@@ -24,6 +25,8 @@
         :param last_event_id: ID of the last event that was passed on.
         """
         self._buffer = b''
+        # Whether the bytes so far ended with CR; LF may follow.
+        self._ended_with_cr = False
         self.last_event_id = last_event_id
 
     @property
@@ -37,7 +40,7 @@
         :param received: next bytes of the stream.
         :returns: complete events, empty if there are none yet.
         """
-        self._buffer += received.replace(b'\r\n', b'\n')
+        self._buffer += self._decode_line_ends(received)
         complete, separator, partial = self._buffer.rpartition(_EVENT_END)
         if not separator:
             return b''
@@ -45,6 +48,14 @@
         self._update_last_event_id(complete)
         return complete + separator
 
+    def _decode_line_ends(self, received: bytes) -> bytes:
+        if self._ended_with_cr and received:
+            received = received.removeprefix(b'\n')
+            self._ended_with_cr = False
+        if received:
+            self._ended_with_cr = received.endswith(b'\r')
+        return received.replace(b'\r\n', b'\n').replace(b'\r', b'\n')
+
     def _update_last_event_id(self, complete: bytes) -> None:
         for line in reversed(complete.split(b'\n')):
             if line.startswith(_ID_FIELD):
