Take an answer that a crash ends for broken off, also without length or chunks

What callers saw: a stream without length or chunks of an engine that crashed between two events came as whole, without its last events; the answer also cleared the prompt, so that its part was never blocked. Cause: the end of the connection was taken for the end of the answer, whatever had become of the endpoint. Change: after such an answer the endpoint is checked as after a broken connection. If it has crashed the answer is broken off: a stream goes on at another endpoint or is cut. An endpoint that leaves as planned has not crashed.

--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -35,6 +35,11 @@
         'bad_parts': f'aa:200,bb:100,{CRASH_PART}:50',
         'after_events': 1,
     },
+    'answers without length': {
+        'bad_parts': f'aa:200,{CRASH_PART}:50,bb:100',
+        'after_events': 1,
+        'unframed': True,
+    },
     'the first part of all': {
         'bad_parts': f'aa:200,{CRASH_PART}:50',
         'sound_parts': ('aa:200,bb:100',),
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -35,10 +35,8 @@
     # A read that ends between CR and LF held the event back.
     splitter = EventSplitter()
     event = line_end.join((b'id: 1', b'data: x', b'', b''))
-    passed_on = b''
-    for byte in event:
-        passed_on += splitter.feed(bytes((byte,)))
-    assert passed_on == b'id: 1\ndata: x\n\n'
+    passed_on = [splitter.feed(bytes((byte,))) for byte in event]
+    assert b''.join(passed_on) == b'id: 1\ndata: x\n\n'
 
 
 @pytest.mark.parametrize('end', [b'', b'\n', b'\r', b'\r\n'])
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from standins.pool_server import Run
+from standins.prompt_crash import PromptCrash
 from tests.gateway_site import GatewaySite, caches_part, route
 from tests.local_site import wait_until
 
@@ -41,6 +43,58 @@
     assert parse_event_ids(answer.body) == [1, 2, 3]
 
 
+def test_stream_without_length_ends_with_its_connection(
+    engine_site: GatewaySite,
+):
+    for server in engine_site.servers.values():
+        server.unframed_streams = True
+    answer = engine_site.ask('/stream/x', method='POST', **PROMPT)
+    assert answer.whole
+    assert parse_event_ids(answer.body) == [1, 2, 3]
+
+
+@pytest.mark.parametrize('after_events', [1, 2])
+def test_stream_without_length_of_an_engine_that_crashes_goes_on(
+    engine_site: GatewaySite, after_events: int
+):
+    # The connection of the first engine ends between two events.
+    first = arm_first_engine(engine_site, after_events)
+    answer = engine_site.ask('/stream/x', method='POST', **PROMPT)
+    assert answer.whole
+    assert parse_event_ids(answer.body) == [1, 2, 3]
+    assert len(first) == 1
+
+
+def test_stream_without_length_that_a_crash_cuts_does_not_look_whole(
+    engine_site: GatewaySite,
+):
+    arm_first_engine(engine_site, 1)
+    answer = engine_site.ask('/oneway/x', method='POST', **PROMPT)
+    assert not answer.whole
+    assert parse_event_ids(answer.body) == [1]
+
+
+def arm_first_engine(site: GatewaySite, after_events: int) -> list[str]:
+    """Have the engine that runs the next prompt crash after some events.
+
+    :returns: ids of the requests that crash it, filled as they do.
+    """
+    crashed = []
+
+    def note_crash(run: Run) -> None:
+        crashed.append(run.call_id)
+        for server in site.servers.values():
+            server.prompt_crash = PromptCrash()
+
+    for server in site.servers.values():
+        server.unframed_streams = True
+        server.prompt_crash = PromptCrash(
+            parts=('aa',), after_events=after_events, closes=True
+        )
+        server.on_crash = note_crash
+    return crashed
+
+
 def test_events_are_forwarded_as_they_arrive(engine_site: GatewaySite):
     for server in engine_site.servers.values():
         server.event_ms = 150
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -40,6 +40,10 @@
     from wingfall.gateway.model.call import Call, Headers
 
 _EVENT_STREAM: Final = b'text/event-stream'
+_FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
+_BODILESS_STATUSES: Final = frozenset(
+    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED),
+)
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout=(\d+)')
 # Limits the memory of a buffered answer. Twice the largest request body.
 _MAX_ANSWER_BYTES: Final = 8_388_608
@@ -55,6 +59,7 @@
         '_connection',
         '_connections',
         '_destination',
+        '_has_crashed',
         '_may_send',
         '_now_ms',
         '_on_output',
@@ -75,6 +80,7 @@
         on_output: Callable[[], None],
         on_signals: Callable[[AnswerSignals, int], None],
         may_send: Callable[[], bool],
+        has_crashed: Callable[[], bool],
     ) -> None:
         """Create an attempt that is not sent yet.
 
@@ -88,6 +94,7 @@
         :param on_signals: called with the endpoint's signals in an answer and
             the time in milliseconds at which the request was sent.
         :param may_send: checks if the endpoint may serve the call now.
+        :param has_crashed: checks if the endpoint has crashed.
         """
         self._call = call
         self._destination = destination
@@ -98,6 +105,7 @@
         self._on_output = on_output
         self._on_signals = on_signals
         self._may_send = may_send
+        self._has_crashed = has_crashed
         self._sent_ms = 0
         self._connection: EndpointConnection | None = None
 
@@ -196,6 +204,7 @@
             size += len(event.data)
             if size > _MAX_ANSWER_BYTES:
                 raise BrokenAnswerError('the answer is too large')
+        self._check_end(response)
         self._release_connection()
         answer = BufferedAnswer(
             status=response.status_code,
@@ -226,9 +235,17 @@
                 self._forward_events(response, events, splitter.last_event_id)
         if splitter.has_partial_event or not self._reply.started:
             raise BrokenAnswerError('the stream ended inside an event')
+        self._check_end(response)
         self._release_connection()
         return AttemptOutcome(end=AttemptEnd.answered, reason='stream')
 
+    def _check_end(self, response: h11.Response) -> None:
+        # Without a length or chunks, an answer that a crash cut off looks like
+        # a whole one.
+        method = self._call.head.method
+        if _ends_with_connection(method, response) and self._has_crashed():
+            raise BrokenAnswerError('the endpoint crashed as the answer ended')
+
     def _check_version(self, *, is_first: bool) -> None:
         # The endpoint may have started again as another version under its id
         # before it received the request.
@@ -286,6 +303,13 @@
     )
 
 
+def _ends_with_connection(method: bytes, response: h11.Response) -> bool:
+    if method == b'HEAD' or response.status_code in _BODILESS_STATUSES:
+        return False
+    names = {name for name, _text in response.headers}
+    return names.isdisjoint(_FRAMING_HEADERS)
+
+
 def _classify_answer(head: AnswerHead) -> AttemptEnd:
     if head.not_run:
         return AttemptEnd.not_run
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -261,6 +261,9 @@
             may_send=functools.partial(
                 may_serve, state, self._call, destination.endpoint
             ),
+            has_crashed=functools.partial(
+                state.crash_detector.has_crashed, destination.endpoint
+            ),
         )
         outcome = AttemptOutcome(
             end=AttemptEnd.cut,
--- a/wingfall/gateway/endpoints/crash_detector.py
+++ b/wingfall/gateway/endpoints/crash_detector.py
@@ -141,13 +141,28 @@
             (self._clock.now_ms(), endpoint.name, (fingerprint, *parts)),
         )
 
+    def has_crashed(self, endpoint: PoolEndpoint) -> bool:
+        """Check if an endpoint has crashed that has just closed a connection.
+
+        :param endpoint: the endpoint; one that leaves as planned has not.
+        :returns: whether it has ended with all requests on it.
+        """
+        gevent.sleep(_COLLECTION_DELAY_MS / MS_PER_S)
+        listed = self._knowledge.table.find(endpoint.name)
+        if listed is not None and listed.draining:
+            return False
+        if endpoint.name in self._knowledge.signals.leaving:
+            return False
+        if self._knowledge.incarnations.is_superseded(endpoint):
+            return True
+        return closes_connections(endpoint)
+
     def _recently_abandoned(self) -> list[_Abandoned]:
         oldest_ms = self._clock.now_ms() - _ABANDONED_RETENTION_MS
         return [each for each in self._abandoned if each[0] >= oldest_ms]
 
     def _check_endpoint(self, endpoint: PoolEndpoint) -> None:
-        gevent.sleep(_COLLECTION_DELAY_MS / MS_PER_S)
-        crashed = self._has_crashed(endpoint)
+        crashed = self.has_crashed(endpoint)
         broken = self._broken.pop(endpoint.name)
         if not crashed:
             return
@@ -177,16 +192,6 @@
             ),
         )
 
-    def _has_crashed(self, endpoint: PoolEndpoint) -> bool:
-        listed = self._knowledge.table.find(endpoint.name)
-        if listed is not None and listed.draining:
-            return False
-        if endpoint.name in self._knowledge.signals.leaving:
-            return False
-        if self._knowledge.incarnations.is_superseded(endpoint):
-            return True
-        return closes_connections(endpoint)
-
 
 def _list_some(fingerprints: Iterable[Fingerprint]) -> list[str]:
     return sorted(each.hex() for each in fingerprints)[:_MAX_LISTED]
