Soak: callers whose prompts share a part that crashes engines

Promises: at most three prompts with a part are sent later than three seconds after its fifth crash; none without it is refused for it; sound prompts begin half as often as outside the crashes. The crashes of engines have a module of their own, which the mode of crashing requests shares.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 
 from tools.fleet import ChildEndedError, Process, free_port
 from tools.soak.crashes import CrashingCaller
+from tools.soak.engine_crashes import EngineCrashes
 from tools.soak.faults import reload_gateway
 from tools.soak.running_faults import RunningFaults
 from tools.soak.site import SoakSite
@@ -46,6 +47,10 @@
 # of two versions where any engine of the pool could continue them.
 VERSION_SEEDS = (9001,)
 
+# With callers whose prompts share a part that crashes engines; red where a
+# request was blocked and the part was not.
+PART_SEEDS = (9101,)
+
 
 @pytest.mark.processes
 def test_gateways_lead_sessions_of_their_own(tmp_path: pathlib.Path):
@@ -110,7 +115,8 @@
 
 def _check_added_engine(site: SoakSite) -> None:
     traffic = Traffic(site=site, seed=1, callers=0)
-    caller = CrashingCaller(site=site, traffic=traffic, seed=1)
+    engines = EngineCrashes(site=site)
+    caller = CrashingCaller(site=site, traffic=traffic, engines=engines, seed=1)
     caller.stop()
     # Nothing is sent any more that could arm it later.
     added = site.add_server('engines')
@@ -184,6 +190,14 @@
     run_soak(tmp_path, seed, '--versions', '2', seconds=10)
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize('seed', PART_SEEDS)
+def test_promises_hold_beside_prompt_parts_that_crash_engines(
+    tmp_path: pathlib.Path, seed: int
+):
+    run_soak(tmp_path, seed, '--parts', seconds=25)
+
+
 @pytest.mark.processes
 def test_promises_hold_while_gateways_are_of_two_versions(
     tmp_path: pathlib.Path,
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -22,13 +22,16 @@
 from standins.serving import start_server
 from tools.fleet import HOST, wait_for
 from tools.soak import (
+    prompt_promises,
     retry_promises,
     series,
     signal_promises,
     stream_promises,
 )
 from tools.soak.crashes import CrashingCaller
+from tools.soak.crashing_prompts import CrashingPrompts
 from tools.soak.duties import LATE_S, LEASE_S, WINDOW_S, duty_faults
+from tools.soak.engine_crashes import EngineCrashes
 from tools.soak.failing_pools import FAILING_POOL_BOUND, FailingPools
 from tools.soak.faults import Fault, faults
 from tools.soak.promises import promises
@@ -44,7 +47,13 @@
 from wingfall.http_server import HttpServer
 
 # Faults and promises are known once their modules are imported.
-IMPORTED = (retry_promises, series, signal_promises, stream_promises)
+IMPORTED = (
+    prompt_promises,
+    retry_promises,
+    series,
+    signal_promises,
+    stream_promises,
+)
 
 _CALLERS = 8
 # Enough that a failing pool would get more retries than its bound allows.
@@ -75,6 +84,11 @@
         action='store_true',
         help='a caller whose requests end the engines that run them',
     )
+    parser.add_argument(
+        '--parts',
+        action='store_true',
+        help='callers whose prompts share a part that ends engines',
+    )
     parser.add_argument(
         '--duties',
         action='store_true',
@@ -223,9 +237,22 @@
     chosen: argparse.Namespace,
     seed: int,
 ) -> Callable[[], None]:
-    if not chosen.crashes:
+    if not (chosen.crashes or chosen.parts):
         return lambda: None
-    return CrashingCaller(site=site, traffic=traffic, seed=seed).stop
+    engines = EngineCrashes(site=site)
+    callers: list[CrashingCaller | CrashingPrompts] = []
+    parts: dict[str, Any] = {'site': site, 'traffic': traffic, 'seed': seed}
+    if chosen.crashes:
+        callers.append(CrashingCaller(engines=engines, **parts))
+    if chosen.parts:
+        callers.append(CrashingPrompts(engines=engines, **parts))
+
+    def stop() -> None:
+        for caller in callers:
+            caller.stop()
+        engines.join()
+
+    return stop
 
 
 def _start_streams(
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -6,7 +6,12 @@
 import re
 from typing import TYPE_CHECKING, Callable, Final
 
-from tools.soak.site import CRASH_ROUTE, EVENTS, STEADY_KEY
+from tools.soak.site import (
+    BAD_PROMPT_ROUTE,
+    CRASH_ROUTE,
+    EVENTS,
+    STEADY_KEY,
+)
 from wingfall.registry import Registry
 
 if TYPE_CHECKING:
@@ -26,13 +31,17 @@
 _STREAMS: Final = frozenset(('stream', 'oneway'))
 # A gateway has learned of a change after so long, where the store could be
 # reached for some time before.
-_CONTACT_S: Final = 3
-_LEARNED_S: Final = _CONTACT_S + 2.5
+CONTACT_S: Final = 3
+_LEARNED_S: Final = CONTACT_S + 2.5
 _CALM_S: Final = 5
 # Crashes after which a request is known, and sendings that may follow.
 _CRASHES: Final = 3
 _MOST_TRIES: Final = 3
-_BLAMED: Final = b'request_crashes_endpoints'
+_BLAMED: Final = (
+    b'request_crashes_endpoints',
+    b'prompt_part_crashes_endpoints',
+)
+_CRASHING_ROUTES: Final = (CRASH_ROUTE, BAD_PROMPT_ROUTE)
 _DENIED: Final = frozenset((401, 403, 404))
 _EVENT_ID: Final = re.compile(rb'^id: (\d+)$', re.MULTILINE)
 
@@ -180,7 +189,7 @@
     for target, crashed_s in site.crashed_s.items():
         if len(crashed_s) < _CRASHES:
             continue
-        known_s = crashed_s[_CRASHES - 1] + _CONTACT_S
+        known_s = crashed_s[_CRASHES - 1] + CONTACT_S
         late = [
             run.call_id
             for server in site.servers
@@ -200,8 +209,8 @@
 ) -> Iterator[str]:
     """No request is refused for crashes that another one caused."""
     for each in outcomes:
-        blamed = _BLAMED in each.body
-        if blamed and not each.route.startswith(CRASH_ROUTE):
+        blamed = any(code in each.body for code in _BLAMED)
+        if blamed and not each.route.startswith(_CRASHING_ROUTES):
             yield f'{each.call_id} on {each.route} is blamed for crashes'
 
 
@@ -232,7 +241,7 @@
     :param sent_s: when the request was sent.
     :returns: whether the store could be reached for long enough.
     """
-    calm_from_s = since_s - _CONTACT_S
+    calm_from_s = since_s - CONTACT_S
     for started_s, ended_s in sorted(site.store_disturbed):
         if min(started_s, sent_s) - calm_from_s >= _LEARNED_S:
             return True
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -33,6 +33,8 @@
 EVENTS: Final = 6
 # Requests on it end the engines that run them, in a soak that has such.
 CRASH_ROUTE: Final = 'crash'
+# How the routes of prompts begin that have a part which ends engines.
+BAD_PROMPT_ROUTE: Final = 'stream/bad-'
 _SLOTS: Final = 8
 # Retry budget of the gateways, unless a soak changes it.
 _RETRY_BOUND: Final = {'ratio': 0.2, 'slack': 100, 'window_s': 10}
@@ -141,6 +143,8 @@
         self.store_disturbed: list[tuple[float, float]] = []
         # When requests ended engines, by their targets.
         self.crashed_s: dict[str, list[float]] = {}
+        # The same by the parts of their prompts that do so.
+        self.part_crashed_s: dict[str, list[float]] = {}
         self.version = 0
         # Routes that were added, and when they came in force at the store.
         self.added_s: dict[str, float] = {}
