Try a blocked prompt part once before all gateways must have blocked it

The part that all prompts share was at four crashes, two of a crashing request and two of another part, before any prompt was served; it was blocked, and then no prompt could run that would clear it. Cause: a block is lifted by a good answer, which it prevents, and its first trial came after a minute. Change: one prompt with a blocked part is tried, by the one gateway that makes trials, from 1 s after the last crash to 2.5 s after the evidence, so before the three seconds are over that gateways have. It must have no other suspect part, since its crash would say nothing then. A part that crashes engines crashes one more. Evidence: three tests of test_request_blocks.py were red on the code before and pass. The soak picks no endpoint where all engines have crashed.

--- a/tests/test_request_blocks.py
+++ b/tests/test_request_blocks.py
@@ -293,7 +293,7 @@
     blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
 ):
     record_part_crashes(ledger, clock, 4, SHARED, PART)
-    clock.advance(1000)
+    clock.advance(3000)
     assert blocks.find_block(b'new', [SHARED, PART])
     assert blocks.find_block(b'sound', [SHARED]) is None
     assert blocks.find_block(b'bad', [PART]) is None
@@ -340,3 +340,46 @@
     ledger.note_served(b'trial', [PART])
     assert blocks.find_block(b'next', [PART]) is None
     assert blocks.part_count == 0
+
+
+def test_popular_part_blocked_for_two_other_causes_is_soon_tried(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    # No prompt was served yet, so all prompts were refused for a minute.
+    for number, cause in enumerate((REQUEST, PART) * 2):
+        record_crash(ledger, clock, f'e{number}', cause, SYSTEM)
+        clock.advance(50)
+    sound = [SYSTEM]
+    assert blocks.find_block(b'sound', sound)
+    clock.advance(1000)
+    # A prompt with another suspect part would tell nothing.
+    assert blocks.find_block(b'bad', [SYSTEM, PART])
+    assert blocks.find_block(b'sound', sound) is None
+    blocks.note_sent(b'sound', sound)
+    assert blocks.find_block(b'sound', sound)
+    ledger.note_served(b'sound', sound)
+    assert blocks.find_block(b'sound', sound) is None
+
+
+def test_early_trial_ends_before_all_gateways_must_know(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    record_part_crashes(ledger, clock, 4, PART)
+    clock.advance(1000)
+    assert blocks.find_block(b'new', [PART]) is None
+    clock.advance(1500)
+    assert blocks.find_block(b'new', [PART])
+
+
+def test_early_trial_is_the_only_one_before_a_minute(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    record_part_crashes(ledger, clock, 4, PART)
+    trials = 0
+    for number in range(2000):
+        clock.advance(20)
+        if blocks.find_block(b'n%d' % number, [PART]) is None:
+            blocks.note_sent(b'n%d' % number, [PART])
+            record_crash(ledger, clock, f'tried-{number}', PART)
+            trials += 1
+    assert trials == 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,8 @@
 # With callers whose prompts share a part that crashes engines; red where a
 # request was blocked and the part was not.
 PART_SEEDS = (9101,)
+# With requests that crash engines as well.
+PART_AND_REQUEST_SEEDS = (9305,)
 
 
 @pytest.mark.processes
@@ -198,6 +200,14 @@
     run_soak(tmp_path, seed, '--parts', seconds=25)
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize('seed', PART_AND_REQUEST_SEEDS)
+def test_promises_hold_beside_parts_and_requests_that_crash_engines(
+    tmp_path: pathlib.Path, seed: int
+):
+    run_soak(tmp_path, seed, '--parts', '--crashes', seconds=12)
+
+
 @pytest.mark.processes
 def test_promises_hold_while_gateways_are_of_two_versions(
     tmp_path: pathlib.Path,
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -41,7 +41,9 @@
 
 
 def _pick_server(site: SoakSite, chance: random.Random) -> Server:
-    return chance.choice(site.listed(chance.choice(POOLS)))
+    # All engines may have crashed.
+    listed = site.listed(chance.choice(POOLS)) or site.listed(POOLS[0])
+    return chance.choice(listed)
 
 
 def _pick_gateway(site: SoakSite, chance: random.Random) -> str:
@@ -94,7 +96,11 @@
 ) -> None:
     """Have an endpoint of each pool break some of its next answers."""
     for pool, faulty in _BROKEN_ANSWERS.items():
-        server = chance.choice(site.listed(pool))
+        listed = site.listed(pool)
+        # All engines may have crashed.
+        if not listed:
+            continue
+        server = chance.choice(listed)
         chosen = chance.choices([*faulty, ''], k=chance.randrange(4, 17))
         server.standin.faults = chosen
 
--- a/wingfall/gateway/knowledge/crash_ledger.py
+++ b/wingfall/gateway/knowledge/crash_ledger.py
@@ -175,6 +175,22 @@
         self._merge(known, added)
         return added
 
+    def find_suspects(
+        self, fingerprints: Iterable[Fingerprint]
+    ) -> set[Fingerprint]:
+        """Find what was at a crash and was not served since.
+
+        :param fingerprints: requests or prompt parts.
+        :returns: those of them that are suspect.
+        """
+        return {
+            each
+            for each in fingerprints
+            if each in self._last_crash_ms
+            and self._served_ms.get(each, self._last_crash_ms[each] - 1)
+            < self._last_crash_ms[each]
+        }
+
     def note_gateway_lost(self, name: str) -> None:
         """Record that a gateway has ended without a planned stop.
 
--- a/wingfall/gateway/rules/crashes/request_blocks.py
+++ b/wingfall/gateway/rules/crashes/request_blocks.py
@@ -30,6 +30,12 @@
 # and for a manual repair. What was blocked wrongly, or whose fault is gone, is
 # soon served again; what crashes endpoints crashes at most two more.
 _TRIAL_DELAYS_MS: Final = (60_000, 600_000)
+# Milliseconds from the last crash to the first trial of a part, and from its
+# evidence to the end of that trial: before all gateways must have blocked it.
+# Most prompts may share the part, and while they are refused only a trial can
+# show that it was blocked wrongly.
+_EARLY_TRIAL_DELAY_MS: Final = 1000
+_EARLY_TRIAL_END_MS: Final = 2500
 # Milliseconds for which suspects are still sent that were at the same crashes,
 # or at a crash where unknown requests may have been: a successful answer or the
 # next crash distinguishes them. A third of the three seconds within which all
@@ -128,7 +134,9 @@
         """
         for cause, evidence in self._list_causes(fingerprint, parts):
             wait_ms = self._trial_wait_ms(cause, evidence)
-            if wait_ms != 0:
+            if wait_ms != 0 and not self._is_early_trial(
+                cause, evidence, parts
+            ):
                 return RequestBlock(
                     cause=cause,
                     evidence=evidence,
@@ -221,6 +229,24 @@
             return remaining_ms
         return 0 if self._is_trial_owner(cause) else wait_ms
 
+    def _is_early_trial(
+        self,
+        cause: Fingerprint,
+        evidence: CrashEvidence,
+        parts: Sequence[Fingerprint],
+    ) -> bool:
+        now_ms = self._clock.now_ms()
+        if (
+            not is_part(cause)
+            or cause in self._last_trial_ms
+            or now_ms - evidence.last_crash_ms < _EARLY_TRIAL_DELAY_MS
+            or now_ms - evidence.identified_ms > _EARLY_TRIAL_END_MS
+        ):
+            return False
+        # Another suspect part would make the trial say nothing.
+        suspects = self._ledger.find_suspects(parts) - {cause}
+        return not suspects and self._is_trial_owner(cause)
+
     def _is_trial_owner(self, cause: Fingerprint) -> bool:
         # Connected gateways all choose the same gateway for the trial.
         return self._name == max(
