Refuse a request that is tied with a prompt part that it lacks

What callers saw: none of it was seen; found in the reading of the diff. A request that crashes endpoints and a part with the same evidence are tied, and the request was sent on for as long as it had not all tied parts. Cause: the rule that only prompts with all tied parts are refused was asked for requests too. Change: it is asked for parts only; a tied request is refused after a second, as ever. Evidence: test_request_tied_with_a_part_that_it_lacks_is_refused was red before.

--- a/tests/test_request_blocks.py
+++ b/tests/test_request_blocks.py
@@ -383,3 +383,23 @@
             record_crash(ledger, clock, f'tried-{number}', PART)
             trials += 1
     assert trials == 1
+
+
+def test_request_tied_with_a_part_that_it_lacks_is_refused(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    for number in range(4):
+        record_crash(ledger, clock, f'e{number}', REQUEST, b'r%d' % number)
+        ledger.merge_crash(
+            EndpointCrash(
+                endpoint=f'e{number}',
+                crashed_ms=clock.now_ms(),
+                reported_by='g2',
+                silent=[PART],
+            )
+        )
+        clock.advance(100)
+    record_crash(ledger, clock, 'e4', REQUEST, b'r4')
+    record_crash(ledger, clock, 'e5', b'r5', PART)
+    clock.advance(1000)
+    assert blocks.find_block(REQUEST)
--- a/wingfall/gateway/rules/crashes/request_blocks.py
+++ b/wingfall/gateway/rules/crashes/request_blocks.py
@@ -178,7 +178,7 @@
             (suspect, known[suspect])
             for suspect in (fingerprint, *parts)
             if suspect in known
-            and known[suspect].tied_parts <= held
+            and (not is_part(suspect) or known[suspect].tied_parts <= held)
             and not self._is_undecided(suspect, known[suspect])
         ]
 
