--- a/wingfall/gateway/rules/crashes/request_blocks.py
+++ b/wingfall/gateway/rules/crashes/request_blocks.py
@@ -36,6 +36,9 @@
 # show that it was blocked wrongly.
 _EARLY_TRIAL_DELAY_MS: Final = 1000
 _EARLY_TRIAL_END_MS: Final = 2500
+# Milliseconds from the last crash to the next trial of a part by a prompt that
+# has no other suspect part: endpoints that crashed are back.
+_PART_TRIAL_DELAY_MS: Final = 10_000
 # Milliseconds for which suspects are still sent that were at the same crashes,
 # or at a crash where unknown requests may have been: a successful answer or the
 # next crash distinguishes them. A third of the three seconds within which all
@@ -134,9 +137,7 @@
         """
         for cause, evidence in self._list_causes(fingerprint, parts):
             wait_ms = self._trial_wait_ms(cause, evidence)
-            if wait_ms != 0 and not self._is_early_trial(
-                cause, evidence, parts
-            ):
+            if wait_ms != 0 and not self._is_part_trial(cause, evidence, parts):
                 return RequestBlock(
                     cause=cause,
                     evidence=evidence,
@@ -229,24 +230,33 @@
             return remaining_ms
         return 0 if self._is_trial_owner(cause) else wait_ms
 
-    def _is_early_trial(
+    def _is_part_trial(
         self,
         cause: Fingerprint,
         evidence: CrashEvidence,
         parts: Sequence[Fingerprint],
     ) -> bool:
-        now_ms = self._clock.now_ms()
-        if (
-            not is_part(cause)
-            or cause in self._last_trial_ms
-            or now_ms - evidence.last_crash_ms < _EARLY_TRIAL_DELAY_MS
-            or now_ms - evidence.identified_ms > _EARLY_TRIAL_END_MS
-        ):
+        if not is_part(cause) or evidence.late_crashes:
+            return False
+        if not self._is_part_trial_due(cause, evidence):
             return False
         # Another suspect part would make the trial say nothing.
         suspects = self._ledger.find_suspects(parts) - {cause}
         return not suspects and self._is_trial_owner(cause)
 
+    def _is_part_trial_due(
+        self, cause: Fingerprint, evidence: CrashEvidence
+    ) -> bool:
+        now_ms = self._clock.now_ms()
+        last_trial_ms = self._last_trial_ms.get(cause)
+        if last_trial_ms is None:
+            since_crash_ms = now_ms - evidence.last_crash_ms
+            since_evidence_ms = now_ms - evidence.identified_ms
+            if since_evidence_ms <= _EARLY_TRIAL_END_MS:
+                return since_crash_ms >= _EARLY_TRIAL_DELAY_MS
+        since_ms = max(last_trial_ms or 0, evidence.last_crash_ms)
+        return now_ms - since_ms >= _PART_TRIAL_DELAY_MS
+
     def _is_trial_owner(self, cause: Fingerprint) -> bool:
         # Connected gateways all choose the same gateway for the trial.
         return self._name == max(
