Leave parts unblocked that a third of the prompts share

The part that all prompts share was at the crashes of two other causes and no prompt was answered between them. Cause: presence at a crash was evidence, however common a part is; one that most prompts share is at nearly every endpoint, whatever crashes it. Change: a gateway counts the parts of the last 128 prompts that it sent first; one that a third of at least 16 share is not blocked there. Refused prompts don't count, so that callers who come again at once can't make a part common.

--- a/tests/test_request_blocks.py
+++ b/tests/test_request_blocks.py
@@ -416,3 +416,17 @@
     record_crash(ledger, clock, 'e5', b'r5', PART)
     clock.advance(1000)
     assert blocks.find_block(REQUEST)
+
+
+def test_part_that_a_third_of_the_prompts_share_is_not_blocked(
+    blocks: RequestBlocks, ledger: CrashLedger, clock: ManualClock
+):
+    # All prompts were refused for seconds after crashes of two other causes.
+    for number in range(30):
+        blocks.note_prompt([SYSTEM if number % 3 else SHARED, b'%08d' % number])
+    blocks.note_prompt([PART])
+    record_part_crashes(ledger, clock, 9, SYSTEM, SHARED, PART)
+    record_part_crashes(ledger, clock, 1, SYSTEM)
+    record_part_crashes(ledger, clock, 8, PART)
+    assert blocks.find_block(b'sound', [SYSTEM]) is None
+    assert blocks.find_block(b'bad', [SYSTEM, PART])
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -41,9 +41,7 @@
 
 
 def _pick_server(site: SoakSite, chance: random.Random) -> Server:
-    # All engines may have crashed.
-    listed = site.listed(chance.choice(POOLS)) or site.listed(POOLS[0])
-    return chance.choice(listed)
+    return site.pick_listed(chance.choice(POOLS), chance)
 
 
 def _pick_gateway(site: SoakSite, chance: random.Random) -> str:
--- a/tools/soak/signal_faults.py
+++ b/tools/soak/signal_faults.py
@@ -121,7 +121,7 @@
 
 
 def _pick(site: SoakSite, chance: random.Random) -> list[Server]:
-    listed = site.listed(chance.choice(POOLS))
+    pool = chance.choice(POOLS)
     if chance.random() < _WHOLE_POOL:
-        return listed
-    return [chance.choice(listed)]
+        return site.listed(pool)
+    return [site.pick_listed(pool, chance)]
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -22,6 +22,7 @@
 from wingfall.clock import MS_PER_S
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Iterator
 
     from standins.duty_platform import DutyPlatformStandIn
@@ -278,6 +279,16 @@
             and server.draining_since_s is None
         ]
 
+    def pick_listed(self, pool: str, chance: random.Random) -> Server:
+        """Draw an endpoint that takes new work.
+
+        :param pool: its pool, or any if all endpoints of it have crashed.
+        :param chance: what it is drawn by.
+        :returns: the endpoint.
+        """
+        plain, _engines = POOLS
+        return chance.choice(self.listed(pool) or self.listed(plain))
+
     def listed_versions(self, pool: str) -> list[str]:
         """List the versions of the endpoints that take new work.
 
--- a/tools/soak/writers.py
+++ b/tools/soak/writers.py
@@ -55,7 +55,7 @@
     for_s: float,
 ) -> None:
     """End an endpoint and start it at its address, under its id."""
-    server = chance.choice(site.listed(chance.choice(POOLS)))
+    server = site.pick_listed(chance.choice(POOLS), chance)
     if not server.lock.acquire(blocking=False):
         return
     earlier = site.entry(server, 'ready')
@@ -96,7 +96,7 @@
     for_s: float,
 ) -> None:
     """Write entries that name no endpoint, and no entries at all."""
-    server = chance.choice(site.listed(chance.choice(POOLS)))
+    server = site.pick_listed(chance.choice(POOLS), chance)
     names = [next(_foreign_names) for _entry in range(chance.randrange(1, 5))]
     for name in names:
         spoilt = {**site.entry(server, 'ready'), **chance.choice(_SPOILT)}
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -230,9 +230,7 @@
         deferred = defer_attempt(state, self._call, destination)
         if deferred is not None:
             return deferred
-        state.blocks.note_sent(
-            self._call.fingerprint, self._call.part_fingerprints
-        )
+        self._note_sent()
         if self._call.origin is not None:
             engines = list_usable(state, self._call, self._pool)
             state.stream_log.note_sent(
@@ -276,6 +274,12 @@
             tracker.end(outcome, self._reply)
         return outcome
 
+    def _note_sent(self) -> None:
+        blocks, call = self._state.blocks, self._call
+        blocks.note_sent(call.fingerprint, call.part_fingerprints)
+        if call.part_fingerprints and not self._progress.sent:
+            blocks.note_prompt(call.part_fingerprints)
+
     def _note_output(
         self, tracker: AttemptTracker, endpoint: PoolEndpoint
     ) -> None:
--- a/wingfall/gateway/rules/crashes/request_blocks.py
+++ b/wingfall/gateway/rules/crashes/request_blocks.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Final, final
 
 from wingfall.gateway.model.fingerprint import is_part
+from wingfall.gateway.rules.crashes.common_parts import CommonParts
 from wingfall.gateway.rules.crashes.crash_evidence import (
     CrashEvidence,
     find_causes,
@@ -82,6 +83,7 @@
     __slots__ = (
         '_causes',
         '_clock',
+        '_common_parts',
         '_gateways',
         '_ledger',
         '_name',
@@ -104,6 +106,9 @@
         self._gateways = {name}
         self._revision = ledger.revision
         self._causes: dict[Fingerprint, CrashEvidence] = {}
+        # Parts that are never blocked: their presence at crashes says little,
+        # and without them hardly any prompt would be served.
+        self._common_parts = CommonParts()
         # Time of the last trial of a blocked suspect by this gateway.
         self._last_trial_ms: dict[Fingerprint, int] = {}
 
@@ -145,6 +150,13 @@
                 )
         return None
 
+    def note_prompt(self, parts: Sequence[Fingerprint]) -> None:
+        """Record a prompt that is sent to an endpoint for the first time.
+
+        :param parts: parts of it that other prompts may share.
+        """
+        self._common_parts.note_prompt(parts)
+
     def note_sent(
         self,
         fingerprint: Fingerprint,
@@ -179,6 +191,7 @@
             (suspect, known[suspect])
             for suspect in (fingerprint, *parts)
             if suspect in known
+            and not self._common_parts.is_common(suspect)
             and (not is_part(suspect) or known[suspect].tied_parts <= held)
             and not self._is_undecided(suspect, known[suspect])
         ]
@@ -298,6 +311,7 @@
                 part.hex() for part in evidence.tied_parts - {cause}
             ),
             certain=evidence.is_certain,
+            common=self._common_parts.is_common(cause),
             crashes=len(crashes),
             endpoints=[crash.endpoint for crash in crashes],
             ages_ms=[now_ms - crash.crashed_ms for crash in crashes],
