--- a/tests/crash_site.py
+++ b/tests/crash_site.py
@@ -22,7 +22,6 @@
 
 if TYPE_CHECKING:
     import pathlib
-
     from collections.abc import Callable
 
     from gevent import Greenlet
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -36,7 +36,7 @@
 _CALM_S: Final = 5
 # Crashes after which a request is known, and sendings that may follow.
 _CRASHES: Final = 3
-_MOST_TRIES: Final = 3
+MOST_TRIES: Final = 3
 _BLAMED: Final = (
     b'request_crashes_endpoints',
     b'prompt_part_crashes_endpoints',
@@ -59,6 +59,26 @@
     return runs
 
 
+def arrivals_after(
+    site: SoakSite, outcomes: list[Outcome], after_s: float
+) -> list[Run]:
+    """Collect what undisturbed gateways sent to endpoints after some time.
+
+    :param site: the site.
+    :param outcomes: what callers saw.
+    :param after_s: from when on.
+    :returns: the runs.
+    """
+    sent = {each.call_id: each for each in outcomes}
+    return [
+        run
+        for server in site.servers
+        for run in server.standin.runs
+        if run.arrived_s > after_s
+        and not is_gateway_disturbed(site, sent[run.call_id])
+    ]
+
+
 @promises.register('own_whole_answers')
 def own_whole_answers(
     site: SoakSite,
@@ -185,20 +205,16 @@
     outcomes: list[Outcome],
 ) -> Iterator[str]:
     """A request that ended three engines reaches few after that is known."""
-    sent = {each.call_id: each for each in outcomes}
     for target, crashed_s in site.crashed_s.items():
         if len(crashed_s) < _CRASHES:
             continue
         known_s = crashed_s[_CRASHES - 1] + CONTACT_S
         late = [
             run.call_id
-            for server in site.servers
-            for run in server.standin.runs
+            for run in arrivals_after(site, outcomes, known_s)
             if run.target == target
-            and run.arrived_s > known_s
-            and not is_gateway_disturbed(site, sent[run.call_id])
         ]
-        if len(late) > _MOST_TRIES:
+        if len(late) > MOST_TRIES:
             yield f'{target} ended {len(crashed_s)} and came as {late}'
 
 
--- a/tools/soak/prompt_promises.py
+++ b/tools/soak/prompt_promises.py
@@ -6,6 +6,8 @@
 
 from tools.soak.promises import (
     CONTACT_S,
+    MOST_TRIES,
+    arrivals_after,
     is_gateway_disturbed,
     promises,
     runs_by_call,
@@ -17,9 +19,8 @@
     from tools.soak.site import SoakSite
     from tools.soak.traffic import Outcome
 
-# Crashes after which a part is known, and prompts with it that may follow.
+# Crashes after which a part is known.
 _CRASHES: Final = 5
-_MAX_TRIES: Final = 3
 # Sound prompts that a share needs, and the fraction of it that must remain.
 _MIN_PROMPTS: Final = 20
 _MIN_FRACTION: Final = 0.5
@@ -31,20 +32,16 @@
     outcomes: list[Outcome],
 ) -> Iterator[str]:
     """Few prompts with a part that crashed five engines reach others."""
-    sent = {each.call_id: each for each in outcomes}
     for part, crashed_s in site.part_crashed_s.items():
         if len(crashed_s) < _CRASHES:
             continue
         known_s = crashed_s[_CRASHES - 1] + CONTACT_S
         late = [
             run.call_id
-            for server in site.servers
-            for run in server.standin.runs
+            for run in arrivals_after(site, outcomes, known_s)
             if part in run.parts
-            and run.arrived_s > known_s
-            and not is_gateway_disturbed(site, sent[run.call_id])
         ]
-        if len(late) > _MAX_TRIES:
+        if len(late) > MOST_TRIES:
             yield f'{part} crashed {len(crashed_s)} and came as {late}'
 
 
