Let only a verdict end a case with 0 or 1

Before, an unexpected error of a script would have ended it with 1.

Tested: without the packages of the build, case 2 ends with 2; ended by SIGTERM after 7 s, case 2 ends with 2 and leaves no process. In a clone without .venv case 1 with TROUBLE=0 held.

--- a/review/2/run.py
+++ b/review/2/run.py
@@ -145,4 +145,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(run_case(FOLDER, play))
+    run_case(FOLDER, play)
--- a/review/shared/site.py
+++ b/review/shared/site.py
@@ -23,6 +23,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HOST = '127.0.0.1'
+# Below the 120 seconds that a script may take, with time to end all.
+_LONGEST_S = 112
 
 
 class CannotRunError(Exception):
@@ -58,6 +60,7 @@
         self.gateways: dict[str, dict[str, str]] = {}
         self._revisions: dict[tuple[str, str], int] = {}
         self._lock = threading.Lock()
+        self._closed = False
 
     def free_port(self) -> int:
         """Return a free port below those of outgoing connections."""
@@ -89,6 +92,8 @@
         self._spawn(name)
 
     def _spawn(self, name: str) -> None:
+        if self._closed:
+            raise CannotRunError('the site is closed')
         command, environment = self._commands[name]
         with (self.folder / f'{name}.log').open('ab') as log:
             self.processes[name] = subprocess.Popen(
@@ -240,7 +245,8 @@
         return lines
 
     def close(self) -> None:
-        """End all processes that were started."""
+        """End all processes that were started, and start none again."""
+        self._closed = True
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -320,21 +326,34 @@
     }
 
 
-def run_case(folder: pathlib.Path, body) -> int:
-    """Run a case: 1 if the rule was broken, 0 if it held, 2 if it can't run."""
+def run_case(folder: pathlib.Path, body) -> None:
+    """Run a case and exit: 1 if the rule was broken, 0 if not, 2 if it can't run.
+
+    Only a verdict gives 0 or 1; any error, a signal or _LONGEST_S seconds give 2. All
+    processes that were started end before.
+    """
+    trouble = sys.argv[sys.argv.index('--trouble') + 1] != '0'
     record = Record(folder / 'record.txt')
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     record.note(f'TROUBLE={int(trouble)}')
     site = Site(record)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, _give_up)
+    signal.alarm(_LONGEST_S)
+    code = 2
     try:
         broken = body(site, record, trouble)
-    except (CannotRunError, OSError) as error:
-        record.note(f'could not run: {error!r}')
-        print(f'could not run: {error!r}')
-        return 2
+        verdict = 'the rule was BROKEN' if broken else 'the rule held'
+        code = int(broken)
+    except BaseException as error:
+        verdict = f'could not run: {error!r}'
     finally:
+        signal.alarm(0)
         site.close()
-    verdict = 'the rule was BROKEN' if broken else 'the rule held'
     record.note(verdict)
-    print(verdict)
-    return int(broken)
+    print(verdict, flush=True)
+    # Threads of clients may still wait for answers.
+    os._exit(code)
+
+
+def _give_up(number: int, _frame) -> None:
+    raise CannotRunError(f'ended by signal {number}')
