Keep a connection only if its request was delivered

A body that its endpoint took over a second to read was never delivered, and the call ended with 504.

Cause: EndpointConnection wrote a long request by sendall(), whose limit is the timeout of the socket, which the reader of the answer sets to a second at most. gevent counts it over all bytes, also while they move. The result of the write was read by nobody, release() asked only whether the writer had ended, and h11 takes a request for sent once it is encoded.

Change: RequestWriter writes until the kernel has confirmed all bytes, until the call's deadline at most. A connection is reused only if the request was confirmed when its answer began. After an early answer the endpoint gets the rest, then the connection is closed; a request that did not run is dropped by a reset, so is one whose attempt ends, as an endpoint that reads slowly would notice a plain close only behind all that waits for it. A request that is not delivered whole is logged and counted.

--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -31,7 +31,8 @@
 import socket
 import struct
 import time
-from typing import TYPE_CHECKING, Any, Callable, Final, final
+from types import MappingProxyType
+from typing import Any, Callable, Final, final
 
 import gevent
 import h11
@@ -40,17 +41,19 @@
 from gevent.server import StreamServer
 
 from standins.answer_signals import AnswerSignalsStandIn
+from standins.body_reading import BodyReading, EarlyAnswer
 from standins.prompt_crash import PromptCrash
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
 _READ_BYTES: Final = 65_536
 _MS: Final = 1000
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 _CUT_AFTER: Final = 2
 _RESET_AFTER_S: Final = 0.05
+_OK: Final = 200
+_MISDIRECTED: Final = 421
 _UNAVAILABLE: Final = 503
+# Statuses of whole answers that report a failure.
+_STATUSES: Final = MappingProxyType({'error': 500, 'conflict': 409})
 # Faults that end a stream before its end.
 _BREAKS: Final = frozenset(('crash', 'cut'))
 _HELD_PATH: Final = '/wingfall/kv-list'
@@ -74,6 +77,10 @@
         self.method = ''
         self.target = ''
         self.body = b''
+        # Length of the body by the head of the request.
+        self.length = 0
+        # Whether it is answered before its body was read.
+        self.is_early = False
         self.whole = False
         self.left = False
 
@@ -108,6 +115,8 @@
         self.draw_delay_ms: Callable[[], int] | None = None
         self.crashed = False
         self.runs: list[Run] = []
+        # How it reads the bodies of requests.
+        self.reading = BodyReading()
         self.turned_away = 0
         self.connections = 0
         # Which targets' requests end the endpoint, and who is told of that.
@@ -166,15 +175,52 @@
             sock.close()
 
     def _serve_one(self, sock: socket.socket, http: h11.Connection) -> bool:
-        run = self._read_request(sock, http)
+        run = _read_head(sock, http)
         if run is None:
             return False
+        if run.length:
+            self.reading.requests.append(run)
         self.signals.note_arrival(run.call_id)
+        if self.reading.answers_early(run):
+            run.is_early = True
+            return self._answer_early(sock, http, run)
+        return self.reading.read(sock, http, run) and self._answer(
+            sock, http, run
+        )
+
+    def _answer_early(
+        self, sock: socket.socket, http: h11.Connection, run: Run
+    ) -> bool:
+        rest = gevent.spawn(self._read_rest, sock, http, run)
+        gevent.sleep(self.reading.early_after_s)
+        early = self.reading.early
+        if early is EarlyAnswer.foreign:
+            keeps = self._turn_away(sock, http, run, _MISDIRECTED)
+        elif early is EarlyAnswer.shed:
+            keeps = self._turn_away(sock, http, run, _UNAVAILABLE)
+        elif early is EarlyAnswer.error:
+            self.runs.append(run)
+            keeps = self._answer_whole(sock, http, run, 'conflict')
+        else:
+            keeps = self._answer(sock, http, run)
+        return rest.get() and keeps
+
+    def _read_rest(
+        self, sock: socket.socket, http: h11.Connection, run: Run
+    ) -> bool:
+        try:
+            return self.reading.read(sock, http, run)
+        except (OSError, h11.ProtocolError):
+            return False
+
+    def _answer(
+        self, sock: socket.socket, http: h11.Connection, run: Run
+    ) -> bool:
         listing = run.target == _HELD_PATH
         fault = self._next_fault(listing=listing)
         expected = run.headers.get('x-expect-instance', self.name)
         if fault == 'foreign' or expected != self.name:
-            return self._turn_away(sock, http, run, 421)
+            return self._turn_away(sock, http, run, _MISDIRECTED)
         if self.signals.rest or fault in {'shed', 'late_shed'}:
             return self._turn_away(sock, http, run, _UNAVAILABLE)
         if listing and not fault:
@@ -190,21 +236,11 @@
             return self._answer_stream(sock, http, run, fault)
         return self._answer_whole(sock, http, run, fault)
 
-    def _read_request(
-        self,
-        sock: socket.socket,
-        http: h11.Connection,
-    ) -> Run | None:
-        run = None
-        for event in _read_events(sock, http):
-            if isinstance(event, h11.Request):
-                run = _begin_run(event)
-            elif run:
-                run.body += bytes(event.data)
-        return run
-
     def _work(self, sock: socket.socket, run: Run, delay_ms: int) -> None:
         # An endpoint drops a request once its connection closes.
+        if run.is_early:
+            gevent.sleep(delay_ms / _MS)
+            return
         with gevent.Timeout(delay_ms / _MS, False):  # noqa: FBT003
             if not sock.recv(1):
                 run.left = True
@@ -290,7 +326,7 @@
             return self._answer_unframed(sock, run, fault)
         call_id = _answered_id(run, fault)
         body = f'{self.name} {call_id} {run.target}'.encode()
-        status = 500 if fault == 'error' else 200
+        status = _STATUSES.get(fault, _OK)
         encoded = _encode(
             http,
             h11.Response(
@@ -411,17 +447,12 @@
         _reset(sock)
 
 
-def _read_events(
-    sock: socket.socket,
-    http: h11.Connection,
-) -> Iterator[h11.Request | h11.Data]:
+def _read_head(sock: socket.socket, http: h11.Connection) -> Run | None:
     event = http.next_event()
-    while not isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
-        if event is h11.NEED_DATA:
-            http.receive_data(sock.recv(_READ_BYTES))
-        else:
-            yield event
+    while event is h11.NEED_DATA:
+        http.receive_data(sock.recv(_READ_BYTES))
         event = http.next_event()
+    return _begin_run(event) if isinstance(event, h11.Request) else None
 
 
 def _begin_run(request: h11.Request) -> Run:
@@ -431,6 +462,7 @@
     run = Run(call_id=headers.get('x-attempt-id', ''), headers=headers)
     run.method = request.method.decode()
     run.target = request.target.decode()
+    run.length = int(headers.get('content-length', '0'))
     return run
 
 
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -35,6 +35,7 @@
     from wingfall.gateway.endpoints.endpoint_connection import (
         EndpointConnection,
     )
+    from wingfall.gateway.endpoints.request_writer import IncompleteRequest
     from wingfall.gateway.model.answer_signals import AnswerSignals
     from wingfall.gateway.model.binding import AnswerHead, Binding
     from wingfall.gateway.model.call import Call, Headers
@@ -62,6 +63,7 @@
         '_has_crashed',
         '_may_send',
         '_now_ms',
+        '_on_incomplete',
         '_on_output',
         '_on_signals',
         '_reply',
@@ -79,6 +81,7 @@
         now_ms: Callable[[], int],
         on_output: Callable[[], None],
         on_signals: Callable[[AnswerSignals, int], None],
+        on_incomplete: Callable[[IncompleteRequest], None],
         may_send: Callable[[], bool],
         has_crashed: Callable[[], bool],
     ) -> None:
@@ -93,6 +96,8 @@
         :param on_output: called whenever events of a stream arrive.
         :param on_signals: called with the endpoint's signals in an answer and
             the time in milliseconds at which the request was sent.
+        :param on_incomplete: called if the endpoint won't receive the whole
+            request.
         :param may_send: checks if the endpoint may serve the call now.
         :param has_crashed: checks if the endpoint has crashed.
         """
@@ -104,6 +109,7 @@
         self._now_ms = now_ms
         self._on_output = on_output
         self._on_signals = on_signals
+        self._on_incomplete = on_incomplete
         self._may_send = may_send
         self._has_crashed = has_crashed
         self._sent_ms = 0
@@ -148,6 +154,8 @@
             call.head.target,
             self._binding.endpoint_headers(call, self._make_sending(limits)),
             call.body,
+            deadline_ms=limits.deadline_ms,
+            on_incomplete=self._on_incomplete,
         )
         response = connection.receive(limits.first_byte_ms - self._now_ms())
         return self._read_response(response, limits)
@@ -205,7 +213,7 @@
             if size > _MAX_ANSWER_BYTES:
                 raise BrokenAnswerError('the answer is too large')
         self._check_end(response)
-        self._release_connection()
+        self._release_connection(is_rest_needed=not head.not_run)
         answer = BufferedAnswer(
             status=response.status_code,
             headers=self._binding.caller_headers(response.headers.raw_items()),
@@ -236,7 +244,7 @@
         if splitter.has_partial_event or not self._reply.started:
             raise BrokenAnswerError('the stream ended inside an event')
         self._check_end(response)
-        self._release_connection()
+        self._release_connection(is_rest_needed=True)
         return AttemptOutcome(end=AttemptEnd.answered, reason='stream')
 
     def _check_end(self, response: h11.Response) -> None:
@@ -275,11 +283,15 @@
             until_ms = limits.first_byte_ms
         return self._connection.receive(until_ms - self._now_ms())
 
-    def _release_connection(self) -> None:
+    def _release_connection(self, *, is_rest_needed: bool) -> None:
         connection = self._connection
         self._connection = None
-        if connection is not None:
+        if connection is None:
+            return
+        if is_rest_needed or connection.is_request_delivered:
             self._connections.release(self._destination.endpoint, connection)
+        else:
+            connection.close()
 
     def _note_keep_alive(self, headers: Headers) -> None:
         for name, text in headers:
--- a/wingfall/gateway/calls/attempt_log.py
+++ b/wingfall/gateway/calls/attempt_log.py
@@ -1,7 +1,7 @@
-"""The log line of an attempt: its outcome and the inputs of its placement.
+"""The log lines of an attempt: its outcome and the inputs of its placement.
 
-``wingfall losses`` and ``wingfall trace`` parse this line, so its sentence and
-field names must not change.
+``wingfall losses`` and ``wingfall trace`` parse the line of its end, so the
+sentence and field names of that must not change.
 """
 
 from __future__ import annotations
@@ -14,7 +14,9 @@
     from wingfall.gateway.calls.attempt_outcome import AttemptOutcome
     from wingfall.gateway.calls.destination import Destination
     from wingfall.gateway.calls.token_gap_watch import TokenGapWatch
+    from wingfall.gateway.endpoints.request_writer import IncompleteRequest
     from wingfall.gateway.model.call import Call
+    from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.rules.placement.candidate import Candidate
 
 # Parts of a prompt that are listed, so that a line stays short.
@@ -84,6 +86,33 @@
     )
 
 
+def log_incomplete(
+    *,
+    call: Call,
+    endpoint: PoolEndpoint,
+    number: int,
+    request: IncompleteRequest,
+) -> None:
+    """Log a request that an endpoint did not receive whole.
+
+    :param call: the call.
+    :param endpoint: the endpoint.
+    :param number: number of the attempt in its call, from 1.
+    :param request: how much of it was delivered, and why not all.
+    """
+    log_event(
+        'dispatch',
+        'A request was not delivered whole.',
+        call=call.call_id,
+        attempt=number,
+        endpoint=endpoint.name,
+        confirmed_bytes=request.confirmed_bytes,
+        total_bytes=request.total_bytes,
+        ms=request.elapsed_ms,
+        reason=request.reason,
+    )
+
+
 def _list_parts(call: Call) -> list[str]:
     listed = call.part_fingerprints[:_MAX_LISTED_PARTS]
     return [part.hex() for part in listed]
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Final, final
 
 from wingfall.gateway.calls.admission import note_given_work
-from wingfall.gateway.calls.attempt_log import log_attempt
+from wingfall.gateway.calls.attempt_log import log_attempt, log_incomplete
 from wingfall.gateway.calls.token_gap_watch import TokenGapWatch
 from wingfall.gateway.knowledge.prefix_caches import SentPrompt
 from wingfall.gateway.model.attempt_end import AttemptEnd
@@ -18,6 +18,7 @@
     from wingfall.gateway.calls.attempt_outcome import AttemptOutcome
     from wingfall.gateway.calls.destination import Destination
     from wingfall.gateway.calls.reply import Reply
+    from wingfall.gateway.endpoints.request_writer import IncompleteRequest
     from wingfall.gateway.model.answer_signals import AnswerSignals
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.state import GatewayState
@@ -124,6 +125,21 @@
                 {'part': 'signals', 'reason': change},
             )
 
+    def note_incomplete(self, request: IncompleteRequest) -> None:
+        """Log and count a request that the endpoint did not receive whole.
+
+        :param request: how much of it was delivered, and why not all.
+        """
+        self._state.metrics.decisions.inc(
+            {'part': 'delivery', 'reason': 'incomplete'},
+        )
+        log_incomplete(
+            call=self._call,
+            endpoint=self._destination.endpoint,
+            number=self._number,
+            request=request,
+        )
+
     def end(self, outcome: AttemptOutcome, reply: Reply) -> None:
         """Record and log the end of the attempt, whatever its cause.
 
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -256,6 +256,7 @@
                 self._note_output, tracker, destination.endpoint
             ),
             on_signals=tracker.note_signals,
+            on_incomplete=tracker.note_incomplete,
             may_send=functools.partial(
                 may_serve, state, self._call, destination.endpoint
             ),
--- a/wingfall/gateway/endpoints/connection_cache.py
+++ b/wingfall/gateway/endpoints/connection_cache.py
@@ -76,13 +76,15 @@
     ) -> None:
         """Cache a connection after a complete answer, or close it.
 
+        An endpoint that has not read the whole request may read on.
+
         :param endpoint: endpoint of the connection.
         :param connection: connection that is no longer in use.
         """
         if connection.release():
             self._idle.setdefault(endpoint.name, []).append(connection)
         else:
-            connection.close()
+            connection.close_when_delivered()
 
     def retain_only(self, listed: set[str]) -> None:
         """Close expired connections and those to unlisted endpoints.
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -7,18 +7,17 @@
 from __future__ import annotations
 
 import socket
-from typing import TYPE_CHECKING, Final, final
+from typing import TYPE_CHECKING, Callable, Final, final
 
-import gevent
 import h11
 
 from wingfall.clock import MS_PER_S
-from wingfall.tcp import is_readable, silence_options
+from wingfall.gateway.endpoints.request_writer import RequestWriter
+from wingfall.tcp import is_readable, reset, silence_options
 
 if TYPE_CHECKING:
-    from gevent import Greenlet
-
     from wingfall.clock import Clock
+    from wingfall.gateway.endpoints.request_writer import IncompleteRequest
     from wingfall.gateway.model.call import Headers
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 
@@ -68,6 +67,7 @@
         '_clock',
         '_http',
         '_idle_since_ms',
+        '_is_early_answer',
         '_keep_alive_ms',
         '_socket',
         '_writer',
@@ -84,7 +84,10 @@
         self._socket = sock
         self._clock = clock
         self._http = h11.Connection(h11.CLIENT)
-        self._writer: Greenlet | None = None
+        # Writes a long request; None for a short one, which is written at once.
+        self._writer: RequestWriter | None = None
+        # Whether the answer began before the request was delivered.
+        self._is_early_answer = False
         self._idle_since_ms = 0
         self._keep_alive_ms = _DEFAULT_KEEP_ALIVE_MS
 
@@ -97,12 +100,20 @@
             and not is_readable(self._socket)
         )
 
+    @property
+    def is_request_delivered(self) -> bool:
+        """Whether the endpoint's machine has received the whole request."""
+        return self._writer is None or self._writer.check()
+
     def send(
         self,
         method: bytes,
         target: bytes,
         headers: Headers,
         body: bytes,
+        *,
+        deadline_ms: int,
+        on_incomplete: Callable[[IncompleteRequest], None] | None = None,
     ) -> None:
         """Send a request; a long body is written while the answer is read.
 
@@ -110,6 +121,10 @@
         :param target: path and query.
         :param headers: headers without those that frame the body.
         :param body: complete body.
+        :param deadline_ms: time of the clock in milliseconds at which the
+            write is given up.
+        :param on_incomplete: called if the endpoint won't receive the whole
+            request, None if nobody needs to know.
         :raises BrokenAnswerError: if the request can't be sent completely.
         """
         framed = list(headers)
@@ -120,7 +135,13 @@
         except h11.LocalProtocolError as error:
             raise BrokenAnswerError(str(error)) from error
         if len(encoded) > _MAX_INLINE_WRITE_BYTES:
-            self._writer = gevent.spawn(self._write, encoded)
+            self._writer = RequestWriter(
+                sock=self._socket,
+                clock=self._clock,
+                encoded=encoded,
+                deadline_ms=deadline_ms,
+                on_incomplete=on_incomplete,
+            )
         elif not self._write(encoded):
             raise BrokenAnswerError('the request could not be written')
 
@@ -140,6 +161,8 @@
             event = self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             raise BrokenAnswerError('closed without an answer')
+        if isinstance(event, h11.Response):
+            self._is_early_answer = not self.is_request_delivered
         return event
 
     def release(self) -> bool:
@@ -147,15 +170,19 @@
 
         :returns: whether the connection can take another request.
         """
-        written = self._writer is None or self._writer.ready()
+        # The endpoint may still have to read the rest of the request, and
+        # the next request would wait behind it.
+        if self._is_early_answer:
+            return False
         trailing, closed = self._http.trailing_data
-        if not written or trailing or closed or is_readable(self._socket):
+        if trailing or closed or is_readable(self._socket):
             return False
         if self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self._stop_writer()
         self._idle_since_ms = self._clock.now_ms()
         return True
 
@@ -167,10 +194,26 @@
         self._keep_alive_ms = seconds * MS_PER_S
 
     def close(self) -> None:
-        """Close the connection at once, so that the endpoint stops its work."""
-        if self._writer is not None:
-            self._writer.kill(block=False)
-        self._socket.close()
+        """Close the connection at once, so that the endpoint stops its work.
+
+        An endpoint that reads slowly would notice the end of the connection
+        only after the rest of the request, so that is dropped.
+        """
+        if self._stop_writer():
+            self._socket.close()
+        else:
+            reset(self._socket)
+
+    def close_when_delivered(self) -> None:
+        """Close the connection after an answer that it can't be reused for.
+
+        The endpoint may have answered before it has read the request; it gets
+        the rest until the deadline of the call.
+        """
+        if self.is_request_delivered:
+            self.close()
+        elif self._writer is not None:
+            self._writer.close_when_delivered()
 
     def _encode(
         self,
@@ -186,6 +229,14 @@
         pieces.append(self._http.send(h11.EndOfMessage()))
         return b''.join(filter(None, pieces))
 
+    def _stop_writer(self) -> bool:
+        writer = self._writer
+        if writer is None:
+            return True
+        self._writer = None
+        writer.stop('the attempt has ended')
+        return writer.is_delivered
+
     def _write(self, encoded: bytes) -> bool:
         try:
             self._socket.sendall(encoded)
--- /dev/null
+++ b/wingfall/gateway/endpoints/request_writer.py
@@ -0,0 +1,192 @@
+"""Writes a long request to an endpoint while its answer is read.
+
+An endpoint may read slowly, or answer and read on. Therefore no time limit
+applies to the write but the deadline of the call.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Callable, Final, final
+
+import gevent
+
+from wingfall.clock import MS_PER_S
+from wingfall.tcp import count_unconfirmed, reset
+
+if TYPE_CHECKING:
+    import socket
+
+    from wingfall.clock import Clock
+
+# Maximum interval of the checks how much the endpoint has confirmed.
+_MAX_CHECK_INTERVAL_MS: Final = 250
+# First interval: some round trips between availability zones.
+_MIN_CHECK_INTERVAL_MS: Final = 20
+
+
+@final
+class IncompleteRequest:
+    """A request that an endpoint did not receive whole."""
+
+    __slots__ = ('confirmed_bytes', 'elapsed_ms', 'reason', 'total_bytes')
+
+    def __init__(
+        self,
+        *,
+        confirmed_bytes: int,
+        total_bytes: int,
+        elapsed_ms: int,
+        reason: str,
+    ) -> None:
+        """Initialize the description.
+
+        :param confirmed_bytes: bytes that the endpoint's machine confirmed.
+        :param total_bytes: bytes of the request with its head.
+        :param elapsed_ms: milliseconds since the write began.
+        :param reason: why the write ended.
+        """
+        self.confirmed_bytes = confirmed_bytes
+        self.total_bytes = total_bytes
+        self.elapsed_ms = elapsed_ms
+        self.reason = reason
+
+
+@final
+class RequestWriter:
+    """Writes one request and observes how much of it was delivered."""
+
+    __slots__ = (
+        '_check_interval_ms',
+        '_clock',
+        '_confirmed_bytes',
+        '_deadline_ms',
+        '_encoded',
+        '_greenlet',
+        '_is_closing',
+        '_is_running',
+        '_on_incomplete',
+        '_socket',
+        '_started_ms',
+        '_written_bytes',
+    )
+
+    def __init__(
+        self,
+        *,
+        sock: socket.socket,
+        clock: Clock,
+        encoded: bytes,
+        deadline_ms: int,
+        on_incomplete: Callable[[IncompleteRequest], None] | None,
+    ) -> None:
+        """Start to write.
+
+        :param sock: socket of the connection.
+        :param clock: clock of this gateway.
+        :param encoded: the request.
+        :param deadline_ms: time of the clock in milliseconds at which the
+            write is given up.
+        :param on_incomplete: called if the endpoint won't receive the whole
+            request, None if nobody needs to know.
+        """
+        self._socket = sock
+        self._clock = clock
+        self._encoded = memoryview(encoded)
+        self._deadline_ms = deadline_ms
+        self._on_incomplete = on_incomplete
+        self._written_bytes = 0
+        self._confirmed_bytes = 0
+        self._check_interval_ms = _MIN_CHECK_INTERVAL_MS
+        self._started_ms = clock.now_ms()
+        # Whether the socket is closed when the write ends.
+        self._is_closing = False
+        self._is_running = True
+        self._greenlet = gevent.spawn(self._run)
+
+    @property
+    def is_delivered(self) -> bool:
+        """Whether the endpoint's machine had confirmed it at the last check."""
+        return self._confirmed_bytes == len(self._encoded)
+
+    def check(self) -> bool:
+        """Check how much of the request was delivered; the socket is open.
+
+        :returns: whether the endpoint's machine has confirmed all of it.
+        """
+        unconfirmed = count_unconfirmed(self._socket)
+        self._confirmed_bytes = self._written_bytes - unconfirmed
+        return self.is_delivered
+
+    def stop(self, reason: str) -> None:
+        """Stop the write, before the socket is closed.
+
+        :param reason: why, in case the request is incomplete.
+        """
+        if not self._is_running:
+            return
+        self._is_running = False
+        if not self.check():
+            self._report(reason)
+        self._greenlet.kill(block=False)
+
+    def close_when_delivered(self) -> None:
+        """Close the socket when the write ends, by itself or the deadline."""
+        self._is_closing = True
+
+    def _run(self) -> None:
+        reason = self._deliver()
+        if not self._is_running:
+            return
+        self._is_running = False
+        if reason:
+            self._report(reason)
+        if self._is_closing:
+            self._close()
+
+    def _deliver(self) -> str:
+        while self._clock.now_ms() < self._deadline_ms:
+            try:
+                self._advance()
+            except OSError as error:
+                return str(error)
+            if self.check():
+                return ''
+        return 'the time of the call is over'
+
+    def _advance(self) -> None:
+        if self._written_bytes == len(self._encoded):
+            gevent.sleep(self._check_interval_ms / MS_PER_S)
+            self._check_interval_ms = min(
+                self._check_interval_ms * 2, _MAX_CHECK_INTERVAL_MS
+            )
+        else:
+            self._write()
+
+    def _write(self) -> None:
+        remaining = self._encoded[self._written_bytes :]
+        # The socket's own timeout is that of the reader.
+        timeout_s = _MAX_CHECK_INTERVAL_MS / MS_PER_S
+        try:
+            self._written_bytes += self._socket.send(remaining, 0, timeout_s)
+        except TimeoutError as error:
+            # An errno means that the kernel found the machine unresponsive.
+            if error.errno:
+                raise
+
+    def _report(self, reason: str) -> None:
+        if self._on_incomplete is None:
+            return
+        self._on_incomplete(
+            IncompleteRequest(
+                confirmed_bytes=self._confirmed_bytes,
+                total_bytes=len(self._encoded),
+                elapsed_ms=self._clock.now_ms() - self._started_ms,
+                reason=reason,
+            )
+        )
+
+    def _close(self) -> None:
+        if self.is_delivered:
+            self._socket.close()
+        else:
+            reset(self._socket)
--- a/wingfall/gateway/peers/caches/memory_survey.py
+++ b/wingfall/gateway/peers/caches/memory_survey.py
@@ -178,8 +178,8 @@
     ) -> Result[bytes, str]:
         target, headers = self._binding.prefix_cache_request(engine)
         sent_ms = self._clock.now_ms()
-        connection.send(b'GET', target, headers, b'')
-        until_ms = self._clock.now_ms() + _ANSWER_TIMEOUT_MS
+        until_ms = sent_ms + _ANSWER_TIMEOUT_MS
+        connection.send(b'GET', target, headers, b'', deadline_ms=until_ms)
         response = connection.receive(_ANSWER_TIMEOUT_MS)
         self._record_signals(engine, response, sent_ms)
         body = b''
--- a/wingfall/tcp.py
+++ b/wingfall/tcp.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
+import struct
+import sys
+import termios
 from typing import Final
 
 # Bytes that are sent within one timeout of a socket.
@@ -12,6 +16,10 @@
 # after some two seconds.
 _UNCONFIRMED_MS: Final = 1500
 _PROBE_S: Final = 1
+# Bytes of the kernel's count of what a peer has not confirmed, an int.
+_COUNT_BYTES: Final = 4
+# Options of a socket whose close sends a reset and drops unsent bytes.
+_RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 
 
 def silence_options(unanswered: int) -> list[tuple[int, int, int]]:
@@ -55,6 +63,25 @@
         sock.sendall(view[start : start + _PIECE_BYTES])
 
 
+def count_unconfirmed(sock: socket.socket) -> int:
+    """Return how many of the written bytes the peer has not confirmed.
+
+    :param sock: a connected socket.
+    :returns: bytes that are in flight or wait for room at the peer.
+    """
+    counted = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT_BYTES))
+    return int.from_bytes(counted, sys.byteorder)
+
+
+def reset(sock: socket.socket) -> None:
+    """Close a connection at once; bytes that the peer lacks are dropped.
+
+    :param sock: a connected socket.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    sock.close()
+
+
 def tcp_listener(address: str, backlog: int) -> socket.socket:
     """Listen on an address.
 
