Count the time of a first byte from the delivery of the request

What callers saw: a request that may be repeated, with a body that takes long to deliver, ended with 504 (out_of_time) although its deadline left time. Each attempt was given up within its body, and the next one began the body anew. So did a stream whose prompt was delivered slowly.

Cause: the timeout of the first byte began with the attempt. It is four tenths of the remaining time, or a little more than the route's target: it says how long an endpoint may work, and was used up by the delivery.

Evidence, before the change: 4 MB at 640 kB/s with a deadline of 8 s got 504 for a safe request and for a stream, 200 for an unsafe request, which has one attempt and all the time.

Change: the time in which more of the request is confirmed does not count, neither for the head of the answer nor for the first event of a stream. The deadline of the call still bounds both. An endpoint that stops reading is given up after the same timeout as before, from its last progress on (test_request_to_an_endpoint_that_stops_reading_is_retried, which passed before too).

Result: test_body_is_delivered_whole_to_a_slow_reader[640000-0-0-/safe/x] and test_stream_may_begin_after_a_slow_delivery failed before and pass now.

--- a/tests/test_slow_endpoints.py
+++ b/tests/test_slow_endpoints.py
@@ -13,6 +13,7 @@
 from standins.pool_server import PoolServerStandIn
 from standins.received_answer import ReceivedAnswer
 from tests.gateway_site import GatewaySite
+from tests.local_site import wait_until
 
 LONG_BYTES = 4_000_000
 # The slowest link of a deployment, 5 Mbit/s.
@@ -127,6 +128,7 @@
     ('bytes_per_s', 'pause_s', 'pause_after_bytes'),
     [
         (1_600_000, 0, 0),
+        (SLOWEST_BYTES_PER_S, 0, 0),
         (0, 1.4, 0),
     ],
 )
@@ -146,3 +148,35 @@
     assert answer.status == 200
     (run,) = server.runs
     assert run.body == body_of('long')
+
+
+def test_request_to_an_endpoint_that_stops_reading_is_retried(
+    site: GatewaySite,
+):
+    # Guards against waiting for a delivery that does not go on.
+    slow = site.servers['one']
+    slow.reading.pause_s = 60
+    slow.reading.least_bytes = LONG_BYTES
+    other = site.add_server('two')
+    wait_until(lambda: len(site.gateways[0].status()['endpoints']) == 3)
+    answers = [
+        send_long(site, f'long-{number}', '/safe/x') for number in (1, 2)
+    ]
+    assert [answer.status for answer in answers] == [200, 200]
+    assert other.run_ids() == ['long-1', 'long-2']
+    assert len(slow.reading.requests) >= 1
+
+
+def test_stream_may_begin_after_a_slow_delivery(site: GatewaySite):
+    # Guards against a limit of the first event that counts the delivery.
+    engine = site.servers['engine']
+    engine.reading.bytes_per_s = SLOWEST_BYTES_PER_S
+    answer = send_long(
+        site,
+        'long',
+        '/stream/x',
+        X_Token_Count='300,40',
+        X_Prompt_Prefix='aa:200,bb:100',
+    )
+    assert answer.status == 200
+    assert answer.body.count(b'data: ') == engine.events
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -280,7 +280,7 @@
             raise BrokenAnswerError('the attempt has no connection')
         until_ms = limits.deadline_ms
         if self._call.route.streaming and not self._reply.started:
-            until_ms = limits.first_byte_ms
+            until_ms = limits.first_byte_ms + self._connection.delivery_ms
         return self._connection.receive(until_ms - self._now_ms())
 
     def _release_connection(self, *, is_rest_needed: bool) -> None:
--- a/wingfall/gateway/calls/attempt_outcome.py
+++ b/wingfall/gateway/calls/attempt_outcome.py
@@ -80,7 +80,8 @@
         """Create the limits, both times of the clock in milliseconds.
 
         :param deadline_ms: deadline of the call.
-        :param first_byte_ms: deadline of the first byte of the answer.
+        :param first_byte_ms: deadline of the first byte of the answer, if the
+            request is delivered at once; later by the time that this takes.
         """
         self.deadline_ms = deadline_ms
         self.first_byte_ms = first_byte_ms
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -105,6 +105,14 @@
         """Whether the endpoint's machine has received the whole request."""
         return self._writer is None or self._writer.check()
 
+    @property
+    def delivery_ms(self) -> int:
+        """Milliseconds in which the request was delivered so far."""
+        if self._writer is None:
+            return 0
+        self._writer.check()
+        return self._writer.delivery_ms
+
     def send(
         self,
         method: bytes,
@@ -148,7 +156,8 @@
     def receive(self, timeout_ms: int) -> h11.Event:
         """Read the next event of the answer.
 
-        :param timeout_ms: maximum milliseconds to wait for bytes.
+        :param timeout_ms: maximum milliseconds to wait for bytes, without the
+            time in which more of the request is delivered.
         :returns: a response, data or the end of the message.
         :raises BrokenAnswerError: if the answer ends early or is invalid.
         :raises AnswerTimeoutError: if no bytes arrive in time.
@@ -251,10 +260,10 @@
             raise BrokenAnswerError(str(error)) from error
 
     def _read(self, timeout_ms: int) -> None:
-        deadline_ms = self._clock.now_ms() + timeout_ms
+        until_ms = self._clock.now_ms() + timeout_ms - self.delivery_ms
         received = None
         while received is None:
-            remaining_ms = deadline_ms - self._clock.now_ms()
+            remaining_ms = self._extend(until_ms) - self._clock.now_ms()
             if remaining_ms <= 0:
                 raise AnswerTimeoutError
             received = self._receive_within(min(remaining_ms, _MAX_WAIT_MS))
@@ -263,6 +272,12 @@
         except h11.RemoteProtocolError as error:
             raise BrokenAnswerError(str(error)) from error
 
+    def _extend(self, until_ms: int) -> int:
+        writer = self._writer
+        if writer is None:
+            return until_ms
+        return min(until_ms + self.delivery_ms, writer.deadline_ms)
+
     def _receive_within(self, timeout_ms: int) -> bytes | None:
         self._socket.settimeout(timeout_ms / MS_PER_S)
         try:
--- a/wingfall/gateway/endpoints/request_writer.py
+++ b/wingfall/gateway/endpoints/request_writer.py
@@ -59,15 +59,16 @@
         '_check_interval_ms',
         '_clock',
         '_confirmed_bytes',
-        '_deadline_ms',
         '_encoded',
         '_greenlet',
         '_is_closing',
         '_is_running',
         '_on_incomplete',
+        '_progress_ms',
         '_socket',
         '_started_ms',
         '_written_bytes',
+        'deadline_ms',
     )
 
     def __init__(
@@ -92,12 +93,14 @@
         self._socket = sock
         self._clock = clock
         self._encoded = memoryview(encoded)
-        self._deadline_ms = deadline_ms
+        self.deadline_ms = deadline_ms
         self._on_incomplete = on_incomplete
         self._written_bytes = 0
         self._confirmed_bytes = 0
         self._check_interval_ms = _MIN_CHECK_INTERVAL_MS
         self._started_ms = clock.now_ms()
+        # When more bytes were last found confirmed.
+        self._progress_ms = self._started_ms
         # Whether the socket is closed when the write ends.
         self._is_closing = False
         self._is_running = True
@@ -108,13 +111,20 @@
         """Whether the endpoint's machine had confirmed it at the last check."""
         return self._confirmed_bytes == len(self._encoded)
 
+    @property
+    def delivery_ms(self) -> int:
+        """Milliseconds from the start until bytes were last confirmed."""
+        return self._progress_ms - self._started_ms
+
     def check(self) -> bool:
         """Check how much of the request was delivered; the socket is open.
 
         :returns: whether the endpoint's machine has confirmed all of it.
         """
-        unconfirmed = count_unconfirmed(self._socket)
-        self._confirmed_bytes = self._written_bytes - unconfirmed
+        confirmed_bytes = self._written_bytes - count_unconfirmed(self._socket)
+        if confirmed_bytes > self._confirmed_bytes:
+            self._confirmed_bytes = confirmed_bytes
+            self._progress_ms = self._clock.now_ms()
         return self.is_delivered
 
     def stop(self, reason: str) -> None:
@@ -144,7 +154,7 @@
             self._close()
 
     def _deliver(self) -> str:
-        while self._clock.now_ms() < self._deadline_ms:
+        while self._clock.now_ms() < self.deadline_ms:
             try:
                 self._advance()
             except OSError as error:
