Keep a connection whose endpoint reads nothing while its VM answers

What callers saw: 502 (answer_lost) for a long request whose endpoint did not read for about two seconds, though the call had time left.

Cause: the kernel's limit of unconfirmed bytes (TCP_USER_TIMEOUT, 1,500 ms) also ends a connection whose window the endpoint keeps shut, no matter that its VM answers each probe. It is there for VMs that have gone silent.

Change: while no byte is in flight and bytes wait for room, the kernel's limit is removed, and WindowWatch takes over: a probe that stays unanswered over seven checks, a little over 1.5 s, shows a silent VM. With bytes in flight, or after progress, the kernel's limit applies again, also to a connection that is kept. A VM that falls silent while its window is shut is noticed that long after the next probe of the kernel, whose intervals double with the time for which the window has been shut.

A VM that falls silent in this state was not played with real machines. Two more tests: a call that ends leaves no writer behind and its endpoint gets a reset, and an incomplete request is logged and counted.

--- a/tests/test_slow_endpoints.py
+++ b/tests/test_slow_endpoints.py
@@ -6,19 +6,25 @@
 
 from __future__ import annotations
 
+import gc
+import re
+
 import gevent
 import pytest
+import urllib3
 
 from standins.body_reading import EarlyAnswer
 from standins.pool_server import PoolServerStandIn
 from standins.received_answer import ReceivedAnswer
-from tests.gateway_site import GatewaySite
+from tests.gateway_site import HOST, GatewaySite
 from tests.local_site import wait_until
+from tests.test_compatibility import collected_lines
+from wingfall.gateway.endpoints.request_writer import RequestWriter
 
 LONG_BYTES = 4_000_000
 # The slowest link of a deployment, 5 Mbit/s.
 SLOWEST_BYTES_PER_S = 640_000
-DEADLINE_MS = 8000
+DEADLINE_MS = 12_000
 # Another request is sent at this interval while long ones are written.
 SHORT_INTERVAL_S = 0.1
 
@@ -130,6 +136,8 @@
         (1_600_000, 0, 0),
         (SLOWEST_BYTES_PER_S, 0, 0),
         (0, 1.4, 0),
+        (0, 1.6, 65_536),
+        (0, 4.5, 65_536),
     ],
 )
 def test_body_is_delivered_whole_to_a_slow_reader(
@@ -180,3 +188,62 @@
     )
     assert answer.status == 200
     assert answer.body.count(b'data: ') == engine.events
+
+
+@pytest.fixture
+def deaf_site(site: GatewaySite) -> GatewaySite:
+    """Create a site whose endpoint reads no long body for a long time."""
+    site.servers['one'].reading.pause_s = 3
+    return site
+
+
+def count_writers() -> int:
+    """Count the writers of requests that this process holds."""
+    gc.collect()
+    return sum(isinstance(each, RequestWriter) for each in gc.get_objects())
+
+
+def test_call_that_ends_leaves_no_writer_and_resets_its_connection(
+    deaf_site: GatewaySite,
+):
+    server = deaf_site.servers['one']
+    caller = deaf_site.caller()
+    caller.send('/unsafe/x', method='POST', body=body_of('long'))
+    wait_until(lambda: server.reading.requests)
+    assert count_writers() == 1
+    caller.close()
+    wait_until(lambda: not count_writers())
+    # The endpoint is told at once and not after what the kernel still holds.
+    gevent.sleep(3)
+    assert len(server.reading.requests[0].body) < LONG_BYTES // 4
+
+
+def test_request_that_is_not_delivered_is_logged_and_counted(
+    deaf_site: GatewaySite,
+):
+    with collected_lines() as lines:
+        answer = deaf_site.ask(
+            '/unsafe/x',
+            method='POST',
+            body=body_of('long'),
+            X_Attempt_Id='long',
+            X_Deadline_Ms='1000',
+        )
+    assert answer.status == 504
+    assert b'"run":"unknown"' in answer.body
+    (fields,) = [
+        fields
+        for sentence, fields in lines
+        if sentence == 'dispatch: A request was not delivered whole.'
+    ]
+    assert fields['call'] == 'long'
+    assert fields['endpoint'] == 'one'
+    assert fields['confirmed_bytes'] < LONG_BYTES < fields['total_bytes']
+    assert fields['ms'] < 2000
+    assert fields['reason'] == 'the time of the call is over'
+    port = deaf_site.gateways[0].admin_port
+    text = urllib3.request('GET', f'http://{HOST}:{port}/metrics').data.decode()
+    counted = re.findall(
+        r'^wingfall_decisions_total\{(.*)\} (\d+)$', text, re.MULTILINE
+    )
+    assert ('part="delivery",reason="incomplete"', '1') in counted
--- a/wingfall/gateway/endpoints/request_writer.py
+++ b/wingfall/gateway/endpoints/request_writer.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+from socket import SHUT_RDWR
 from typing import TYPE_CHECKING, Callable, Final, final
 
 import gevent
 
 from wingfall.clock import MS_PER_S
+from wingfall.gateway.endpoints.window_watch import WindowWatch
 from wingfall.tcp import count_unconfirmed, reset
 
 if TYPE_CHECKING:
@@ -20,6 +22,7 @@
 
 # Maximum interval of the checks how much the endpoint has confirmed.
 _MAX_CHECK_INTERVAL_MS: Final = 250
+_TIME_IS_OVER: Final = 'the time of the call is over'
 # First interval: some round trips between availability zones.
 _MIN_CHECK_INTERVAL_MS: Final = 20
 
@@ -67,6 +70,7 @@
         '_progress_ms',
         '_socket',
         '_started_ms',
+        '_window_watch',
         '_written_bytes',
         'deadline_ms',
     )
@@ -101,6 +105,9 @@
         self._started_ms = clock.now_ms()
         # When more bytes were last found confirmed.
         self._progress_ms = self._started_ms
+        self._window_watch = WindowWatch(
+            sock=sock, interval_ms=_MAX_CHECK_INTERVAL_MS
+        )
         # Whether the socket is closed when the write ends.
         self._is_closing = False
         self._is_running = True
@@ -135,8 +142,12 @@
         if not self._is_running:
             return
         self._is_running = False
-        if not self.check():
+        if self.check():
+            self._window_watch.note_progress()
+        elif self._clock.now_ms() < self.deadline_ms:
             self._report(reason)
+        else:
+            self._report(_TIME_IS_OVER)
         self._greenlet.kill(block=False)
 
     def close_when_delivered(self) -> None:
@@ -154,23 +165,28 @@
             self._close()
 
     def _deliver(self) -> str:
-        while self._clock.now_ms() < self.deadline_ms:
-            try:
-                self._advance()
-            except OSError as error:
-                return str(error)
-            if self.check():
-                return ''
-        return 'the time of the call is over'
-
-    def _advance(self) -> None:
+        try:
+            while self._clock.now_ms() < self.deadline_ms:
+                if self._advance():
+                    return ''
+        except OSError as error:
+            self._end_connection()
+            return str(error)
+        return _TIME_IS_OVER
+
+    def _advance(self) -> bool:
+        confirmed_bytes = self._confirmed_bytes
         if self._written_bytes == len(self._encoded):
             gevent.sleep(self._check_interval_ms / MS_PER_S)
-            self._check_interval_ms = min(
-                self._check_interval_ms * 2, _MAX_CHECK_INTERVAL_MS
-            )
+            self._check_interval_ms = _MAX_CHECK_INTERVAL_MS
         else:
             self._write()
+        is_delivered = self.check()
+        if self._confirmed_bytes > confirmed_bytes:
+            self._window_watch.note_progress()
+        elif not is_delivered:
+            self._window_watch.check()
+        return is_delivered
 
     def _write(self) -> None:
         remaining = self._encoded[self._written_bytes :]
@@ -195,6 +211,13 @@
             )
         )
 
+    def _end_connection(self) -> None:
+        # The reader still gets the bytes of an answer that has come.
+        try:
+            self._socket.shutdown(SHUT_RDWR)
+        except OSError:  # The connection has ended by itself.
+            return
+
     def _close(self) -> None:
         if self.is_delivered:
             self._socket.close()
--- a/wingfall/tcp.py
+++ b/wingfall/tcp.py
@@ -7,7 +7,7 @@
 import struct
 import sys
 import termios
-from typing import Final
+from typing import Final, final
 
 # Bytes that are sent within one timeout of a socket.
 _PIECE_BYTES: Final = 65_536
@@ -16,12 +16,38 @@
 # after some two seconds.
 _UNCONFIRMED_MS: Final = 1500
 _PROBE_S: Final = 1
-# Bytes of the kernel's count of what a peer has not confirmed, an int.
+# Bytes of a count of the kernel.
 _COUNT_BYTES: Final = 4
+# Fields of the kernel's ``struct tcp_info``: their offsets in bytes. The first
+# one is a byte, the others are 32 bits long.
+_UNANSWERED_PROBES_OFFSET: Final = 3
+_IN_FLIGHT_OFFSET: Final = 24
+_LAST_ACK_OFFSET: Final = 56
+_TCP_INFO_BYTES: Final = 104
 # Options of a socket whose close sends a reset and drops unsent bytes.
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 
 
+@final
+class PeerState:
+    """What the kernel knows of the peer of a connection."""
+
+    __slots__ = ('in_flight', 'last_ack_ms', 'unanswered_probes')
+
+    def __init__(
+        self, *, in_flight: int, last_ack_ms: int, unanswered_probes: int
+    ) -> None:
+        """Initialize the state.
+
+        :param in_flight: packets that were sent and not confirmed.
+        :param last_ack_ms: milliseconds since the peer confirmed anything.
+        :param unanswered_probes: probes of a closed window without an answer.
+        """
+        self.in_flight = in_flight
+        self.last_ack_ms = last_ack_ms
+        self.unanswered_probes = unanswered_probes
+
+
 def silence_options(unanswered: int) -> list[tuple[int, int, int]]:
     """Give the options of a socket that notices a silent VM.
 
@@ -70,7 +96,34 @@
     :returns: bytes that are in flight or wait for room at the peer.
     """
     counted = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT_BYTES))
-    return int.from_bytes(counted, sys.byteorder)
+    return _read_count(counted, 0)
+
+
+def read_peer_state(sock: socket.socket) -> PeerState:
+    """Return what the kernel knows of the peer.
+
+    :param sock: a connected socket.
+    :returns: the state of the peer.
+    """
+    told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    return PeerState(
+        in_flight=_read_count(told, _IN_FLIGHT_OFFSET),
+        last_ack_ms=_read_count(told, _LAST_ACK_OFFSET),
+        unanswered_probes=told[_UNANSWERED_PROBES_OFFSET],
+    )
+
+
+def limit_unconfirmed(sock: socket.socket, *, is_limited: bool) -> None:
+    """Set or remove the limit that ends a connection without confirmations.
+
+    The kernel also ends a connection whose peer confirms each probe but has
+    no room for more bytes.
+
+    :param sock: a connected socket.
+    :param is_limited: whether the limit of :func:`silence_options` applies.
+    """
+    limit_ms = _UNCONFIRMED_MS if is_limited else 0
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
 
 
 def reset(sock: socket.socket) -> None:
@@ -82,6 +135,10 @@
     sock.close()
 
 
+def _read_count(told: bytes, offset: int) -> int:
+    return int.from_bytes(told[offset : offset + _COUNT_BYTES], sys.byteorder)
+
+
 def tcp_listener(address: str, backlog: int) -> socket.socket:
     """Listen on an address.
 
