Bound an agent's request by the endpoint's silence, not as a whole

What callers saw: a long request through a router and an agent failed with an unknown run if the endpoint beside the agent took longer to read it than the limit of a connect (one second by default).

Cause: the same as in the gateway. urllib3 sends a request with the timeout of the connect, and gevent counts that over all bytes, also while they move.

Change: the agent's connections send by send_all with the limit of the endpoint's silence (idle_ms) for each piece. urllib3 reads an answer only after the whole request or an error, so no next request can be written into a body here.

--- a/wingfall/agent/endpoint_client.py
+++ b/wingfall/agent/endpoint_client.py
@@ -7,6 +7,7 @@
 import urllib3
 from returns.result import Failure, Result, Success
 
+from wingfall.agent.endpoint_http import EndpointHttpConnection
 from wingfall.clock import MS_PER_S
 from wingfall.errors import RunState
 
@@ -125,7 +126,9 @@
             url,
             maxsize=slots,
             retries=False,
+            write_timeout_s=self._idle_s,
         )
+        self._pool.ConnectionCls = EndpointHttpConnection
 
     def open(self, run: Run) -> Result[EndpointAnswer, EndpointFault]:
         """Send a call and wait for the head of its answer.
--- /dev/null
+++ b/wingfall/agent/endpoint_http.py
@@ -0,0 +1,39 @@
+"""The connection on which an agent sends requests to its endpoint."""
+
+from __future__ import annotations
+
+from typing import Any, final
+
+from urllib3.connection import HTTPConnection
+
+from wingfall.tcp import send_all
+
+
+@final
+class EndpointHttpConnection(HTTPConnection):
+    """Bounds the silence of an endpoint that reads a request slowly.
+
+    urllib3 bounds the sending of a whole request by the timeout of the connect.
+    """
+
+    def __init__(
+        self, *rest: Any, write_timeout_s: float, **named: Any
+    ) -> None:
+        """Initialize the connection; it is not open yet.
+
+        :param rest: passed on to urllib3.
+        :param write_timeout_s: maximum seconds for each piece of a request.
+        :param named: passed on to urllib3.
+        """
+        super().__init__(*rest, **named)
+        self._write_timeout_s = write_timeout_s
+
+    def send(self, data: bytes) -> None:  # noqa: WPS110
+        """Send bytes of a request; urllib3 calls this.
+
+        :param data: the bytes.
+        """
+        if self.sock is None:
+            self.connect()
+        self.sock.settimeout(self._write_timeout_s)
+        send_all(self.sock, data)
