Have endpoints of a soak read long bodies slowly, and answer before

Promises: where a body is due, an endpoint gets its bytes and no others; what it runs after its body has come is the whole request. Links hold little of what is sent, so that an endpoint that reads slowly is felt by the gateway.

--- a/standins/body_reading.py
+++ b/standins/body_reading.py
@@ -33,6 +33,17 @@
     whole = 'whole'  # The answer that it would give after the body.
 
 
+def body_of(call_id: str, length: int) -> bytes:
+    """Create a body that shows at each place to which request it belongs.
+
+    :param call_id: id of the request.
+    :param length: bytes of the body.
+    :returns: the body.
+    """
+    word = f'{call_id}.'.encode()
+    return (word * (length // len(word) + 1))[:length]
+
+
 @final
 class BodyReading:
     """How fast an endpoint reads bodies, and whether it answers before."""
--- a/standins/link.py
+++ b/standins/link.py
@@ -67,12 +67,16 @@
         *,
         target: str,
         bandwidth: Bandwidth | None = None,
+        holds_little: bool = False,
     ) -> None:
         """Listen on a free port.
 
         :param target: ``host:port`` that the link leads to.
         :param bandwidth: bounds what comes back from there, None for no bound.
+        :param holds_little: whether the link takes no more from callers than
+            its target reads, but for small buffers.
         """
+        self._holds_little = holds_little
         self._bandwidth = bandwidth
         host, _colon, port = target.rpartition(':')
         self._target = (host, int(port))
@@ -138,6 +142,8 @@
             self._sockets.add(sock)
         if self._bandwidth is not None:
             _shrink_buffers(near, far)
+        if self._holds_little:
+            _shrink_buffers(far, near)
         back = gevent.spawn(
             self._pump, far, near, LinkState.silent, bandwidth=self._bandwidth
         )
@@ -166,10 +172,10 @@
             _reset(sink)
 
 
-def _shrink_buffers(near: socket.socket, far: socket.socket) -> None:
+def _shrink_buffers(sink: socket.socket, source: socket.socket) -> None:
     size = _SLOW_BUFFER_BYTES
-    near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
-    far.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+    sink.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+    source.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
 
 def _reset(sock: socket.socket) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,9 @@
 # With callers whose prompts share a part that crashes engines; red where a
 # request was blocked and the part was not.
 PART_SEEDS = (9101,)
+# With long bodies and endpoints that read them slowly or answer before; red
+# where a connection was kept whose request was cut off.
+BODY_SEEDS = (1, 5)
 # With requests that crash engines as well.
 PART_AND_REQUEST_SEEDS = (9305,)
 
@@ -208,6 +211,14 @@
     run_soak(tmp_path, seed, '--parts', '--crashes', seconds=12)
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize('seed', BODY_SEEDS)
+def test_bodies_stay_apart_beside_endpoints_that_read_slowly(
+    tmp_path: pathlib.Path, seed: int
+):
+    run_soak(tmp_path, seed, '--bodies', seconds=20)
+
+
 @pytest.mark.processes
 def test_promises_hold_while_gateways_are_of_two_versions(
     tmp_path: pathlib.Path,
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import final
 
 import pytest
 
+from standins.body_reading import body_of
+from standins.pool_server import PoolServerStandIn, Run
+from tools.soak.body_promises import answered_bodies_whole, bodies_unmixed
 from tools.soak.promises import (
     added_routes_are_there,
     in_force,
@@ -119,3 +123,37 @@
         refused.body = b''
     (broken,) = streams_that_are_taken_up_go_on(_Site(), outcomes)
     assert broken == '0.42 of 12 streams went on, 1.00 of new ones began'
+
+
+def site_with_request(body: bytes) -> SimpleNamespace:
+    """Make a site whose endpoint ran a request with a body of ten bytes."""
+    standin = PoolServerStandIn(name='one')
+    standin.stop()
+    run = Run(call_id='call', headers={})
+    run.body = body
+    run.length = 10
+    standin.runs.append(run)
+    standin.reading.requests.append(run)
+    server = SimpleNamespace(name='one', standin=standin)
+    return SimpleNamespace(servers=[server])
+
+
+def long_call() -> Outcome:
+    """Make a request with a body of ten bytes."""
+    outcome = Outcome(call_id='call', kind='unsafe', gateway='g', key=KEY)
+    outcome.body_bytes = 10
+    return outcome
+
+
+def test_other_bytes_in_a_body_break_a_promise():
+    assert not list(bodies_unmixed(site_with_request(b'call.'), []))
+    (broken,) = bodies_unmixed(site_with_request(b'call.GET /x'), [])
+    assert broken == 'one got other bytes in call'
+
+
+def test_run_with_a_part_of_its_body_breaks_a_promise():
+    whole = site_with_request(body_of('call', 10))
+    assert not list(answered_bodies_whole(whole, [long_call()]))
+    part = site_with_request(b'call.')
+    (broken,) = answered_bodies_whole(part, [long_call()])
+    assert broken == 'one ran a part of call'
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -22,6 +22,7 @@
 from standins.serving import start_server
 from tools.fleet import HOST, wait_for
 from tools.soak import (
+    body_promises,
     prompt_promises,
     retry_promises,
     series,
@@ -34,11 +35,13 @@
 from tools.soak.engine_crashes import EngineCrashes
 from tools.soak.failing_pools import FAILING_POOL_BOUND, FailingPools
 from tools.soak.faults import Fault, faults
+from tools.soak.long_requests import LongRequests
 from tools.soak.promises import promises
 from tools.soak.resuming_callers import ResumingCallers
 from tools.soak.running_faults import RunningFaults
 from tools.soak.signal_faults import SpeakingEndpoints
 from tools.soak.site import STEADY_KEY, SoakSite
+from tools.soak.slow_readers import SlowReaders
 from tools.soak.traffic import KINDS, Outcome, Traffic
 from tools.soak.upgrade import Upgrade, unpack_version
 from tools.soak.version_faults import version_faults
@@ -48,6 +51,7 @@
 
 # Faults and promises are known once their modules are imported.
 IMPORTED = (
+    body_promises,
     prompt_promises,
     retry_promises,
     series,
@@ -104,6 +108,11 @@
         action='store_true',
         help='pools fail most requests while gateways end',
     )
+    parser.add_argument(
+        '--bodies',
+        action='store_true',
+        help='callers send long bodies, which endpoints read slowly',
+    )
     parser.add_argument(
         '--versions',
         type=int,
@@ -143,6 +152,7 @@
         tells_starts=chosen.writers,
         duty_platform=duty_platform,
         earlier=_unpack_previous(chosen, folder),
+        links_hold_little=chosen.bodies,
     )
     try:
         struck, broken, outcomes = _run(seed, chance, chosen, site)
@@ -170,9 +180,11 @@
     end_signals = _start_signals(site, chosen, seed)
     end_failures = _start_failures(site, chosen, seed)
     end_streams = _start_streams(site, traffic, chosen, seed)
+    end_bodies = _start_bodies(site, traffic, chosen, seed)
     join_upgrade = _start_upgrade(site, chosen, seed)
     struck = _strike(site, chance, chosen.seconds, _find_faults(chosen))
     join_upgrade()
+    end_bodies()
     end_streams()
     end_failures()
     end_signals()
@@ -266,6 +278,24 @@
     return ResumingCallers(site=site, traffic=traffic, seed=seed).stop
 
 
+def _start_bodies(
+    site: SoakSite,
+    traffic: Traffic,
+    chosen: argparse.Namespace,
+    seed: int,
+) -> Callable[[], None]:
+    if not chosen.bodies:
+        return lambda: None
+    readers = SlowReaders(site=site, seed=seed)
+    callers = LongRequests(site=site, traffic=traffic, seed=seed)
+
+    def stop() -> None:
+        callers.stop()
+        readers.stop()
+
+    return stop
+
+
 def _start_signals(
     site: SoakSite,
     chosen: argparse.Namespace,
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -12,6 +12,7 @@
 import gevent
 import h11
 
+from standins.body_reading import body_of
 from standins.received_answer import ReceivedAnswer
 from tools.fleet import HOST
 from tools.soak.site import STEADY_KEY
@@ -24,7 +25,8 @@
 KINDS: Final = ('safe', 'unsafe', 'stream', 'oneway')
 _READ_BYTES: Final = 65_536
 _DEADLINE_MS: Final = 3000
-_PATIENCE_S: Final = 5
+# Longer than a gateway takes to start and a call until its deadline.
+_PATIENCE_S: Final = 8
 _PAUSE_S: Final = 0.08
 _KEEP: Final = 0.8
 _LEAVE: Final = 0.03
@@ -67,6 +69,8 @@
         self.ended_s = self.sent_s
         self.sent_whole = False
         self.parts = _PARTS
+        # Bytes of the body of the request.
+        self.body_bytes = 0
         self.first_s: float = 0
         self.left = False
         # The request whose answer began the stream that this one takes up, and
@@ -148,6 +152,19 @@
         self._send_alone(outcome)
         return outcome
 
+    def send_long(self, kind: str, gateway: str, length: int) -> Outcome:
+        """Send a request with a body on a new connection.
+
+        :param kind: its kind.
+        :param gateway: where it goes.
+        :param length: bytes of the body.
+        :returns: what came back.
+        """
+        outcome = self._begin(kind, gateway, STEADY_KEY)
+        outcome.body_bytes = length
+        self._send_alone(outcome)
+        return outcome
+
     def begin_stream(self, gateway: str, leaves_after: int) -> Outcome:
         """Send a request for a stream that may be taken up later.
 
@@ -300,12 +317,14 @@
     if outcome.resumes:
         headers.append(('Resumes', outcome.resumes))
         headers.append(('Last-Event-Id', outcome.last_event_id))
-    method = 'GET' if outcome.kind == 'safe' else 'POST'
-    if method == 'POST':
-        headers.append(('Content-Length', '0'))
+    has_body = outcome.kind != 'safe' or outcome.body_bytes
+    if has_body:
+        headers.append(('Content-Length', str(outcome.body_bytes)))
     request = h11.Request(
-        method=method,
+        method='POST' if has_body else 'GET',
         target=f'/{outcome.route}/x',
         headers=headers,
     )
-    return http.send(request) + http.send(h11.EndOfMessage())
+    body = h11.Data(data=body_of(outcome.call_id, outcome.body_bytes))
+    events = (request, body, h11.EndOfMessage())
+    return b''.join(map(http.send, events))
