Write long bodies without a copy of them

A long request is now held for as long as its endpoint takes to read it, so what it holds matters more: the body of the call and, in the writer, a copy of it behind the head. Only the first 64 KB are copied now, so that the head of most prompts still leaves in one packet with them.

Also a test that the rest of a refused body (413, or a key that nobody has) is never taken for a request; it passed before too.

--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -237,6 +237,28 @@
     assert not all_run_ids(plain_site)
 
 
+@pytest.mark.parametrize(
+    ('key', 'length', 'status'),
+    [(API_KEY, 200_000, 413), ('unknown', 90_000, 401)],
+)
+def test_rest_of_a_refused_body_is_no_request(
+    plain_site: GatewaySite, key: str, length: int, status: int
+):
+    # Guards against bytes of a body that are taken for the next request.
+    smuggled = (
+        'GET /safe/x HTTP/1.1\r\nHost: site.example\r\n'
+        f'X-Attempt-Id: b1\r\nAuthorization: Token {API_KEY}\r\n\r\n'
+    ).encode()
+    body = smuggled * (length // len(smuggled))
+    caller = plain_site.caller()
+    caller.send(
+        '/unsafe/x', method='POST', body=body, Authorization=f'Token {key}'
+    )
+    assert caller.receive().status == status
+    assert plain_site.ask('/safe/x', X_Attempt_Id='a2').status == 200
+    assert all_run_ids(plain_site) == ['a2']
+
+
 def test_head_over_the_limit_is_refused(plain_site: GatewaySite):
     caller = plain_site.caller()
     caller.sock.sendall(b'GET /safe/x HTTP/1.1\r\nX: %s' % (b'x' * 20_000))
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -139,18 +139,19 @@
         if body or method not in {b'GET', b'HEAD', b'DELETE', b'OPTIONS'}:
             framed.append((b'Content-Length', b'%d' % len(body)))
         try:
-            encoded = self._encode(method, target, framed, body)
+            head = self._encode_head(method, target, framed, body)
         except h11.LocalProtocolError as error:
             raise BrokenAnswerError(str(error)) from error
-        if len(encoded) > _MAX_INLINE_WRITE_BYTES:
+        if len(head) + len(body) > _MAX_INLINE_WRITE_BYTES:
             self._writer = RequestWriter(
                 sock=self._socket,
                 clock=self._clock,
-                encoded=encoded,
+                head=head,
+                body=body,
                 deadline_ms=deadline_ms,
                 on_incomplete=on_incomplete,
             )
-        elif not self._write(encoded):
+        elif not self._write(head + body):
             raise BrokenAnswerError('the request could not be written')
 
     def receive(self, timeout_ms: int) -> h11.Event:
@@ -224,7 +225,7 @@
         elif self._writer is not None:
             self._writer.close_when_delivered()
 
-    def _encode(
+    def _encode_head(
         self,
         method: bytes,
         target: bytes,
@@ -232,11 +233,12 @@
         body: bytes,
     ) -> bytes:
         request = h11.Request(method=method, target=target, headers=headers)
-        pieces = [self._http.send(request)]
+        head = self._http.send(request) or b''
+        # A body with a length goes out as it is.
         if body:
-            pieces.append(self._http.send(h11.Data(data=body)))
-        pieces.append(self._http.send(h11.EndOfMessage()))
-        return b''.join(filter(None, pieces))
+            self._http.send(h11.Data(data=body))
+        self._http.send(h11.EndOfMessage())
+        return head
 
     def _stop_writer(self) -> bool:
         writer = self._writer
--- a/wingfall/gateway/endpoints/request_writer.py
+++ b/wingfall/gateway/endpoints/request_writer.py
@@ -23,6 +23,8 @@
 # Maximum interval of the checks how much the endpoint has confirmed.
 _MAX_CHECK_INTERVAL_MS: Final = 250
 _TIME_IS_OVER: Final = 'the time of the call is over'
+# Bytes of a body that are copied behind the head: those of most prompts.
+_FIRST_BODY_BYTES: Final = 65_536
 # First interval: some round trips between availability zones.
 _MIN_CHECK_INTERVAL_MS: Final = 20
 
@@ -62,14 +64,15 @@
         '_check_interval_ms',
         '_clock',
         '_confirmed_bytes',
-        '_encoded',
         '_greenlet',
         '_is_closing',
         '_is_running',
         '_on_incomplete',
+        '_pieces',
         '_progress_ms',
         '_socket',
         '_started_ms',
+        '_total_bytes',
         '_window_watch',
         '_written_bytes',
         'deadline_ms',
@@ -80,7 +83,8 @@
         *,
         sock: socket.socket,
         clock: Clock,
-        encoded: bytes,
+        head: bytes,
+        body: bytes,
         deadline_ms: int,
         on_incomplete: Callable[[IncompleteRequest], None] | None,
     ) -> None:
@@ -88,7 +92,8 @@
 
         :param sock: socket of the connection.
         :param clock: clock of this gateway.
-        :param encoded: the request.
+        :param head: the encoded head of the request.
+        :param body: its body.
         :param deadline_ms: time of the clock in milliseconds at which the
             write is given up.
         :param on_incomplete: called if the endpoint won't receive the whole
@@ -96,7 +101,13 @@
         """
         self._socket = sock
         self._clock = clock
-        self._encoded = memoryview(encoded)
+        # The head leaves with the begin of the body; the rest of a body of
+        # megabytes is not copied.
+        self._pieces = [
+            memoryview(head + body[:_FIRST_BODY_BYTES]),
+            memoryview(body)[_FIRST_BODY_BYTES:],
+        ]
+        self._total_bytes = len(head) + len(body)
         self.deadline_ms = deadline_ms
         self._on_incomplete = on_incomplete
         self._written_bytes = 0
@@ -116,7 +127,7 @@
     @property
     def is_delivered(self) -> bool:
         """Whether the endpoint's machine had confirmed it at the last check."""
-        return self._confirmed_bytes == len(self._encoded)
+        return self._confirmed_bytes == self._total_bytes
 
     @property
     def delivery_ms(self) -> int:
@@ -176,7 +187,7 @@
 
     def _advance(self) -> bool:
         confirmed_bytes = self._confirmed_bytes
-        if self._written_bytes == len(self._encoded):
+        if self._written_bytes == self._total_bytes:
             gevent.sleep(self._check_interval_ms / MS_PER_S)
             self._check_interval_ms = _MAX_CHECK_INTERVAL_MS
         else:
@@ -189,15 +200,19 @@
         return is_delivered
 
     def _write(self) -> None:
-        remaining = self._encoded[self._written_bytes :]
         # The socket's own timeout is that of the reader.
         timeout_s = _MAX_CHECK_INTERVAL_MS / MS_PER_S
         try:
-            self._written_bytes += self._socket.send(remaining, 0, timeout_s)
+            sent_bytes = self._socket.send(self._pieces[0], 0, timeout_s)
         except TimeoutError as error:
             # An errno means that the kernel found the machine unresponsive.
             if error.errno:
                 raise
+            return
+        self._written_bytes += sent_bytes
+        self._pieces[0] = self._pieces[0][sent_bytes:]
+        if not self._pieces[0]:
+            self._pieces.pop(0)
 
     def _report(self, reason: str) -> None:
         if self._on_incomplete is None:
@@ -205,7 +220,7 @@
         self._on_incomplete(
             IncompleteRequest(
                 confirmed_bytes=self._confirmed_bytes,
-                total_bytes=len(self._encoded),
+                total_bytes=self._total_bytes,
                 elapsed_ms=self._clock.now_ms() - self._started_ms,
                 reason=reason,
             )
