Take a reset that the writer is told of for no end of an answer

What callers saw: an answer without a length or chunks that its endpoint cut off by a reset, while it had not read all of a long request, looked whole.

Cause: the kernel reports the reset of a connection once. Where the writer of the request is told of it, the reader of the answer sees a plain end of the connection, which for such an answer is the end of the message.

Change: the writer keeps the error that ended it, and an end of the connection after such an error is a broken answer. Also, a connection whose write has already failed is closed at once where it is to be closed after the write; before, it was closed only when its last reference went.

--- /dev/null
+++ b/tests/test_endpoint_connection.py
@@ -0,0 +1,85 @@
+"""Tests of connections to endpoints that end within a request."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import gevent
+import pytest
+
+from tests.local_site import wait_until
+from wingfall.clock import Clock
+from wingfall.gateway.endpoints.endpoint_connection import (
+    BrokenAnswerError,
+    EndpointConnection,
+)
+from wingfall.tcp import reset
+
+LONG_BYTES = 8_000_000
+# The head and a part of an answer without a length.
+BEGUN_ANSWER = b'HTTP/1.1 200 OK\r\n\r\nbegun'
+
+
+class _Pair:
+    """A connection to an endpoint and the endpoint's end of it."""
+
+    def __init__(self) -> None:
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            self.sock = socket.create_connection(listener.getsockname())
+            self.endpoint = listener.accept()[0]
+        self.connection = EndpointConnection(sock=self.sock, clock=Clock())
+
+    def send_long(self) -> None:
+        """Send a request that the endpoint does not read."""
+        self.connection.send(
+            b'POST',
+            b'/x',
+            [(b'Host', b'site.example')],
+            bytes(LONG_BYTES),
+            deadline_ms=Clock().now_ms() + 10_000,
+        )
+        # The writer fills the buffers of both sides.
+        gevent.sleep(0.2)
+
+
+@pytest.fixture
+def pair() -> Iterator[_Pair]:
+    """Connect to an endpoint."""
+    running = _Pair()
+    yield running
+    if running.sock.fileno() >= 0:
+        running.connection.close()
+    running.endpoint.close()
+
+
+def test_reset_answer_is_incomplete_if_the_writer_takes_the_error(pair: _Pair):
+    # Guards against a torn answer that looks complete: the kernel reports a
+    # reset once, to the reader or to the writer.
+    pair.send_long()
+    pair.endpoint.sendall(BEGUN_ANSWER)
+    assert pair.connection.receive(1000).status_code == 200
+    assert pair.connection.receive(1000).data == b'begun'
+    reset(pair.endpoint)
+    # The writer runs first.
+    gevent.sleep(0.5)
+    with pytest.raises(BrokenAnswerError):
+        pair.connection.receive(1000)
+
+
+def test_connection_whose_write_has_failed_is_closed(pair: _Pair):
+    pair.send_long()
+    reset(pair.endpoint)
+    gevent.sleep(0.5)
+    pair.connection.close_when_delivered()
+    assert pair.sock.fileno() == -1
+
+
+def test_connection_is_closed_once_the_endpoint_has_read_on(pair: _Pair):
+    pair.send_long()
+    pair.connection.close_when_delivered()
+    assert pair.sock.fileno() >= 0
+    received = 0
+    while received < LONG_BYTES:
+        received += len(pair.endpoint.recv(LONG_BYTES))
+    wait_until(lambda: pair.sock.fileno() == -1)
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -269,6 +269,10 @@
             if remaining_ms <= 0:
                 raise AnswerTimeoutError
             received = self._receive_within(min(remaining_ms, _MAX_WAIT_MS))
+        # The kernel reports a reset once. After the writer has got it, the end
+        # of the connection looks like that of an answer without a length.
+        if not received and self._writer is not None and self._writer.failure:
+            raise BrokenAnswerError(self._writer.failure)
         try:
             self._http.receive_data(received)
         except h11.RemoteProtocolError as error:
--- a/wingfall/gateway/endpoints/request_writer.py
+++ b/wingfall/gateway/endpoints/request_writer.py
@@ -76,6 +76,7 @@
         '_window_watch',
         '_written_bytes',
         'deadline_ms',
+        'failure',
     )
 
     def __init__(
@@ -122,6 +123,8 @@
         # Whether the socket is closed when the write ends.
         self._is_closing = False
         self._is_running = True
+        # The error of the connection that ended the write, empty for none.
+        self.failure = ''
         self._greenlet = gevent.spawn(self._run)
 
     @property
@@ -164,6 +167,8 @@
     def close_when_delivered(self) -> None:
         """Close the socket when the write ends, by itself or the deadline."""
         self._is_closing = True
+        if not self._is_running:
+            self._close()
 
     def _run(self) -> None:
         reason = self._deliver()
@@ -181,8 +186,9 @@
                 if self._advance():
                     return ''
         except OSError as error:
+            self.failure = str(error)
             self._end_connection()
-            return str(error)
+            return self.failure
         return _TIME_IS_OVER
 
     def _advance(self) -> bool:
