--- a/standins/link.py
+++ b/standins/link.py
@@ -67,16 +67,16 @@
         *,
         target: str,
         bandwidth: Bandwidth | None = None,
-        holds_little: bool = False,
+        has_small_buffers: bool = False,
     ) -> None:
         """Listen on a free port.
 
         :param target: ``host:port`` that the link leads to.
         :param bandwidth: bounds what comes back from there, None for no bound.
-        :param holds_little: whether the link takes no more from callers than
-            its target reads, but for small buffers.
+        :param has_small_buffers: whether the link takes little more from
+            callers than its target has read.
         """
-        self._holds_little = holds_little
+        self._has_small_buffers = has_small_buffers
         self._bandwidth = bandwidth
         host, _colon, port = target.rpartition(':')
         self._target = (host, int(port))
@@ -142,7 +142,7 @@
             self._sockets.add(sock)
         if self._bandwidth is not None:
             _shrink_buffers(near, far)
-        if self._holds_little:
+        if self._has_small_buffers:
             _shrink_buffers(far, near)
         back = gevent.spawn(
             self._pump, far, near, LinkState.silent, bandwidth=self._bandwidth
--- a/tests/test_slow_endpoints.py
+++ b/tests/test_slow_endpoints.py
@@ -185,7 +185,7 @@
 
 
 @pytest.fixture
-def deaf_site(site: GatewaySite) -> GatewaySite:
+def stalled_site(site: GatewaySite) -> GatewaySite:
     """Create a site whose endpoint reads no long body for a long time."""
     site.servers['one'].reading.pause_s = 3
     return site
@@ -198,10 +198,10 @@
 
 
 def test_call_that_ends_leaves_no_writer_and_resets_its_connection(
-    deaf_site: GatewaySite,
+    stalled_site: GatewaySite,
 ):
-    server = deaf_site.servers['one']
-    caller = deaf_site.caller()
+    server = stalled_site.servers['one']
+    caller = stalled_site.caller()
     caller.send('/unsafe/x', method='POST', body=body_of('long', LONG_BYTES))
     wait_until(lambda: server.reading.requests)
     assert count_writers() == 1
@@ -213,10 +213,10 @@
 
 
 def test_request_that_is_not_delivered_is_logged_and_counted(
-    deaf_site: GatewaySite,
+    stalled_site: GatewaySite,
 ):
     with collected_lines() as lines:
-        answer = deaf_site.ask(
+        answer = stalled_site.ask(
             '/unsafe/x',
             method='POST',
             body=body_of('long', LONG_BYTES),
@@ -235,7 +235,7 @@
     assert fields['confirmed_bytes'] < LONG_BYTES < fields['total_bytes']
     assert fields['ms'] < 2000
     assert fields['reason'] == 'the time of the call is over'
-    port = deaf_site.gateways[0].admin_port
+    port = stalled_site.gateways[0].admin_port
     text = urllib3.request('GET', f'http://{HOST}:{port}/metrics').data.decode()
     counted = re.findall(
         r'^wingfall_decisions_total\{(.*)\} (\d+)$', text, re.MULTILINE
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -152,7 +152,7 @@
         tells_starts=chosen.writers,
         duty_platform=duty_platform,
         earlier=_unpack_previous(chosen, folder),
-        links_hold_little=chosen.bodies,
+        small_link_buffers=chosen.bodies,
     )
     try:
         struck, broken, outcomes = _run(seed, chance, chosen, site)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -58,7 +58,7 @@
         pool: str,
         arm: Callable[[Server], None],
         version: str,
-        holds_little: bool = False,
+        has_small_buffers: bool = False,
     ) -> None:
         """Start it.
 
@@ -66,7 +66,7 @@
         :param pool: its pool.
         :param arm: what is done to its stand-in before each start.
         :param version: version of its software.
-        :param holds_little: whether its link holds little of what it is sent.
+        :param has_small_buffers: whether its link holds little of what is sent.
         """
         self.name = name
         self.pool = pool
@@ -76,7 +76,9 @@
         self.names_version = True
         self.standin = PoolServerStandIn(name=name)
         self.set_up()
-        self.link = Link(target=self.standin.address, holds_little=holds_little)
+        self.link = Link(
+            target=self.standin.address, has_small_buffers=has_small_buffers
+        )
         self.draining_since_s: float | None = None
         self.alive = True
         self.born_ms = int(time.time() * MS_PER_S)
@@ -107,7 +109,7 @@
         duty_platform: DutyPlatformStandIn | None = None,
         earlier: pathlib.Path | None = None,
         versions: tuple[str, ...] = ('v1',),
-        links_hold_little: bool = False,
+        small_link_buffers: bool = False,
     ) -> None:
         """Start everything and wait until the gateways listen.
 
@@ -122,13 +124,13 @@
             duties.
         :param versions: versions of the endpoints' software; each pool has
             about the same number of each.
-        :param links_hold_little: whether the links of endpoints hold little of
+        :param small_link_buffers: whether the links of endpoints hold little of
             what is sent over them.
         """
         self._folder = folder
         self.tells_starts = tells_starts
         self.versions = versions
-        self._links_hold_little = links_hold_little
+        self._small_link_buffers = small_link_buffers
         # What is done to each endpoint before it is listed.
         self.arm: Callable[[Server], None] = _leave_as_it_is
         self._changes = {'resend': _RETRY_BOUND, **(changes or {})}
@@ -237,7 +239,7 @@
             pool=pool,
             arm=self.arm,
             version=version or self._rarest_version(pool),
-            holds_little=self._links_hold_little,
+            has_small_buffers=self._small_link_buffers,
         )
         self.servers.append(server)
         self.list_server(server, 'ready')
