Soak: excuse an unanswered run that its gateway's kill cut off

Since callers wait for eight seconds, a gateway may be killed while a request waits that was sent more than five seconds before; planned_stop_answers then blamed a planned stop.

The check stays as strict for calls that end within five seconds: before, no caller waited longer. It is excused only by a disturbance between the sending and the end of the request; a test shows both sides.

--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -13,6 +13,7 @@
 from tools.soak.promises import (
     added_routes_are_there,
     in_force,
+    planned_stop_answers,
     revoked_keys_are_refused,
 )
 from tools.soak.stream_promises import (
@@ -157,3 +158,18 @@
     part = site_with_request(b'call.')
     (broken,) = answered_bodies_whole(part, [long_call()])
     assert broken == 'one ran a part of call'
+
+
+@pytest.mark.parametrize(
+    ('disturbed_s', 'is_broken'), [(106.5, False), (108.5, True)]
+)
+def test_unanswered_run_is_excused_only_by_a_disturbance_before_its_end(
+    disturbed_s: float, *, is_broken: bool
+):
+    site = site_with_request(b'')
+    site.disturbed = {'g': [disturbed_s]}
+    outcome = long_call()
+    outcome.sent_whole = True
+    outcome.sent_s = 100
+    outcome.ended_s = 108
+    assert bool(list(planned_stop_answers(site, [outcome]))) is is_broken
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -195,7 +195,8 @@
     for each in outcomes:
         unanswered = each.sent_whole and not each.status and not each.left
         passed_on = bool(runs[each.call_id])
-        if unanswered and passed_on and not is_gateway_disturbed(site, each):
+        excused = is_gateway_disturbed(site, each) or _is_cut_off(site, each)
+        if unanswered and passed_on and not excused:
             yield f'{each.call_id} ran and got no answer at {each.gateway}'
 
 
@@ -270,6 +271,14 @@
     return learned and not is_gateway_disturbed(site, outcome)
 
 
+def _is_cut_off(site: SoakSite, outcome: Outcome) -> bool:
+    # A caller may wait for longer than a disturbance counts after its request.
+    return any(
+        outcome.sent_s < disturbed_s < outcome.ended_s
+        for disturbed_s in site.disturbed.get(outcome.gateway, ())
+    )
+
+
 def is_gateway_disturbed(site: SoakSite, outcome: Outcome) -> bool:
     """Check if a gateway was disturbed about the time of a request.
 
