--- a/tests/test_slow_endpoints.py
+++ b/tests/test_slow_endpoints.py
@@ -131,7 +131,7 @@
         (SLOWEST_BYTES_PER_S, 0, 0),
         (0, 1.4, 0),
         (0, 1.6, 65_536),
-        (0, 4.5, 65_536),
+        (0, 3.5, 65_536),
     ],
 )
 def test_body_is_delivered_whole_to_a_slow_reader(
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -102,7 +102,7 @@
 
     @property
     def is_request_delivered(self) -> bool:
-        """Whether the endpoint's machine has received the whole request."""
+        """Whether the endpoint's VM has received the whole request."""
         return self._writer is None or self._writer.check()
 
     @property
--- a/wingfall/gateway/endpoints/request_writer.py
+++ b/wingfall/gateway/endpoints/request_writer.py
@@ -45,7 +45,7 @@
     ) -> None:
         """Initialize the description.
 
-        :param confirmed_bytes: bytes that the endpoint's machine confirmed.
+        :param confirmed_bytes: bytes that the endpoint's VM confirmed.
         :param total_bytes: bytes of the request with its head.
         :param elapsed_ms: milliseconds since the write began.
         :param reason: why the write ended.
@@ -102,8 +102,8 @@
         """
         self._socket = sock
         self._clock = clock
-        # The head leaves with the begin of the body; the rest of a body of
-        # megabytes is not copied.
+        # The head goes out with the first bytes of the body. The rest is not
+        # copied, as it may be megabytes.
         self._pieces = [
             memoryview(head + body[:_FIRST_BODY_BYTES]),
             memoryview(body)[_FIRST_BODY_BYTES:],
@@ -129,7 +129,7 @@
 
     @property
     def is_delivered(self) -> bool:
-        """Whether the endpoint's machine had confirmed it at the last check."""
+        """Whether the endpoint's VM had confirmed it at the last check."""
         return self._confirmed_bytes == self._total_bytes
 
     @property
@@ -140,7 +140,7 @@
     def check(self) -> bool:
         """Check how much of the request was delivered; the socket is open.
 
-        :returns: whether the endpoint's machine has confirmed all of it.
+        :returns: whether the endpoint's VM has confirmed all of it.
         """
         confirmed_bytes = self._written_bytes - count_unconfirmed(self._socket)
         if confirmed_bytes > self._confirmed_bytes:
@@ -211,7 +211,7 @@
         try:
             sent_bytes = self._socket.send(self._pieces[0], 0, timeout_s)
         except TimeoutError as error:
-            # An errno means that the kernel found the machine unresponsive.
+            # An errno means that the kernel found the VM unresponsive.
             if error.errno:
                 raise
             return
