Share the group of callers between soaks

Callers that send long bodies and those that take streams up began and ended by the same thirty lines. They draw as before: one generator each, seeded by the seed and their number.

--- a/tools/soak/long_requests.py
+++ b/tools/soak/long_requests.py
@@ -6,14 +6,16 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING, Final, final
 
 import gevent
 
+from tools.soak.caller_group import CallerGroup
 from tools.soak.traffic import KINDS
 
 if TYPE_CHECKING:
+    import random
+
     from tools.soak.site import SoakSite
     from tools.soak.traffic import Traffic
 
@@ -39,25 +41,19 @@
         """
         self._site = site
         self._traffic = traffic
-        self._stopped = False
-        self._calling = [
-            gevent.spawn(self._call_forever, random.Random(seed + number))
-            for number in range(_CALLERS)
-        ]
+        self._group = CallerGroup(callers=_CALLERS, seed=seed, call=self._call)
 
     def stop(self) -> None:
         """Send no more, and wait for those that are under way."""
-        self._stopped = True
-        gevent.joinall(self._calling)
-
-    def _call_forever(self, chance: random.Random) -> None:
-        while not self._stopped:
-            self._traffic.send_long(
-                chance.choice(KINDS),
-                chance.choice(list(self._site.gateways)),
-                _draw_length(chance),
-            )
-            gevent.sleep(chance.uniform(0, _MOST_PAUSE_S))
+        self._group.stop()
+
+    def _call(self, chance: random.Random) -> None:
+        self._traffic.send_long(
+            chance.choice(KINDS),
+            chance.choice(list(self._site.gateways)),
+            _draw_length(chance),
+        )
+        gevent.sleep(chance.uniform(0, _MOST_PAUSE_S))
 
 
 def _draw_length(chance: random.Random) -> int:
--- a/tools/soak/resuming_callers.py
+++ b/tools/soak/resuming_callers.py
@@ -6,12 +6,15 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING, Final, final
 
 import gevent
 
+from tools.soak.caller_group import CallerGroup
+
 if TYPE_CHECKING:
+    import random
+
     from tools.soak.site import SoakSite
     from tools.soak.traffic import Outcome, Traffic
 
@@ -38,26 +41,20 @@
         """
         self._site = site
         self._traffic = traffic
-        self._stopped = False
-        self._calling = [
-            gevent.spawn(self._call_forever, random.Random(seed + number))
-            for number in range(_CALLERS)
-        ]
+        self._group = CallerGroup(callers=_CALLERS, seed=seed, call=self._call)
 
     def stop(self) -> None:
         """Begin no more streams, and wait for those that run."""
-        self._stopped = True
-        gevent.joinall(self._calling)
-
-    def _call_forever(self, chance: random.Random) -> None:
-        while not self._stopped:
-            leaves = chance.random() < _LEAVE
-            first = self._traffic.begin_stream(
-                self._choose_gateway(chance),
-                chance.choice(_LEAVE_AFTER) if leaves else 0,
-            )
-            self._take_up(chance, [first])
-            gevent.sleep(chance.uniform(0, _PAUSE_S))
+        self._group.stop()
+
+    def _call(self, chance: random.Random) -> None:
+        leaves = chance.random() < _LEAVE
+        first = self._traffic.begin_stream(
+            self._choose_gateway(chance),
+            chance.choice(_LEAVE_AFTER) if leaves else 0,
+        )
+        self._take_up(chance, [first])
+        gevent.sleep(chance.uniform(0, _PAUSE_S))
 
     def _take_up(self, chance: random.Random, tries: list[Outcome]) -> None:
         while tries[0].events and not tries[-1].whole:
