Log what is known of an endpoint as an answer ends with its connection

What callers saw: a stream that ended as complete before its last event left no line that tells it from a whole one. Nothing was logged of the decision.

Each end of an answer without a length or chunks now has a line with the evidence that decided, and a count. No decision changes. EndpointEnds combines this check with the crash detector, since a call needs both.

Tests of streams, requests, crashes, compatibility and docs: 347 passed.

--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from wingfall.clock import MS_PER_S
+from wingfall.gateway.endpoints.answer_end import AnswerEndCheck
 from wingfall.gateway.endpoints.connection_cache import ConnectionCache
 from wingfall.gateway.endpoints.crash_detector import CrashDetector
+from wingfall.gateway.endpoints.endpoint_ends import EndpointEnds
 from wingfall.gateway.endpoints.sending_gate import SendingGate
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.knowledge.full_gaps import FullGaps
@@ -76,6 +78,12 @@
         signals=knowledge.signals,
         rate_share=policies.rate_share,
     )
+    crash_detector = CrashDetector(
+        name=settings.name,
+        clock=clock,
+        knowledge=knowledge,
+        metrics=metrics,
+    )
     return GatewayState(
         zone=settings.zone,
         clock=clock,
@@ -96,10 +104,13 @@
             clock=clock,
             ledger=knowledge.crashes,
         ),
-        crash_detector=CrashDetector(
-            name=settings.name,
-            clock=clock,
-            knowledge=knowledge,
-            metrics=metrics,
+        ends=EndpointEnds(
+            answers=AnswerEndCheck(
+                clock=clock,
+                knowledge=knowledge,
+                crash_detector=crash_detector,
+                metrics=metrics,
+            ),
+            crashes=crash_detector,
         ),
     )
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -60,7 +60,7 @@
         '_connection',
         '_connections',
         '_destination',
-        '_has_crashed',
+        '_is_whole',
         '_may_send',
         '_now_ms',
         '_on_incomplete',
@@ -83,7 +83,7 @@
         on_signals: Callable[[AnswerSignals, int], None],
         on_incomplete: Callable[[IncompleteRequest], None],
         may_send: Callable[[], bool],
-        has_crashed: Callable[[], bool],
+        is_whole: Callable[[], bool],
     ) -> None:
         """Create an attempt that is not sent yet.
 
@@ -99,7 +99,8 @@
         :param on_incomplete: called if the endpoint won't receive the whole
             request.
         :param may_send: checks if the endpoint may serve the call now.
-        :param has_crashed: checks if the endpoint has crashed.
+        :param is_whole: checks if an answer is complete that has ended with its
+            connection.
         """
         self._call = call
         self._destination = destination
@@ -111,7 +112,7 @@
         self._on_signals = on_signals
         self._on_incomplete = on_incomplete
         self._may_send = may_send
-        self._has_crashed = has_crashed
+        self._is_whole = is_whole
         self._sent_ms = 0
         self._connection: EndpointConnection | None = None
 
@@ -248,11 +249,11 @@
         return AttemptOutcome(end=AttemptEnd.answered, reason='stream')
 
     def _check_end(self, response: h11.Response) -> None:
-        # Without a length or chunks, an answer that a crash cut off looks like
-        # a whole one.
+        # Without a length or chunks, an answer that the end of its endpoint cut
+        # off looks like a whole one.
         method = self._call.head.method
-        if _ends_with_connection(method, response) and self._has_crashed():
-            raise BrokenAnswerError('the endpoint crashed as the answer ended')
+        if _ends_with_connection(method, response) and not self._is_whole():
+            raise BrokenAnswerError('the endpoint ended with the answer')
 
     def _check_version(self, *, is_first: bool) -> None:
         # The endpoint may have started again as another version under its id
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -197,9 +197,9 @@
         if outcome.succeeded:
             state.knowledge.crashes.note_served(fingerprint, parts)
         elif is_abandoned and self._first_output_ms is None:
-            state.crash_detector.note_abandoned(endpoint, fingerprint, parts)
+            state.ends.crashes.note_abandoned(endpoint, fingerprint, parts)
         elif outcome.end in _BROKEN_ENDS and not is_abandoned:
-            state.crash_detector.note_broken(
+            state.ends.crashes.note_broken(
                 endpoint,
                 fingerprint,
                 self._output_duration_ms(),
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -260,8 +260,10 @@
             may_send=functools.partial(
                 may_serve, state, self._call, destination.endpoint
             ),
-            has_crashed=functools.partial(
-                state.crash_detector.has_crashed, destination.endpoint
+            is_whole=functools.partial(
+                state.ends.answers.is_whole,
+                self._call.call_id,
+                destination.endpoint,
             ),
         )
         outcome = AttemptOutcome(
--- /dev/null
+++ b/wingfall/gateway/endpoints/endpoint_ends.py
@@ -0,0 +1,27 @@
+"""What a gateway learns from connections that end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+if TYPE_CHECKING:
+    from wingfall.gateway.endpoints.answer_end import AnswerEndCheck
+    from wingfall.gateway.endpoints.crash_detector import CrashDetector
+
+
+@final
+class EndpointEnds:
+    """Whether an endpoint has crashed, and whether its answer is complete."""
+
+    __slots__ = ('answers', 'crashes')
+
+    def __init__(
+        self, *, answers: AnswerEndCheck, crashes: CrashDetector
+    ) -> None:
+        """Combine both checks.
+
+        :param answers: checks answers that end with their connection.
+        :param crashes: detects endpoints that crash.
+        """
+        self.answers = answers
+        self.crashes = crashes
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from wingfall.clock import Clock
     from wingfall.gateway.endpoints.connection_cache import ConnectionCache
-    from wingfall.gateway.endpoints.crash_detector import CrashDetector
+    from wingfall.gateway.endpoints.endpoint_ends import EndpointEnds
     from wingfall.gateway.endpoints.sending_gate import SendingGate
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
     from wingfall.gateway.knowledge.stream_origins import StreamPeers
@@ -39,8 +39,8 @@
         'budget',
         'clock',
         'connections',
-        'crash_detector',
         'draining',
+        'ends',
         'fair_shares',
         'gate',
         'deferred_calls',
@@ -68,7 +68,7 @@
         knowledge: EndpointKnowledge,
         connections: ConnectionCache,
         blocks: RequestBlocks,
-        crash_detector: CrashDetector,
+        ends: EndpointEnds,
         gate: SendingGate,
     ) -> None:
         """Create the state, which has no configuration yet.
@@ -82,7 +82,7 @@
         :param knowledge: state of the endpoints.
         :param connections: idle connections to endpoints.
         :param blocks: limits requests that crash their endpoints.
-        :param crash_detector: detects endpoints that crash.
+        :param ends: checks endpoints whose connections end.
         :param gate: checks the reports of endpoints before a request is sent.
         """
         self.zone = zone
@@ -94,7 +94,7 @@
         self.knowledge = knowledge
         self.connections = connections
         self.blocks = blocks
-        self.crash_detector = crash_detector
+        self.ends = ends
         self.gate = gate
         self.retry_charges = RetryCharges(
             budget=budget, clock=clock, metrics=metrics
