Take an answer without a length for whole only if its endpoint outlives it

Cause: one function answered two questions. has_crashed() decides on blame, and a leaving endpoint is not to blame; it says 'not crashed' before it looks. The end of an answer asked the same function, so an announced leaving stood as proof that the answer was whole. The class: a sign that excuses an endpoint is taken for evidence about its answer.

The crash detector decides on blame only, as before.

--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -357,6 +357,7 @@
                 ('X-Attempt-Id', run.call_id),
                 ('X-Response-Seal', f'seal.{self.name}'),
                 ('Connection', 'close'),
+                *self.signals.headers(run.call_id),
             ],
         )
         body = f'{self.name} {run.call_id} {run.target}'
@@ -366,6 +367,9 @@
             # What was sent must be read before the reset drops it.
             gevent.sleep(_RESET_AFTER_S)
             _reset(sock)
+        elif fault == 'unframed_end':
+            sock.sendall(encoded[: -len(body) // 2])
+            self.crash()
         else:
             sock.sendall(encoded)
             run.whole = True
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -78,12 +78,7 @@
         signals=knowledge.signals,
         rate_share=policies.rate_share,
     )
-    crash_detector = CrashDetector(
-        name=settings.name,
-        clock=clock,
-        knowledge=knowledge,
-        metrics=metrics,
-    )
+    connections = ConnectionCache(clock=clock, gate=gate)
     return GatewayState(
         zone=settings.zone,
         clock=clock,
@@ -97,7 +92,7 @@
             window_ms=int(settings.resend.window_s * MS_PER_S),
         ),
         knowledge=knowledge,
-        connections=ConnectionCache(clock=clock, gate=gate),
+        connections=connections,
         gate=gate,
         blocks=RequestBlocks(
             name=settings.name,
@@ -108,9 +103,14 @@
             answers=AnswerEndCheck(
                 clock=clock,
                 knowledge=knowledge,
-                crash_detector=crash_detector,
+                connections=connections,
+                metrics=metrics,
+            ),
+            crashes=CrashDetector(
+                name=settings.name,
+                clock=clock,
+                knowledge=knowledge,
                 metrics=metrics,
             ),
-            crashes=crash_detector,
         ),
     )
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -253,7 +253,9 @@
         # off looks like a whole one.
         method = self._call.head.method
         if _ends_with_connection(method, response) and not self._is_whole():
-            raise BrokenAnswerError('the endpoint ended with the answer')
+            raise BrokenAnswerError(
+                'nothing shows that the endpoint outlives its answer'
+            )
 
     def _check_version(self, *, is_first: bool) -> None:
         # The endpoint may have started again as another version under its id
--- a/wingfall/gateway/endpoints/connection_cache.py
+++ b/wingfall/gateway/endpoints/connection_cache.py
@@ -1,11 +1,13 @@
 """Cache of idle connections to endpoints.
 
 The cache owns connections between two requests. A cached connection may be
-broken without notice, so requests that must not be repeated use a new one.
+broken without notice, so requests that must not be repeated use a new one. The
+connections in use are only observed.
 """
 
 from __future__ import annotations
 
+import weakref
 from typing import TYPE_CHECKING, final
 
 from wingfall.gateway.endpoints.endpoint_connection import (
@@ -26,7 +28,7 @@
 class ConnectionCache:
     """Idle connections to endpoints; the newest is reused first."""
 
-    __slots__ = ('_clock', '_gate', '_idle')
+    __slots__ = ('_clock', '_gate', '_idle', '_observed')
 
     def __init__(self, *, clock: Clock, gate: SendingGate) -> None:
         """Create an empty cache.
@@ -37,6 +39,8 @@
         self._clock = clock
         self._gate = gate
         self._idle: dict[str, list[EndpointConnection]] = {}
+        # All connections by name of the endpoint, as long as they exist.
+        self._observed: dict[str, weakref.WeakSet[EndpointConnection]] = {}
 
     def acquire(
         self,
@@ -86,6 +90,16 @@
         else:
             connection.close_when_delivered()
 
+    def has_open(self, name: str) -> bool:
+        """Check if any connection to an endpoint is open.
+
+        :param name: name of the endpoint.
+        :returns: whether one, idle or in use, is open and has no bytes to be
+            read; behind such bytes its end could not be seen.
+        """
+        observed = self._observed.get(name, ())
+        return any(each.is_open for each in list(observed))
+
     def retain_only(self, listed: set[str]) -> None:
         """Close expired connections and those to unlisted endpoints.
 
@@ -96,6 +110,11 @@
                 connection.close()
         for idle in self._idle.values():
             self._close_expired(idle)
+        self._observed = {
+            name: observed
+            for name, observed in self._observed.items()
+            if observed
+        }
 
     def _reuse_or_connect(
         self,
@@ -110,7 +129,10 @@
             if connection.is_reusable:
                 return connection
             connection.close()
-        return connect(endpoint, self._clock, timeout_ms)
+        connection = connect(endpoint, self._clock, timeout_ms)
+        observed = self._observed.setdefault(endpoint.name, weakref.WeakSet())
+        observed.add(connection)
+        return connection
 
     def _close_expired(self, idle: list[EndpointConnection]) -> None:
         expired = [each for each in idle if not each.is_reusable]
--- a/wingfall/gateway/endpoints/crash_detector.py
+++ b/wingfall/gateway/endpoints/crash_detector.py
@@ -14,7 +14,10 @@
 import gevent
 
 from wingfall.clock import MS_PER_S
-from wingfall.gateway.endpoints.endpoint_probe import closes_connections
+from wingfall.gateway.endpoints.endpoint_probe import (
+    ProbeResult,
+    probe_endpoint,
+)
 from wingfall.gateway.model.endpoint_crash import EndpointCrash
 from wingfall.gateway.model.fingerprint import is_part
 from wingfall.log import log_event
@@ -31,6 +34,8 @@
 # All calls at a crashed endpoint break within this time: a network round trip
 # and a busy iteration of the event loop.
 _COLLECTION_DELAY_MS: Final = 20
+# What shows that an endpoint whose connections broke has ended.
+_ENDED: Final = (ProbeResult.closed, ProbeResult.refused)
 # A request with at least this much output is no suspect: it ran without fault
 # for many steps of the engine.
 _MAX_SUSPECT_OUTPUT_MS: Final = 1000
@@ -141,28 +146,27 @@
             (self._clock.now_ms(), endpoint.name, (fingerprint, *parts)),
         )
 
-    def has_crashed(self, endpoint: PoolEndpoint) -> bool:
+    def _has_crashed(self, endpoint: PoolEndpoint) -> bool:
         """Check if an endpoint has crashed that has just closed a connection.
 
+        Decides on blame only. It doesn't show whether an answer is complete.
+
         :param endpoint: the endpoint; one that leaves as planned has not.
         :returns: whether it has ended with all requests on it.
         """
         gevent.sleep(_COLLECTION_DELAY_MS / MS_PER_S)
-        listed = self._knowledge.table.find(endpoint.name)
-        if listed is not None and listed.draining:
-            return False
-        if endpoint.name in self._knowledge.signals.leaving:
+        if self._knowledge.is_leaving(endpoint.name):
             return False
         if self._knowledge.incarnations.is_superseded(endpoint):
             return True
-        return closes_connections(endpoint)
+        return probe_endpoint(endpoint) in _ENDED
 
     def _recently_abandoned(self) -> list[_Abandoned]:
         oldest_ms = self._clock.now_ms() - _ABANDONED_RETENTION_MS
         return [each for each in self._abandoned if each[0] >= oldest_ms]
 
     def _check_endpoint(self, endpoint: PoolEndpoint) -> None:
-        crashed = self.has_crashed(endpoint)
+        crashed = self._has_crashed(endpoint)
         broken = self._broken.pop(endpoint.name)
         if not crashed:
             return
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -64,6 +64,7 @@
     """Sends one request at a time and reads its answer as h11 events."""
 
     __slots__ = (
+        '__weakref__',
         '_clock',
         '_http',
         '_idle_since_ms',
@@ -100,6 +101,11 @@
             and not is_readable(self._socket)
         )
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection has neither ended nor bytes to be read."""
+        return not is_readable(self._socket)
+
     @property
     def is_request_delivered(self) -> bool:
         """Whether the endpoint's VM has received the whole request."""
--- a/wingfall/gateway/endpoints/endpoint_probe.py
+++ b/wingfall/gateway/endpoints/endpoint_probe.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import errno
 import socket
 from typing import TYPE_CHECKING, Final
@@ -17,43 +18,56 @@
 _REFUSED: Final = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH)
 
 
-def refuses_connections(endpoint: PoolEndpoint) -> bool:
-    """Check if nothing listens at the address of an endpoint.
+class ProbeResult(enum.StrEnum):
+    """What became of a connection without a request."""
+
+    accepted = 'accepts_connections'
+    closed = 'closes_connections'
+    refused = 'refuses_connections'
+    silent = 'silent'
+
+
+def probe_endpoint(endpoint: PoolEndpoint) -> ProbeResult:
+    """Open a connection to an endpoint and watch it for a moment.
+
+    A forwarder in front of an endpoint that has ended accepts connections and
+    closes them. An endpoint with too many connections does so too.
 
     :param endpoint: endpoint to check.
-    :returns: True after a refusal; False also if no answer arrives.
+    :returns: whether the connection was established and stayed open.
     """
     address = (endpoint.host, endpoint.port)
     try:
-        socket.create_connection(address, _TIMEOUT_MS / MS_PER_S).close()
+        with socket.create_connection(address, _TIMEOUT_MS / MS_PER_S) as sock:
+            return _watch(sock)
+    except ConnectionResetError:
+        return ProbeResult.closed
     except OSError as error:
-        return error.errno in _REFUSED
-    return False
-
+        if error.errno in _REFUSED:
+            return ProbeResult.refused
+        return ProbeResult.silent
 
-def closes_connections(endpoint: PoolEndpoint) -> bool:
-    """Check if an endpoint refuses a connection or closes it at once.
 
-    A forwarder in front of an endpoint that has ended accepts connections and
-    closes them. An endpoint with too many connections does so too, so this
-    indicates a crash only if connections in use broke as well.
+def refuses_connections(endpoint: PoolEndpoint) -> bool:
+    """Check if nothing listens at the address of an endpoint.
 
     :param endpoint: endpoint to check.
-    :returns: False also if no answer arrives.
+    :returns: True after a refusal; False also if no answer arrives.
     """
     address = (endpoint.host, endpoint.port)
     try:
-        with socket.create_connection(address, _TIMEOUT_MS / MS_PER_S) as sock:
-            return _is_closed(sock)
+        socket.create_connection(address, _TIMEOUT_MS / MS_PER_S).close()
     except OSError as error:
         return error.errno in _REFUSED
+    return False
 
 
-def _is_closed(sock: socket.socket) -> bool:
+def _watch(sock: socket.socket) -> ProbeResult:
     # No request was sent, so a running endpoint sends nothing.
     try:
-        return not sock.recv(1)
+        is_open = bool(sock.recv(1))
     except TimeoutError:
-        return False
+        return ProbeResult.accepted
     except ConnectionError:
-        return True
+        return ProbeResult.closed
+    return ProbeResult.accepted if is_open else ProbeResult.closed
--- a/wingfall/gateway/knowledge/endpoint_knowledge.py
+++ b/wingfall/gateway/knowledge/endpoint_knowledge.py
@@ -150,6 +150,16 @@
         # Signals that endpoints sent to any gateway.
         self.signals = EndpointSignals(name=name, clock=clock)
 
+    def is_leaving(self, name: str) -> bool:
+        """Check if an endpoint has announced that it leaves.
+
+        :param name: name of the endpoint.
+        :returns: whether its entry or one of its answers says so.
+        """
+        listed = self.table.find(name)
+        is_draining = listed is not None and listed.draining
+        return is_draining or name in self.signals.leaving
+
     def set_shortest_gaps(self, shortest_ms: Mapping[str, int]) -> None:
         """Set the token gap bounds of the configuration in force.
 
