Prove no answer by an address after the gateway stood still

What callers could see: a gateway stands still for seconds; an endpoint is killed meanwhile and another one listens at its address (the platform gives an address again after two seconds). The gateway then reads the ends of the cut answers, and its probe is accepted, by the wrong endpoint.

LoopLag tells whether the process stood still within the last second, also in the first turn of the event loop after it; the address proves nothing then.

--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -204,6 +204,7 @@
         knowledge=knowledge,
         connections=connections,
         metrics=Metrics(),
+        has_stood_still=lambda within_ms: False,
     )
 
 
@@ -274,6 +275,22 @@
     assert not check.is_whole('r1', earlier)
 
 
+def test_address_proves_nothing_after_the_gateway_stood_still(
+    knowledge: EndpointKnowledge,
+    connections: ConnectionCache,
+    sockets: EndpointSockets,
+):
+    # Another endpoint may listen there since.
+    late = AnswerEndCheck(
+        clock=Clock(),
+        knowledge=knowledge,
+        connections=connections,
+        metrics=Metrics(),
+        has_stood_still=lambda within_ms: True,
+    )
+    assert not late.is_whole('r1', sockets.endpoint)
+
+
 @pytest.mark.parametrize(('silent', 'is_whole'), [(2, True), (3, False)])
 def test_endpoint_whose_answer_to_a_probe_is_lost_is_probed_again(
     check: AnswerEndCheck,
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -85,7 +85,9 @@
             one here.
         """
         super().__init__(settings=settings, secret=b'')
-        self._state = make_state(settings, self._clock, self._metrics)
+        self._state = make_state(
+            settings, self._clock, self._metrics, self._lag
+        )
         applier = ObjectApplier(state=self._state)
         self._replicas = (
             ObjectReplica(kind=ROUTES_KIND, listener=applier.apply_routes),
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -26,6 +26,7 @@
     from returns.result import Result
 
     from wingfall.clock import Clock
+    from wingfall.loop_lag import LoopLag
     from wingfall.metrics import Metrics
 
 # A binding is registered when its module is imported.
@@ -47,12 +48,14 @@
     settings: SimpleNamespace,
     clock: Clock,
     metrics: Metrics,
+    lag: LoopLag,
 ) -> GatewayState:
     """Create the state of a gateway, which has no configuration yet.
 
     :param settings: the checked settings.
     :param clock: source of the current time.
     :param metrics: metrics of the process.
+    :param lag: tells whether the process stood still.
     :returns: the state.
     """
     make_binding = bindings.find(settings.binding).unwrap()
@@ -105,6 +108,7 @@
                 knowledge=knowledge,
                 connections=connections,
                 metrics=metrics,
+                has_stood_still=lag.has_stood_still,
             ),
             crashes=CrashDetector(
                 name=settings.name,
--- a/wingfall/gateway/endpoints/answer_end.py
+++ b/wingfall/gateway/endpoints/answer_end.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING, Final, final
+from typing import TYPE_CHECKING, Callable, Final, final
 
 import gevent
 
@@ -33,6 +33,9 @@
 # Milliseconds after which the end of a connection has arrived even if its first
 # packet was lost: the kernel sends it again after 200 ms and a round trip.
 _MAX_END_DELAY_MS: Final = 300
+# Milliseconds within which the ends of connections are read that arrived while
+# the process stood still.
+_MAX_UNREAD_MS: Final = 1000
 # Interval of the checks for connections that are still open.
 _POLL_INTERVAL_MS: Final = 20
 # Maximum lines per second. The end of a busy endpoint ends some hundred
@@ -48,6 +51,7 @@
     ended = 'ended'
     superseded = 'superseded'
     silent = 'silent'
+    unknown_time = 'unknown_time'
 
 
 # Evidence that the endpoint outlives its answer.
@@ -58,7 +62,14 @@
 class AnswerEndCheck:
     """Decides whether answers that end with their connection are complete."""
 
-    __slots__ = ('_clock', '_connections', '_knowledge', '_limit', '_metrics')
+    __slots__ = (
+        '_clock',
+        '_connections',
+        '_has_stood_still',
+        '_knowledge',
+        '_limit',
+        '_metrics',
+    )
 
     def __init__(
         self,
@@ -67,6 +78,7 @@
         knowledge: EndpointKnowledge,
         connections: ConnectionCache,
         metrics: Metrics,
+        has_stood_still: Callable[[int], bool],
     ) -> None:
         """Create a check that has decided nothing.
 
@@ -74,11 +86,14 @@
         :param knowledge: state of the endpoints.
         :param connections: connections to endpoints.
         :param metrics: counts the decisions.
+        :param has_stood_still: returns whether this process stood still within
+            some milliseconds before now.
         """
         self._clock = clock
         self._knowledge = knowledge
         self._connections = connections
         self._metrics = metrics
+        self._has_stood_still = has_stood_still
         self._limit = LogLimit(clock=clock, per_second=_MAX_LINES_PER_S)
 
     def is_whole(self, call_id: str, endpoint: PoolEndpoint) -> bool:
@@ -107,6 +122,10 @@
         return is_whole
 
     def _find_evidence(self, endpoint: PoolEndpoint) -> EndEvidence:
+        # The answer may have ended long ago, and another endpoint may have the
+        # address since.
+        if self._has_stood_still(_MAX_UNREAD_MS):
+            return EndEvidence.unknown_time
         probed = _probe(endpoint)
         # A later start under the same id may have answered the probe.
         if self._knowledge.incarnations.is_superseded(endpoint):
