Keep versions in the history that another gateway has just written

What callers saw: nothing yet; by reading. A stream whose origin nobody knows could continue at a pool's only version although another version had begun streams within a minute.

Cause: a gateway that removed a version from the history in the store replaced its content with what it knew itself, not with what it had just read. A version that another gateway had written, and that this one had not heard of, was dropped, and nobody wrote it again until something else changed.

Evidence: test_version_that_another_gateway_has_just_written_is_kept, on the code before: {'engines': ['v1']} instead of ['v1', 'v3'].

Why this works: a version that appears in the object counts as listed at the moment at which this gateway reads it there, so that it is kept for KEPT_MS after that, as one that this gateway lists itself.

--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -130,6 +130,24 @@
     }
 
 
+def test_version_that_another_gateway_has_just_written_is_kept(
+    store: StoreStandIn, clock: ManualClock
+):
+    versions = PoolVersions(clock=clock)
+    follow(versions, clock, {'one': 'v1', 'two': 'v2'}, MIN_COMPLETE_MS)
+    running = gevent.spawn(make_history(store, versions).run, Event())
+    gevent.sleep(0.05)
+    follow(versions, clock, {'one': 'v1'}, KEPT_MS + 2000)
+    # This gateway has not heard of v3 when it removes v2.
+    written = {'complete_ms': KEPT_MS, 'pools': {'engines': ['v1', 'v2', 'v3']}}
+    store.write('pools', written, store.writes)
+    versions.has_new.set()
+    gevent.sleep(0.05)
+    running.kill()
+    assert store.stored is not None
+    assert store.stored.spec['pools'] == {'engines': ['v1', 'v3']}
+
+
 def test_gateway_that_has_just_started_writes_no_history(
     store: StoreStandIn, clock: ManualClock
 ):
--- a/wingfall/gateway/configuration/version_history.py
+++ b/wingfall/gateway/configuration/version_history.py
@@ -91,14 +91,7 @@
         while not self._read():
             if stop.wait(backoff.take_ms() / MS_PER_S):
                 return
-        self._versions.merge(
-            [
-                (pool, version, 0)
-                for pool, versions in self._pools.items()
-                for version in versions
-            ],
-            self._complete_ms,
-        )
+        self._versions.merge([], self._complete_ms)
         self._versions.is_loading = False
         while not stop.is_set():
             self._versions.has_new.wait(_CHECK_INTERVAL_MS / MS_PER_S)
@@ -142,11 +135,7 @@
             if age_ms <= KEPT_MS
         }
         if not may_remove:
-            known |= {
-                (pool, version)
-                for pool, versions in self._pools.items()
-                for version in versions
-            }
+            known |= _list_names(self._pools)
         pools: Pools = {}
         for pool, version in sorted(known, key=_sort_key):
             pools.setdefault(pool, []).append(version)
@@ -160,10 +149,21 @@
         return True
 
     def _adopt(self, stored: StoredObject | None) -> None:
-        known = _parse(stored.spec if stored else None)
+        complete_ms, pools = _parse(stored.spec if stored else None)
+        for pool, version in _list_names(pools) - _list_names(self._pools):
+            # Another gateway has listed it, whatever this one has heard.
+            self._versions.note(pool, version)
         self._revision = stored.revision if stored else None
-        self._complete_ms = known[0]
-        self._pools = known[1]
+        self._complete_ms = complete_ms
+        self._pools = pools
+
+
+def _list_names(pools: Pools) -> set[tuple[str, Version]]:
+    return {
+        (pool, version)
+        for pool, versions in pools.items()
+        for version in versions
+    }
 
 
 def _parse(spec: Any) -> tuple[int, Pools]:
--- a/wingfall/gateway/knowledge/pool_versions.py
+++ b/wingfall/gateway/knowledge/pool_versions.py
@@ -76,7 +76,15 @@
 
         :param endpoint: the endpoint.
         """
-        self._note(endpoint.pool, endpoint.version, self._clock.now_ms())
+        self.note(endpoint.pool, endpoint.version)
+
+    def note(self, pool: str, version: Version) -> None:
+        """Record that a version is listed, here or at another gateway.
+
+        :param pool: name of the pool.
+        :param version: the version.
+        """
+        self._note(pool, version, self._clock.now_ms())
 
     def update(
         self, listed: Iterable[PoolEndpoint], *, is_current: bool
