Continue a stream of unknown origin only by a fresh read of the history

Cause: a gateway without a record of the stream took the only version it knew for its origin if its list had been complete for long enough. That was a statement about a time up to five seconds ago (the age of the last answer of the store, a peer's claim, the history as read at its start), used as one about now. The same class as a lease that is taken for held without looking at the clock: inference from not having heard.

Why this works: the caller names a stream that began before its call was sent. The history is read from the store by a read that begins after the call has arrived; the version that began the stream was written before. A gateway that was cut off or stood still can't read, or reads what is true now; what it knows itself only contradicts. Nothing is inferred from a local list or from a peer's claim, so that code and the claims in VersionsListed are gone; earlier gateways get 0. The history claims 20 s and 60 s only by a gateway whose watches of the store followed each other without a gap for that long, and only such a gateway removes a version. It is created at once, so that versions are named early.

Waiting calls share one read. A tenth of the 2,000 reads a second that the platform states for its store is divided by the known gateways: at 4 one read each 20 ms, at 53 each 265 ms, at 298 each 1.49 s and gateway, by calculation; the first one goes at once. 500 ms for the read is what was allowed for peers.

--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -45,6 +45,8 @@
         self.oldest = 1
         self.calls = 0
         self.script: dict[str, int] = {}
+        # Status of all writes, 0 if they are taken.
+        self.refused_writes = 0
         # Bytes that are replaced in each answer, so that it can be no JSON.
         self.replaced: dict[bytes, bytes] = {}
         self._changed = Event()
@@ -134,6 +136,8 @@
 
     def _write(self, kind: str, name: str | None) -> bottle.HTTPResponse:
         self._behave()
+        if self.refused_writes:
+            return answer_json({}, self.refused_writes)
         raw = orjson.loads(bottle.request.body.read())
         if self.script.get('lose_answers', 0) > 0:
             self.script['lose_answers'] -= 1
--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -5,17 +5,25 @@
 import random
 from typing import Any, Final
 
+import gevent
 import pytest
 
 from standins.received_answer import ReceivedAnswer
+from tests.fake_connection import make_peer
 from tests.gateway_site import API_KEY, GatewaySite, known_endpoints, route
 from tests.local_site import wait_until
 from tests.test_gateway_streams import PROMPT, parse_event_ids
+from wingfall.clock import Clock
 from wingfall.gateway.application import GatewayApplication
 from wingfall.gateway.endpoints.connection_cache import ConnectionCache
 from wingfall.gateway.endpoints.endpoint_connection import EndpointConnection
-from wingfall.gateway.knowledge.stream_origins import make_stream_key
+from wingfall.gateway.knowledge.stream_origins import (
+    StreamRecord,
+    make_stream_key,
+)
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
+from wingfall.gateway.model.stream_origin import StreamOrigin
+from wingfall.wire.stream_messages import StreamFetch, VersionsListed
 
 VERSIONS: Final = ('v1', 'v2')
 # Callers that take up a stream by chance at its own version: one in 2^12.
@@ -372,3 +380,113 @@
     gateway_site.add_gateway()
     # The gateway at which the stream began has ended, and so have all others.
     assert take_up(gateway_site, 'before', gateway=0).status == status
+
+
+def store_history(site: GatewaySite, *versions: str) -> None:
+    """Store the versions that the pool had in the last minute."""
+    history = {'complete_ms': 60_000, 'pools': {'engines': list(versions)}}
+    site.store.put('wingfall-versions', 'pools', history)
+
+
+@pytest.fixture
+def stale_site(gateway_site: GatewaySite) -> GatewaySite:
+    """Return a site whose gateway knows of one version, as does the store."""
+    add_engine(gateway_site, 'e0', 'v1')
+    store_history(gateway_site, 'v1')
+    gateway_site.add_gateway()
+    # It has read the history, and its table of endpoints is in force.
+    assert take_up(gateway_site, 'before', gateway=0).status == 200
+    return gateway_site
+
+
+def test_outdated_list_decides_nothing_while_the_store_is_away(
+    stale_site: GatewaySite,
+):
+    stale_site.store.script = {'status': 503}
+    answer = take_up(stale_site, 's0', gateway=0)
+    assert answer.status == 503
+    assert b'stream_version_unknown' in answer.body
+
+
+def test_version_that_a_gateway_did_not_hear_of_is_read_from_the_store(
+    stale_site: GatewaySite,
+):
+    # It joined, began streams and left; another gateway has written it.
+    store_history(stale_site, 'v1', 'v2')
+    answer = take_up(stale_site, 's0', gateway=0)
+    assert answer.status == 503
+    assert b'stream_version_unknown' in answer.body
+
+
+def test_version_that_is_listed_contradicts_the_history(
+    stale_site: GatewaySite,
+):
+    # The store takes no write, so that the history lacks the new version.
+    stale_site.store.refused_writes = 429
+    add_engine(stale_site, 'e1', 'v2')
+    table = known_endpoints(stale_site.gateways[0])
+    wait_until(lambda: 'e1' in table.names)
+    assert take_up(stale_site, 's0', gateway=0).status == 503
+
+
+def test_peer_that_claims_a_complete_list_decides_nothing(
+    gateway_site: GatewaySite,
+):
+    add_engine(gateway_site, 'e0', 'v1')
+    gateway = gateway_site.add_gateway()
+    claim = VersionsListed(complete_ms=90_000, versions=[['engines', 'v1', 0]])
+    # Of a peer that was cut off until now.
+    gateway._peers.streams.merge_versions(make_peer('late', 'a'), claim)
+    assert take_up(gateway_site, 's0', gateway=0).status == 503
+
+
+def test_answer_of_a_slow_peer_is_awaited_if_the_store_does_not_decide(
+    stale_site: GatewaySite, monkeypatch: pytest.MonkeyPatch
+):
+    other = stale_site.add_gateway()
+    wait_until(lambda: len(stale_site.gateways[0]._peers.names) == 1)
+    origin = StreamOrigin(pool='engines', version='v2', endpoint='left')
+    now_ms = Clock().now_ms()
+    record = StreamRecord(
+        origin=origin, began_ms=now_ms, expires_ms=now_ms + 60_000
+    )
+    key = make_stream_key('oslo', 's0')
+    other._state.knowledge.streams.note(key, record)
+    handlers = other._peers._heartbeats._handlers
+    answer_fetch = handlers[StreamFetch]
+
+    def answer_late(*question: Any) -> None:
+        gevent.sleep(0.15)
+        answer_fetch(*question)
+
+    monkeypatch.setitem(handlers, StreamFetch, answer_late)
+    stale_site.store.script = {'status': 503}
+    answer = take_up(stale_site, 's0', gateway=0)
+    assert answer.status == 503
+    assert b'stream_version_gone' in answer.body
+
+
+def test_share_of_one_version_goes_on_at_once_after_all_gateways_ended(
+    gateway_site: GatewaySite,
+):
+    add_engine(gateway_site, 'e0', 'v1')
+    store_history(gateway_site, 'v1')
+    gateway_site.add_gateway()
+    taken_up = [
+        take_up(gateway_site, f's{number}', gateway=0)
+        for number in range(CALLERS)
+    ]
+    assert {each.status for each in taken_up} == {200}
+
+
+def test_long_stream_is_refused_where_the_history_is_too_short(
+    stale_site: GatewaySite,
+):
+    stale_site.config['routes'][3] = route(
+        'stream', 'engines', kind='stream', resumable=True, timeout_ms=60_000
+    )
+    stale_site.write_config()
+    gateway = stale_site.gateways[0]
+    version = stale_site.config['version']
+    wait_until(lambda: gateway.status()['config'] == version)
+    assert take_up(stale_site, 's0', gateway=0).status == 503
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -23,6 +23,7 @@
     ObjectReplica,
 )
 from wingfall.gateway.configuration.version_history import VersionHistory
+from wingfall.gateway.configuration.version_reader import VersionReader
 from wingfall.gateway.duties.assembly import GatewayDuties
 from wingfall.gateway.knowledge.start_figures import set_start_errors
 from wingfall.gateway.peers.caches.memory_survey import CacheSurvey
@@ -133,10 +134,17 @@
             ),
         )
         self._state.stream_peers = self._peers.streams
+        self._state.knowledge.versions.reads = VersionReader(
+            store=binding.versions_store(),
+            clock=self._clock,
+            versions=self._state.knowledge.versions,
+            get_gateway_count=lambda: self._peers.gateway_count,
+        )
         self._version_history = VersionHistory(
             store=binding.versions_store(),
             versions=self._state.knowledge.versions,
             may_write=self._may_write_history,
+            get_followed_ms=lambda: self._followers[1].followed_ms,
             get_rank=lambda: self._peers.view.rank,
         )
         self._ready_server = HttpServer(
@@ -276,6 +284,7 @@
             store=store,
             replica=replica,
             clock=self._clock,
+            max_gap_ms=self._max_watch_gap_ms(),
             holds_watch=lambda: self._peers.view.holds_watch,
             leads=lambda: self._peers.view.is_among_first,
         )
@@ -287,8 +296,11 @@
             gevent.sleep(_POLL_INTERVAL_MS / MS_PER_S)
         self._callers.start()
 
+    def _max_watch_gap_ms(self) -> int:
+        return self._settings.store.watch_ms + _WATCH_TOLERANCE_MS
+
     def _is_watching_store(self) -> bool:
-        within_ms = self._settings.store.watch_ms + _WATCH_TOLERANCE_MS
+        within_ms = self._max_watch_gap_ms()
         return all(each.has_answered(within_ms) for each in self._followers)
 
     def _start_following(self) -> None:
@@ -301,16 +313,12 @@
     def _may_write_history(self) -> bool:
         return self._is_watching_store() and self._peers.view.is_among_first
 
-    def _receives_changes(self) -> bool:
-        return self._is_watching_store() or self._peers.view.receives_changes
-
     def _remove_departed(self) -> None:
         while not self._supervisor.stopped:
             gevent.sleep(_CLEANUP_INTERVAL_MS / MS_PER_S)
             self._state.knowledge.forget_departed()
             self._state.knowledge.versions.update(
-                self._state.knowledge.table.listed,
-                is_current=self._receives_changes(),
+                self._state.knowledge.table.listed
             )
             set_start_errors(
                 self._metrics, self._state.knowledge.start_estimates
--- a/wingfall/gateway/configuration/follower.py
+++ b/wingfall/gateway/configuration/follower.py
@@ -51,12 +51,14 @@
     __slots__ = (
         '_backoff',
         '_clock',
+        '_followed_since_ms',
         '_last_answer_ms',
         '_was_watching',
         '_holds_watch',
         '_is_idle',
         '_is_leading',
         '_is_lost',
+        '_max_gap_ms',
         '_must_list',
         '_replica',
         '_revision',
@@ -69,6 +71,7 @@
         store: ObjectStore,
         replica: ObjectReplica,
         clock: Clock,
+        max_gap_ms: int,
         holds_watch: Callable[[], bool],
         leads: Callable[[], bool],
     ) -> None:
@@ -77,6 +80,8 @@
         :param store: the platform's store of the kind.
         :param replica: replica to update.
         :param clock: source of the current time.
+        :param max_gap_ms: milliseconds between two answers of the store from
+            which it was not followed.
         :param holds_watch: returns whether this gateway is on watch duty.
         :param leads: returns whether this gateway is among the first to ask a
             lost store.
@@ -84,6 +89,7 @@
         self._store = store
         self._replica = replica
         self._clock = clock
+        self._max_gap_ms = max_gap_ms
         self._holds_watch = holds_watch
         self._is_leading = leads
         self._last_answer_ms = 0
@@ -96,6 +102,8 @@
         self._is_lost = False
         # Peers were on watch duty; the store has not been called since.
         self._is_idle = False
+        # Since when watches have followed each other without a gap.
+        self._followed_since_ms = 0
         self._backoff = Backoff(
             min_ms=_MIN_RETRY_MS,
             max_ms=_MAX_OTHER_RETRY_MS,
@@ -106,6 +114,17 @@
         """Kind of the followed objects."""
         return self._replica.kind
 
+    @property
+    def followed_ms(self) -> int:
+        """Milliseconds for which the store was followed without a gap.
+
+        A list after a lost history, a failed call and a late answer end that
+        time.
+        """
+        if self._is_idle or not self.has_answered(self._max_gap_ms):
+            return 0
+        return self._clock.now_ms() - self._followed_since_ms
+
     def has_answered(self, within_ms: int) -> bool:
         """Check if the store has answered lately.
 
@@ -170,9 +189,11 @@
         else:
             self._replica.apply_changes(reading)
         self._revision = max(reading.revision, revision or 0)
+        self._note_progress()
+        if revision is None or self._is_lost or self._is_idle:
+            self._followed_since_ms = self._last_answer_ms
         self._must_list = False
         self._is_idle = False
-        self._note_progress()
         self._note_regained()
         if reading.objects:
             log_event(
@@ -204,7 +225,10 @@
 
     def _note_progress(self) -> None:
         # A long answer over a slow link counts while its bytes arrive.
-        self._last_answer_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        if now_ms - self._last_answer_ms > self._max_gap_ms:
+            self._followed_since_ms = now_ms
+        self._last_answer_ms = now_ms
 
     def _note_watch_duty(self, *, is_watching: bool) -> None:
         if is_watching is not self._was_watching:
--- a/wingfall/gateway/knowledge/stream_origins.py
+++ b/wingfall/gateway/knowledge/stream_origins.py
@@ -88,11 +88,12 @@
         :param record: the record of its origin.
         """
 
-    def ask(self, key: StreamKey, timeout_ms: int) -> None:
+    def ask(self, key: StreamKey, timeout_ms: int) -> bool:
         """Ask where a stream began, and wait until that is known.
 
         :param key: key of the stream.
         :param timeout_ms: maximum milliseconds to wait.
+        :returns: whether a longer wait would tell nothing more.
         """
 
 
--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -160,6 +160,11 @@
         """Sorted names of the connected peers."""
         return sorted(self._sessions)
 
+    @property
+    def gateway_count(self) -> int:
+        """Number of gateways that are connected or known, with this one."""
+        return max(len(self._sessions), self._addresses.count) + 1
+
     @property
     def view(self) -> PeerView:
         """View of the peers, for the store watch and the lease."""
--- a/wingfall/gateway/peers/peer_view.py
+++ b/wingfall/gateway/peers/peer_view.py
@@ -58,21 +58,6 @@
         before = self._preceding_peers(max_seen_age_ms(1))
         return self._watch_duty.should_watch(before, self._clock.now_ms())
 
-    @property
-    def receives_changes(self) -> bool:
-        """Whether a peer would pass on any change of the store's objects.
-
-        If all known gateways are connected and none watches the store, no
-        gateway knows of a change.
-        """
-        if len(self._sessions) >= self._addresses.count:
-            return True
-        seen_since_ms = self._clock.now_ms() - max_seen_age_ms(1)
-        return any(
-            each.watching and each.last_seen_ms >= seen_since_ms
-            for each in self._sessions.values()
-        )
-
     @property
     def rank(self) -> int:
         """Number of connected peers that precede this gateway."""
--- a/wingfall/gateway/peers/streams/stream_exchange.py
+++ b/wingfall/gateway/peers/streams/stream_exchange.py
@@ -120,7 +120,7 @@
         # Lets the connections write before the caller receives an event.
         gevent.sleep(0)
 
-    def ask(self, key: StreamKey, timeout_ms: int) -> None:
+    def ask(self, key: StreamKey, timeout_ms: int) -> bool:
         """Ask the peers where a stream began, and wait for the answer.
 
         The answer is found in the origins. A gateway that starts waits for its
@@ -128,9 +128,10 @@
 
         :param key: key of the stream.
         :param timeout_ms: maximum milliseconds to wait.
+        :returns: whether a longer wait would tell nothing more.
         """
         if len(self._questions) >= _MAX_QUESTIONS:
-            return
+            return True
         number = next(self._numbers)
         question = self._questions.setdefault(number, _Question())
         until_ms = self._clock.now_ms() + timeout_ms
@@ -138,10 +139,11 @@
             while self._clock.now_ms() < until_ms:
                 self._send_question(key, number, question)
                 if self._is_settled(key, question):
-                    return
+                    return True
                 gevent.sleep(_POLL_INTERVAL_MS / MS_PER_S)
         finally:
             self._questions.pop(number)
+        return False
 
     def send_state(self, session: PeerSession) -> None:
         """Send a new peer what it should know.
@@ -153,7 +155,7 @@
             return
         session.connection.send(
             VersionsListed(
-                complete_ms=self._versions.complete_ms,
+                complete_ms=0,
                 versions=[list(each) for each in self._versions.ages_ms],
             )
         )
@@ -211,7 +213,7 @@
         :param message: the report.
         """
         ages_ms = [(each[0], each[1], each[2]) for each in message.versions]
-        self._versions.merge(ages_ms, message.complete_ms)
+        self._versions.merge(ages_ms)
 
     def _is_settled(self, key: StreamKey, question: _Question) -> bool:
         if self._origins.find(key) is not None:
--- a/wingfall/gateway/rules/streams/stream_log.py
+++ b/wingfall/gateway/rules/streams/stream_log.py
@@ -38,7 +38,11 @@
         self._refused = LogLimit(clock=clock, per_second=_MAX_LINES_PER_S)
 
     def note_found(
-        self, call: Call, origin: StreamOrigin, record: StreamRecord | None
+        self,
+        call: Call,
+        origin: StreamOrigin,
+        record: StreamRecord | None,
+        **fields: Any,
     ) -> None:
         """Report that the origin of a stream that is taken up was found.
 
@@ -46,6 +50,7 @@
         :param origin: the origin.
         :param record: its record, None if it follows from the pool's only
             version.
+        :param fields: what decided it, without a record.
         """
         known_from, age_ms = 'only version', None
         if record is not None:
@@ -59,6 +64,7 @@
             version=origin.version,
             known_from=known_from,
             age_ms=age_ms,
+            **fields,
         )
 
     def note_sent(
--- a/wingfall/wire/stream_messages.py
+++ b/wingfall/wire/stream_messages.py
@@ -73,7 +73,8 @@
         """Tell of versions.
 
         :param complete_ms: for how many milliseconds the sender missed no
-            change of the list of endpoints.
+            change of the list of endpoints; 0 from gateways that claim
+            nothing, and not read by them.
         :param versions: for each the pool, the version or nothing, and how
             many milliseconds ago it was last listed.
         """
