Begin streams at a version only once the history in the store names it

A stream could begin at a version that the store's history did not name yet, or not at all while the store refused writes, and be taken up where the history named another one alone.

Cause: endpoints of a new version were used as soon as they were listed; the rank's delay, a read and a write lay between that and the history, without bound while the store takes reads and refuses writes (429) or loses them.

Why this works: write before use. New streams that may be resumed begin at endpoints of versions that the history is known to name. The gateway that writes it tells the others (HistoryWritten, only to gateways whose hello knows it); one that hears nothing for a second reads it itself, then each 2, 4 and 8 s. A writer that meets a conflict tries again at once. A pool of which no usable version is named begins streams at once: availability goes first, with a line and a counter (unnamed_version). So a pool with one version never waits. Plain calls and streams that may not be resumed are untouched.

Open: streams that begin at an unnamed version for want of a named one, and gateways of an earlier version, which don't wait, are known to the store only once a write succeeds.

--- a/tests/test_stream_exchange.py
+++ b/tests/test_stream_exchange.py
@@ -17,6 +17,7 @@
     stream_life_ms,
 )
 from wingfall.gateway.model.stream_origin import StreamOrigin
+from wingfall.gateway.model.version_record import VersionRecord
 from wingfall.gateway.peers.peer_session import PeerSession
 from wingfall.gateway.peers.streams.stream_exchange import StreamExchange
 from wingfall.gateway.peers.streams.stream_replicas import (
@@ -24,7 +25,7 @@
     StreamReplicas,
 )
 from wingfall.wire.codec import encode
-from wingfall.wire.gateway_messages import STREAMS_FEATURE
+from wingfall.wire.gateway_messages import HISTORY_FEATURE, STREAMS_FEATURE
 from wingfall.wire.stream_messages import StreamFetch, StreamFound, StreamsBegun
 
 KEY = make_stream_key('oslo', 's0')
@@ -44,20 +45,22 @@
     count: int, *, features: bool = True
 ) -> dict[str, PeerSession]:
     """Make sessions with peers."""
-    known = [STREAMS_FEATURE] if features else []
+    known = [STREAMS_FEATURE, HISTORY_FEATURE] if features else []
     names = [f'gateway-{number}' for number in range(count)]
     return {name: make_peer(name, 'a', known) for name in names}
 
 
 def make_exchange(
-    clock: ManualClock, sessions: dict[str, PeerSession]
+    clock: ManualClock,
+    sessions: dict[str, PeerSession],
+    versions: PoolVersions | None = None,
 ) -> tuple[StreamExchange, StreamOrigins]:
     """Make the exchange of a gateway, and its origins."""
     origins = StreamOrigins(clock=clock)
     exchange = StreamExchange(
         clock=clock,
         origins=origins,
-        versions=PoolVersions(clock=clock),
+        versions=versions or PoolVersions(clock=clock),
         sessions=sessions,
         get_known_count=lambda: len(sessions),
     )
@@ -145,6 +148,7 @@
     exchange, _origins = make_exchange(clock, sessions)
     exchange.report(KEY, make_record(clock))
     exchange.ask(KEY, 50)
+    exchange.announce_history(VersionRecord(revision=1))
     for session in sessions.values():
         exchange.send_state(session)
         assert not session.connection.sent
@@ -222,3 +226,32 @@
     streams = [[b'x' * 1000, 'engines', 'v1', '', 0, 1000]]
     exchange.merge_streams(session, StreamsBegun(streams=streams))
     assert not len(origins)
+
+
+def test_peers_learn_what_the_history_names(clock: ManualClock):
+    sessions = make_sessions(2)
+    exchange, _origins = make_exchange(clock, sessions)
+    pools = {'engines': ['v1', None], 'others': ['v1']}
+    record = VersionRecord(revision=7, complete_ms=20_000, pools=pools)
+    exchange.announce_history(record)
+    for session in sessions.values():
+        (written,) = session.connection.sent
+        versions = PoolVersions(clock=clock)
+        make_exchange(clock, sessions, versions)[0].merge_history(
+            session, written
+        )
+        assert versions.record is not None
+        assert versions.record.names == record.names
+        assert versions.is_named('engines', None)
+
+
+def test_peers_are_told_of_no_complete_time(clock: ManualClock):
+    sessions = make_sessions(1)
+    (session,) = sessions.values()
+    versions = PoolVersions(clock=clock)
+    versions.merge([('engines', 'v1', 3000)])
+    exchange, _origins = make_exchange(clock, sessions, versions)
+    exchange.send_state(session)
+    (listed,) = session.connection.sent
+    assert listed.complete_ms == 0
+    assert listed.versions == [['engines', 'v1', 3000]]
--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -421,11 +421,7 @@
 def test_version_that_is_listed_contradicts_the_history(
     stale_site: GatewaySite,
 ):
-    # The store takes no write, so that the history lacks the new version.
-    stale_site.store.refused_writes = 429
-    add_engine(stale_site, 'e1', 'v2')
-    table = known_endpoints(stale_site.gateways[0])
-    wait_until(lambda: 'e1' in table.names)
+    add_unnamed_engine(stale_site, 'v2')
     assert take_up(stale_site, 's0', gateway=0).status == 503
 
 
@@ -490,3 +486,71 @@
     version = stale_site.config['version']
     wait_until(lambda: gateway.status()['config'] == version)
     assert take_up(stale_site, 's0', gateway=0).status == 503
+
+
+def add_unnamed_engine(site: GatewaySite, version: str) -> None:
+    """Let an engine join while the store refuses to take its version down."""
+    site.store.refused_writes = 429
+    add_engine(site, 'e1', version)
+    table = known_endpoints(site.gateways[0])
+    wait_until(lambda: 'e1' in table.names)
+
+
+def test_no_stream_begins_at_a_version_that_the_store_does_not_name(
+    stale_site: GatewaySite,
+):
+    add_unnamed_engine(stale_site, 'v2')
+    begun = {
+        version_of(begin_stream(stale_site, f's{number}'))
+        for number in range(CALLERS)
+    }
+    assert begun == {'v1'}
+    stale_site.store.refused_writes = 0
+    versions = stale_site.gateways[0]._state.knowledge.versions
+    wait_until(lambda: versions.is_named('engines', 'v2'))
+    stored = stale_site.store.objects['wingfall-versions']['pools']
+    assert stored['spec']['pools'] == {'engines': ['v1', 'v2']}
+
+
+def test_stream_that_may_not_be_resumed_begins_at_any_version(
+    stale_site: GatewaySite,
+):
+    add_unnamed_engine(stale_site, 'v2')
+    caller = stale_site.caller()
+    for number in range(CALLERS):
+        caller.send(
+            '/oneway/x', method='POST', X_Attempt_Id=f's{number}', **PROMPT
+        )
+        caller.receive()
+    caller.close()
+    assert stale_site.servers['e1'].runs
+
+
+def test_stream_begins_at_once_where_no_version_is_named(
+    stale_site: GatewaySite,
+):
+    add_unnamed_engine(stale_site, 'v2')
+    stale_site.put_server('e0', 'engines', 'draining')
+    table = known_endpoints(stale_site.gateways[0])
+    wait_until(lambda: len(table.usable('engines')) == 1)
+    assert version_of(begin_stream(stale_site, 's0')) == 'v2'
+    decisions = count_decisions(stale_site.gateways[0])
+    assert decisions['unnamed_version'] == 1
+
+
+def test_gateway_learns_from_the_writer_which_versions_are_named(
+    gateway_site: GatewaySite,
+):
+    add_engine(gateway_site, 'e0', 'v1')
+    connect_gateways(gateway_site, 4)
+    known = [
+        gateway._state.knowledge.versions for gateway in gateway_site.gateways
+    ]
+    wait_until(lambda: all(each.is_named('engines', 'v1') for each in known))
+    add_engine(gateway_site, 'e1', 'v2')
+    wait_until(lambda: all(each.is_named('engines', 'v2') for each in known))
+    assert {each.record.revision for each in known if each.record} == {
+        gateway_site.store.objects['wingfall-versions']['pools']['metadata'][
+            'revision'
+        ]
+    }
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, final
+from typing import Any, Callable, final
 
 import gevent
 import pytest
@@ -11,7 +11,7 @@
 
 from tests.local_site import wait_until
 from tests.test_pool_versions import follow
-from wingfall.clock import ManualClock
+from wingfall.clock import Clock, ManualClock
 from wingfall.errors import PlatformError
 from wingfall.gateway.configuration.version_history import (
     KEPT_MS,
@@ -20,6 +20,8 @@
 )
 from wingfall.gateway.knowledge.pool_versions import PoolVersions
 from wingfall.gateway.model.object_store import StoredObject
+from wingfall.gateway.model.version_record import VersionRecord
+from wingfall.metrics import Metrics
 
 LIFE_MS = 15_000
 
@@ -32,6 +34,9 @@
         self.stored: StoredObject | None = None
         self.writes = 0
         self.is_away = False
+        self.refuses_writes = False
+        # Called before a write, as another gateway writes.
+        self.before_write: Callable[[], None] = lambda: None
 
     def read(self, name: str) -> Result[StoredObject | None, PlatformError]:
         if self.is_away:
@@ -41,6 +46,9 @@
     def write(
         self, name: str, spec: Any, revision: int | None
     ) -> Result[StoredObject, PlatformError]:
+        self.before_write()
+        if self.refuses_writes:
+            return Failure(PlatformError(status=429, message='too many'))
         known = self.stored.revision if self.stored else None
         if revision != known:
             return Failure(PlatformError(status=409, message='conflict'))
@@ -60,12 +68,19 @@
     versions: PoolVersions,
     rank: int = 0,
     followed_ms: int = KEPT_MS,
+    *,
+    may_write: bool = True,
+    announced: list[VersionRecord] | None = None,
 ) -> VersionHistory:
     """Make the history of a gateway that may write."""
+    announced = [] if announced is None else announced
     return VersionHistory(
         store=store,
+        clock=Clock(),
+        metrics=Metrics(),
         versions=versions,
-        may_write=lambda: True,
+        announce=announced.append,
+        may_write=lambda: may_write,
         get_followed_ms=lambda: followed_ms,
         get_rank=lambda: rank,
     )
@@ -230,3 +245,61 @@
     store.is_away = False
     wait_until(lambda: versions.record is not None)
     running.kill()
+
+
+def test_other_gateways_are_told_what_was_written(
+    store: StoreStandIn, clock: ManualClock
+):
+    versions = PoolVersions(clock=clock)
+    follow(versions, clock, {'one': 'v1'}, 0)
+    announced: list[VersionRecord] = []
+    start(make_history(store, versions, announced=announced))
+    assert [each.names for each in announced] == [{('engines', 'v1')}]
+    assert not versions.unnamed
+
+
+def test_version_of_which_no_gateway_tells_is_looked_for_in_the_store(
+    store: StoreStandIn, clock: ManualClock
+):
+    versions = PoolVersions(clock=clock)
+    history = make_history(store, versions, may_write=False)
+    running = gevent.spawn(history.run, Event())
+    gevent.sleep(0.05)
+    # Another gateway has written it, and its message was lost.
+    spec = {'complete_ms': KEPT_MS, 'pools': {'engines': ['v1']}}
+    store.write('pools', spec, None)
+    follow(versions, clock, {'one': 'v1'}, 0)
+    assert versions.unnamed
+    wait_until(lambda: not versions.unnamed)
+    running.kill()
+
+
+def test_new_version_is_written_at_once_beside_another_writer(
+    store: StoreStandIn, clock: ManualClock
+):
+    versions = PoolVersions(clock=clock)
+    follow(versions, clock, {'one': 'v1'}, 0)
+
+    def write_first() -> None:
+        spec = {'complete_ms': 0, 'pools': {'engines': ['v2']}}
+        store.before_write = lambda: None
+        store.write('pools', spec, None)
+
+    store.before_write = write_first
+    start(make_history(store, versions))
+    assert read(store)['pools'] == {'engines': ['v1', 'v2']}
+
+
+def test_version_is_not_named_while_the_store_refuses_writes(
+    store: StoreStandIn, clock: ManualClock
+):
+    versions = PoolVersions(clock=clock)
+    follow(versions, clock, {'one': 'v1'}, 0)
+    start(make_history(store, versions))
+    store.refuses_writes = True
+    follow(versions, clock, {'one': 'v1', 'two': 'v2'}, 0)
+    start(make_history(store, versions))
+    assert versions.unnamed == {('engines', 'v2')}
+    store.refuses_writes = False
+    start(make_history(store, versions))
+    assert not versions.unnamed
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -144,6 +144,9 @@
             store=binding.versions_store(),
             versions=self._state.knowledge.versions,
             may_write=self._may_write_history,
+            clock=self._clock,
+            metrics=self._metrics,
+            announce=self._peers.streams.announce_history,
             get_followed_ms=lambda: self._followers[1].followed_ms,
             get_rank=lambda: self._peers.view.rank,
         )
@@ -292,7 +295,10 @@
     def _start_accepting(self) -> None:
         # Connections wait unread for the configuration for a limited time.
         deadline_ms = self._clock.now_ms() + _MAX_CONFIG_WAIT_MS
-        while self.not_ready() and self._clock.now_ms() < deadline_ms:
+        versions = self._state.knowledge.versions
+        while self.not_ready() or versions.awaits_history:
+            if self._clock.now_ms() >= deadline_ms:
+                break
             gevent.sleep(_POLL_INTERVAL_MS / MS_PER_S)
         self._callers.start()
 
--- a/wingfall/gateway/calls/stream_endpoints.py
+++ b/wingfall/gateway/calls/stream_endpoints.py
@@ -2,7 +2,8 @@
 
 Every choice of an endpoint for a call reads the table through this module, and
 each attempt is checked again when it is sent: a stream that has begun continues
-only at the software version that began it.
+only at the software version that began it. A stream that may be resumed begins
+at a version that the history in the store names, as long as there is one.
 """
 
 from __future__ import annotations
@@ -36,9 +37,11 @@
         which it may continue.
     """
     usable = state.knowledge.table.usable(pool)
-    if call.origin is None:
-        return usable
-    return list(filter(call.origin.allows, usable))
+    if call.origin is not None:
+        return list(filter(call.origin.allows, usable))
+    if call.route.streaming and call.route.resumable:
+        return state.knowledge.versions.prefer_named(pool, usable)
+    return usable
 
 
 def may_serve(state: GatewayState, call: Call, endpoint: PoolEndpoint) -> bool:
--- a/wingfall/gateway/calls/stream_resumption.py
+++ b/wingfall/gateway/calls/stream_resumption.py
@@ -91,9 +91,12 @@
     """
     if call.origin is None or not call.route.resumable or not call.call_id:
         return
+    origin = call.origin
+    if not state.knowledge.versions.is_named(origin.pool, origin.version):
+        state.stream_log.note_unnamed(call, origin)
     began_ms = state.clock.now_ms()
     record = StreamRecord(
-        origin=call.origin,
+        origin=origin,
         began_ms=began_ms,
         expires_ms=began_ms + _life_ms(call),
     )
--- a/wingfall/gateway/configuration/version_history.py
+++ b/wingfall/gateway/configuration/version_history.py
@@ -2,12 +2,13 @@
 
 After the end of all gateways this object shows which versions a pool had, so
 that streams can still continue in a pool that had only one. The gateways that
-watch the store add a version as soon as it is listed and remove it long after
-the last endpoint of it has left.
+watch the store add a version as soon as it is listed, and streams begin there
+once it is named; they remove it long after its last endpoint has left.
 """
 
 from __future__ import annotations
 
+import http
 from typing import TYPE_CHECKING, Callable, Final, final
 
 import gevent
@@ -28,8 +29,10 @@
 if TYPE_CHECKING:
     from gevent.event import Event
 
+    from wingfall.clock import Clock
     from wingfall.gateway.knowledge.pool_versions import PoolVersions
     from wingfall.gateway.model.object_store import ObjectWriter
+    from wingfall.metrics import Metrics
 
 # Milliseconds for which a gateway must have followed the list to claim them
 # for the object, above the shortest time that a stream is asked for.
@@ -38,6 +41,8 @@
 _CHECK_INTERVAL_MS: Final = 1000
 # Maximum interval of the attempts to read the object at a start.
 _MAX_READ_DELAY_MS: Final = 8000
+# Maximum attempts to write a change while other gateways write too.
+_MAX_ATTEMPTS: Final = 3
 # Delay of a change for each gateway that precedes this one in the common order,
 # so that one gateway writes it.
 _RANK_DELAY_MS: Final = 300
@@ -48,10 +53,16 @@
     """Reads the object at a start, and keeps it up to date."""
 
     __slots__ = (
+        '_announce',
+        '_backoff',
+        '_clock',
         '_get_followed_ms',
         '_get_rank',
         '_may_write',
+        '_metrics',
+        '_read_due_ms',
         '_store',
+        '_unnamed_since_ms',
         '_versions',
     )
 
@@ -59,7 +70,10 @@
         self,
         *,
         store: ObjectWriter,
+        clock: Clock,
+        metrics: Metrics,
         versions: PoolVersions,
+        announce: Callable[[VersionRecord], None],
         may_write: Callable[[], bool],
         get_followed_ms: Callable[[], int],
         get_rank: Callable[[], int],
@@ -67,7 +81,10 @@
         """Initialize a history that was not read yet.
 
         :param store: store of the object.
+        :param clock: source of the current time.
+        :param metrics: counts the versions that wait to be named.
         :param versions: versions known to this gateway, which are updated.
+        :param announce: tells the other gateways what was written.
         :param may_write: returns whether this gateway is among those that keep
             the object.
         :param get_followed_ms: returns for how many milliseconds this gateway
@@ -75,44 +92,109 @@
         :param get_rank: returns the number of gateways that precede this one.
         """
         self._store = store
+        self._clock = clock
+        self._metrics = metrics
         self._versions = versions
+        self._announce = announce
         self._may_write = may_write
         self._get_followed_ms = get_followed_ms
         self._get_rank = get_rank
+        # A store that is away is not asked by all gateways each second.
+        self._backoff = Backoff(
+            min_ms=_CHECK_INTERVAL_MS, max_ms=_MAX_READ_DELAY_MS
+        )
+        # When the object is read if no gateway tells that it was written.
+        self._read_due_ms: int | None = None
+        # The listed versions that the object does not name, and since when.
+        self._unnamed_since_ms: dict[tuple[str, Version], int] = {}
 
     def run(self, stop: Event) -> None:
         """Read the object, then keep it up to date until the process ends.
 
         :param stop: set when the process ends.
         """
-        # A store that is away is not asked by all gateways each second.
-        backoff = Backoff(min_ms=_CHECK_INTERVAL_MS, max_ms=_MAX_READ_DELAY_MS)
         while not self._read():
-            if stop.wait(backoff.take_ms() / MS_PER_S):
+            if stop.wait(self._backoff.take_ms() / MS_PER_S):
                 return
         while not stop.is_set():
+            self._versions.has_new.clear()
+            self._note_unnamed()
             self._update()
+            self._read_if_due()
+            self._note_unnamed()
             self._versions.has_new.wait(_CHECK_INTERVAL_MS / MS_PER_S)
-            self._versions.has_new.clear()
 
     def _update(self) -> None:
         if not self._may_write() or self._find_change() is None:
             return
         gevent.sleep(self._get_rank() * _RANK_DELAY_MS / MS_PER_S)
-        # Another gateway may have written the change.
-        change = self._find_change() if self._read() else None
-        if change is None:
-            return
+        for _ in range(_MAX_ATTEMPTS):
+            # Another gateway may have written the change.
+            change = self._find_change() if self._read() else None
+            if change is None or not self._is_conflict(change):
+                return
+
+    def _is_conflict(self, change: VersionRecord) -> bool:
         spec = {'complete_ms': change.complete_ms, 'pools': change.pools}
         written = self._store.write(OBJECT_NAME, spec, change.revision)
-        if isinstance(written, Success):
-            self._versions.adopt(parse_record(written.unwrap()))
+        is_written = isinstance(written, Success)
+        if is_written:
+            record = parse_record(written.unwrap())
+            self._versions.adopt(record)
+            self._announce(record)
         log_event(
             'versions',
             'The history of versions was written.',
-            ok=isinstance(written, Success),
+            ok=is_written,
             **spec,
         )
+        return (
+            not is_written
+            and written.failure().status == http.HTTPStatus.CONFLICT
+        )
+
+    def _read_if_due(self) -> None:
+        now_ms = self._clock.now_ms()
+        if not self._versions.unnamed:
+            self._read_due_ms = None
+            self._backoff.reset()
+        elif self._read_due_ms is None:
+            self._read_due_ms = now_ms + self._backoff.take_ms()
+        elif now_ms >= self._read_due_ms:
+            self._read()
+            self._read_due_ms = now_ms + self._backoff.take_ms()
+
+    def _note_unnamed(self) -> None:
+        now_ms, unnamed = self._clock.now_ms(), self._versions.unnamed
+        for added in unnamed - self._unnamed_since_ms.keys():
+            self._unnamed_since_ms[added] = now_ms
+            self._log_unnamed('A version waits to be named.', 'unnamed', added)
+        for removed in self._unnamed_since_ms.keys() - unnamed:
+            since_ms = self._unnamed_since_ms.pop(removed)
+            self._log_unnamed(
+                'A version waits no longer to be named.',
+                'named' if self._versions.is_named(*removed) else 'left',
+                removed,
+                ms=now_ms - since_ms,
+            )
+
+    def _log_unnamed(
+        self,
+        sentence: str,
+        reason: str,
+        unnamed: tuple[str, Version],
+        **fields: int,
+    ) -> None:
+        self._metrics.decisions.inc({'part': 'versions', 'reason': reason})
+        pool, version = unnamed
+        log_event(
+            'versions',
+            sentence,
+            pool=pool,
+            version=version,
+            reason=reason,
+            **fields,
+        )
 
     def _find_change(self) -> VersionRecord | None:
         record = self._versions.record or VersionRecord()
--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -28,7 +28,11 @@
 from wingfall.gateway.peers.streams.stream_exchange import StreamExchange
 from wingfall.log import log_event
 from wingfall.wire.connection import Connection
-from wingfall.wire.gateway_messages import STREAMS_FEATURE, GatewayHello
+from wingfall.wire.gateway_messages import (
+    HISTORY_FEATURE,
+    STREAMS_FEATURE,
+    GatewayHello,
+)
 
 if TYPE_CHECKING:
     import socket
@@ -304,7 +308,7 @@
             known=self._addresses.sample(),
             zone=self._zone,
             incarnation=self._incarnation,
-            features=[STREAMS_FEATURE],
+            features=[STREAMS_FEATURE, HISTORY_FEATURE],
         )
 
 
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -23,6 +23,7 @@
 from wingfall.wire.codec import encode
 from wingfall.wire.gateway_messages import GatewayHeartbeat, ZoneLoads
 from wingfall.wire.stream_messages import (
+    HistoryWritten,
     StreamFetch,
     StreamFound,
     StreamsBegun,
@@ -140,6 +141,7 @@
             StreamFetch: streams.answer_fetch,
             StreamFound: streams.merge_answer,
             VersionsListed: streams.merge_versions,
+            HistoryWritten: streams.merge_history,
         }
 
     def send_full_state(self, session: PeerSession) -> None:
--- a/wingfall/gateway/peers/peer_session.py
+++ b/wingfall/gateway/peers/peer_session.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, final
 
 from wingfall.gateway.peers.ranking import compute_rank
-from wingfall.wire.gateway_messages import STREAMS_FEATURE
+from wingfall.wire.gateway_messages import HISTORY_FEATURE, STREAMS_FEATURE
 
 if TYPE_CHECKING:
     from wingfall.gateway.peers.objects.object_transfer import OutgoingTransfer
@@ -31,6 +31,7 @@
         'last_seen_ms',
         'incarnation',
         'knows_caches',
+        'knows_history',
         'knows_streams',
         'leaving',
         'name',
@@ -66,6 +67,8 @@
         self.knows_caches = False
         # Whether the peer understands messages on the origins of streams.
         self.knows_streams = STREAMS_FEATURE in hello.features
+        # Whether the peer understands messages on the history of versions.
+        self.knows_history = HISTORY_FEATURE in hello.features
         self.last_seen_ms = 0
         # When crashes that the peer had missed were last resent to it.
         self.crashes_resent_ms: float = float('-inf')
--- a/wingfall/gateway/peers/streams/stream_exchange.py
+++ b/wingfall/gateway/peers/streams/stream_exchange.py
@@ -20,11 +20,13 @@
     StreamRecord,
 )
 from wingfall.gateway.model.stream_origin import StreamOrigin
+from wingfall.gateway.model.version_record import VersionRecord
 from wingfall.gateway.peers.streams.stream_replicas import (
     REPLICA_COUNT,
     StreamReplicas,
 )
 from wingfall.wire.stream_messages import (
+    HistoryWritten,
     StreamFetch,
     StreamFound,
     StreamsBegun,
@@ -40,6 +42,7 @@
         StreamKey,
         StreamOrigins,
     )
+    from wingfall.gateway.model.version_record import Pools
     from wingfall.gateway.peers.peer_session import PeerSession
 
 # One peer more is asked than holds a record: views of the peers differ by a
@@ -215,6 +218,39 @@
         ages_ms = [(each[0], each[1], each[2]) for each in message.versions]
         self._versions.merge(ages_ms)
 
+    def announce_history(self, record: VersionRecord) -> None:
+        """Tell all peers what this gateway has just written.
+
+        :param record: content of the store's object.
+        """
+        message = HistoryWritten(
+            revision=record.revision or 0,
+            complete_ms=record.complete_ms,
+            versions=[list(each) for each in record.names],
+        )
+        for session in list(self._sessions.values()):
+            if session.knows_history:
+                session.connection.send(message)
+
+    def merge_history(
+        self, session: PeerSession, message: HistoryWritten
+    ) -> None:
+        """Record what a peer has written.
+
+        :param session: the session with the peer.
+        :param message: the report.
+        """
+        pools: Pools = {}
+        for pool, version in message.versions:
+            pools.setdefault(pool, []).append(version)
+        self._versions.adopt(
+            VersionRecord(
+                revision=message.revision,
+                complete_ms=message.complete_ms,
+                pools=pools,
+            )
+        )
+
     def _is_settled(self, key: StreamKey, question: _Question) -> bool:
         if self._origins.find(key) is not None:
             return True
--- a/wingfall/gateway/rules/streams/stream_log.py
+++ b/wingfall/gateway/rules/streams/stream_log.py
@@ -24,7 +24,7 @@
 class StreamLog:
     """Reports where streams continue, and why others can't."""
 
-    __slots__ = ('_clock', '_continued', '_metrics', '_refused')
+    __slots__ = ('_clock', '_continued', '_metrics', '_refused', '_unnamed')
 
     def __init__(self, *, clock: Clock, metrics: Metrics) -> None:
         """Create the log of a gateway that has continued no stream.
@@ -36,6 +36,7 @@
         self._metrics = metrics
         self._continued = LogLimit(clock=clock, per_second=_MAX_LINES_PER_S)
         self._refused = LogLimit(clock=clock, per_second=_MAX_LINES_PER_S)
+        self._unnamed = LogLimit(clock=clock, per_second=_MAX_LINES_PER_S)
 
     def note_found(
         self,
@@ -87,6 +88,22 @@
             engines=engine_count,
         )
 
+    def note_unnamed(self, call: Call, origin: StreamOrigin) -> None:
+        """Report that a stream began at a version that no other one may know.
+
+        :param call: the call.
+        :param origin: where the stream began.
+        """
+        self._count('unnamed_version')
+        self._log(
+            self._unnamed,
+            'A stream began at a version that the history does not name.',
+            call,
+            pool=origin.pool,
+            version=origin.version,
+            endpoint=origin.endpoint,
+        )
+
     def note_refused(self, call: Call, reason: str, **fields: Any) -> None:
         """Report that a stream can't continue.
 
--- a/wingfall/wire/gateway_messages.py
+++ b/wingfall/wire/gateway_messages.py
@@ -8,6 +8,8 @@
 
 # The sender understands the messages of :mod:`wingfall.wire.stream_messages`.
 STREAMS_FEATURE: Final = 'streams'
+# The sender understands which versions the history in the store names.
+HISTORY_FEATURE: Final = 'history'
 
 
 @final
--- a/wingfall/wire/stream_messages.py
+++ b/wingfall/wire/stream_messages.py
@@ -80,3 +80,24 @@
         """
         self.complete_ms = complete_ms
         self.versions = versions
+
+
+@final
+@message(59, int, int, list)
+class HistoryWritten(Message):
+    """Tells what the sender has just written to the history of versions."""
+
+    __slots__ = ('revision', 'complete_ms', 'versions')  # noqa: WPS607
+
+    def __init__(
+        self, *, revision: int, complete_ms: int, versions: list[list[Any]]
+    ) -> None:
+        """Tell of the history.
+
+        :param revision: revision of the store's object.
+        :param complete_ms: for how many milliseconds it names all versions.
+        :param versions: for each the pool, and the version or nothing.
+        """
+        self.revision = revision
+        self.complete_ms = complete_ms
+        self.versions = versions
