--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -28,7 +28,11 @@
 from wingfall.gateway.peers.streams.stream_exchange import StreamExchange
 from wingfall.log import log_event
 from wingfall.wire.connection import Connection
-from wingfall.wire.gateway_messages import STREAMS_FEATURE, GatewayHello
+from wingfall.wire.gateway_messages import (
+    HISTORY_FEATURE,
+    STREAMS_FEATURE,
+    GatewayHello,
+)
 
 if TYPE_CHECKING:
     import socket
@@ -160,6 +164,11 @@
         """Sorted names of the connected peers."""
         return sorted(self._sessions)
 
+    @property
+    def gateway_count(self) -> int:
+        """Number of gateways that are connected or known, with this one."""
+        return max(len(self._sessions), self._addresses.count) + 1
+
     @property
     def view(self) -> PeerView:
         """View of the peers, for the store watch and the lease."""
@@ -299,7 +308,7 @@
             known=self._addresses.sample(),
             zone=self._zone,
             incarnation=self._incarnation,
-            features=[STREAMS_FEATURE],
+            features=[STREAMS_FEATURE, HISTORY_FEATURE],
         )
 
 
--- a/wingfall/gateway/peers/streams/stream_exchange.py
+++ b/wingfall/gateway/peers/streams/stream_exchange.py
@@ -20,11 +20,13 @@
     StreamRecord,
 )
 from wingfall.gateway.model.stream_origin import StreamOrigin
+from wingfall.gateway.model.version_record import VersionRecord
 from wingfall.gateway.peers.streams.stream_replicas import (
     REPLICA_COUNT,
     StreamReplicas,
 )
 from wingfall.wire.stream_messages import (
+    HistoryWritten,
     StreamFetch,
     StreamFound,
     StreamsBegun,
@@ -40,6 +42,7 @@
         StreamKey,
         StreamOrigins,
     )
+    from wingfall.gateway.model.version_record import Pools
     from wingfall.gateway.peers.peer_session import PeerSession
 
 # One peer more is asked than holds a record: views of the peers differ by a
@@ -120,7 +123,7 @@
         # Lets the connections write before the caller receives an event.
         gevent.sleep(0)
 
-    def ask(self, key: StreamKey, timeout_ms: int) -> None:
+    def ask(self, key: StreamKey, timeout_ms: int) -> bool:
         """Ask the peers where a stream began, and wait for the answer.
 
         The answer is found in the origins. A gateway that starts waits for its
@@ -128,9 +131,10 @@
 
         :param key: key of the stream.
         :param timeout_ms: maximum milliseconds to wait.
+        :returns: whether a longer wait would tell nothing more.
         """
         if len(self._questions) >= _MAX_QUESTIONS:
-            return
+            return True
         number = next(self._numbers)
         question = self._questions.setdefault(number, _Question())
         until_ms = self._clock.now_ms() + timeout_ms
@@ -138,10 +142,11 @@
             while self._clock.now_ms() < until_ms:
                 self._send_question(key, number, question)
                 if self._is_settled(key, question):
-                    return
+                    return True
                 gevent.sleep(_POLL_INTERVAL_MS / MS_PER_S)
         finally:
             self._questions.pop(number)
+        return False
 
     def send_state(self, session: PeerSession) -> None:
         """Send a new peer what it should know.
@@ -153,7 +158,7 @@
             return
         session.connection.send(
             VersionsListed(
-                complete_ms=self._versions.complete_ms,
+                complete_ms=0,
                 versions=[list(each) for each in self._versions.ages_ms],
             )
         )
@@ -211,7 +216,40 @@
         :param message: the report.
         """
         ages_ms = [(each[0], each[1], each[2]) for each in message.versions]
-        self._versions.merge(ages_ms, message.complete_ms)
+        self._versions.merge(ages_ms)
+
+    def announce_history(self, record: VersionRecord) -> None:
+        """Tell all peers what this gateway has just written.
+
+        :param record: content of the store's object.
+        """
+        message = HistoryWritten(
+            revision=record.revision or 0,
+            complete_ms=record.complete_ms,
+            versions=[list(each) for each in record.names],
+        )
+        for session in list(self._sessions.values()):
+            if session.knows_history:
+                session.connection.send(message)
+
+    def merge_history(
+        self, session: PeerSession, message: HistoryWritten
+    ) -> None:
+        """Record what a peer has written.
+
+        :param session: the session with the peer.
+        :param message: the report.
+        """
+        pools: Pools = {}
+        for pool, version in message.versions:
+            pools.setdefault(pool, []).append(version)
+        self._versions.adopt(
+            VersionRecord(
+                revision=message.revision,
+                complete_ms=message.complete_ms,
+                pools=pools,
+            )
+        )
 
     def _is_settled(self, key: StreamKey, question: _Question) -> bool:
         if self._origins.find(key) is not None:
