Let a gateway announce another address than it listens on

Gateways behind address translation told their peers the address at which they listen, where nobody can reach them. peers.announce names the one to connect to; neither of a gateway's own addresses is dialed. Seeds of others name the announced address, since a peer counts as connected by it.

tests/test_peer_sessions.py: a gateway is dialed at its announced address, also by one that knows it only from a peer, and does not dial itself there. The setting did not exist before.

tests/test_compatibility.py holds a digest of the whole schema, which any new field changes. The recorded digest stays; a field that is added has its form recorded in tests/golden/added_settings.json, and the schema without these fields must still have the recorded digest, so that a change of an older field fails as before.

--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import copy
 import hashlib
 import inspect
 import logging
@@ -315,6 +316,16 @@
     assert plain(endpoint) == stored['read']
 
 
+def take_field(schema: dict[str, Any], path: str) -> dict[str, Any]:
+    """Remove a field from a schema and return its form."""
+    *sections, name = path.split('.')
+    for section in sections:
+        schema = schema['properties'][section]
+    field = schema['properties'].pop(name)
+    field.pop('description')
+    return field
+
+
 @pytest.mark.parametrize(
     ('name', 'schema'),
     [
@@ -324,7 +335,11 @@
     ],
 )
 def test_forms_of_settings_stay(name: str, schema: dict[str, Any]):
-    text = orjson.dumps(schema, option=orjson.OPT_SORT_KEYS).decode()
+    released = copy.deepcopy(schema)
+    # Fields that came later have a record of their own beside the digest.
+    for path, recorded in record('added_settings').get(name, {}).items():
+        assert take_field(released, path) == recorded
+    text = orjson.dumps(released, option=orjson.OPT_SORT_KEYS).decode()
     text = re.sub(r'"description":"(\\.|[^"\\])*",?', '', text)
     digest = hashlib.sha256(text.encode()).hexdigest()
     assert digest == record('schemas')[name]
--- a/tests/test_peer_sessions.py
+++ b/tests/test_peer_sessions.py
@@ -6,12 +6,17 @@
 
 import gevent
 import pytest
+import yaml
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from standins.link import Link
 from tests.gateway_site import HOST, GatewaySite
 from tests.local_site import wait_until
+from tools.fleet import free_port
 from wingfall.gateway.peers.ranking import compute_rank
+from wingfall.settings.gateway_schema import GATEWAY_SCHEMA
+from wingfall.settings.loader import parse_settings
 from wingfall.wire.connection import Connection
 from wingfall.wire.gateway_messages import GatewayHello
 
@@ -146,3 +151,51 @@
     assert len(opened) == 1
     test_ended.set()
     server.stop(timeout=0)
+
+
+def test_gateway_behind_address_translation_is_dialed_where_it_announces(
+    gateway_site: GatewaySite,
+):
+    listening = f'{HOST}:{free_port()}'
+    link = Link(target=listening)
+    first = gateway_site.start_gateway(
+        peers={'listen': listening, 'announce': link.address},
+    )
+    assert first.peer_address == link.address
+    second = gateway_site.start_gateway()
+    # Knows the first one only by what the second one tells.
+    third = gateway_site.start_gateway(
+        peers={'listen': f'{HOST}:0', 'seeds': [second.peer_address]},
+    )
+    wait_until(lambda: len(third.status()['peers']) == 2)
+    link.close()
+    wait_until(lambda: not first.status()['peers'])
+    assert second.status()['peers'] == ['gateway-2']
+
+
+def test_gateway_does_not_dial_the_address_that_it_announces(
+    gateway_site: GatewaySite,
+):
+    dialed = []
+    server = StreamServer((HOST, 0), lambda sock, _peer: dialed.append(sock))
+    server.start()
+    announced = f'{HOST}:{server.server_port}'
+    gateway = gateway_site.start_gateway(
+        peers={
+            'listen': f'{HOST}:0',
+            'announce': announced,
+            'seeds': [announced],
+        },
+    )
+    # Three rounds of dials.
+    gevent.sleep(1)
+    assert not dialed
+    assert not gateway.status()['peers']
+    server.stop(timeout=0)
+
+
+@pytest.mark.parametrize('announced', ['nowhere', 'host:port', '1.2.3.4:'])
+def test_announced_address_that_is_none_is_refused(announced: str):
+    settings = {'peers': {'listen': f'{HOST}:0', 'announce': announced}}
+    faults = parse_settings('x', yaml.dump(settings), GATEWAY_SCHEMA).failure()
+    assert 'peers.announce' in {fault.field for fault in faults}
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -108,6 +108,7 @@
         self._peers = GatewayPeers(
             name=settings.name,
             address=settings.peers.listen,
+            announced=settings.peers.announce,
             zone=settings.zone,
             seeds=settings.peers.seeds,
             clock=self._clock,
--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -87,6 +87,7 @@
         is_watching: Callable[[], bool],
         is_stopping: Callable[[], bool],
         duties: DutyExchange | None = None,
+        announced: str = '',
     ) -> None:
         """Bind the address for peers.
 
@@ -104,6 +105,8 @@
         :param is_watching: whether this gateway receives the store's changes.
         :param is_stopping: whether a planned stop has begun.
         :param duties: exchanges data of the duties, None without duties.
+        :param announced: ``host:port`` that peers connect to, empty if they
+            connect to the address that this gateway listens on.
         """
         self._name = name
         self._incarnation = random.getrandbits(_INCARNATION_BITS)
@@ -141,8 +144,11 @@
         host, _colon, port = address.rpartition(':')
         self._server = StreamServer((host, int(port)), self._accept)
         self._server.init_socket()
-        self._address = f'{host}:{self._server.socket.getsockname()[1]}'
-        self._addresses = PeerAddresses(own=self._address, seeds=seeds)
+        listening = f'{host}:{self._server.socket.getsockname()[1]}'
+        self._address = announced or listening
+        self._addresses = PeerAddresses(
+            own=(self._address, listening), seeds=seeds
+        )
         self._view = PeerView(
             name=name,
             clock=clock,
--- a/wingfall/gateway/peers/peer_addresses.py
+++ b/wingfall/gateway/peers/peer_addresses.py
@@ -25,13 +25,13 @@
 
     __slots__ = ('_active_dials', '_failed_dials', '_own', '_seeds')
 
-    def __init__(self, *, own: str, seeds: Iterable[str]) -> None:
+    def __init__(self, *, own: Iterable[str], seeds: Iterable[str]) -> None:
         """Create the set of addresses from the seeds.
 
-        :param own: address of this gateway.
+        :param own: addresses of this gateway.
         :param seeds: addresses that are never removed.
         """
-        self._own = own
+        self._own = frozenset(own)
         self._seeds = set(seeds)
         # Consecutive failed dials by address.
         self._failed_dials: dict[str, int] = {}
@@ -47,10 +47,10 @@
     def add(self, addresses: Iterable[str]) -> None:
         """Add addresses of other gateways.
 
-        :param addresses: addresses to add; the own address is skipped.
+        :param addresses: addresses to add; own addresses are skipped.
         """
         for address in addresses:
-            if address != self._own:
+            if address not in self._own:
                 self._failed_dials.setdefault(address, 0)
 
     def sample(self) -> list[str]:
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -36,6 +36,13 @@
     peers=section(
         'Other gateways.',
         listen=host_port('host:port for other gateways.'),
+        announce={
+            'type': 'string',
+            'pattern': f'^$|{HOST_PORT}',
+            'default': '',
+            'description': 'host:port that others connect to, where it is not '
+            'the one of `listen`; their seeds name it too.',
+        },
         seeds={
             'type': 'array',
             'items': {'type': 'string', 'pattern': HOST_PORT},
