Have the stand-in of a link lose bytes in a cut, both ways or one

A link that is silent or deaf holds bytes back and delivers them later, so what a party had sent before it fell silent was still read. A cut loses what is in flight and what is sent; a connection that lost bytes is reset when the link is whole again, or stays silent for good; one that lost nothing goes on. Answers alone can be delayed, and a connection that was accepted elsewhere can be passed over a link.

--- a/standins/link.py
+++ b/standins/link.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import collections
+import contextlib
 import enum
+import itertools
 import socket
 import struct
 import time
-from typing import Any, Final, final
+from typing import TYPE_CHECKING, Final, final
 
 import gevent
 from gevent.event import Event
@@ -14,6 +17,9 @@
 
 from wingfall.tcp import set_no_delay
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 _READ_BYTES: Final = 65_536
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 _MS: Final = 1000
@@ -28,6 +34,26 @@
     refusing = 'refusing'  # New connections are reset, old ones too.
     deaf = 'deaf'  # What callers send is held back.
     silent = 'silent'  # All bytes are held back, both ways.
+    cut = 'cut'  # All bytes are lost, both ways.
+    cut_there = 'cut_there'  # What callers send is lost.
+    cut_back = 'cut_back'  # What the target sends is lost.
+
+
+class _Way(enum.StrEnum):
+    there = 'there'
+    back = 'back'
+
+
+_HOLDING: Final = {
+    _Way.there: frozenset((LinkState.silent, LinkState.deaf)),
+    _Way.back: frozenset((LinkState.silent,)),
+}
+_LOSING: Final = {
+    _Way.there: frozenset((LinkState.cut, LinkState.cut_there)),
+    _Way.back: frozenset((LinkState.cut, LinkState.cut_back)),
+}
+_CUTS: Final = frozenset().union(*_LOSING.values())
+_OPPOSITE: Final = {_Way.there: _Way.back, _Way.back: _Way.there}
 
 
 @final
@@ -54,12 +80,33 @@
         self.passed_bytes += count
 
 
+@final
+class _Connection:
+    """A caller's connection and the one to the target."""
+
+    __slots__ = ('far', 'lost', 'near')
+
+    def __init__(self, *, near: socket.socket) -> None:
+        self.near = near
+        self.far: socket.socket | None = None
+        # The ways on which bytes were lost: nothing more passes there.
+        self.lost: set[_Way] = set()
+
+    def reset(self) -> None:
+        """Reset both."""
+        for sock in (self.near, self.far):
+            if sock is not None:
+                _reset(sock)
+
+
 @final
 class Link:
     """Passes bytes between its port and a target, as long as it is whole.
 
     Bytes that are held back go on once the link is whole again, as over a
-    network that lost packets for a while.
+    network that lost packets for a while. Bytes that a cut lost never come,
+    nor does anything after them on the same connection, as where the cut lasts
+    longer than either side sends again.
     """
 
     def __init__(
@@ -83,9 +130,13 @@
         self._state = LinkState.whole
         self._healed = Event()
         self._healed.set()
-        self._delay_ms = 0
-        self._sockets: set[socket.socket] = set()
-        self._server = StreamServer(('127.0.0.1', 0), self._serve)
+        self._delay_ms = dict.fromkeys(_Way, 0)
+        # How often each way was cut.
+        self._cuts: collections.Counter[_Way] = collections.Counter()
+        self._connections: set[_Connection] = set()
+        self._server = StreamServer(
+            ('127.0.0.1', 0), lambda near, _peer: self.relay(near)
+        )
         self._server.start()
 
     @property
@@ -100,27 +151,41 @@
         """
         self._state = state
         self._healed.clear()
+        self._cuts.update(way for way in _Way if state in _LOSING[way])
         if state is LinkState.refusing:
             self.reset()
 
     def delay(self, delay_ms: int) -> None:
-        """Hold each piece of bytes up.
+        """Hold each piece of bytes up, both ways.
 
         :param delay_ms: for how long.
         """
-        self._delay_ms = delay_ms
+        self._delay_ms = dict.fromkeys(_Way, delay_ms)
+
+    def delay_answers(self, delay_ms: int) -> None:
+        """Hold up what the target sends.
+
+        :param delay_ms: each piece of bytes for how long.
+        """
+        self._delay_ms = {_Way.there: 0, _Way.back: delay_ms}
+
+    def heal(self, *, resets: bool = True) -> None:
+        """Be whole again.
 
-    def heal(self) -> None:
-        """Be whole again."""
+        :param resets: whether connections that lost bytes are reset now; else
+            they stay silent until either side ends them.
+        """
         self._state = LinkState.whole
-        self._delay_ms = 0
+        self._delay_ms = dict.fromkeys(_Way, 0)
         self._healed.set()
+        for connection in list(self._connections):
+            if resets and connection.lost:
+                connection.reset()
 
     def reset(self) -> None:
         """Reset all connections; new ones are welcome if the link is whole."""
-        for sock in list(self._sockets):
-            _reset(sock)
-        self._sockets.clear()
+        for connection in list(self._connections):
+            connection.reset()
 
     def close(self) -> None:
         """End the link."""
@@ -128,48 +193,100 @@
         self.heal()
         self.reset()
 
-    def _serve(self, near: socket.socket, _peer: Any) -> None:
+    def relay(self, near: socket.socket, begun: bytes = b'') -> None:
+        """Pass a caller's bytes on until the connection has ended.
+
+        :param near: the caller's connection.
+        :param begun: what was read from it before.
+        """
         if self._state is LinkState.refusing:
             _reset(near)
             return
+        connection = _Connection(near=near)
+        self._connections.add(connection)
+        if self._state in _CUTS:
+            # No handshake is completed over a cut.
+            connection.lost.update(_Way)
+            _drain(near)
+        else:
+            self._relay(connection, begun)
+        self._connections.discard(connection)
+
+    def _relay(self, connection: _Connection, begun: bytes) -> None:
+        near = connection.near
         try:
             far = socket.create_connection(self._target)
         except OSError:
             _reset(near)
             return
+        connection.far = far
         for sock in (near, far):
             set_no_delay(sock)
-            self._sockets.add(sock)
         if self._bandwidth is not None:
             _shrink_buffers(near, far)
         if self._has_small_buffers:
             _shrink_buffers(far, near)
-        back = gevent.spawn(
-            self._pump, far, near, LinkState.silent, bandwidth=self._bandwidth
-        )
-        self._pump(near, far, LinkState.silent, LinkState.deaf)
+        back = gevent.spawn(self._pump, connection, far, near, _Way.back)
+        self._pump(connection, near, far, _Way.there, begun)
         back.join()
-        self._sockets -= {near, far}
 
     def _pump(
         self,
+        connection: _Connection,
         source: socket.socket,
         sink: socket.socket,
-        *holding: LinkState,
-        bandwidth: Bandwidth | None = None,
+        way: _Way,
+        begun: bytes = b'',
     ) -> None:
         try:
-            while received := source.recv(_READ_BYTES):
-                gevent.sleep(self._delay_ms / _MS)
-                if bandwidth is not None:
-                    bandwidth.take(len(received))
-                while self._state in holding:
-                    self._healed.wait()
-                sink.sendall(received)
-            sink.shutdown(socket.SHUT_WR)
+            for received in itertools.chain((begun,), _read_all(source)):
+                if received and self._passes(connection, way):
+                    self._send(connection, sink, received, way)
+            if self._passes(connection, way):
+                sink.shutdown(socket.SHUT_WR)
         except OSError:
-            _reset(source)
-            _reset(sink)
+            # A reset is lost as other news is.
+            if self._passes(connection, way):
+                connection.reset()
+
+    def _send(
+        self,
+        connection: _Connection,
+        sink: socket.socket,
+        received: bytes,
+        way: _Way,
+    ) -> None:
+        cuts = self._cuts[way]
+        gevent.sleep(self._delay_ms[way] / _MS)
+        if self._bandwidth is not None and way is _Way.back:
+            self._bandwidth.take(len(received))
+        while self._state in _HOLDING[way]:
+            self._healed.wait()
+        if self._cuts[way] != cuts:
+            connection.lost.add(way)
+            return
+        try:
+            sink.sendall(received)
+        except OSError:
+            # The other way brings the news, unless it is cut.
+            if self._passes(connection, _OPPOSITE[way]):
+                raise
+            connection.lost.add(way)
+
+    def _passes(self, connection: _Connection, way: _Way) -> bool:
+        if self._state in _LOSING[way]:
+            connection.lost.add(way)
+        return way not in connection.lost
+
+
+def _read_all(source: socket.socket) -> Iterator[bytes]:
+    while received := source.recv(_READ_BYTES):
+        yield received
+
+
+def _drain(source: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        collections.deque(_read_all(source), maxlen=0)
 
 
 def _shrink_buffers(sink: socket.socket, source: socket.socket) -> None:
