Pass on no event that provably does not continue its stream

Ids that went back within the events of one endpoint came through as well, and the answer ended as complete each time.

Cause: the gateway sent the id of the last event and then took whatever came for what it had asked for. Nothing compared ids where two answers are joined.

Now the ids of a call's stream are followed over all its endpoints. An id that does not rise, or, where ids rose by one only, a first id that leaves one out, ends the attempt as broken at that endpoint before the event is passed on. The connection is closed by this side, so it is no sign of a crash. The stream goes on at another endpoint or is cut. Repeated events are not dropped in silence: an endpoint that begins again has ignored the id, and what it writes after the repeated events belongs to another run. An id left out is no proof while one id only is known, where ids rose by more than one before, or within the events of one endpoint; texts that are no whole numbers are never compared.

Each joint has a line with the ids on both sides of it and is counted; before, no log told them.

An endpoint that leaves an event out where a caller takes a stream up is not found: the gateway knows one id then.

--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -5,6 +5,7 @@
 rightly. A streaming request (one with ``X-Token-Count``) gets ``events``
 events, ids from 1, or from the one after ``Last-Event-Id``; each holds the id
 of the request, its own number and the version of the endpoint's software.
+``naming`` changes the ids, and where a stream goes on that is taken up.
 
 The faults: ``error`` (500), ``shed`` (503, not run), ``late_shed`` (the same
 after the body's first bytes), ``reset`` (no answer), ``torn`` (half of the
@@ -42,6 +43,7 @@
 
 from standins.answer_signals import AnswerSignalsStandIn
 from standins.body_reading import BodyReading, EarlyAnswer
+from standins.event_naming import EventNaming
 from standins.prompt_crash import PromptCrash
 
 _READ_BYTES: Final = 65_536
@@ -126,6 +128,7 @@
         self.prompt_crash = PromptCrash()
         # Whether streams have neither a length nor chunks.
         self.unframed_streams = False
+        self._naming = EventNaming()
         self._open: set[socket.socket] = set()
         # Parts of prompts that it says it keeps: ids and tokens.
         self.held: list[tuple[str, int]] = []
@@ -139,6 +142,11 @@
         """``host:port`` where it listens."""
         return f'127.0.0.1:{self._server.server_port}'
 
+    @property
+    def naming(self) -> EventNaming:
+        """Ids of the events of its streams."""
+        return self._naming
+
     def stop(self) -> None:
         """Refuse connections from now on."""
         self._server.stop(timeout=0)
@@ -429,12 +437,13 @@
         fault: str,
         frame: Callable[[bytes], bytes],
     ) -> bool:
-        first = int(run.headers.get('last-event-id', '0')) + 1
+        first = self._naming.find_first(run.headers.get('last-event-id'))
         for number in range(first, self.events + 1):
             gevent.sleep(self.event_ms / _MS)
             run.began_s = run.began_s or time.monotonic()
             event = (
-                f'id: {number}\ndata: {run.call_id} {number} {self.version}\n\n'
+                f'id: {self._naming.name(number)}\n'
+                f'data: {run.call_id} {number} {self.version}\n\n'
             ).encode()
             if fault in _BREAKS and number > _CUT_AFTER:
                 self._break_off(sock, fault, frame(event[: len(event) // 2]))
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -24,7 +24,10 @@
     EndpointWithheldError,
     NotConnectedError,
 )
-from wingfall.gateway.endpoints.event_stream import EventSplitter
+from wingfall.gateway.endpoints.event_stream import (
+    EventSplitter,
+    list_event_ids,
+)
 from wingfall.gateway.model.attempt_end import AttemptEnd
 from wingfall.gateway.model.binding import AttemptRequest
 
@@ -39,6 +42,7 @@
     from wingfall.gateway.model.answer_signals import AnswerSignals
     from wingfall.gateway.model.binding import AnswerHead, Binding
     from wingfall.gateway.model.call import Call, Headers
+    from wingfall.gateway.rules.streams.event_order import EventOrder
 
 _EVENT_STREAM: Final = b'text/event-stream'
 _FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
@@ -50,6 +54,10 @@
 _MAX_ANSWER_BYTES: Final = 8_388_608
 
 
+class DisorderedStreamError(BrokenAnswerError):
+    """The endpoint's events don't continue the stream."""
+
+
 @final
 class Attempt:
     """A call sent to an endpoint, and the reading of its answer."""
@@ -66,6 +74,7 @@
         '_on_incomplete',
         '_on_output',
         '_on_signals',
+        '_order',
         '_reply',
         '_sent_ms',
     )
@@ -76,6 +85,7 @@
         call: Call,
         destination: Destination,
         reply: Reply,
+        order: EventOrder,
         binding: Binding,
         connections: ConnectionCache,
         now_ms: Callable[[], int],
@@ -90,6 +100,7 @@
         :param call: the call to send.
         :param destination: endpoint, cache source and backup of the call.
         :param reply: receives the events of a stream.
+        :param order: checks the ids of the stream's events.
         :param binding: translates the platform's headers.
         :param connections: connections to endpoints.
         :param now_ms: returns the time in milliseconds.
@@ -105,6 +116,7 @@
         self._call = call
         self._destination = destination
         self._reply = reply
+        self._order = order
         self._binding = binding
         self._connections = connections
         self._now_ms = now_ms
@@ -129,7 +141,11 @@
             end = AttemptEnd.held if is_withheld else AttemptEnd.not_sent
             return AttemptOutcome(end=end, reason=str(error))
         except BrokenAnswerError as error:
-            return AttemptOutcome(end=self._broken_end(), reason=str(error))
+            return AttemptOutcome(
+                end=self._broken_end(),
+                reason=str(error),
+                is_abandoned=isinstance(error, DisorderedStreamError),
+            )
         except AnswerTimeoutError:
             return AttemptOutcome(
                 end=self._late_end(), reason='no bytes in time'
@@ -241,6 +257,7 @@
             if events:
                 self._check_version(is_first=not has_events)
                 has_events = True
+                self._check_order(events)
                 self._forward_events(response, events, splitter.last_event_id)
         if splitter.has_partial_event or not self._reply.started:
             raise BrokenAnswerError('the stream ended inside an event')
@@ -263,6 +280,12 @@
         if is_first and not self._may_send():
             raise BrokenAnswerError('not the version of the stream')
 
+    def _check_order(self, events: bytes) -> None:
+        if not self._order.admits(list_event_ids(events)):
+            raise DisorderedStreamError(
+                f'event {self._order.event_id}: {self._order.verdict}'
+            )
+
     def _forward_events(
         self,
         response: h11.Response,
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -59,6 +59,7 @@
     RetryTerms,
     decide_retry,
 )
+from wingfall.gateway.rules.streams.event_order import EventOrder
 
 if TYPE_CHECKING:
     from wingfall.errors import Refusal
@@ -88,6 +89,7 @@
         '_call',
         '_continuation',
         '_failed_answer',
+        '_order',
         '_pool',
         '_progress',
         '_reply',
@@ -111,6 +113,7 @@
         self._state = state
         self._call = call
         self._reply = reply
+        self._order = EventOrder()
         self._pool = pick_pool(call.route.pools)
         self._progress = CallProgress()
         # Whether the call has waited for the prefill of a shared part.
@@ -236,19 +239,22 @@
             state.stream_log.note_sent(
                 self._call, destination.endpoint, len(engines)
             )
+        after_event_id = (
+            self._reply.last_event_id or self._call.head.last_event_id
+        )
+        self._order.begin_attempt(after_event_id)
         tracker = AttemptTracker(
             state=state,
             call=self._call,
             destination=destination,
             number=len(self._progress.sent) + 1,
-            after_event_id=(
-                self._reply.last_event_id or self._call.head.last_event_id
-            ),
+            after_event_id=after_event_id,
         )
         attempt = Attempt(
             call=self._call,
             destination=destination,
             reply=self._reply,
+            order=self._order,
             binding=state.binding,
             connections=state.connections,
             now_ms=state.clock.now_ms,
@@ -275,6 +281,9 @@
             outcome = attempt.run(self._limits(destination))
         finally:
             tracker.end(outcome, self._reply)
+            state.stream_log.note_order(
+                self._call, destination.endpoint, after_event_id, self._order
+            )
         return outcome
 
     def _note_sent(self) -> None:
--- a/wingfall/gateway/endpoints/event_stream.py
+++ b/wingfall/gateway/endpoints/event_stream.py
@@ -59,6 +59,19 @@
     def _update_last_event_id(self, complete: bytes) -> None:
         for line in reversed(complete.split(b'\n')):
             if line.startswith(_ID_FIELD):
-                event_id = line[len(_ID_FIELD) :].strip()
-                self.last_event_id = event_id.decode('latin-1')
+                self.last_event_id = _decode_id(line)
                 return
+
+
+def list_event_ids(events: bytes) -> list[str]:
+    """List the ids of events.
+
+    :param events: complete events.
+    :returns: the ids in order, none for events without one.
+    """
+    lines = events.split(b'\n')
+    return [_decode_id(line) for line in lines if line.startswith(_ID_FIELD)]
+
+
+def _decode_id(line: bytes) -> str:
+    return line[len(_ID_FIELD) :].strip().decode('latin-1')
--- a/wingfall/gateway/rules/streams/stream_log.py
+++ b/wingfall/gateway/rules/streams/stream_log.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any, Final, final
 
+from wingfall.gateway.rules.streams.event_order import DISORDERS
 from wingfall.log import log_event
 from wingfall.log_limit import LogLimit
 
@@ -13,6 +14,7 @@
     from wingfall.gateway.model.call import Call
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.model.stream_origin import StreamOrigin
+    from wingfall.gateway.rules.streams.event_order import EventOrder
     from wingfall.metrics import Metrics
 
 # Maximum lines per second of each kind. The end of a busy engine interrupts
@@ -81,6 +83,37 @@
             engines=engine_count,
         )
 
+    def note_order(
+        self,
+        call: Call,
+        endpoint: PoolEndpoint,
+        after_event_id: str | None,
+        order: EventOrder,
+    ) -> None:
+        """Report how the events of an endpoint follow those before them.
+
+        :param call: the call.
+        :param endpoint: the endpoint.
+        :param after_event_id: id of the event after which it was to continue
+            the stream, None if it was to begin one.
+        :param order: the order of the stream's events.
+        """
+        if order.verdict is None:
+            return
+        self._metrics.decisions.inc(
+            {'part': 'event_order', 'reason': order.verdict}
+        )
+        is_broken = order.verdict in DISORDERS
+        self._log(
+            self._refused if is_broken else self._continued,
+            'An endpoint continued a stream.',
+            call,
+            endpoint=endpoint.name,
+            after_event=after_event_id,
+            event=order.event_id,
+            verdict=order.verdict,
+        )
+
     def note_refused(self, call: Call, reason: str, **fields: Any) -> None:
         """Report that a stream can't continue.
 
