--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Iterator
 
@@ -83,3 +84,21 @@
     while received < LONG_BYTES:
         received += len(pair.endpoint.recv(LONG_BYTES))
     wait_until(lambda: pair.sock.fileno() == -1)
+
+
+def test_answer_is_incomplete_if_the_watch_of_a_closed_window_ends_it(
+    pair: _Pair, monkeypatch: pytest.MonkeyPatch
+):
+    def raise_timeout(_watch: object) -> None:
+        raise TimeoutError(errno.ETIMEDOUT, 'no answer to probes')
+
+    pair.send_long()
+    pair.endpoint.sendall(BEGUN_ANSWER)
+    assert pair.connection.receive(1000).status_code == 200
+    assert pair.connection.receive(1000).data == b'begun'
+    monkeypatch.setattr(
+        'wingfall.gateway.endpoints.request_writer.WindowWatch.check',
+        raise_timeout,
+    )
+    with pytest.raises(BrokenAnswerError):
+        pair.connection.receive(5000)
