Keep the origins of streams in the store while a pool has several versions

What callers saw: all gateways were killed beside a release and came back. Callers took their streams up again, and each was refused with 503 stream_version_unknown, though engines of the version that began them served.

Cause: the origin of a stream was held by the gateway where it began and by three others. After the end of all of them only the pool's only version could tell it, and during a release there is none.

Why this works: each gateway keeps the streams that began there, and that it has not seen to their end, in an object of its own in the platform's store, while their pool has, or had within two minutes, more than one version. A gateway that starts reads the objects of all before it replaces its own; one that is asked for a stream that neither it nor its peers know reads them again, one list for all calls that wait. Keys are exact, so nothing is guessed: a stream that was not written yet stays unknown. Writes run beside the calls.

All gateways together write 20 times a second at most (a twentieth of what the platform's store takes, a fifth of one that takes a hundred) and list 4 times a second. An object that stays the same for the longest life of a stream is removed by the first gateway in the common order.

--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -54,6 +54,7 @@
         app.post('/wingfall/objects/<kind>', callback=self._create)
         app.get('/wingfall/objects/<kind>/<name>', callback=self._read_one)
         app.put('/wingfall/objects/<kind>/<name>', callback=self._replace)
+        app.delete('/wingfall/objects/<kind>/<name>', callback=self._remove)
         self.app = app
 
     def put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
@@ -125,6 +126,17 @@
     def _replace(self, kind: str, name: str) -> bottle.HTTPResponse:
         return self._write(kind, name)
 
+    def _remove(self, kind: str, name: str) -> bottle.HTTPResponse:
+        self._behave()
+        stored = self.objects.get(kind, {}).get(name)
+        if stored is None:
+            return answer_json({}, _NOT_FOUND)
+        wanted = bottle.request.query.get('revision')
+        if wanted and int(wanted) != stored['metadata']['revision']:
+            return answer_json(stored, _CONFLICT)
+        self.delete(kind, name)
+        return answer_json(stored)
+
     def _read_one(self, kind: str, name: str) -> bottle.HTTPResponse:
         self._behave()
         known = self.objects.get(kind, {})
--- a/tests/test_streams_of_two_versions.py
+++ b/tests/test_streams_of_two_versions.py
@@ -8,26 +8,32 @@
 import gevent
 import pytest
 
-from tools.soak.faults import kill_gateway
+from tools.soak.faults import kill_all_gateways, kill_gateway
 from tools.soak.resuming_callers import ResumingCallers
-from tools.soak.site import SoakSite
+from tools.soak.site import Server, SoakSite
 from tools.soak.stream_promises import (
     MAX_MIXED_STREAMS,
     find_mixed_streams,
     streams_that_are_taken_up_go_on,
 )
 from tools.soak.traffic import Traffic
-from tools.soak.version_faults import cut_streams
+from tools.soak.version_faults import cut_streams, release_engines
 
 if TYPE_CHECKING:
     import pathlib
     from collections.abc import Callable, Iterator
 
+    from tools.soak.traffic import Outcome
+
 GATEWAYS: Final = 4
 # In each pool, half of each version.
 SERVERS: Final = 6
 PLAY_S: Final = 10
 SEED: Final = 1
+# Streams that run when all gateways end; the rule asks for twelve.
+STREAMS: Final = 24
+MIN_JUDGED: Final = 12
+MIN_RELATIVE_SHARE: Final = 0.5
 
 
 @pytest.fixture
@@ -71,3 +77,55 @@
             kill_gateway(site, chance, 0)
 
     check_streams(site, kill)
+
+
+def begin_streams(site: SoakSite, traffic: Traffic) -> list[gevent.Greenlet]:
+    """Begin streams at all gateways in turn."""
+    return [
+        gevent.spawn(traffic.begin_stream, f'gateway-{number % GATEWAYS}', 0)
+        for number in range(STREAMS)
+    ]
+
+
+def take_up_streams(traffic: Traffic, broken: list[Outcome]) -> list[Outcome]:
+    """Take each stream up at the gateway after the one that began it."""
+    running = [
+        gevent.spawn(
+            traffic.take_up_stream,
+            f'gateway-{(number + 1) % GATEWAYS}',
+            [first],
+        )
+        for number, first in enumerate(broken)
+    ]
+    return [each.get() for each in running]
+
+
+def count_with_events(outcomes: list[Outcome]) -> int:
+    """Count the answers that brought events."""
+    return sum(bool(each.events) for each in outcomes)
+
+
+@pytest.mark.processes
+def test_streams_go_on_at_their_version_after_the_end_of_all_gateways(
+    site: SoakSite,
+):
+    def slow(server: Server) -> None:
+        server.standin.event_ms = 300
+
+    site.arm = slow
+    for server in site.servers:
+        slow(server)
+    traffic = Traffic(site=site, seed=SEED, callers=0)
+    running = begin_streams(site, traffic)
+    gevent.sleep(1)
+    releasing = gevent.spawn(release_engines, site, random.Random(SEED), 0)
+    kill_all_gateways(site, random.Random(SEED), 0)
+    firsts = [each.get() for each in running]
+    broken = [each for each in firsts if each.events and not each.whole]
+    assert len(broken) >= MIN_JUDGED
+    taken_up = take_up_streams(traffic, broken)
+    new = [each.get() for each in begin_streams(site, traffic)]
+    releasing.get()
+    assert len(find_mixed_streams(traffic.outcomes)) <= MAX_MIXED_STREAMS
+    least = count_with_events(new) / STREAMS * MIN_RELATIVE_SHARE
+    assert count_with_events(taken_up) / len(broken) >= least
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -22,6 +22,7 @@
     ROUTES_KIND,
     ObjectReplica,
 )
+from wingfall.gateway.configuration.stream_history import StreamHistory
 from wingfall.gateway.configuration.version_history import VersionHistory
 from wingfall.gateway.duties.assembly import GatewayDuties
 from wingfall.gateway.knowledge.start_figures import set_start_errors
@@ -68,6 +69,7 @@
         '_ready_server',
         '_replicas',
         '_state',
+        '_stream_history',
         '_transfer',
         '_version_history',
     )
@@ -132,13 +134,24 @@
                 lease=self._duties.lease,
             ),
         )
-        self._state.stream_peers = self._peers.streams
+        self._state.stream_sources.peers = self._peers.streams
         self._version_history = VersionHistory(
             store=binding.versions_store(),
             versions=self._state.knowledge.versions,
             may_write=self._may_write_history,
             get_rank=lambda: self._peers.view.rank,
         )
+        self._stream_history = StreamHistory(
+            name=settings.name,
+            clock=self._clock,
+            store=binding.streams_store(),
+            origins=self._state.knowledge.streams,
+            versions=self._state.knowledge.versions,
+            get_gateway_count=lambda: self._peers.view.gateway_count,
+            is_first=lambda: not self._peers.view.rank,
+            metrics=self._metrics,
+        )
+        self._state.stream_sources.store = self._stream_history
         self._ready_server = HttpServer(
             app=make_readiness_app(
                 path=self._state.binding.ready_path,
@@ -297,6 +310,10 @@
             self._supervisor.start(follower.kind, body)
         body = functools.partial(self._version_history.run, self._stop)
         self._supervisor.start('version_history', body)
+        body = functools.partial(self._stream_history.run, self._stop)
+        self._supervisor.start('stream_history', body)
+        body = functools.partial(self._stream_history.sweep, self._stop)
+        self._supervisor.start('stream_history_sweep', body)
 
     def _may_write_history(self) -> bool:
         return self._is_watching_store() and self._peers.view.is_among_first
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -35,6 +35,7 @@
 from wingfall.gateway.calls.stream_resumption import (
     find_origin,
     note_stream_begun,
+    note_stream_ended,
 )
 from wingfall.gateway.calls.withheld_pool import (
     defer_attempt,
@@ -139,6 +140,7 @@
             outcome = self._run_attempt(destination)
             if outcome.end is AttemptEnd.answered:
                 self._send_answer(outcome)
+                note_stream_ended(self._state, self._call)
                 return None
             self._record_failure(destination, outcome)
             self._continuation = find_continuation(
--- a/wingfall/gateway/calls/stream_resumption.py
+++ b/wingfall/gateway/calls/stream_resumption.py
@@ -1,9 +1,9 @@
 """Origin of a stream that a caller takes up at this gateway.
 
 The caller names the request whose answer began the stream. Its origin is known
-here, or to a few peers, or follows from a pool that had one version for longer
-than a stream lives. Otherwise the caller is refused: a guess could join what
-two versions wrote.
+here, to a few peers or from the platform's store, or follows from a pool that
+had one version for longer than a stream lives. Otherwise the caller is refused:
+a guess could join what two versions wrote.
 """
 
 from __future__ import annotations
@@ -86,8 +86,24 @@
     )
     key = make_stream_key(call.customer_name, call.call_id)
     state.knowledge.streams.note(key, record)
-    if state.stream_peers is not None:
-        state.stream_peers.report(key, record)
+    sources = state.stream_sources
+    if sources.store is not None:
+        sources.store.note_begun(key, record)
+    if sources.peers is not None:
+        sources.peers.report(key, record)
+
+
+def note_stream_ended(state: GatewayState, call: Call) -> None:
+    """Record that a stream was sent to its end.
+
+    :param state: state of the gateway.
+    :param call: the call that an endpoint has answered.
+    """
+    store = state.stream_sources.store
+    if call.origin is None or store is None:
+        return
+    began_by = call.head.resumed_call_id or call.call_id
+    store.note_ended(make_stream_key(call.customer_name, began_by))
 
 
 def _find_record(
@@ -96,12 +112,16 @@
     if call.head.resumed_call_id is None:
         return None
     key = make_stream_key(call.customer_name, call.head.resumed_call_id)
-    record = state.knowledge.streams.find(key)
-    if record is not None or state.stream_peers is None:
-        return record
+    known, sources = state.knowledge.streams, state.stream_sources
+    if known.find(key) is not None:
+        return known.find(key)
     only = _find_only_version(state, call, pools)
-    state.stream_peers.ask(key, _ask_ms(state, call, only))
-    return state.knowledge.streams.find(key)
+    until_ms = state.clock.now_ms() + _ask_ms(state, call, only)
+    if sources.peers is not None:
+        sources.peers.ask(key, until_ms - state.clock.now_ms())
+    if known.find(key) is None and only is None and sources.store is not None:
+        sources.store.ask(key, max(0, until_ms - state.clock.now_ms()))
+    return known.find(key)
 
 
 def _await_only_version(
--- a/wingfall/gateway/knowledge/pool_versions.py
+++ b/wingfall/gateway/knowledge/pool_versions.py
@@ -140,6 +140,17 @@
             for known, listed_ms in self._last_listed_ms.get(pool, {}).items()
         )
 
+    def had_several(self, pool: str, within_ms: int) -> bool:
+        """Check if a pool had more than one version lately.
+
+        :param pool: name of the pool.
+        :param within_ms: how far back, in milliseconds.
+        :returns: whether more than one version was listed since then.
+        """
+        since_ms = self._clock.now_ms() - within_ms
+        listed = self._last_listed_ms.get(pool, {}).values()
+        return sum(listed_ms >= since_ms for listed_ms in listed) > 1
+
     def _reported_since(self, now_ms: int) -> int:
         if self._reported is None:
             return now_ms
--- a/wingfall/gateway/knowledge/stream_origins.py
+++ b/wingfall/gateway/knowledge/stream_origins.py
@@ -96,6 +96,51 @@
         """
 
 
+class StoredStreams(Protocol):
+    """The platform's store, which holds origins of streams too."""
+
+    def note_begun(self, key: StreamKey, record: StreamRecord) -> None:
+        """Keep a stream that began at this gateway.
+
+        :param key: key of the stream.
+        :param record: the record of its origin.
+        """
+
+    def note_ended(self, key: StreamKey) -> None:
+        """Drop a stream that was sent to its end.
+
+        :param key: key of the stream.
+        """
+
+    def ask(self, key: StreamKey, timeout_ms: int) -> None:
+        """Read where a stream began, and wait until that is known.
+
+        :param key: key of the stream.
+        :param timeout_ms: maximum milliseconds to wait.
+        """
+
+
+@final
+class StreamSources:
+    """Where else origins of streams are kept; None for those there are not."""
+
+    __slots__ = ('peers', 'store')
+
+    def __init__(
+        self,
+        *,
+        peers: StreamPeers | None = None,
+        store: StoredStreams | None = None,
+    ) -> None:
+        """Name the sources.
+
+        :param peers: the other gateways.
+        :param store: the platform's store.
+        """
+        self.peers = peers
+        self.store = store
+
+
 @final
 class StreamOrigins:
     """Records of the streams that began here, or that peers reported."""
@@ -140,6 +185,13 @@
         if len(self._records) > MAX_RECORDS:
             self._records.popitem(last=False)
 
+    def drop(self, key: StreamKey) -> None:
+        """Remove the record of a stream, if there is one.
+
+        :param key: key of the stream.
+        """
+        self._records.pop(key, None)
+
     def newest(self, count: int) -> Iterator[tuple[StreamKey, StreamRecord]]:
         """Return the newest valid records.
 
--- a/wingfall/gateway/model/binding.py
+++ b/wingfall/gateway/model/binding.py
@@ -20,7 +20,11 @@
     from wingfall.gateway.model.answer_signals import AnswerSignals
     from wingfall.gateway.model.call import Call, CallHead, Headers
     from wingfall.gateway.model.duty import DutyCalls
-    from wingfall.gateway.model.object_store import ObjectStore, ObjectWriter
+    from wingfall.gateway.model.object_store import (
+        ObjectDirectory,
+        ObjectStore,
+        ObjectWriter,
+    )
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.gateway.model.prompt import PromptPart
     from wingfall.gateway.model.routes import Routes
@@ -156,6 +160,9 @@
     def versions_store(self) -> ObjectWriter:
         """Return the store of the history of software versions."""
 
+    def streams_store(self) -> ObjectDirectory:
+        """Return the store of the origins of streams."""
+
     def duty_calls(self, address: str) -> DutyCalls:
         """Return the platform calls reserved to the holder of a duty."""
 
--- a/wingfall/gateway/model/object_store.py
+++ b/wingfall/gateway/model/object_store.py
@@ -104,3 +104,17 @@
         A failure with status 409 proves that nothing was written; one without
         an answer proves nothing, and the write may still take effect.
         """
+
+
+class ObjectDirectory(ObjectWriter, Protocol):
+    """Store of one kind of object with one object for each gateway."""
+
+    def list_all(
+        self,
+        *,
+        progress: Callable[[], None],
+    ) -> Result[StoreResponse, PlatformError]:
+        """Return all objects of the kind."""
+
+    def remove(self, name: str, revision: int) -> Result[None, PlatformError]:
+        """Remove the object of a given revision."""
--- a/wingfall/gateway/peers/peer_view.py
+++ b/wingfall/gateway/peers/peer_view.py
@@ -73,6 +73,11 @@
             for each in self._sessions.values()
         )
 
+    @property
+    def gateway_count(self) -> int:
+        """Number of gateways, including this one and unconnected ones."""
+        return max(len(self._sessions), self._addresses.count) + 1
+
     @property
     def rank(self) -> int:
         """Number of connected peers that precede this gateway."""
--- a/wingfall/gateway/state.py
+++ b/wingfall/gateway/state.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING, final
 
+from wingfall.gateway.knowledge.stream_origins import StreamSources
 from wingfall.gateway.rules.admission.fair_shares import FairShares
 from wingfall.gateway.rules.admission.held_calls import DeferredCalls
 from wingfall.gateway.rules.placement.reserved_engines import ReservedEngines
@@ -19,7 +20,6 @@
     from wingfall.gateway.endpoints.endpoint_ends import EndpointEnds
     from wingfall.gateway.endpoints.sending_gate import SendingGate
     from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
-    from wingfall.gateway.knowledge.stream_origins import StreamPeers
     from wingfall.gateway.knowledge.usage_counts import UsageCounts
     from wingfall.gateway.model.binding import Binding
     from wingfall.gateway.model.routes import Routes
@@ -51,7 +51,7 @@
         'retry_charges',
         'routes',
         'stream_log',
-        'stream_peers',
+        'stream_sources',
         'usage',
         'zone',
     )
@@ -115,8 +115,8 @@
         self.routes: Routes | None = None
         # Whether a planned stop has begun; only the application sets it.
         self.draining = False
-        # Asks peers for the origins of streams; only the application sets it.
-        self.stream_peers: StreamPeers | None = None
+        # Who else knows the origins of streams; only the application sets them.
+        self.stream_sources = StreamSources()
         # Request counts for the duty that reports them, None without that duty;
         # only the application sets it.
         self.usage: UsageCounts | None = None
--- a/wingfall/platform/binding.py
+++ b/wingfall/platform/binding.py
@@ -42,6 +42,7 @@
 # Kinds of wingfall's own.
 _LEASE_KIND: Final = 'wingfall-leases'
 _VERSIONS_KIND: Final = 'wingfall-versions'
+_STREAMS_KIND: Final = 'wingfall-streams'
 
 
 @final
@@ -138,6 +139,10 @@
         """Give the store of the history of software versions."""
         return self._store(_VERSIONS_KIND)
 
+    def streams_store(self) -> HttpObjectStore:
+        """Give the store of the origins of streams."""
+        return self._store(_STREAMS_KIND)
+
     def duty_calls(self, address: str) -> HttpDutyCalls:
         """Give the calls that only the holder of a duty makes."""
         return HttpDutyCalls(address=address, metrics=self._metrics)
--- a/wingfall/platform/store.py
+++ b/wingfall/platform/store.py
@@ -178,6 +178,21 @@
         written = self._request(verb, url, self._timeout_ms, body=body)
         return written.bind(read_object)
 
+    def remove(self, name: str, revision: int) -> Result[None, PlatformError]:
+        """Remove the object that has a revision.
+
+        :param name: its name.
+        :param revision: the object's revision.
+        :returns: nothing, or the failure.
+        """
+        removed = self._request(
+            'DELETE',
+            f'{self._url}/{name}',
+            self._timeout_ms,
+            query={'revision': str(revision)},
+        )
+        return removed.map(lambda _answer: None)
+
     def _call(
         self,
         query: Mapping[str, str],
