Keep streams whose only version is not known yet; bound the objects

No gateway wrote an object between the first kill and the next release: a gateway that starts knew one version of the pool, but not for as long as a stream lives, so that neither the store nor the only version could tell the origin.

Cause: only pools that had several versions were written.

Why this works: a stream is written unless its pool is known to have had one version for its whole life (and to have had no other within two minutes), which is the case in which the origin follows without the store. test_streams_are_written_while_other_versions_may_have_been_missed fails without it.

All gateways together keep at most 60,000 streams, which is fewer than a gateway holds in memory, and 0.8 MB by calculation. A gateway that starts takes the number of objects for the number of gateways until it has met them. An answer that is no stream does not end the stream that it was asked for.

--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -140,7 +140,6 @@
             outcome = self._run_attempt(destination)
             if outcome.end is AttemptEnd.answered:
                 self._send_answer(outcome)
-                note_stream_ended(self._state, self._call)
                 return None
             self._record_failure(destination, outcome)
             self._continuation = find_continuation(
@@ -310,6 +309,7 @@
     def _send_answer(self, outcome: AttemptOutcome) -> None:
         if outcome.answer is None:
             self._reply.finish_stream()
+            note_stream_ended(self._state, self._call)
         else:
             self._send_whole(outcome.answer)
 
--- a/wingfall/gateway/configuration/stream_history.py
+++ b/wingfall/gateway/configuration/stream_history.py
@@ -2,9 +2,9 @@
 
 Gateways tell each other where streams began. After the end of all gateways the
 store shows it. Each gateway keeps an object of the streams that began there,
-except for pools that had one version, where the origin follows from that. The
-object is written in batches beside the calls: a stream that ends with all
-gateways before it was written is unknown afterwards.
+except for pools that are known to have had one version, where the origin
+follows from that. The object is written in batches beside the calls: a stream
+that ends with all gateways before it was written is unknown afterwards.
 """
 
 from __future__ import annotations
@@ -50,9 +50,11 @@
 _MIN_LIST_INTERVAL_MS: Final = 1000
 # Maximum delay of the attempts to use a store that fails.
 _MAX_RETRY_MS: Final = 8000
-# Streams that all gateways together keep, about 2 MB, and the minimum for one.
-_MAX_STREAMS: Final = 150_000
-_MIN_STREAMS: Final = 64
+# Minimum interval of the writes of one gateway.
+_MIN_WRITE_INTERVAL_MS: Final = 200
+# Streams that all gateways together keep: fewer than a gateway holds in memory,
+# and 0.8 MB, which a store takes as one object.
+_MAX_STREAMS: Final = 60_000
 # Milliseconds for which a second version of a pool counts. The history of
 # versions shows it for the first half of that time.
 _SEVERAL_MS: Final = 2 * KEPT_MS
@@ -70,6 +72,7 @@
         '_log',
         '_name',
         '_next_list_ms',
+        '_object_count',
         '_origins',
         '_own',
         '_reading',
@@ -118,6 +121,8 @@
         # Revision and streams of the own object as last read or written.
         self._revision: int | None = None
         self._written: frozenset[StreamKey] = frozenset()
+        # Number of objects when they were last read.
+        self._object_count = 0
         # Whether the objects were read since the start.
         self._has_read = False
         # Set at the end of the list that is under way.
@@ -202,14 +207,24 @@
         self._swept = found
 
     def _keep(self, stop: Event, backoff: Backoff) -> None:
-        while not stop.wait(self._interval_ms(_WRITES_PER_S) / MS_PER_S):
+        while not stop.wait(self._write_interval_ms() / MS_PER_S):
             if self._write():
                 backoff.reset()
             elif stop.wait(backoff.take_ms() / MS_PER_S):
                 return
 
-    def _interval_ms(self, per_second: int) -> int:
-        return MS_PER_S * max(1, self._get_gateway_count()) // per_second
+    def _write_interval_ms(self) -> int:
+        interval_ms = MS_PER_S * self._gateway_count // _WRITES_PER_S
+        return max(_MIN_WRITE_INTERVAL_MS, interval_ms)
+
+    def _list_interval_ms(self) -> int:
+        interval_ms = MS_PER_S * self._gateway_count // _LISTS_PER_S
+        return max(_MIN_LIST_INTERVAL_MS, interval_ms)
+
+    @property
+    def _gateway_count(self) -> int:
+        # A gateway that starts has not met the others yet.
+        return max(1, self._get_gateway_count(), self._object_count)
 
     def _read_when_due(self) -> None:
         if self._reading is not None:
@@ -228,14 +243,13 @@
 
     def _read_all(self) -> None:
         started_ms = self._clock.now_ms()
-        self._next_list_ms = started_ms + max(
-            _MIN_LIST_INTERVAL_MS, self._interval_ms(_LISTS_PER_S)
-        )
+        self._next_list_ms = started_ms + self._list_interval_ms()
         listed = self._store.list_all(progress=_pass_over)
         stream_count = 0
         if isinstance(listed, Success):
             stored = listed.unwrap().objects
             stream_count = sum(self._merge(each) for each in stored)
+            self._object_count = len(stored)
             self._has_read = True
         self._log.note_read(
             self._clock.now_ms() - started_ms, stream_count, listed
@@ -284,18 +298,20 @@
             self._adopt(answer.unwrap())
 
     def _list_streams(self) -> dict[StreamKey, StreamRecord]:
-        most = _MAX_STREAMS // max(1, self._get_gateway_count())
         return {
             key: record
-            for key, record in self._own.newest(max(_MIN_STREAMS, most))
+            for key, record in self._own.newest(
+                _MAX_STREAMS // self._gateway_count
+            )
             if key in self._written or self._is_needed(record)
         }
 
     def _is_needed(self, record: StreamRecord) -> bool:
+        pool, version = record.origin.pool, record.origin.version
         life_ms = record.expires_ms - record.began_ms
-        return self._versions.had_several(
-            record.origin.pool, max(life_ms, _SEVERAL_MS)
-        )
+        if not self._versions.has_only(pool, version, life_ms):
+            return True
+        return self._versions.had_several(pool, _SEVERAL_MS)
 
 
 def _pass_over() -> None:
