--- a/tests/test_streams_of_two_versions.py
+++ b/tests/test_streams_of_two_versions.py
@@ -8,7 +8,7 @@
 import gevent
 import pytest
 
-from tools.soak.faults import kill_all_gateways, kill_gateway
+from tools.soak.faults import kill_gateway
 from tools.soak.resuming_callers import ResumingCallers
 from tools.soak.site import Server, SoakSite
 from tools.soak.stream_promises import (
@@ -17,7 +17,10 @@
     streams_that_are_taken_up_go_on,
 )
 from tools.soak.traffic import Traffic
-from tools.soak.version_faults import cut_streams, release_engines
+from tools.soak.version_faults import (
+    cut_streams,
+    kill_gateways_beside_release,
+)
 
 if TYPE_CHECKING:
     import pathlib
@@ -118,14 +121,12 @@
     traffic = Traffic(site=site, seed=SEED, callers=0)
     running = begin_streams(site, traffic)
     gevent.sleep(1)
-    releasing = gevent.spawn(release_engines, site, random.Random(SEED), 0)
-    kill_all_gateways(site, random.Random(SEED), 0)
+    kill_gateways_beside_release(site, random.Random(SEED), 0)
     firsts = [each.get() for each in running]
     broken = [each for each in firsts if each.events and not each.whole]
     assert len(broken) >= MIN_JUDGED
     taken_up = take_up_streams(traffic, broken)
     new = [each.get() for each in begin_streams(site, traffic)]
-    releasing.get()
     assert len(find_mixed_streams(traffic.outcomes)) <= MAX_MIXED_STREAMS
     least = count_with_events(new) / STREAMS * MIN_RELATIVE_SHARE
     assert count_with_events(taken_up) / len(broken) >= least
--- a/tools/soak/version_faults.py
+++ b/tools/soak/version_faults.py
@@ -11,6 +11,7 @@
 
 import gevent
 
+from tools.soak.faults import kill_all_gateways
 from tools.soak.writers import restart_server
 from wingfall.registry import Registry
 
@@ -64,6 +65,17 @@
         gevent.spawn(_remove, site, server)
 
 
+@version_faults.register('gateways_killed_beside_release')
+def kill_gateways_beside_release(
+    site: SoakSite, chance: random.Random, for_s: float
+) -> None:
+    """Kill all gateways while engines of two versions serve."""
+    releasing = gevent.spawn(release_engines, site, chance, for_s)
+    gevent.sleep(chance.uniform(0, for_s))
+    kill_all_gateways(site, chance, for_s)
+    releasing.get()
+
+
 @version_faults.register('version_not_named')
 def hide_version(site: SoakSite, chance: random.Random, for_s: float) -> None:
     """Leave the version out of an engine's entry for a while."""
