--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -35,6 +35,7 @@
 from wingfall.gateway.calls.stream_resumption import (
     find_origin,
     note_stream_begun,
+    note_stream_ended,
 )
 from wingfall.gateway.calls.withheld_pool import (
     defer_attempt,
@@ -317,6 +318,7 @@
     def _send_answer(self, outcome: AttemptOutcome) -> None:
         if outcome.answer is None:
             self._reply.finish_stream()
+            note_stream_ended(self._state, self._call)
         else:
             self._send_whole(outcome.answer)
 
--- a/wingfall/gateway/configuration/version_history.py
+++ b/wingfall/gateway/configuration/version_history.py
@@ -34,8 +34,9 @@
     from wingfall.gateway.model.object_store import ObjectWriter
     from wingfall.metrics import Metrics
 
-# Milliseconds beyond KEPT_MS before a version is removed: for the second between
-# two looks at the list, and for the time from the arrival of a call to its read.
+# Milliseconds beyond KEPT_MS before a version is removed: for the second
+# between two looks at the list, and the time from the arrival of a call to its
+# read.
 _REMOVAL_MARGIN_MS: Final = 5000
 _REMOVED_MS: Final = KEPT_MS + _REMOVAL_MARGIN_MS
 # Milliseconds for which a gateway must have followed the list to claim them
