Keep a version in the history until the last read for its streams

What callers saw: nothing yet; by reading. A stream at the end of its life could be taken up just after its version had been dropped from the history, and continue at another one.

Cause: the gateway that writes looks at the list each second, so that it takes a version for unlisted up to a second early, and a call reads the object some time after it has arrived. A version was dropped after the longest life that the object covers, without a margin for either.

Evidence, before: test_version_is_named_until_the_last_read_for_its_streams: {'engines': ['v1']} instead of ['v1', 'v2'] 61 s after the last look.

Why this works: it is dropped 5 s later, of which a second is for the list and half a second for the read; the rest covers a gateway that is slow meanwhile.

The tests of the removal wait for 120 s of the manual clock in place of 62 s, and test_gateway_that_has_not_followed_the_store_removes_no_version asks for more: a gateway that has followed the store for 60 s removes nothing either.

--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -24,6 +24,8 @@
 from wingfall.metrics import Metrics
 
 LIFE_MS = 15_000
+# Long after a version left, and a gateway began to follow the store.
+LONG_MS = 2 * KEPT_MS
 
 
 @final
@@ -67,7 +69,7 @@
     store: StoreStandIn,
     versions: PoolVersions,
     rank: int = 0,
-    followed_ms: int = KEPT_MS,
+    followed_ms: int = LONG_MS,
     *,
     may_write: bool = True,
     announced: list[VersionRecord] | None = None,
@@ -133,7 +135,7 @@
     follow(versions, clock, {'one': 'v1', 'two': 'v2'}, MIN_COMPLETE_MS)
     running = gevent.spawn(make_history(store, versions).run, Event())
     gevent.sleep(0.05)
-    follow(versions, clock, {'one': 'v1'}, KEPT_MS + 2000)
+    follow(versions, clock, {'one': 'v1'}, LONG_MS)
     versions.has_new.set()
     gevent.sleep(0.05)
     running.kill()
@@ -143,6 +145,20 @@
     }
 
 
+def test_version_is_named_until_the_last_read_for_its_streams(
+    store: StoreStandIn, clock: ManualClock
+):
+    versions = PoolVersions(clock=clock)
+    follow(versions, clock, {'one': 'v1', 'two': 'v2'}, 0)
+    start(make_history(store, versions))
+    # It left just before the next look at the list; a call that arrives at the
+    # end of its streams' life reads the object half a second later.
+    clock.advance(KEPT_MS + 1000)
+    follow(versions, clock, {'one': 'v1'}, 0)
+    start(make_history(store, versions))
+    assert read(store)['pools'] == {'engines': ['v1', 'v2']}
+
+
 def test_version_that_another_gateway_has_just_written_is_kept(
     store: StoreStandIn, clock: ManualClock
 ):
@@ -150,7 +166,7 @@
     follow(versions, clock, {'one': 'v1', 'two': 'v2'}, MIN_COMPLETE_MS)
     running = gevent.spawn(make_history(store, versions).run, Event())
     gevent.sleep(0.05)
-    follow(versions, clock, {'one': 'v1'}, KEPT_MS + 2000)
+    follow(versions, clock, {'one': 'v1'}, LONG_MS)
     # This gateway has not heard of v3 when it removes v2.
     written = {'complete_ms': KEPT_MS, 'pools': {'engines': ['v1', 'v2', 'v3']}}
     store.write('pools', written, store.writes)
@@ -167,8 +183,8 @@
     follow(versions, clock, {'one': 'v1', 'two': 'v2'}, 0)
     start(make_history(store, versions))
     # It was cut off and has not heard that v2 came back.
-    follow(versions, clock, {'one': 'v1'}, KEPT_MS + 2000)
-    start(make_history(store, versions, followed_ms=KEPT_MS - 1))
+    follow(versions, clock, {'one': 'v1'}, LONG_MS)
+    start(make_history(store, versions, followed_ms=KEPT_MS))
     assert read(store)['pools'] == {'engines': ['v1', 'v2']}
 
 
--- a/wingfall/gateway/configuration/version_history.py
+++ b/wingfall/gateway/configuration/version_history.py
@@ -34,6 +34,10 @@
     from wingfall.gateway.model.object_store import ObjectWriter
     from wingfall.metrics import Metrics
 
+# Milliseconds beyond KEPT_MS before a version is removed: for the second
+# between two looks at the list, and from the arrival of a call to its read.
+_REMOVAL_MARGIN_MS: Final = 5000
+_REMOVED_MS: Final = KEPT_MS + _REMOVAL_MARGIN_MS
 # Milliseconds for which a gateway must have followed the list to claim them
 # for the object, above the shortest time that a stream is asked for.
 MIN_COMPLETE_MS: Final = 20_000
@@ -199,7 +203,7 @@
     def _find_change(self) -> VersionRecord | None:
         record = self._versions.record or VersionRecord()
         followed_ms = self._get_followed_ms()
-        pools = self._list_pools(record, may_remove=followed_ms >= KEPT_MS)
+        pools = self._list_pools(record, may_remove=followed_ms >= _REMOVED_MS)
         claims = [
             claim
             for claim in (MIN_COMPLETE_MS, KEPT_MS)
@@ -217,7 +221,7 @@
         known = {
             (pool, version)
             for pool, version, age_ms in self._versions.ages_ms
-            if age_ms <= KEPT_MS
+            if age_ms <= _REMOVED_MS
         }
         if not may_remove:
             known |= record.names
