--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -37,6 +37,7 @@
         self.writes = 0
         self.is_away = False
         self.refuses_writes = False
+        self.loses_answers = False
         # Called before a write, as another gateway writes.
         self.before_write: Callable[[], None] = lambda: None
 
@@ -56,6 +57,8 @@
             return Failure(PlatformError(status=409, message='conflict'))
         self.writes += 1
         self.stored = StoredObject(name=name, revision=self.writes, spec=spec)
+        if self.loses_answers:
+            return Failure(PlatformError(status=0, message='timed out'))
         return Success(self.stored)
 
 
@@ -319,3 +322,18 @@
     store.refuses_writes = False
     start(make_history(store, versions))
     assert not versions.unnamed
+
+
+def test_version_is_named_though_the_answer_of_its_write_was_lost(
+    store: StoreStandIn, clock: ManualClock
+):
+    versions = PoolVersions(clock=clock)
+    follow(versions, clock, {'one': 'v1'}, 0)
+    store.loses_answers = True
+    running = gevent.spawn(make_history(store, versions).run, Event())
+    gevent.sleep(0.05)
+    assert store.writes == 1
+    assert versions.unnamed
+    wait_until(lambda: not versions.unnamed)
+    running.kill()
+    assert store.writes == 1
