--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -11,6 +11,7 @@
 
 from tests.local_site import wait_until
 from tests.test_pool_versions import follow
+from tests.test_stream_origin import make_endpoint
 from wingfall.clock import Clock, ManualClock
 from wingfall.errors import PlatformError
 from wingfall.gateway.configuration.version_history import (
@@ -131,6 +132,16 @@
     assert read(store)['pools'] == {'engines': [None, 'v1']}
 
 
+def test_version_that_left_at_once_is_named_all_the_same(
+    store: StoreStandIn, clock: ManualClock
+):
+    versions = PoolVersions(clock=clock)
+    versions.note_listed(make_endpoint('two', 'v2'))
+    follow(versions, clock, {'one': 'v1'}, 5000)
+    start(make_history(store, versions))
+    assert read(store)['pools'] == {'engines': ['v1', 'v2']}
+
+
 def test_version_is_removed_long_after_it_left(
     store: StoreStandIn, clock: ManualClock
 ):
