Soak releases beside a gateway that is out of step with the others

Nothing cut gateways from each other: peers were silent only as stopped processes, and what had been sent before was read later.

Pools of which the gateways know that they had one version for a minute get a second one while one gateway is cut off from the store, from its peers, from both, one way, from one peer, hears its peers 110 to 400 ms late, or stands still and goes on in the cut; the second version stays, replaces an engine or leaves within a second. Streams that begin at the others are taken up at that gateway, beside kills, stops, reloads, changes of configuration and ends of engines. The last line of each soak counts streams of two versions, also where they are allowed. Seeds without the option draw as before.

--- a/standins/link.py
+++ b/standins/link.py
@@ -169,6 +169,13 @@
         """
         self._delay_ms = {_Way.there: 0, _Way.back: delay_ms}
 
+    def delay_requests(self, delay_ms: int) -> None:
+        """Hold up what callers send.
+
+        :param delay_ms: each piece of bytes for how long.
+        """
+        self._delay_ms = {_Way.there: delay_ms, _Way.back: 0}
+
     def heal(self, *, resets: bool = True) -> None:
         """Be whole again.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -53,6 +53,9 @@
 # With long bodies and endpoints that read them slowly or answer before; red
 # where a connection was kept whose request was cut off.
 BODY_SEEDS = (1, 5)
+# With releases beside a gateway that is cut off or stands still; red where that
+# gateway takes the only version that it knows for the one that began a stream.
+PARTITION_SEEDS = (9403, 9405)
 # With requests that crash engines as well.
 PART_AND_REQUEST_SEEDS = (9305,)
 
@@ -219,6 +222,14 @@
     run_soak(tmp_path, seed, '--bodies', seconds=20)
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize('seed', PARTITION_SEEDS)
+def test_promises_hold_beside_gateways_out_of_step(
+    tmp_path: pathlib.Path, seed: int
+):
+    run_soak(tmp_path, seed, '--partitions', seconds=12)
+
+
 @pytest.mark.processes
 def test_promises_hold_while_gateways_are_of_two_versions(
     tmp_path: pathlib.Path,
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -36,12 +36,18 @@
 from tools.soak.failing_pools import FAILING_POOL_BOUND, FailingPools
 from tools.soak.faults import Fault, faults
 from tools.soak.long_requests import LongRequests
+from tools.soak.partitioned_releases import (
+    BESIDE_PARTITIONS,
+    PartitionedReleases,
+    most_rounds,
+)
 from tools.soak.promises import promises
 from tools.soak.resuming_callers import ResumingCallers
 from tools.soak.running_faults import RunningFaults
 from tools.soak.signal_faults import SpeakingEndpoints
 from tools.soak.site import STEADY_KEY, SoakSite
 from tools.soak.slow_readers import SlowReaders
+from tools.soak.stream_promises import find_mixed_streams
 from tools.soak.traffic import KINDS, Outcome, Traffic
 from tools.soak.upgrade import Upgrade, unpack_version
 from tools.soak.version_faults import version_faults
@@ -119,6 +125,11 @@
         default=1,
         help='software versions of the endpoints; callers take streams up',
     )
+    parser.add_argument(
+        '--partitions',
+        action='store_true',
+        help='releases while a gateway is cut off or stands still',
+    )
     parser.add_argument(
         '--previous',
         help='commit that gateways are rolled from, and back to',
@@ -153,6 +164,8 @@
         duty_platform=duty_platform,
         earlier=_unpack_previous(chosen, folder),
         small_link_buffers=chosen.bodies,
+        released_pools=most_rounds(chosen.seconds) if chosen.partitions else 0,
+        cuts_peers=chosen.partitions,
     )
     try:
         struck, broken, outcomes = _run(seed, chance, chosen, site)
@@ -161,7 +174,8 @@
     served = sum(each.status == 200 for each in outcomes)
     print(
         f'soak seed {seed}: {len(outcomes)} requests, {served} served,'
-        f' {len(struck)} faults, {len(broken)} broken',
+        f' {len(struck)} faults, {len(broken)} broken,'
+        f' {len(find_mixed_streams(outcomes))} streams of two versions',
     )
     for told in broken[:_MOST_SHOWN]:
         print(f'  {told}')
@@ -181,9 +195,11 @@
     end_failures = _start_failures(site, chosen, seed)
     end_streams = _start_streams(site, traffic, chosen, seed)
     end_bodies = _start_bodies(site, traffic, chosen, seed)
+    end_partitions = _start_partitions(site, traffic, chosen, seed)
     join_upgrade = _start_upgrade(site, chosen, seed)
     struck = _strike(site, chance, chosen.seconds, _find_faults(chosen))
     join_upgrade()
+    end_partitions()
     end_bodies()
     end_streams()
     end_failures()
@@ -219,6 +235,8 @@
 
 
 def _find_faults(chosen: argparse.Namespace) -> dict[str, Fault]:
+    if chosen.partitions:
+        return {name: faults.find(name).unwrap() for name in BESIDE_PARTITIONS}
     registries = [faults]
     if chosen.writers:
         registries.append(writer_faults)
@@ -278,6 +296,23 @@
     return ResumingCallers(site=site, traffic=traffic, seed=seed).stop
 
 
+def _start_partitions(
+    site: SoakSite,
+    traffic: Traffic,
+    chosen: argparse.Namespace,
+    seed: int,
+) -> Callable[[], None]:
+    if not chosen.partitions:
+        return lambda: None
+    releases = PartitionedReleases(site=site, traffic=traffic, seed=seed)
+
+    def stop() -> None:
+        for told in releases.stop():
+            print(told)
+
+    return stop
+
+
 def _start_bodies(
     site: SoakSite,
     traffic: Traffic,
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -18,6 +18,7 @@
 from standins.pool_server import PoolServerStandIn
 from standins.serving import start_server
 from tools.fleet import HOST, Process
+from tools.soak.peer_links import PeerLinks
 from tools.soak.retry_bound import RetryBound
 from wingfall.clock import MS_PER_S
 
@@ -36,6 +37,11 @@
 CRASH_ROUTE: Final = 'crash'
 # How the routes of prompts begin that have a part which ends engines.
 BAD_PROMPT_ROUTE: Final = 'stream/bad-'
+# How the pools begin that are released beside partitions; each has a route of
+# the same name.
+RELEASED_POOL: Final = 'released-'
+FIRST_VERSION: Final = 'v1'
+_HISTORY_MS: Final = 60_000
 _SLOTS: Final = 8
 # Retry budget of the gateways, unless a soak changes it.
 _RETRY_BOUND: Final = {'ratio': 0.2, 'slack': 100, 'window_s': 10}
@@ -108,8 +114,10 @@
         tells_starts: bool = False,
         duty_platform: DutyPlatformStandIn | None = None,
         earlier: pathlib.Path | None = None,
-        versions: tuple[str, ...] = ('v1',),
+        versions: tuple[str, ...] = (FIRST_VERSION,),
         small_link_buffers: bool = False,
+        released_pools: int = 0,
+        cuts_peers: bool = False,
     ) -> None:
         """Start everything and wait until the gateways listen.
 
@@ -126,6 +134,9 @@
             about the same number of each.
         :param small_link_buffers: whether the links of endpoints hold little of
             what is sent over them.
+        :param released_pools: more pools of engines, of which the gateways
+            know that they had one version for long.
+        :param cuts_peers: whether gateways reach each other over links.
         """
         self._folder = folder
         self.tells_starts = tells_starts
@@ -155,12 +166,17 @@
         # The same by the parts of their prompts that do so.
         self.part_crashed_s: dict[str, list[float]] = {}
         self.version = 0
+        self.released_pools = [
+            f'{RELEASED_POOL}{number}' for number in range(released_pools)
+        ]
         # Routes that were added, and when they came in force at the store.
         self.added_s: dict[str, float] = {}
         self.write_config()
         for pool in POOLS:
             for _server in range(servers):
                 self.add_server(pool)
+        if released_pools:
+            self._list_released_pools()
         self.store_links: dict[str, Link] = {}
         self.gateways: dict[str, Process] = {}
         # One fault at a time starts or ends a gateway.
@@ -170,9 +186,18 @@
         self._peers = [
             f'{HOST}:{next(self._ports)}' for _gateway in range(gateways)
         ]
+        # How gateways reach each other, None if they do so directly.
+        self._peer_links = self._link_peers() if cuts_peers else None
         for number in range(gateways):
             self._start_gateway(number)
 
+    @property
+    def peer_links(self) -> PeerLinks:
+        """How gateways reach each other, where they do so over links."""
+        if self._peer_links is None:
+            raise ValueError('the gateways reach each other directly')
+        return self._peer_links
+
     def choose_version(self, name: str, *, earlier: bool) -> None:
         """Choose the version of which a gateway is when it starts next.
 
@@ -194,17 +219,24 @@
             _route('oneway', 'engines', kind='stream'),
             _route(CRASH_ROUTE, 'engines', kind='stream', resumable=True),
             *(_route(name, 'plain', kind='safe') for name in self.added_s),
+            *(
+                _route(name, name, kind='stream', resumable=True)
+                for name in self.released_pools
+            ),
         ]
         services = [
             {'name': 'plain', 'health_path': '/health'},
-            {
-                'name': 'engines',
-                'health_path': '/health',
-                'engine': {
-                    'slots': _SLOTS,
-                    'kv_capacity_tokens': _MEMORY_TOKENS,
-                },
-            },
+            *(
+                {
+                    'name': name,
+                    'health_path': '/health',
+                    'engine': {
+                        'slots': _SLOTS,
+                        'kv_capacity_tokens': _MEMORY_TOKENS,
+                    },
+                }
+                for name in ('engines', *self.released_pools)
+            ),
         ]
         spec = {
             'version': self.version,
@@ -334,6 +366,8 @@
             server.standin.stop()
         for link in self.store_links.values():
             link.close()
+        if self._peer_links is not None:
+            self._peer_links.close()
         self._store_server.stop()
         self._guard.close()
 
@@ -352,7 +386,7 @@
             'callers': f'{HOST}:{port}',
             'readiness': f'{HOST}:{next(self._ports)}',
             'admin': {'host': HOST, 'port': next(self._ports)},
-            'peers': {'listen': self._peers[number], 'seeds': self._peers[:3]},
+            'peers': self._describe_peers(number),
             'store': {'address': self.store_links[name].address},
             **self._changes,
         }
@@ -375,6 +409,41 @@
             folder=self._earlier or _ROOT,
         )
 
+    def _list_released_pools(self) -> None:
+        for pool in self.released_pools:
+            for _server in range(2):
+                self.add_server(pool, FIRST_VERSION)
+        versions = {pool: [FIRST_VERSION] for pool in self.released_pools}
+        for pool in POOLS:
+            versions[pool] = list(self.versions)
+        self.store.put(
+            'wingfall-versions',
+            'pools',
+            {'complete_ms': _HISTORY_MS, 'pools': versions},
+        )
+
+    def _link_peers(self) -> PeerLinks:
+        return PeerLinks(
+            listening={
+                f'gateway-{number}': address
+                for number, address in enumerate(self._peers)
+            }
+        )
+
+    def _describe_peers(self, number: int) -> dict[str, Any]:
+        listen = self._peers[number]
+        if self._peer_links is None:
+            return {'listen': listen, 'seeds': self._peers[:3]}
+        announced = [
+            self._peer_links.address(f'gateway-{each}')
+            for each in range(len(self._peers))
+        ]
+        return {
+            'listen': listen,
+            'announce': announced[number],
+            'seeds': announced[:3],
+        }
+
     def _settings_path(self, name: str, earlier: bool) -> pathlib.Path:
         suffix = 'earlier.yaml' if earlier else 'yaml'
         return self._folder / f'{name}.{suffix}'
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -15,7 +15,7 @@
 from standins.body_reading import body_of
 from standins.received_answer import ReceivedAnswer
 from tools.fleet import HOST
-from tools.soak.site import STEADY_KEY
+from tools.soak.site import RELEASED_POOL, STEADY_KEY
 
 if TYPE_CHECKING:
     from gevent import Greenlet
@@ -165,14 +165,17 @@
         self._send_alone(outcome)
         return outcome
 
-    def begin_stream(self, gateway: str, leaves_after: int) -> Outcome:
+    def begin_stream(
+        self, gateway: str, leaves_after: int, route: str = ''
+    ) -> Outcome:
         """Send a request for a stream that may be taken up later.
 
         :param gateway: where it goes.
         :param leaves_after: events after which the caller leaves, 0 for none.
+        :param route: name of its route, empty for that of its kind.
         :returns: what came back.
         """
-        outcome = self._begin('stream', gateway, STEADY_KEY)
+        outcome = self._begin('stream', gateway, STEADY_KEY, route)
         outcome.leaves_after = leaves_after
         self._send_alone(outcome)
         return outcome
@@ -185,12 +188,14 @@
         :returns: what came back.
         """
         events = [event for each in tries for event in each.events]
-        outcome = self._begin('stream', gateway, STEADY_KEY)
+        route = tries[0].route
+        outcome = self._begin('stream', gateway, STEADY_KEY, route)
         outcome.resumes = next(each.call_id for each in tries if each.events)
         outcome.last_event_id = events[-1][0]
         version = events[0][1]
+        released = route.startswith(RELEASED_POOL)
         outcome.engines_of_version = self._site.listed_versions(
-            'engines'
+            route if released else 'engines'
         ).count(version)
         self._send_alone(outcome)
         return outcome
