--- a/tools/soak/partitioned_releases.py
+++ b/tools/soak/partitioned_releases.py
@@ -9,7 +9,7 @@
 
 import random
 import time
-from typing import TYPE_CHECKING, Final, final
+from typing import TYPE_CHECKING, Callable, Final, TypeVar, final
 
 import gevent
 
@@ -19,12 +19,12 @@
 from wingfall.registry import Registry
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
+    from tools.soak.partitions import Partition
     from tools.soak.site import Server, SoakSite
     from tools.soak.traffic import Outcome, Traffic
 
-    Release = Callable[[SoakSite, str, random.Random], None]
+_Drawn = TypeVar('_Drawn')
+Release = Callable[['SoakSite', str, random.Random], None]
 
 releases: Final[Registry[Release]] = Registry(kind='release')
 
@@ -130,8 +130,8 @@
                 traffic=self._traffic,
                 pool=pool,
                 gateway=chance.choice(list(self._site.gateways)),
-                partition=chance.choice(list(partitions.names)),
-                release=chance.choice(list(releases.names)),
+                partition=_draw(partitions, chance),
+                release=_draw(releases, chance),
                 seed=chance.randrange(_MOST_SEEDS),
             )
             self._rounds.append(played)
@@ -149,8 +149,8 @@
         traffic: Traffic,
         pool: str,
         gateway: str,
-        partition: str,
-        release: str,
+        partition: Partition,
+        release: Release,
         seed: int,
     ) -> None:
         """Start with nothing played.
@@ -159,8 +159,8 @@
         :param traffic: sends and keeps what came back.
         :param pool: the pool that is released.
         :param gateway: name of the gateway that is out of step.
-        :param partition: name of the way in which it is.
-        :param release: name of the release.
+        :param partition: the way in which it is.
+        :param release: the release.
         :param seed: what is drawn by.
         """
         self.tries: list[Outcome] = []
@@ -184,17 +184,15 @@
     def play(self) -> None:
         """Cut the gateway off, release the pool, and end both."""
         site, chance = self._site, self._chance
-        partition = partitions.find(self._partition).unwrap()
-        release = releases.find(self._release).unwrap()
         site.disturb(self._gateway)
-        with partition(site, self._gateway, chance):
+        with self._partition(site, self._gateway, chance):
             gevent.sleep(chance.uniform(*_LEAD_S))
             callers = CallerGroup(
                 callers=_CALLERS,
                 seed=chance.randrange(_MOST_SEEDS),
                 call=self._call,
             )
-            release(site, self._pool, chance)
+            self._release(site, self._pool, chance)
         site.disturb(self._gateway)
         gevent.sleep(_AFTER_S)
         callers.stop()
@@ -205,7 +203,8 @@
         went_on = sum(bool(each.events) for each in taken_up)
         mixed = find_mixed_streams(self.tries)
         return (
-            f'{self._pool}: {self._partition}, {self._release} at'
+            f'{self._pool}: {self._partition.__name__},'
+            f' {self._release.__name__} at'
             f' {self._gateway}: {len(taken_up)} taken up there, {went_on} went'
             f' on, {len(mixed)} of two versions {mixed[:5]}'
         )
@@ -223,6 +222,10 @@
         gevent.sleep(chance.uniform(0, _PAUSE_S))
 
 
+def _draw(registry: Registry[_Drawn], chance: random.Random) -> _Drawn:
+    return registry.find(chance.choice(list(registry.names))).unwrap()
+
+
 def _join(site: SoakSite, pool: str) -> list[Server]:
     return [
         site.add_server(pool, _SECOND_VERSION) for _joins in range(_JOINING)
