--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -136,6 +136,8 @@
     )
     parser.add_argument('--keep', help='folder for logs that are kept')
     chosen = parser.parse_args()
+    if chosen.partitions and chosen.previous:
+        parser.error('earlier gateways announce no address')
     seed = chosen.seed
     if seed is None:
         seed = random.SystemRandom().randrange(10**6)
@@ -235,20 +237,19 @@
 
 
 def _find_faults(chosen: argparse.Namespace) -> dict[str, Fault]:
-    if chosen.partitions:
-        return {name: faults.find(name).unwrap() for name in BESIDE_PARTITIONS}
-    registries = [faults]
+    chosen_faults = BESIDE_PARTITIONS if chosen.partitions else faults.names
+    registries = []
     if chosen.writers:
         registries.append(writer_faults)
     if chosen.duties:
         registries.append(duty_faults)
     if chosen.versions > 1:
         registries.append(version_faults)
-    return {
-        name: registry.find(name).unwrap()
-        for registry in registries
-        for name in registry.names
-    }
+    known = {name: faults.find(name).unwrap() for name in chosen_faults}
+    for registry in registries:
+        for name in registry.names:
+            known[name] = registry.find(name).unwrap()
+    return known
 
 
 def _describe_duties(server: HttpServer) -> dict[str, Any]:
