--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -12,7 +12,9 @@
 ``unframed_reset``, ``foreign`` (421), ``stray`` (an answer to another
 request), ``garbage`` (no HTTP), ``encoded`` (a content encoding), ``hang``,
 ``cut`` (a stream ends after two events and half of the third), ``crash``
-(it is reset there, and nothing listens any more).
+(it is reset there, and nothing listens any more), ``endless_third`` (the third
+event never ends), and the keys of ``ENDLESS``: bytes without end until the
+caller closes.
 
 A request for a target that ``ends_by`` names ends the endpoint as it begins to
 run: all connections are reset, and nothing listens any more. So does a prompt
@@ -28,6 +30,7 @@
 
 import argparse
 import functools
+import itertools
 import socket
 import struct
 import time
@@ -42,6 +45,7 @@
 
 from standins.answer_signals import AnswerSignalsStandIn
 from standins.body_reading import BodyReading, EarlyAnswer
+from standins.endless_answer import ENDLESS, repeat_piece, send_endless
 from standins.prompt_crash import PromptCrash
 
 _READ_BYTES: Final = 65_536
@@ -55,7 +59,10 @@
 # Statuses of whole answers that report a failure.
 _STATUSES: Final = MappingProxyType({'error': 500, 'conflict': 409})
 # Faults that end a stream before its end.
-_BREAKS: Final = frozenset(('crash', 'cut'))
+_BREAKS: Final = frozenset(('crash', 'cut', 'endless_third'))
+_ENDLESS_PIECE: Final = bytes(1000)
+# More requests than an endpoint gets.
+_MANY: Final = 1_000_000
 _HELD_PATH: Final = '/wingfall/kv-list'
 
 
@@ -95,12 +102,17 @@
 class PoolServerStandIn:
     """Answers requests and keeps a ledger of what it ran."""
 
-    def __init__(self, *, name: str, port: int = 0) -> None:
+    def __init__(
+        self, *, name: str, port: int = 0, endless_pause_ms: float = 1
+    ) -> None:
         """Listen on loopback.
 
         :param name: id of this incarnation.
         :param port: port, 0 for a free one.
+        :param endless_pause_ms: time between two pieces of an answer that
+            never ends.
         """
+        self._endless_pause_s = endless_pause_ms / _MS
         self.name = name
         self.zone = ''
         # Version of its software, which each event of a stream names.
@@ -232,6 +244,9 @@
         if delay_ms:
             self._work(sock, run, delay_ms)
         self._crash_if_due(run, 0)
+        if fault in ENDLESS:
+            lines = _encode_lines(self._answer_headers(run))
+            send_endless(sock, fault, lines, self._endless_pause_s)
         if 'x-token-count' in run.headers:
             return self._answer_stream(sock, http, run, fault)
         return self._answer_whole(sock, http, run, fault)
@@ -353,12 +368,7 @@
         fault: str,
     ) -> bool:
         head = _encode_head(
-            [
-                ('X-Attempt-Id', run.call_id),
-                ('X-Response-Seal', f'seal.{self.name}'),
-                ('Connection', 'close'),
-                *self.signals.headers(run.call_id),
-            ],
+            [*self._answer_headers(run), ('Connection', 'close')],
         )
         body = f'{self.name} {run.call_id} {run.target}'
         encoded = head + body.encode()
@@ -375,6 +385,13 @@
             run.whole = True
         return False
 
+    def _answer_headers(self, run: Run) -> list[tuple[str, str]]:
+        return [
+            ('X-Attempt-Id', run.call_id),
+            ('X-Response-Seal', f'seal.{self.name}'),
+            *self.signals.headers(run.call_id),
+        ]
+
     def _headers(
         self,
         run: Run,
@@ -402,10 +419,8 @@
         if fault in {'error', 'reset', 'hang', 'garbage'}:
             return self._answer_whole(sock, http, run, fault)
         headers = [
-            ('X-Attempt-Id', run.call_id),
-            ('X-Response-Seal', f'seal.{self.name}'),
+            *self._answer_headers(run),
             ('Content-Type', 'text/event-stream'),
-            *self.signals.headers(run.call_id),
         ]
         if self.unframed_streams:
             sock.sendall(_encode_head(headers))
@@ -437,17 +452,26 @@
                 f'id: {number}\ndata: {run.call_id} {number} {self.version}\n\n'
             ).encode()
             if fault in _BREAKS and number > _CUT_AFTER:
-                self._break_off(sock, fault, frame(event[: len(event) // 2]))
+                self._break_off(sock, fault, event, frame)
                 return False
             sock.sendall(frame(event))
             self._crash_if_due(run, number - first + 1)
         return True
 
-    def _break_off(self, sock: socket.socket, fault: str, half: bytes) -> None:
+    def _break_off(
+        self,
+        sock: socket.socket,
+        fault: str,
+        event: bytes,
+        frame: Callable[[bytes], bytes],
+    ) -> None:
+        half = frame(event[: len(event) // 2])
         if fault == 'crash':
             self._server.close()
         else:
             sock.sendall(half)
+        if fault == 'endless_third':
+            repeat_piece(sock, frame(_ENDLESS_PIECE), self._endless_pause_s)
         _reset(sock)
 
 
@@ -480,8 +504,11 @@
 
 def _encode_head(headers: list[tuple[str, str]]) -> bytes:
     # By hand: h11 would frame an answer without a length as chunks.
-    lines = ['HTTP/1.1 200 OK', *(f'{name}: {text}' for name, text in headers)]
-    return '\r\n'.join([*lines, '', '']).encode()
+    return f'HTTP/1.1 200 OK\r\n{_encode_lines(headers)}\r\n'.encode()
+
+
+def _encode_lines(headers: list[tuple[str, str]]) -> str:
+    return ''.join(f'{name}: {text}\r\n' for name, text in headers)
 
 
 def _frame_plainly(piece: bytes) -> bytes:
@@ -502,8 +529,16 @@
     parser = argparse.ArgumentParser(description='An endpoint stand-in.')
     parser.add_argument('--port', type=int, default=0)
     parser.add_argument('--name', default='endpoint')
+    parser.add_argument('--fault', default='', help='of all its answers')
+    parser.add_argument('--endless-pause-ms', type=float, default=1)
     chosen = parser.parse_args()
-    PoolServerStandIn(name=chosen.name, port=chosen.port)
+    server = PoolServerStandIn(
+        name=chosen.name,
+        port=chosen.port,
+        endless_pause_ms=chosen.endless_pause_ms,
+    )
+    if chosen.fault:
+        server.faults = list(itertools.repeat(chosen.fault, _MANY))
     Event().wait()
 
 
