Give up a stream that brings no event within 64 KB

Callers saw: while an endpoint sent an event, comments or empty lines without end, calls on it waited for the deadline and ended late or cut, and calls beside them slowed down. A stream that had begun with a comment alone could not begin elsewhere.

Cause: the splitter had no bound, and each piece copied and searched all bytes of its event again, so processor time grew with the square. Comments before the first event began the answer to the caller, without an id to resume after.

Why it works: an event has an id or data. Bytes since the last one are bounded, each is searched once, and a piece counts as 64 bytes at least. Over the bound the connection is closed, the end counts as the endpoint's failure and the stream goes on elsewhere as after a cut. Such an end is no evidence of a crash: the endpoint was still sending.

The bound: 630 streams (21 a second for 30 s) hold 41 MB of a gateway's 128 MB if all of them reach it; an event has a few tokens.

--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import itertools
+import time
 
 import pytest
 
+from wingfall.gateway.endpoints.endpoint_connection import EndlessAnswerError
 from wingfall.gateway.endpoints.event_stream import EventSplitter
 
 EVENTS = (b'id: 1\ndata: x', b'id: 2\ndata: y')
+# The bound that the pages state, for an event and for what is between two.
+MAX_EVENTLESS_BYTES = 65_536
+# A piece may cost so many times more when a hundred times as much is buffered.
+MAX_GROWTH = 4
 
 
 def encode(line_end: bytes) -> bytes:
@@ -45,3 +51,85 @@
     assert splitter.feed(b'id: 1\n\nid: 2%b' % end) == b'id: 1\n\n'
     assert splitter.has_partial_event
     assert splitter.last_event_id == '1'
+
+
+def feed_without_end(splitter: EventSplitter, piece: bytes) -> int:
+    """Feed a piece again and again and return the bytes that were taken."""
+    for number in itertools.count():
+        try:
+            splitter.feed(piece)
+        except EndlessAnswerError:
+            return number * len(piece)
+    raise AssertionError
+
+
+@pytest.mark.parametrize('has_begun', [False, True])
+@pytest.mark.parametrize(
+    'piece',
+    [
+        b'x' * 1000,
+        b'x: y\n' * 200,
+        b'\n' * 1000,
+        b': none\n\n' * 100,
+        b'retry: 1\n\n' * 100,
+        b'\r' * 1000,
+    ],
+)
+def test_stream_without_an_event_is_given_up_at_its_bound(
+    piece: bytes, *, has_begun: bool
+):
+    splitter = EventSplitter()
+    if has_begun:
+        splitter.feed(b'id: 1\ndata: x\n\n')
+    splitter.feed(b'id: 2\ndata: ' if piece[:1] == b'x' else b'')
+    taken = feed_without_end(splitter, piece)
+    assert MAX_EVENTLESS_BYTES - 2000 < taken <= MAX_EVENTLESS_BYTES
+
+
+def test_pieces_of_few_bytes_do_not_cost_more_than_long_ones():
+    taken = feed_without_end(EventSplitter(), b'x')
+    assert taken <= MAX_EVENTLESS_BYTES / 64
+
+
+def test_long_stream_with_events_is_not_given_up():
+    splitter = EventSplitter()
+    events = b''.join(
+        splitter.feed(b': none\n\nid: %d\ndata: %b\n\n' % (number, b'x' * 900))
+        for number in range(1000)
+    )
+    assert events.count(b'data: ') == 1000
+    assert splitter.last_event_id == '999'
+
+
+def test_event_at_its_bound_is_passed_on():
+    splitter = EventSplitter()
+    event = b'data: %b\n\n' % (b'x' * (MAX_EVENTLESS_BYTES - 8))
+    pieces = [event[at : at + 1000] for at in range(0, len(event), 1000)]
+    assert b''.join(map(splitter.feed, pieces)) == event
+
+
+def test_comments_before_the_first_event_come_with_it():
+    # A stream that had begun with a comment alone could not begin elsewhere.
+    splitter = EventSplitter()
+    assert splitter.feed(b': none\n\nretry: 5\n\n') == b''
+    assert not splitter.has_partial_event
+    events = splitter.feed(b'data: x\n\n')
+    assert events == b': none\n\nretry: 5\n\ndata: x\n\n'
+    assert splitter.feed(b': none\n\n') == b': none\n\n'
+
+
+def time_events(pieces: int) -> float:
+    """Return the processor time of a piece of events with so many."""
+    started_s = time.process_time()
+    for _event in range(100):
+        splitter = EventSplitter()
+        for _piece in range(pieces):
+            splitter.feed(b'x' * 64)
+    return (time.process_time() - started_s) / pieces
+
+
+def test_each_byte_of_an_event_is_searched_once():
+    # Each piece was as costly as all bytes of the event before it.
+    short_s = min(time_events(10) for _round in range(5))
+    long_s = min(time_events(1000) for _round in range(5))
+    assert long_s < short_s * MAX_GROWTH
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -8,6 +8,7 @@
 from wingfall.gateway.endpoints.answer_end import AnswerEndCheck
 from wingfall.gateway.endpoints.connection_cache import ConnectionCache
 from wingfall.gateway.endpoints.crash_detector import CrashDetector
+from wingfall.gateway.endpoints.endless_answers import EndlessAnswers
 from wingfall.gateway.endpoints.endpoint_ends import EndpointEnds
 from wingfall.gateway.endpoints.sending_gate import SendingGate
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
@@ -116,5 +117,6 @@
                 knowledge=knowledge,
                 metrics=metrics,
             ),
+            endless=EndlessAnswers(clock=clock, metrics=metrics),
         ),
     )
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -21,6 +21,7 @@
 from wingfall.gateway.endpoints.endpoint_connection import (
     AnswerTimeoutError,
     BrokenAnswerError,
+    EndlessAnswerError,
     EndpointWithheldError,
     NotConnectedError,
 )
@@ -129,7 +130,13 @@
             end = AttemptEnd.held if is_withheld else AttemptEnd.not_sent
             return AttemptOutcome(end=end, reason=str(error))
         except BrokenAnswerError as error:
-            return AttemptOutcome(end=self._broken_end(), reason=str(error))
+            return AttemptOutcome(
+                end=self._broken_end(),
+                reason=str(error),
+                endless=error
+                if isinstance(error, EndlessAnswerError)
+                else None,
+            )
         except AnswerTimeoutError:
             return AttemptOutcome(
                 end=self._late_end(), reason='no bytes in time'
--- a/wingfall/gateway/calls/attempt_outcome.py
+++ b/wingfall/gateway/calls/attempt_outcome.py
@@ -8,6 +8,9 @@
 from wingfall.gateway.model.attempt_end import AttemptEnd
 
 if TYPE_CHECKING:
+    from wingfall.gateway.endpoints.endpoint_connection import (
+        EndlessAnswerError,
+    )
     from wingfall.gateway.model.call import Headers
 
 
@@ -36,7 +39,7 @@
 class AttemptOutcome:
     """The end of an attempt, with the buffered answer if there is one."""
 
-    __slots__ = ('answer', 'end', 'is_abandoned', 'reason')
+    __slots__ = ('answer', 'end', 'endless', 'is_abandoned', 'reason')
 
     def __init__(
         self,
@@ -45,6 +48,7 @@
         answer: BufferedAnswer | None = None,
         reason: str = '',
         is_abandoned: bool = False,
+        endless: EndlessAnswerError | None = None,
     ) -> None:
         """Create an outcome.
 
@@ -52,11 +56,13 @@
         :param answer: an answer that has not been forwarded yet.
         :param reason: the observed cause, for logs.
         :param is_abandoned: whether this side, not the endpoint, gave up.
+        :param endless: the bound that the answer exceeded, None if it did not.
         """
         self.end = end
         self.answer = answer
         self.reason = reason
         self.is_abandoned = is_abandoned
+        self.endless = endless
 
     @property
     def succeeded(self) -> bool:
--- a/wingfall/gateway/calls/attempt_tracker.py
+++ b/wingfall/gateway/calls/attempt_tracker.py
@@ -156,7 +156,13 @@
             knowledge.health.note_success(name)
         if self._call.head.prompt is None and outcome.end in _POSSIBLY_RUN_ENDS:
             self._note_usage(self._started_ms)
-        self._note_crash_evidence(outcome)
+        if outcome.endless is None:
+            self._note_crash_evidence(outcome)
+        else:
+            # No evidence of a crash: the endpoint was still sending.
+            self._state.ends.endless.note(
+                self._call.call_id, self._destination.endpoint, outcome.endless
+            )
         self._state.metrics.decisions.inc(
             {'part': 'dispatch', 'reason': outcome.end},
         )
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 import socket
 from typing import TYPE_CHECKING, Callable, Final, final
 
@@ -55,6 +56,30 @@
     """The answer is incomplete or violates the protocol."""
 
 
+class AnswerPart(enum.StrEnum):
+    """Parts of an answer that have a bound, as named in logs and metrics."""
+
+    stream = 'stream'  # An event, or what comes between two events.
+
+
+@final
+class EndlessAnswerError(BrokenAnswerError):
+    """The answer exceeds a bound and may never end.
+
+    Says nothing about the end of the endpoint, which was still sending.
+    """
+
+    def __init__(self, *, part: AnswerPart, received_bytes: int) -> None:
+        """Describe the answer.
+
+        :param part: what exceeds its bound.
+        :param received_bytes: bytes that were received of it.
+        """
+        super().__init__(f'endless: {received_bytes} bytes of the {part}')
+        self.part = part
+        self.received_bytes = received_bytes
+
+
 class AnswerTimeoutError(Exception):
     """No bytes were received within the timeout."""
 
--- a/wingfall/gateway/endpoints/endpoint_ends.py
+++ b/wingfall/gateway/endpoints/endpoint_ends.py
@@ -7,21 +7,28 @@
 if TYPE_CHECKING:
     from wingfall.gateway.endpoints.answer_end import AnswerEndCheck
     from wingfall.gateway.endpoints.crash_detector import CrashDetector
+    from wingfall.gateway.endpoints.endless_answers import EndlessAnswers
 
 
 @final
 class EndpointEnds:
     """Whether an endpoint has crashed, and whether its answer is complete."""
 
-    __slots__ = ('answers', 'crashes')
+    __slots__ = ('answers', 'crashes', 'endless')
 
     def __init__(
-        self, *, answers: AnswerEndCheck, crashes: CrashDetector
+        self,
+        *,
+        answers: AnswerEndCheck,
+        crashes: CrashDetector,
+        endless: EndlessAnswers,
     ) -> None:
-        """Combine both checks.
+        """Combine the checks.
 
         :param answers: checks answers that end with their connection.
         :param crashes: detects endpoints that crash.
+        :param endless: records answers that were given up.
         """
         self.answers = answers
         self.crashes = crashes
+        self.endless = endless
--- a/wingfall/gateway/endpoints/event_stream.py
+++ b/wingfall/gateway/endpoints/event_stream.py
@@ -2,29 +2,56 @@
 
 The bytes of an incomplete event are never passed on, so that another endpoint
 can continue the stream after its last complete event. Lines may end with CR, LF
-or both; they are passed on with LF.
+or both; they are passed on with LF. An event has an id or data; comments keep a
+connection alive, but are no events.
 """
 
 from __future__ import annotations
 
+import re
 from typing import Final, final
 
+from wingfall.gateway.endpoints.endpoint_connection import (
+    AnswerPart,
+    EndlessAnswerError,
+)
+
 _EVENT_END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
+_EVENT_FIELD: Final = re.compile(rb'^(?:id|data)(?::|$)', re.MULTILINE)
+# Maximum bytes of an event, and of a stream between two events. An event has a
+# few tokens. The 630 streams of a gateway, 21 a second for 30 s, hold 41 MB of
+# its 128 MB if all endpoints send as much.
+_MAX_EVENTLESS_BYTES: Final = 65_536
+# Bytes that a shorter piece counts as, since each piece costs processor time.
+_MIN_PIECE_BYTES: Final = 64
 
 
 @final
 class EventSplitter:
     """Buffers the bytes of an event until the event is complete."""
 
-    __slots__ = ('_buffer', '_ended_with_cr', 'last_event_id')
+    __slots__ = (
+        '_buffer',
+        '_ended_with_cr',
+        '_eventless_bytes',
+        '_has_events',
+        '_held',
+        'last_event_id',
+    )
 
     def __init__(self, *, last_event_id: str | None = None) -> None:
         """Create a splitter with an empty buffer.
 
         :param last_event_id: ID of the last event that was passed on.
         """
-        self._buffer = b''
+        # The part of an event, or of comments, that is not complete.
+        self._buffer = bytearray()
+        # Comments before the first event.
+        self._held = bytearray()
+        self._has_events = False
+        # Bytes received since the last event.
+        self._eventless_bytes = 0
         # Whether the bytes so far ended with CR; LF may follow.
         self._ended_with_cr = False
         self.last_event_id = last_event_id
@@ -37,16 +64,44 @@
     def feed(self, received: bytes) -> bytes:
         """Add received bytes and return the events that are complete.
 
+        Comments before the first event are returned with it: they are no
+        answer, so another endpoint may still give one.
+
         :param received: next bytes of the stream.
         :returns: complete events, empty if there are none yet.
+        :raises EndlessAnswerError: if too many bytes came since the last event.
         """
-        self._buffer += self._decode_line_ends(received)
-        complete, separator, partial = self._buffer.rpartition(_EVENT_END)
-        if not separator:
+        complete = self._take_complete(self._decode_line_ends(received))
+        if _EVENT_FIELD.search(complete):
+            self._has_events = True
+            self._eventless_bytes = len(self._buffer)
+            self._update_last_event_id(complete)
+        else:
+            self._eventless_bytes += max(len(received), _MIN_PIECE_BYTES)
+        if self._eventless_bytes > _MAX_EVENTLESS_BYTES:
+            raise EndlessAnswerError(
+                part=AnswerPart.stream, received_bytes=self._eventless_bytes
+            )
+        self._held += complete
+        return self._take_held() if self._has_events else b''
+
+    def _take_complete(self, decoded: bytes) -> bytes:
+        # The bytes before these hold no end of an event, but may hold the first
+        # half of one.
+        searched = max(0, len(self._buffer) - 1)
+        self._buffer += decoded
+        found = self._buffer.rfind(_EVENT_END, searched)
+        if found < 0:
             return b''
-        self._buffer = partial
-        self._update_last_event_id(complete)
-        return complete + separator
+        end = found + len(_EVENT_END)
+        complete = bytes(self._buffer[:end])
+        del self._buffer[:end]  # noqa: WPS420
+        return complete
+
+    def _take_held(self) -> bytes:
+        events = bytes(self._held)
+        self._held.clear()
+        return events
 
     def _decode_line_ends(self, received: bytes) -> bytes:
         if self._ended_with_cr and received:
