Bound informational answers, and name heads that are too long

Cause: each of them was passed over, however many came.

Now 16 may come before an answer. Heads, trailers and lines between chunks were bounded by the 16 KB of h11 already; the bound is named, and such ends are counted and logged like others.

On the code before, the test of informational answers failed (until the first byte was late), the other four kinds failed for the missing count alone.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -21,6 +21,13 @@
     'endless_blank',
     'endless_comments',
 )
+HEAD_KINDS = (
+    ('endless_status', 'head'),
+    ('endless_headers', 'head'),
+    ('endless_interim', 'interim'),
+    ('endless_extension', 'head'),
+    ('endless_trailers', 'head'),
+)
 # A call may take 3 s; an answer is given up by its bytes long before.
 FAST_S = 1.5
 # Calls after which an endpoint that fails each of them gets few.
@@ -81,6 +88,19 @@
     assert count_given_up(engine_site) == {'stream': 1}
 
 
+@pytest.mark.parametrize(('kind', 'part'), HEAD_KINDS)
+def test_head_without_end_is_given_up(
+    engine_site: GatewaySite, kind: str, part: str
+):
+    inject_once(engine_site, kind)
+    started_s = time.monotonic()
+    answer = engine_site.ask('/stream/x', method='POST', **PROMPT)
+    assert time.monotonic() - started_s < FAST_S
+    assert answer.whole
+    assert parse_event_ids(answer.body) == [1, 2, 3]
+    assert count_given_up(engine_site) == {part: 1}
+
+
 @pytest.mark.parametrize(
     ('target', 'events'), [('/stream/x', [1, 2, 3]), ('/oneway/x', [1, 2])]
 )
--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -12,6 +12,7 @@
 from wingfall.clock import Clock
 from wingfall.gateway.endpoints.endpoint_connection import (
     BrokenAnswerError,
+    EndlessAnswerError,
     EndpointConnection,
 )
 from wingfall.tcp import reset
@@ -30,6 +31,16 @@
             self.endpoint = listener.accept()[0]
         self.connection = EndpointConnection(sock=self.sock, clock=Clock())
 
+    def send_short(self) -> None:
+        """Send a request without a body."""
+        self.connection.send(
+            b'GET',
+            b'/x',
+            [(b'Host', b'site.example')],
+            b'',
+            deadline_ms=Clock().now_ms() + 10_000,
+        )
+
     def send_long(self) -> None:
         """Send a request that the endpoint does not read."""
         self.connection.send(
@@ -83,3 +94,21 @@
     while received < LONG_BYTES:
         received += len(pair.endpoint.recv(LONG_BYTES))
     wait_until(lambda: pair.sock.fileno() == -1)
+
+
+@pytest.mark.parametrize('count', [1, 16])
+def test_some_informational_answers_are_passed_over(pair: _Pair, count: int):
+    pair.send_short()
+    interim = b'HTTP/1.1 103 Early Hints\r\n\r\n' * count
+    pair.endpoint.sendall(interim + BEGUN_ANSWER)
+    assert pair.connection.receive(1000).status_code == 200
+
+
+def test_too_many_informational_answers_end_the_answer(pair: _Pair):
+    # They kept a call waiting until its deadline.
+    pair.send_short()
+    interim = b'HTTP/1.1 103 Early Hints\r\n\r\n' * 17
+    pair.endpoint.sendall(interim + BEGUN_ANSWER)
+    with pytest.raises(EndlessAnswerError) as raised:
+        pair.connection.receive(1000)
+    assert raised.value.received_bytes == len(interim + BEGUN_ANSWER)
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import http
 import socket
 from typing import TYPE_CHECKING, Callable, Final, final
 
@@ -24,6 +25,14 @@
 
 # Maximum bytes of one read: the content of a socket buffer.
 _READ_BYTES: Final = 65_536
+# Maximum bytes of the head of an answer, of its trailers and of a line between
+# its chunks.
+_MAX_HEAD_BYTES: Final = 16_384
+# Maximum informational answers before an answer, to bound the processor time of
+# a request.
+_MAX_INTERIM_ANSWERS: Final = 16
+# What h11 hints at if a head exceeds its bound.
+_TOO_LARGE: Final = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 # After each wait for bytes the clock is read again, since timers stop while the
 # machine is suspended. A call that times out during a suspension gets its final
 # answer up to this much later.
@@ -59,6 +68,8 @@
 class AnswerPart(enum.StrEnum):
     """Parts of an answer that have a bound, as named in logs and metrics."""
 
+    head = 'head'  # The head, the trailers, or a line between chunks.
+    interim = 'interim'  # Informational answers before the answer.
     stream = 'stream'  # An event, or what comes between two events.
 
 
@@ -90,6 +101,7 @@
 
     __slots__ = (
         '__weakref__',
+        '_answer_bytes',
         '_clock',
         '_http',
         '_idle_since_ms',
@@ -109,7 +121,11 @@
             sock.setsockopt(*option)
         self._socket = sock
         self._clock = clock
-        self._http = h11.Connection(h11.CLIENT)
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        # Bytes received since the request was sent.
+        self._answer_bytes = 0
         # Writes a long request; None for a short one, which is written at once.
         self._writer: RequestWriter | None = None
         # Whether the answer began before the request was delivered.
@@ -166,6 +182,7 @@
             request, None if nobody needs to know.
         :raises BrokenAnswerError: if the request can't be sent completely.
         """
+        self._answer_bytes = 0
         framed = list(headers)
         if body or method not in {b'GET', b'HEAD', b'DELETE', b'OPTIONS'}:
             framed.append((b'Content-Length', b'%d' % len(body)))
@@ -191,15 +208,18 @@
         :param timeout_ms: maximum milliseconds to wait for bytes, without the
             time in which more of the request is delivered.
         :returns: a response, data or the end of the message.
-        :raises BrokenAnswerError: if the answer ends early or is invalid.
+        :raises BrokenAnswerError: if the answer ends early, is invalid or
+            exceeds a bound.
         :raises AnswerTimeoutError: if no bytes arrive in time.
         """
         deadline_ms = self._clock.now_ms() + timeout_ms
-        event = self._next_event()
-        while event is h11.NEED_DATA or _is_interim(event):
-            if event is h11.NEED_DATA:
-                self._read(deadline_ms - self._clock.now_ms())
-            event = self._next_event()
+        event = self._receive_event(deadline_ms)
+        interim_count = 0
+        while isinstance(event, h11.InformationalResponse):
+            interim_count += 1
+            if interim_count > _MAX_INTERIM_ANSWERS:
+                raise self._make_endless(AnswerPart.interim)
+            event = self._receive_event(deadline_ms)
         if isinstance(event, h11.ConnectionClosed):
             raise BrokenAnswerError('closed without an answer')
         if isinstance(event, h11.Response):
@@ -286,12 +306,24 @@
             return False
         return True
 
+    def _receive_event(self, deadline_ms: int) -> h11.Event:
+        event = self._next_event()
+        while event is h11.NEED_DATA:
+            self._read(deadline_ms - self._clock.now_ms())
+            event = self._next_event()
+        return event
+
     def _next_event(self) -> h11.Event:
         try:
             return self._http.next_event()
         except h11.RemoteProtocolError as error:
+            if error.error_status_hint == _TOO_LARGE:
+                raise self._make_endless(AnswerPart.head) from error
             raise BrokenAnswerError(str(error)) from error
 
+    def _make_endless(self, part: AnswerPart) -> EndlessAnswerError:
+        return EndlessAnswerError(part=part, received_bytes=self._answer_bytes)
+
     def _read(self, timeout_ms: int) -> None:
         until_ms = self._clock.now_ms() + timeout_ms - self.delivery_ms
         received = None
@@ -304,6 +336,7 @@
         # of the connection looks like that of an answer without a length.
         if not received and self._writer is not None and self._writer.failure:
             raise BrokenAnswerError(self._writer.failure)
+        self._answer_bytes += len(received)
         try:
             self._http.receive_data(received)
         except h11.RemoteProtocolError as error:
@@ -328,10 +361,6 @@
             raise BrokenAnswerError(str(error)) from error
 
 
-def _is_interim(event: h11.Event) -> bool:
-    return isinstance(event, h11.InformationalResponse)
-
-
 def connect(
     endpoint: PoolEndpoint,
     clock: Clock,
--- a/wingfall/gateway/endpoints/event_stream.py
+++ b/wingfall/gateway/endpoints/event_stream.py
@@ -19,9 +19,8 @@
 _EVENT_END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
 _EVENT_FIELD: Final = re.compile(rb'^(?:id|data)(?::|$)', re.MULTILINE)
-# Maximum bytes of an event, and of a stream between two events. An event has a
-# few tokens. The 630 streams of a gateway, 21 a second for 30 s, hold 41 MB of
-# its 128 MB if all endpoints send as much.
+# Maximum bytes of an event, and of a stream between two events, to bound the
+# memory of all streams together.
 _MAX_EVENTLESS_BYTES: Final = 65_536
 # Bytes that a shorter piece counts as, since each piece costs processor time.
 _MIN_PIECE_BYTES: Final = 64
