Bound the answers that are buffered, each and all together

Cause: an answer of 8 MB may have come in any number of pieces, each of which cost 16 us and, as bytes of its own in a list, 44 bytes of memory for two. The bound was that of one answer: sixteen endpoints at once could fill a gateway's 128 MB.

Now a piece counts as 512 bytes at least, the pieces go into one buffer, and all answers share 24 MB beyond 64 KB that each has for itself. 46 MB at rest, 41 of streams at their bound and 24 make 111 MB of 128. The survey of what engines keep reads its answers by the same buffer.

Such an end is counted and logged like that of a stream. On the code before, a body without end ended without a count, one of short chunks by the deadline of the call: both tests failed.

--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -153,14 +153,17 @@
         self.config = {**self.config, 'version': self.config['version'] + 1}
         self.store.put('config', 'main', self.config)
 
-    def add_server(self, name: str, pool: str = 'plain') -> PoolServerStandIn:
+    def add_server(
+        self, name: str, pool: str = 'plain', *, pause_ms: float = 1
+    ) -> PoolServerStandIn:
         """Start an endpoint and add its entry to the store.
 
         :param name: endpoint id.
         :param pool: name of the pool.
+        :param pause_ms: time between two pieces of an answer without end.
         :returns: the endpoint.
         """
-        server = PoolServerStandIn(name=name)
+        server = PoolServerStandIn(name=name, endless_pause_ms=pause_ms)
         self.servers[name] = server
         self.put_server(name, pool)
         return server
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -101,6 +101,30 @@
     assert count_given_up(engine_site) == {part: 1}
 
 
+@pytest.mark.parametrize(
+    ('kind', 'most_bytes'),
+    [('endless_body', 8_500_000), ('endless_chunks', 35_000)],
+)
+def test_body_without_end_is_given_up(
+    gateway_site: GatewaySite, kind: str, most_bytes: int
+):
+    for name in ('one', 'two'):
+        gateway_site.add_server(name, pause_ms=0)
+    gateway_site.add_gateway()
+    inject_once(gateway_site, kind)
+    with collected_lines() as lines:
+        answer = gateway_site.ask('/safe/x')
+        assert given_up(lines) == [('a1', 'body', True)]
+    assert answer.status == 200
+    assert answer.whole
+    (received,) = [
+        fields['bytes'] for text, fields in lines if text == GIVEN_UP
+    ]
+    assert received <= most_bytes
+    endless = gateway_site.gateways[0]._state.ends.endless
+    assert endless.memory.reserved_bytes == 0
+
+
 @pytest.mark.parametrize(
     ('target', 'events'), [('/stream/x', [1, 2, 3]), ('/oneway/x', [1, 2])]
 )
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -18,6 +18,7 @@
     AttemptOutcome,
     BufferedAnswer,
 )
+from wingfall.gateway.endpoints.answer_buffer import AnswerBuffer
 from wingfall.gateway.endpoints.endpoint_connection import (
     AnswerTimeoutError,
     BrokenAnswerError,
@@ -32,6 +33,7 @@
 if TYPE_CHECKING:
     from wingfall.gateway.calls.destination import Destination
     from wingfall.gateway.calls.reply import Reply
+    from wingfall.gateway.endpoints.answer_buffer import AnswerMemory
     from wingfall.gateway.endpoints.connection_cache import ConnectionCache
     from wingfall.gateway.endpoints.endpoint_connection import (
         EndpointConnection,
@@ -63,6 +65,7 @@
         '_destination',
         '_is_whole',
         '_may_send',
+        '_memory',
         '_now_ms',
         '_on_incomplete',
         '_on_output',
@@ -85,6 +88,7 @@
         on_incomplete: Callable[[IncompleteRequest], None],
         may_send: Callable[[], bool],
         is_whole: Callable[[], bool],
+        memory: AnswerMemory,
     ) -> None:
         """Create an attempt that is not sent yet.
 
@@ -102,6 +106,7 @@
         :param may_send: checks if the endpoint may serve the call now.
         :param is_whole: checks if an answer is complete that has ended with its
             connection.
+        :param memory: memory that the answers of all attempts share.
         """
         self._call = call
         self._destination = destination
@@ -114,6 +119,7 @@
         self._on_incomplete = on_incomplete
         self._may_send = may_send
         self._is_whole = is_whole
+        self._memory = memory
         self._sent_ms = 0
         self._connection: EndpointConnection | None = None
 
@@ -210,22 +216,13 @@
         head: AnswerHead,
         limits: AttemptLimits,
     ) -> AttemptOutcome:
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            event = self._receive(limits)
-            if isinstance(event, h11.EndOfMessage):
-                break
-            chunks.append(bytes(event.data))
-            size += len(event.data)
-            if size > _MAX_ANSWER_BYTES:
-                raise BrokenAnswerError('the answer is too large')
+        body = self._read_body(limits)
         self._check_end(response)
         self._release_connection(is_rest_needed=not head.not_run)
         answer = BufferedAnswer(
             status=response.status_code,
             headers=self._binding.caller_headers(response.headers.raw_items()),
-            body=b''.join(chunks),
+            body=body,
         )
         return AttemptOutcome(
             end=_classify_answer(head),
@@ -233,6 +230,17 @@
             reason=str(response.status_code),
         )
 
+    def _read_body(self, limits: AttemptLimits) -> bytes:
+        buffer = AnswerBuffer(memory=self._memory, max_bytes=_MAX_ANSWER_BYTES)
+        try:
+            while True:
+                event = self._receive(limits)
+                if isinstance(event, h11.EndOfMessage):
+                    return buffer.read()
+                buffer.add(event.data)
+        finally:
+            buffer.release()
+
     def _read_stream(
         self,
         response: h11.Response,
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -265,6 +265,7 @@
                 self._call.call_id,
                 destination.endpoint,
             ),
+            memory=state.ends.endless.memory,
         )
         outcome = AttemptOutcome(
             end=AttemptEnd.cut,
--- a/wingfall/gateway/endpoints/endless_answers.py
+++ b/wingfall/gateway/endpoints/endless_answers.py
@@ -1,4 +1,4 @@
-"""Record of answers that exceeded a bound and were given up.
+"""Bound of all answers together, and record of those that were given up.
 
 An endpoint may send bytes until its connection is closed. Each part of an
 answer has a bound where it is read; here such ends are counted and logged.
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING, Final, final
 
+from wingfall.gateway.endpoints.answer_buffer import AnswerMemory
 from wingfall.log import log_event
 from wingfall.log_limit import LogLimit
 
@@ -27,7 +28,7 @@
 class EndlessAnswers:
     """Counts and logs the answers that were given up."""
 
-    __slots__ = ('_limit', '_metrics')
+    __slots__ = ('_limit', '_metrics', 'memory')
 
     def __init__(self, *, clock: Clock, metrics: Metrics) -> None:
         """Create a record without answers.
@@ -35,6 +36,7 @@
         :param clock: clock of this gateway.
         :param metrics: counts the answers.
         """
+        self.memory = AnswerMemory()
         self._metrics = metrics
         self._limit = LogLimit(clock=clock, per_second=_MAX_LINES_PER_S)
 
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -68,8 +68,10 @@
 class AnswerPart(enum.StrEnum):
     """Parts of an answer that have a bound, as named in logs and metrics."""
 
+    body = 'body'  # The body of an answer that is no stream.
     head = 'head'  # The head, the trailers, or a line between chunks.
     interim = 'interim'  # Informational answers before the answer.
+    memory = 'memory'  # A body, together with those of other answers.
     stream = 'stream'  # An event, or what comes between two events.
 
 
--- a/wingfall/gateway/peers/caches/memory_survey.py
+++ b/wingfall/gateway/peers/caches/memory_survey.py
@@ -19,6 +19,10 @@
 from returns.result import Failure, Result, Success
 
 from wingfall.clock import MS_PER_S
+from wingfall.gateway.endpoints.answer_buffer import (
+    AnswerBuffer,
+    AnswerMemory,
+)
 from wingfall.gateway.endpoints.endpoint_connection import (
     AnswerTimeoutError,
     BrokenAnswerError,
@@ -182,17 +186,17 @@
         connection.send(b'GET', target, headers, b'', deadline_ms=until_ms)
         response = connection.receive(_ANSWER_TIMEOUT_MS)
         self._record_signals(engine, response, sent_ms)
-        body = b''
+        buffer = AnswerBuffer(
+            memory=AnswerMemory(), max_bytes=_MAX_ANSWER_BYTES
+        )
         while True:
             event = connection.receive(until_ms - self._clock.now_ms())
             if isinstance(event, h11.EndOfMessage):
                 break
-            body += bytes(event.data)
-            if len(body) > _MAX_ANSWER_BYTES:
-                raise BrokenAnswerError('answer exceeds the size limit')
+            buffer.add(event.data)
         if response.status_code != http.HTTPStatus.OK:
             return Failure(f'status {response.status_code}')
-        return Success(body)
+        return Success(buffer.read())
 
     def _record_signals(
         self,
