--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -13,6 +13,7 @@
 from wingfall.clock import Clock
 from wingfall.gateway.endpoints.endpoint_connection import (
     BrokenAnswerError,
+    EndlessAnswerError,
     EndpointConnection,
 )
 from wingfall.tcp import reset
@@ -31,6 +32,16 @@
             self.endpoint = listener.accept()[0]
         self.connection = EndpointConnection(sock=self.sock, clock=Clock())
 
+    def send_short(self) -> None:
+        """Send a request without a body."""
+        self.connection.send(
+            b'GET',
+            b'/x',
+            [(b'Host', b'site.example')],
+            b'',
+            deadline_ms=Clock().now_ms() + 10_000,
+        )
+
     def send_long(self) -> None:
         """Send a request that the endpoint does not read."""
         self.connection.send(
@@ -102,3 +113,34 @@
     )
     with pytest.raises(BrokenAnswerError):
         pair.connection.receive(5000)
+
+
+@pytest.mark.parametrize('count', [1, 16])
+def test_some_informational_answers_are_passed_over(pair: _Pair, count: int):
+    pair.send_short()
+    interim = b'HTTP/1.1 103 Early Hints\r\n\r\n' * count
+    pair.endpoint.sendall(interim + BEGUN_ANSWER)
+    assert pair.connection.receive(1000).status_code == 200
+
+
+def test_too_many_informational_answers_end_the_answer(pair: _Pair):
+    # They kept a call waiting until its deadline.
+    pair.send_short()
+    interim = b'HTTP/1.1 103 Early Hints\r\n\r\n' * 17
+    pair.endpoint.sendall(interim + BEGUN_ANSWER)
+    with pytest.raises(EndlessAnswerError) as raised:
+        pair.connection.receive(1000)
+    assert raised.value.received_bytes == len(interim + BEGUN_ANSWER)
+
+
+def test_other_greenlets_run_while_bytes_are_always_ready(pair: _Pair):
+    # Pieces that had come already were read without a pause.
+    pair.send_short()
+    head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    pair.endpoint.sendall(head + b'1\r\nx\r\n' * 1000)
+    pair.connection.receive(1000)
+    turns = []
+    gevent.spawn(turns.append, 'ran')
+    for _piece in range(100):
+        pair.connection.receive(1000)
+    assert turns
