Have agents take an answer without a length for whole only by evidence

What callers of a router saw: an answer without a length or chunks that the end of its endpoint cut off was passed on as whole.

Cause: the same as in the gateway. The agent took the end of the connection for the end of the body; a killed process's system ends connections in the same way. Answers with a length and with chunks, and resets, were found before.

Now the agent looks for evidence that the endpoint outlives its answer, by the rule of the gateway, which moves to wingfall/answer_evidence.py with the probe of an address (wingfall/address_probe.py), so that both use one copy. Only the order changes in the gateway: whether a later start is known is asked after the wait for other connections, with the same result.

Routers decide nothing by an end of a connection: they compare the length of their agent's End message.

Evidence: test_answer_cut_by_its_endpoint_is_not_whole[unframed_end] failed on the code before (one piece, no fault); [unframed_reset] and [torn] passed. Now all pass.

What remains: connections whose answers without a length are under way are not seen as open, since http.client gives up the socket with the head; idle ones and those of other answers are.

--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -8,7 +8,9 @@
 from returns.result import Success
 
 from standins.pool_server import PoolServerStandIn
-from wingfall.agent.endpoint_client import EndpointClient
+from standins.prompt_crash import PromptCrash
+from wingfall.agent.endpoint_client import EndpointAnswer, EndpointClient
+from wingfall.clock import Clock
 from wingfall.wire.call_messages import Run
 
 LONG_BYTES = 4_000_000
@@ -22,24 +24,34 @@
     running.stop()
 
 
-def send(server: PoolServerStandIn, idle_ms: int) -> bytes | None:
-    """Send a long request and return the body of its answer."""
-    client = EndpointClient(
+def make_client(server: PoolServerStandIn, idle_ms: int) -> EndpointClient:
+    """Return a client of an endpoint."""
+    return EndpointClient(
+        clock=Clock(),
         url=f'http://{server.address}',
         slots=1,
         connect_ms=300,
         idle_ms=idle_ms,
     )
-    run = Run(
+
+
+def make_run(body: bytes) -> Run:
+    """Return a request with a body."""
+    return Run(
         call_id='a1',
         method='POST',
         path='/x',
         headers={'X-Attempt-Id': 'a1'},
-        body=bytes(LONG_BYTES),
+        body=body,
         timeout_ms=10_000,
         priority=0,
     )
-    opened = client.open(run)
+
+
+def send(server: PoolServerStandIn, idle_ms: int) -> bytes | None:
+    """Send a long request and return the body of its answer."""
+    client = make_client(server, idle_ms)
+    opened = client.open(make_run(bytes(LONG_BYTES)))
     if not isinstance(opened, Success):
         return None
     answer = opened.unwrap()
@@ -60,3 +72,46 @@
 def test_endpoint_that_reads_nothing_is_given_up(server: PoolServerStandIn):
     server.reading.pause_s = 60
     assert send(server, idle_ms=500) is None
+
+
+def open_unframed(
+    client: EndpointClient, server: PoolServerStandIn
+) -> EndpointAnswer:
+    """Ask for an answer without a length."""
+    server.faults = ['unframed']
+    return client.open(make_run(body=b'')).unwrap()
+
+
+def fetch(server: PoolServerStandIn, fault: str) -> list[bool]:
+    """Ask for an answer with a fault; return which of its pieces came."""
+    server.faults = [fault]
+    server.prompt_crash = PromptCrash(closes=True)
+    client = make_client(server, idle_ms=5000)
+    run = make_run(body=b'')
+    answer = client.open(run).unwrap()
+    pieces = list(answer.pieces())
+    return [isinstance(piece, Success) for piece in pieces]
+
+
+def test_answer_without_length_of_an_endpoint_that_runs_on_is_whole(
+    server: PoolServerStandIn,
+):
+    assert fetch(server, 'unframed') == [True]
+
+
+@pytest.mark.parametrize('fault', ['unframed_end', 'unframed_reset', 'torn'])
+def test_answer_cut_by_its_endpoint_is_not_whole(
+    server: PoolServerStandIn, fault: str
+):
+    assert fetch(server, fault) == [True, False]
+
+
+def test_endpoint_that_keeps_its_connections_outlives_its_answer(
+    server: PoolServerStandIn,
+):
+    client = make_client(server, idle_ms=5000)
+    kept = client.open(make_run(body=b'')).unwrap()
+    ended = open_unframed(client, server)
+    server.stop()
+    assert all(isinstance(piece, Success) for piece in ended.pieces())
+    kept.close()
--- a/wingfall/agent/application.py
+++ b/wingfall/agent/application.py
@@ -67,7 +67,7 @@
         )
         self._calls = CallTable(
             clock=clock,
-            client=_make_client(settings),
+            client=_make_client(settings, clock),
             pace=self._pace,
             estimates=self._gate.estimates,
             keys=KeyTable(
@@ -231,8 +231,9 @@
     )
 
 
-def _make_client(settings: SimpleNamespace) -> EndpointClient:
+def _make_client(settings: SimpleNamespace, clock: Clock) -> EndpointClient:
     return EndpointClient(
+        clock=clock,
         url=settings.endpoint.url,
         slots=settings.endpoint.slots,
         connect_ms=settings.endpoint.connect_ms,
--- a/wingfall/agent/endpoint_client.py
+++ b/wingfall/agent/endpoint_client.py
@@ -2,22 +2,31 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final, final
+import functools
+import http
+import weakref
+from typing import TYPE_CHECKING, Callable, Final, final
 
 import urllib3
 from returns.result import Failure, Result, Success
 
+from wingfall.address_probe import probe_address
 from wingfall.agent.endpoint_http import EndpointHttpConnection
+from wingfall.answer_evidence import PROOFS, EndEvidence, find_evidence
 from wingfall.clock import MS_PER_S
 from wingfall.errors import RunState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from wingfall.clock import Clock
     from wingfall.wire.call_messages import Run
 
 _READ_BYTES: Final = 65_536
 _GRACE_MS: Final = 1000
+_BODILESS_STATUSES: Final = frozenset(
+    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED),
+)
 _KEPT_HEADERS: Final = frozenset(
     ('content-type', 'cache-control', 'location', 'etag', 'last-modified'),
 )
@@ -43,14 +52,25 @@
 class EndpointAnswer:
     """An answer whose head has come."""
 
-    __slots__ = ('_response',)
+    __slots__ = ('_find_evidence', '_method', '_response')
 
-    def __init__(self, *, response: urllib3.BaseHTTPResponse) -> None:
+    def __init__(
+        self,
+        *,
+        method: str,
+        response: urllib3.BaseHTTPResponse,
+        find_end_evidence: Callable[[], EndEvidence],
+    ) -> None:
         """Wrap the response.
 
+        :param method: HTTP method of the request.
         :param response: the response, its body still unread.
+        :param find_end_evidence: looks for evidence that the endpoint outlives
+            an answer that has just ended with its connection.
         """
+        self._method = method
         self._response = response
+        self._find_evidence = find_end_evidence
 
     @property
     def status(self) -> int:
@@ -95,17 +115,40 @@
             return
         while received := self._response.read1(_READ_BYTES):
             yield received
+        if self._ends_with_connection:
+            self._check_end()
+
+    @property
+    def _ends_with_connection(self) -> bool:
+        if self._method == 'HEAD' or self.status in _BODILESS_STATUSES:
+            return False
+        return 'content-length' not in self._response.headers
+
+    def _check_end(self) -> None:
+        evidence = self._find_evidence()
+        if evidence not in PROOFS:
+            raise urllib3.exceptions.ProtocolError(
+                f'nothing shows that it outlives its answer ({evidence})'
+            )
 
 
 @final
 class EndpointClient:
     """Opens calls at the endpoint."""
 
-    __slots__ = ('_connect_s', '_idle_s', '_pool', '_prefix')
+    __slots__ = (
+        '_clock',
+        '_connect_s',
+        '_connections',
+        '_idle_s',
+        '_pool',
+        '_prefix',
+    )
 
     def __init__(
         self,
         *,
+        clock: Clock,
         url: str,
         slots: int,
         connect_ms: int,
@@ -113,11 +156,16 @@
     ) -> None:
         """Set up the client; no connection is made yet.
 
+        :param clock: clock of this agent.
         :param url: base URL of the endpoint.
         :param slots: connections to keep.
         :param connect_ms: bound of a connect.
         :param idle_ms: longest silence of a call.
         """
+        self._clock = clock
+        self._connections: weakref.WeakSet[EndpointHttpConnection] = (
+            weakref.WeakSet()
+        )
         self._connect_s = connect_ms / MS_PER_S
         self._idle_s = idle_ms / MS_PER_S
         parsed = urllib3.util.parse_url(url)
@@ -127,6 +175,7 @@
             maxsize=slots,
             retries=False,
             write_timeout_s=self._idle_s,
+            connections=self._connections,
         )
         self._pool.ConnectionCls = EndpointHttpConnection
 
@@ -161,7 +210,24 @@
             return Failure(_fault(error, RunState.not_run))
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Failure(_fault(error, RunState.unknown))
-        return Success(EndpointAnswer(response=response))
+        return Success(
+            EndpointAnswer(
+                method=run.method,
+                response=response,
+                find_end_evidence=self._find_evidence,
+            )
+        )
+
+    def _find_evidence(self) -> EndEvidence:
+        pool = self._pool
+        return find_evidence(
+            self._clock,
+            functools.partial(probe_address, pool.host, pool.port),
+            self._has_open,
+        )
+
+    def _has_open(self) -> bool:
+        return any(each.is_open for each in list(self._connections))
 
 
 def _fault(error: Exception, run: RunState) -> EndpointFault:
--- a/wingfall/agent/endpoint_http.py
+++ b/wingfall/agent/endpoint_http.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from typing import Any, final
+from typing import TYPE_CHECKING, Any, final
 
 from urllib3.connection import HTTPConnection
 
-from wingfall.tcp import send_all
+from wingfall.tcp import is_readable, send_all
+
+if TYPE_CHECKING:
+    import weakref
 
 
 @final
@@ -17,16 +20,28 @@
     """
 
     def __init__(
-        self, *rest: Any, write_timeout_s: float, **named: Any
+        self,
+        *rest: Any,
+        write_timeout_s: float,
+        connections: weakref.WeakSet[EndpointHttpConnection],
+        **named: Any,
     ) -> None:
         """Initialize the connection; it is not open yet.
 
         :param rest: passed on to urllib3.
         :param write_timeout_s: maximum seconds for each piece of a request.
+        :param connections: all connections to the endpoint, to which this one
+            is added.
         :param named: passed on to urllib3.
         """
         super().__init__(*rest, **named)
         self._write_timeout_s = write_timeout_s
+        connections.add(self)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it has neither ended nor bytes to be read."""
+        return self.sock is not None and not is_readable(self.sock)
 
     def send(self, data: bytes) -> None:  # noqa: WPS110
         """Send bytes of a request; urllib3 calls this.
--- a/wingfall/gateway/endpoints/answer_end.py
+++ b/wingfall/gateway/endpoints/answer_end.py
@@ -1,23 +1,15 @@
 """Evidence for the end of an answer without a length or chunks.
 
-Such an answer ends with its connection. The system of an endpoint that is
-killed closes its connections in the same way, so the answer is complete only if
-its endpoint outlives it. Whether the endpoint has announced that it leaves
-proves neither.
+Whether the endpoint has announced that it leaves proves nothing, and a later
+start of it proves nothing of the earlier one.
 """
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING, Callable, Final, final
 
-import gevent
-
-from wingfall.clock import MS_PER_S
-from wingfall.gateway.endpoints.endpoint_probe import (
-    ProbeResult,
-    probe_endpoint,
-)
+from wingfall.answer_evidence import PROOFS, EndEvidence, find_evidence
+from wingfall.gateway.endpoints.endpoint_probe import probe_endpoint
 from wingfall.log import log_event
 from wingfall.log_limit import LogLimit
 
@@ -28,36 +20,14 @@
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.metrics import Metrics
 
-# Probes of an endpoint that gives no answer; a packet of one may be lost.
-_MAX_PROBES: Final = 3
-# Milliseconds after which the end of a connection has arrived even if its first
-# packet was lost: the kernel sends it again after 200 ms and a round trip.
-_MAX_END_DELAY_MS: Final = 300
 # Milliseconds within which the ends of connections are read that arrived while
 # the process stood still.
 _MAX_UNREAD_MS: Final = 1000
-# Interval of the checks for connections that are still open.
-_POLL_INTERVAL_MS: Final = 20
 # Maximum lines per second. The end of a busy endpoint ends some hundred
 # answers at once.
 _MAX_LINES_PER_S: Final = 50
 
 
-class EndEvidence(enum.StrEnum):
-    """What is known of an endpoint whose answer has just ended."""
-
-    accepts = 'accepts_connections'
-    keeps = 'keeps_connections'
-    ended = 'ended'
-    superseded = 'superseded'
-    silent = 'silent'
-    unknown_time = 'unknown_time'
-
-
-# Evidence that the endpoint outlives its answer.
-_PROOFS: Final = (EndEvidence.accepts, EndEvidence.keeps)
-
-
 @final
 class AnswerEndCheck:
     """Decides whether answers that end with their connection are complete."""
@@ -105,7 +75,7 @@
         """
         started_ms = self._clock.now_ms()
         evidence = self._find_evidence(endpoint)
-        is_whole = evidence in _PROOFS
+        is_whole = evidence in PROOFS
         self._metrics.decisions.inc({'part': 'answer_end', 'reason': evidence})
         if self._limit.admit():
             log_event(
@@ -126,30 +96,12 @@
         # address since.
         if self._has_stood_still(_MAX_UNREAD_MS):
             return EndEvidence.unknown_time
-        probed = _probe(endpoint)
+        evidence = find_evidence(
+            self._clock,
+            lambda: probe_endpoint(endpoint),
+            lambda: self._connections.has_open(endpoint.name),
+        )
         # A later start under the same id may have answered the probe.
         if self._knowledge.incarnations.is_superseded(endpoint):
             return EndEvidence.superseded
-        if probed is ProbeResult.accepted:
-            return EndEvidence.accepts
-        if probed is ProbeResult.silent:
-            return EndEvidence.silent
-        # An endpoint may take no new connections and still run: it has too many
-        # or finishes its last answers.
-        if self._keeps_connections(endpoint):
-            return EndEvidence.keeps
-        return EndEvidence.ended
-
-    def _keeps_connections(self, endpoint: PoolEndpoint) -> bool:
-        until_ms = self._clock.now_ms() + _MAX_END_DELAY_MS
-        while self._connections.has_open(endpoint.name):
-            if self._clock.now_ms() >= until_ms:
-                return True
-            gevent.sleep(_POLL_INTERVAL_MS / MS_PER_S)
-        return False
-
-
-def _probe(endpoint: PoolEndpoint) -> ProbeResult:
-    probes = (probe_endpoint(endpoint) for _number in range(_MAX_PROBES))
-    answered = (each for each in probes if each is not ProbeResult.silent)
-    return next(answered, ProbeResult.silent)
+        return evidence
