--- a/wingfall/gateway/knowledge/pool_versions.py
+++ b/wingfall/gateway/knowledge/pool_versions.py
@@ -1,7 +1,9 @@
 """Software versions that the endpoints of pools had lately.
 
-Shows where a pool had one version for longer than a stream lives: a stream of
-which nothing else is known can only have begun at that version.
+Shows where a pool had another version within the life of a stream. That it had
+none is never inferred from here, since this gateway may not have heard of it.
+Also knows which versions the history in the store names, so that streams begin
+only at these.
 """
 
 from __future__ import annotations
@@ -11,6 +13,12 @@
 from gevent.event import Event
 
 from wingfall.gateway.knowledge.stream_origins import MAX_STREAM_LIFE_MS
+from wingfall.gateway.model.version_record import (
+    KEPT_MS,
+    Version,
+    VersionReads,
+    VersionRecord,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -18,10 +26,9 @@
     from wingfall.clock import Clock
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 
-Version = str | None
-# Milliseconds for which the report of a peer at the start of a session holds
-# until this gateway has a list of its own.
-_MAX_REPORT_AGE_MS: Final = 10_000
+# Milliseconds since a version was last listed after which it no longer counts
+# as named: the history drops it after twice this time.
+_MAX_NAMED_MS: Final = KEPT_MS // 2
 
 
 @final
@@ -30,11 +37,12 @@
 
     __slots__ = (
         '_clock',
-        '_complete_since_ms',
         '_last_listed_ms',
-        '_reported',
+        '_named',
+        '_unnamed',
         'has_new',
-        'is_loading',
+        'reads',
+        'record',
     )
 
     def __init__(self, *, clock: Clock) -> None:
@@ -44,22 +52,18 @@
         """
         self._clock = clock
         self._last_listed_ms: dict[str, dict[Version, int]] = {}
-        # Since when no change of the list can have been missed.
-        self._complete_since_ms: int | None = None
-        # The same as peers reported it, and when.
-        self._reported: tuple[int, int] | None = None
-        # Set when a version is listed that was not known.
+        # Pools and versions that the store's object names, as known here.
+        self._named: set[tuple[str, Version]] = set()
+        # The versions listed lately that it does not name, by pool.
+        self._unnamed: dict[str, set[Version]] = {}
+        # Set when a version is listed that was not known or named, and when
+        # one that was not named is, or has left.
         self.has_new = Event()
-        # Whether the history is still to be read; only its owner sets it.
-        self.is_loading = False
-
-    @property
-    def complete_ms(self) -> int:
-        """Milliseconds for which no change of the list was missed."""
-        now_ms = self._clock.now_ms()
-        if self._complete_since_ms is None:
-            return now_ms - self._reported_since(now_ms)
-        return now_ms - self._complete_since_ms
+        # The latest known content of the store's object, None before it was
+        # read.
+        self.record: VersionRecord | None = None
+        # Reads the store's object; only the application sets it.
+        self.reads: VersionReads | None = None
 
     @property
     def ages_ms(self) -> list[tuple[str, Version, int]]:
@@ -71,48 +75,96 @@
             for version, listed_ms in versions.items()
         ]
 
+    @property
+    def unnamed(self) -> set[tuple[str, Version]]:
+        """Pools and versions listed lately that the history lacks."""
+        return {
+            (pool, version)
+            for pool, versions in self._unnamed.items()
+            for version in versions
+        }
+
+    @property
+    def awaits_history(self) -> bool:
+        """Whether a pool has several versions, and the history is unknown."""
+        if self.record is not None:
+            return False
+        return any(len(each) > 1 for each in self._unnamed.values())
+
     def note_listed(self, endpoint: PoolEndpoint) -> None:
         """Record that an endpoint is listed, or was until now.
 
         :param endpoint: the endpoint.
         """
-        self._note(endpoint.pool, endpoint.version, self._clock.now_ms())
+        pool, version = endpoint.pool, endpoint.version
+        self._note(pool, version, self._clock.now_ms())
+        if self.is_named(pool, version):
+            return
+        unnamed = self._unnamed.setdefault(pool, set())
+        if version not in unnamed:
+            unnamed.add(version)
+            self.has_new.set()
 
-    def update(
-        self, listed: Iterable[PoolEndpoint], *, is_current: bool
-    ) -> None:
+    def update(self, listed: Iterable[PoolEndpoint]) -> None:
         """Record the listed endpoints; called each second.
 
         :param listed: all listed endpoints.
-        :param is_current: whether this gateway receives changes of the list.
         """
         for endpoint in listed:
             self.note_listed(endpoint)
-        now_ms = self._clock.now_ms()
-        self._forget_before(now_ms - MAX_STREAM_LIFE_MS)
-        if not is_current or not self._last_listed_ms:
-            self._complete_since_ms = None
-        elif self._complete_since_ms is None:
-            self._complete_since_ms = self._reported_since(now_ms)
+        self._forget_before(self._clock.now_ms() - MAX_STREAM_LIFE_MS)
+        self._named = self._select_recent(self._named)
+        # An endpoint may serve for a while after its entry was lost.
+        self._retain_unnamed(self._select_recent(self.unnamed))
 
-    def merge(
-        self, ages_ms: Iterable[tuple[str, Version, int]], complete_ms: int
-    ) -> None:
-        """Merge the record of a peer.
+    def adopt(self, record: VersionRecord) -> None:
+        """Adopt the content of the store's object.
+
+        :param record: the content; ignored if a later one is known.
+        """
+        known = self.record or VersionRecord()
+        if record.is_before(known):
+            return
+        # Another gateway has listed what is new there, whatever this one has
+        # heard.
+        for pool, version in record.names - known.names:
+            self._note(pool, version, self._clock.now_ms())
+        self.record = record
+        self._named = record.names
+        self._retain_unnamed(self.unnamed - self._named)
+
+    def is_named(self, pool: str, version: Version) -> bool:
+        """Check if the history names a version, as far as is known here.
+
+        :param pool: name of the pool.
+        :param version: the version.
+        :returns: whether a stream that begins there can be taken up.
+        """
+        return (pool, version) in self._named
+
+    def prefer_named(
+        self, pool: str, endpoints: list[PoolEndpoint]
+    ) -> list[PoolEndpoint]:
+        """Leave out endpoints of versions that the history does not name.
+
+        :param pool: name of the pool.
+        :param endpoints: endpoints of the pool.
+        :returns: the others, all if there are no others.
+        """
+        unnamed = self._unnamed.get(pool)
+        if not unnamed:
+            return endpoints
+        named = [each for each in endpoints if each.version not in unnamed]
+        return named or endpoints
+
+    def merge(self, ages_ms: Iterable[tuple[str, Version, int]]) -> None:
+        """Merge the versions that a peer remembers.
 
         :param ages_ms: pool, version and milliseconds since it was last listed.
-        :param complete_ms: milliseconds for which the peer missed no change.
         """
         now_ms = self._clock.now_ms()
         for pool, version, age_ms in ages_ms:
             self._note(pool, version, now_ms - age_ms)
-        since_ms = now_ms - complete_ms
-        self._reported = (
-            min(since_ms, self._reported_since(now_ms)),
-            now_ms,
-        )
-        if self._complete_since_ms is not None:
-            self._complete_since_ms = min(self._complete_since_ms, since_ms)
 
     def unlisted_ms(self, pool: str, version: Version) -> int | None:
         """Return how long ago a version was last listed.
@@ -124,28 +176,34 @@
         listed_ms = self._last_listed_ms.get(pool, {}).get(version)
         return None if listed_ms is None else self._clock.now_ms() - listed_ms
 
-    def has_only(self, pool: str, version: Version, life_ms: int) -> bool:
-        """Check if a pool had only one version for a time.
+    def list_known(self, pool: str, within_ms: int) -> set[Version]:
+        """List the versions that a pool is known to have had.
 
         :param pool: name of the pool.
-        :param version: the version.
-        :param life_ms: the time in milliseconds.
-        :returns: whether no other version was listed, as far back as that.
+        :param within_ms: milliseconds before now.
+        :returns: the versions that were listed within that time.
         """
-        if self.complete_ms < life_ms:
-            return False
-        since_ms = self._clock.now_ms() - life_ms
-        return all(
-            known == version or listed_ms < since_ms
-            for known, listed_ms in self._last_listed_ms.get(pool, {}).items()
-        )
-
-    def _reported_since(self, now_ms: int) -> int:
-        if self._reported is None:
-            return now_ms
-        since_ms, reported_ms = self._reported
-        is_recent = now_ms - reported_ms <= _MAX_REPORT_AGE_MS
-        return since_ms if is_recent else now_ms
+        since_ms = self._clock.now_ms() - within_ms
+        return {
+            version
+            for version, listed_ms in self._last_listed_ms.get(pool, {}).items()
+            if listed_ms >= since_ms
+        }
+
+    def _retain_unnamed(self, retained: set[tuple[str, Version]]) -> None:
+        for pool, version in self.unnamed - retained:
+            self._unnamed[pool].remove(version)
+            self.has_new.set()
+
+    def _select_recent(
+        self, known: set[tuple[str, Version]]
+    ) -> set[tuple[str, Version]]:
+        recent = {
+            (pool, version)
+            for pool, version, age_ms in self.ages_ms
+            if age_ms <= _MAX_NAMED_MS
+        }
+        return known & recent
 
     def _forget_before(self, since_ms: int) -> None:
         for pool, versions in self._last_listed_ms.items():
--- a/wingfall/gateway/peers/gateway_peers.py
+++ b/wingfall/gateway/peers/gateway_peers.py
@@ -28,7 +28,11 @@
 from wingfall.gateway.peers.streams.stream_exchange import StreamExchange
 from wingfall.log import log_event
 from wingfall.wire.connection import Connection
-from wingfall.wire.gateway_messages import STREAMS_FEATURE, GatewayHello
+from wingfall.wire.gateway_messages import (
+    HISTORY_FEATURE,
+    STREAMS_FEATURE,
+    GatewayHello,
+)
 
 if TYPE_CHECKING:
     import socket
@@ -87,6 +91,7 @@
         is_watching: Callable[[], bool],
         is_stopping: Callable[[], bool],
         duties: DutyExchange | None = None,
+        announced: str = '',
     ) -> None:
         """Bind the address for peers.
 
@@ -104,6 +109,8 @@
         :param is_watching: whether this gateway receives the store's changes.
         :param is_stopping: whether a planned stop has begun.
         :param duties: exchanges data of the duties, None without duties.
+        :param announced: ``host:port`` that peers connect to, empty if they
+            connect to the address that this gateway listens on.
         """
         self._name = name
         self._incarnation = random.getrandbits(_INCARNATION_BITS)
@@ -141,8 +148,11 @@
         host, _colon, port = address.rpartition(':')
         self._server = StreamServer((host, int(port)), self._accept)
         self._server.init_socket()
-        self._address = f'{host}:{self._server.socket.getsockname()[1]}'
-        self._addresses = PeerAddresses(own=self._address, seeds=seeds)
+        listening = f'{host}:{self._server.socket.getsockname()[1]}'
+        self._address = announced or listening
+        self._addresses = PeerAddresses(
+            own=(self._address, listening), seeds=seeds
+        )
         self._view = PeerView(
             name=name,
             clock=clock,
@@ -160,6 +170,11 @@
         """Sorted names of the connected peers."""
         return sorted(self._sessions)
 
+    @property
+    def gateway_count(self) -> int:
+        """Number of gateways that are connected or known, with this one."""
+        return max(len(self._sessions), self._addresses.count) + 1
+
     @property
     def view(self) -> PeerView:
         """View of the peers, for the store watch and the lease."""
@@ -299,7 +314,7 @@
             known=self._addresses.sample(),
             zone=self._zone,
             incarnation=self._incarnation,
-            features=[STREAMS_FEATURE],
+            features=[STREAMS_FEATURE, HISTORY_FEATURE],
         )
 
 
--- a/wingfall/gateway/rules/streams/stream_log.py
+++ b/wingfall/gateway/rules/streams/stream_log.py
@@ -26,7 +26,7 @@
 class StreamLog:
     """Reports where streams continue, and why others can't."""
 
-    __slots__ = ('_clock', '_continued', '_metrics', '_refused')
+    __slots__ = ('_clock', '_continued', '_metrics', '_refused', '_unnamed')
 
     def __init__(self, *, clock: Clock, metrics: Metrics) -> None:
         """Create the log of a gateway that has continued no stream.
@@ -38,9 +38,14 @@
         self._metrics = metrics
         self._continued = LogLimit(clock=clock, per_second=_MAX_LINES_PER_S)
         self._refused = LogLimit(clock=clock, per_second=_MAX_LINES_PER_S)
+        self._unnamed = LogLimit(clock=clock, per_second=_MAX_LINES_PER_S)
 
     def note_found(
-        self, call: Call, origin: StreamOrigin, record: StreamRecord | None
+        self,
+        call: Call,
+        origin: StreamOrigin,
+        record: StreamRecord | None,
+        **fields: Any,
     ) -> None:
         """Report that the origin of a stream that is taken up was found.
 
@@ -48,6 +53,7 @@
         :param origin: the origin.
         :param record: its record, None if it follows from the pool's only
             version.
+        :param fields: what decided it, without a record.
         """
         known_from, age_ms = 'only version', None
         if record is not None:
@@ -61,6 +67,7 @@
             version=origin.version,
             known_from=known_from,
             age_ms=age_ms,
+            **fields,
         )
 
     def note_sent(
@@ -83,6 +90,22 @@
             engines=engine_count,
         )
 
+    def note_unnamed(self, call: Call, origin: StreamOrigin) -> None:
+        """Report that a stream began at a version that no other one may know.
+
+        :param call: the call.
+        :param origin: where the stream began.
+        """
+        self._count('unnamed_version')
+        self._log(
+            self._unnamed,
+            'A stream began at a version that the history does not name.',
+            call,
+            pool=origin.pool,
+            version=origin.version,
+            endpoint=origin.endpoint,
+        )
+
     def note_order(
         self,
         call: Call,
