Count no connection made after an answer's end as evidence for it

What callers could see: an answer without a length or chunks, cut by the end of its endpoint, counted as whole.

Cause: where an endpoint takes no connections, others to it that stay open for 0.3 s show that it runs. All that were open at the time of each look counted, also one made within the 0.3 s, which a later start at the same address accepts. It needs the end of an earlier connection to come late.

Now only connections that were open when the answer ended count, in agents too.

Evidence: test_connection_made_after_the_end_proves_nothing failed on the code before; it passes now.

--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -253,6 +253,31 @@
     assert not check.is_whole('r1', sockets.endpoint)
 
 
+def test_connection_made_after_the_end_proves_nothing(
+    check: AnswerEndCheck,
+    sockets: EndpointSockets,
+    connections: ConnectionCache,
+):
+    # Another endpoint may listen there since; the end of the first one's last
+    # connection is late.
+    address = sockets.listener.getsockname()
+    sockets.listener.close()
+    later: list[object] = []
+
+    def start_again() -> None:
+        later.append(socket.create_server(address))
+        later.append(
+            connections.acquire(
+                sockets.endpoint, timeout_ms=1000, allow_reuse=False
+            )
+        )
+        sockets.accepted.close()
+
+    gevent.spawn_later(0.1, start_again)
+    assert not check.is_whole('r1', sockets.endpoint)
+    assert len(later) == 2
+
+
 def test_unread_bytes_of_another_connection_prove_nothing(
     check: AnswerEndCheck, sockets: EndpointSockets
 ):
--- a/wingfall/agent/endpoint_client.py
+++ b/wingfall/agent/endpoint_client.py
@@ -15,6 +15,7 @@
 from wingfall.answer_evidence import PROOFS, EndEvidence, find_evidence
 from wingfall.clock import MS_PER_S
 from wingfall.errors import RunState
+from wingfall.tcp import is_readable
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -220,15 +221,13 @@
 
     def _find_evidence(self) -> EndEvidence:
         pool = self._pool
+        others = [each.sock for each in self._connections if each.is_open]
         return find_evidence(
             self._clock,
             functools.partial(probe_address, pool.host, pool.port),
-            self._has_open,
+            lambda: not all(map(is_readable, others)),
         )
 
-    def _has_open(self) -> bool:
-        return any(each.is_open for each in list(self._connections))
-
 
 def _fault(error: Exception, run: RunState) -> EndpointFault:
     message = f'the endpoint gave no answer: {type(error).__name__}'
--- a/wingfall/answer_evidence.py
+++ b/wingfall/answer_evidence.py
@@ -51,7 +51,8 @@
 
     :param clock: clock of this process.
     :param probe: opens a connection to the endpoint and watches it.
-    :param has_open: returns whether another connection to it is open.
+    :param has_open: returns whether another connection to it is still open
+        that was open when the answer ended.
     :returns: the evidence.
     """
     probes = (probe() for _number in range(_MAX_PROBES))
--- a/wingfall/gateway/endpoints/answer_end.py
+++ b/wingfall/gateway/endpoints/answer_end.py
@@ -96,10 +96,11 @@
         # address since.
         if self._has_stood_still(_MAX_UNREAD_MS):
             return EndEvidence.unknown_time
+        others = self._connections.list_open(endpoint.name)
         evidence = find_evidence(
             self._clock,
             lambda: probe_endpoint(endpoint),
-            lambda: self._connections.has_open(endpoint.name),
+            lambda: any(each.is_open for each in others),
         )
         # A later start under the same id may have answered the probe.
         if self._knowledge.incarnations.is_superseded(endpoint):
--- a/wingfall/gateway/endpoints/connection_cache.py
+++ b/wingfall/gateway/endpoints/connection_cache.py
@@ -90,15 +90,15 @@
         else:
             connection.close_when_delivered()
 
-    def has_open(self, name: str) -> bool:
-        """Check if any connection to an endpoint is open.
+    def list_open(self, name: str) -> list[EndpointConnection]:
+        """List the connections to an endpoint that are open.
 
         :param name: name of the endpoint.
-        :returns: whether one, idle or in use, is open and has no bytes to be
-            read; behind such bytes its end could not be seen.
+        :returns: those, idle or in use, that have no bytes to be read; behind
+            such bytes their end could not be seen.
         """
         observed = self._observed.get(name, ())
-        return any(each.is_open for each in list(observed))
+        return [each for each in list(observed) if each.is_open]
 
     def retain_only(self, listed: set[str]) -> None:
         """Close expired connections and those to unlisted endpoints.
