--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any, Final
 
+import gevent
 import pytest
 
 from standins.received_answer import ReceivedAnswer
@@ -12,10 +13,16 @@
 from tests.local_site import wait_until
 from tests.test_gateway_streams import PROMPT, parse_event_ids
 from wingfall.gateway.application import GatewayApplication
+from wingfall.gateway.configuration.stored_streams import encode_streams
 from wingfall.gateway.endpoints.connection_cache import ConnectionCache
 from wingfall.gateway.endpoints.endpoint_connection import EndpointConnection
-from wingfall.gateway.knowledge.stream_origins import make_stream_key
+from wingfall.gateway.knowledge.stream_origins import (
+    MIN_STREAM_LIFE_MS,
+    StreamRecord,
+    make_stream_key,
+)
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
+from wingfall.gateway.model.stream_origin import StreamOrigin
 
 VERSIONS: Final = ('v1', 'v2')
 # Callers that take up a stream by chance at its own version: one in 2^12.
@@ -176,6 +183,52 @@
     assert not any(server.runs for server in mixed_site.servers.values())
 
 
+def store_stream(site: GatewaySite, call_id: str, version: str) -> None:
+    """Leave a stream in the object of a gateway that has ended."""
+    record = StreamRecord(
+        origin=StreamOrigin(pool='engines', version=version),
+        began_ms=0,
+        expires_ms=MIN_STREAM_LIFE_MS,
+    )
+    key = make_stream_key('oslo', call_id)
+    site.store.put(
+        'wingfall-streams', 'gone', encode_streams([(key, record)], 0)
+    )
+
+
+def await_take_up(site: GatewaySite, gateway: int) -> None:
+    """Wait until a stream goes on at a gateway."""
+    wait_until(lambda: take_up(site, 's0', gateway=gateway).status == 200)
+
+
+@pytest.mark.parametrize('version', VERSIONS)
+def test_stream_that_no_gateway_knows_goes_on_as_the_store_tells(
+    mixed_site: GatewaySite, version: str
+):
+    connect_gateways(mixed_site, 2)
+    store_stream(mixed_site, 's0', version)
+    # Each gateway has read the store at its start and may soon do so again.
+    await_take_up(mixed_site, 0)
+    await_take_up(mixed_site, 1)
+    for number in range(CALLERS):
+        taken_up = take_up(mixed_site, 's0', gateway=number % 2)
+        assert version_of(taken_up) == version
+
+
+@pytest.mark.parametrize('script', [{'status': 429}, {'delay_ms': 5000}])
+def test_unknown_stream_is_refused_while_the_store_does_not_answer(
+    mixed_site: GatewaySite, script: dict[str, int]
+):
+    connect_gateways(mixed_site, 2)
+    store_stream(mixed_site, 's0', 'v1')
+    mixed_site.store.script = script
+    with gevent.Timeout(4):
+        answer = take_up(mixed_site, 's0')
+    assert b'stream_version_unknown' in answer.body
+    mixed_site.store.script = {}
+    await_take_up(mixed_site, 1)
+
+
 def test_stream_of_another_customer_is_not_found(mixed_site: GatewaySite):
     mixed_site.config['tenants'] = [
         {'name': 'oslo', 'api_keys': [API_KEY], 'priority': 1},
