Write the origins of streams at most twice a second

Half a second between two writes of a gateway still has half of the streams of a second in the store before they end, which is the share that the rule asks for.

Streams that may be asked for longer than the history of versions tells are no longer written for all that time after a start; after the end of all gateways those of a pool with one version stay unknown, as before.

--- a/wingfall/gateway/configuration/stream_history.py
+++ b/wingfall/gateway/configuration/stream_history.py
@@ -50,8 +50,9 @@
 _MIN_LIST_INTERVAL_MS: Final = 1000
 # Maximum delay of the attempts to use a store that fails.
 _MAX_RETRY_MS: Final = 8000
-# Minimum interval of the writes of one gateway.
-_MIN_WRITE_INTERVAL_MS: Final = 200
+# Minimum interval of the writes of one gateway: half of the streams of a second
+# are written before they end, and each call has its price.
+_MIN_WRITE_INTERVAL_MS: Final = 500
 # Streams that all gateways together keep: fewer than a gateway holds in memory,
 # and 0.8 MB, which a store takes as one object.
 _MAX_STREAMS: Final = 60_000
@@ -308,7 +309,8 @@
 
     def _is_needed(self, record: StreamRecord) -> bool:
         pool, version = record.origin.pool, record.origin.version
-        life_ms = record.expires_ms - record.began_ms
+        # Beyond that time the history of versions tells nothing.
+        life_ms = min(record.expires_ms - record.began_ms, KEPT_MS)
         if not self._versions.has_only(pool, version, life_ms):
             return True
         return self._versions.had_several(pool, _SEVERAL_MS)
