Keep a connection to a leaving endpoint whose answers have no length

What callers saw since answers without a length or chunks need evidence: those of an endpoint that announces its leaving, stops listening and then finishes what it runs were taken for cut. Streams that may not be resumed broke, requests that may not be repeated got 502, others ran twice.

Cause: such an endpoint accepts no new connection, so only another connection that stays open shows that it runs, and the gateway had one by chance.

Now, while an answer that ends with its connection is read, the gateway looks each 100 ms whether its endpoint has announced that it leaves, and then opens one connection on which it sends nothing, for all such answers until the last ends. If the endpoint is killed, that connection ends with the others, so the evidence stays as strict. The interval is far below the seconds of notice that endpoints give.

Not mended: an endpoint that exits at once after its last answers can't be told from one that was killed (0.3 s, or 50 ms if it listens); one that stops listening before the gateway has heard that it leaves, or closes idle connections.

--- a/standins/ending_endpoint.py
+++ b/standins/ending_endpoint.py
@@ -14,6 +14,7 @@
 import enum
 import os
 import random
+import select
 import signal
 import socket
 import struct
@@ -27,7 +28,10 @@
 _READ_BYTES: Final = 65_536
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 _HEAD_END: Final = b'\r\n\r\n'
+_OWN_PATH: Final = ' /wingfall/'
+_NOT_FOUND: Final = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 _LATER_S: Final = 1.0
+_POLL_S: Final = 0.005
 # Options that are numbers: pieces of an answer, milliseconds before each, the
 # piece before which it waits, and the most milliseconds that it waits longer.
 _NUMBERS: Final = MappingProxyType(
@@ -81,6 +85,7 @@
                 self._reset_all()
                 continue
             if self._chosen.deaf:
+                self._await_accepted()
                 self._listener.shutdown(socket.SHUT_RDWR)
                 self._listener.close()
             self._may_end.set()
@@ -95,6 +100,11 @@
                 target=self._serve, args=(sock,), daemon=True
             ).start()
 
+    def _await_accepted(self) -> None:
+        # A connection that waits to be accepted would be reset.
+        while select.select([self._listener], [], [], 0)[0]:
+            time.sleep(_POLL_S)
+
     def _serve(self, sock: socket.socket) -> None:
         try:
             headers = _read_headers(sock)
@@ -134,9 +144,7 @@
         sock.sendall(_make_head(chosen, headers, length, is_stream=is_stream))
         for number, piece in enumerate(pieces, first):
             if number == chosen.hold_before:
-                # The log shows that the answer has begun.
-                sys.stdout.write('holds\n')
-                sys.stdout.flush()
+                _log('holds')
                 self._may_end.wait()
                 spread_ms = random.Random(repr(headers)).random()
                 time.sleep(spread_ms * chosen.spread_ms / _MS)
@@ -157,6 +165,11 @@
             self._open.clear()
 
 
+def _log(event: str) -> None:
+    sys.stdout.write(f'{event}\n')
+    sys.stdout.flush()
+
+
 def _read_headers(sock: socket.socket) -> dict[str, str] | None:
     received = b''
     while _HEAD_END not in received:
@@ -165,7 +178,12 @@
             return None
         received += more
     head = received.partition(_HEAD_END)[0].decode('latin-1')
-    lines = (line.partition(':') for line in head.split('\r\n')[1:])
+    first, *rest = head.split('\r\n')
+    if _OWN_PATH in first:
+        # It keeps no prompts that a gateway may ask for.
+        sock.sendall(_NOT_FOUND)
+        return None
+    lines = (line.partition(':') for line in rest)
     return {name.lower(): text.strip() for name, _colon, text in lines}
 
 
--- a/tests/test_ends_of_answers.py
+++ b/tests/test_ends_of_answers.py
@@ -102,6 +102,12 @@
         health.note_unreachable(name)
         assert health.is_ejected(name)
 
+    def announce_leaving(self) -> None:
+        """Have the first endpoint leave, and wait until it is watched."""
+        self.put('first', 'draining')
+        connections = self._gateway._state.connections
+        wait_until(lambda: len(connections.list_open('first')) > 1)
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to an endpoint.
 
@@ -161,6 +167,12 @@
     kill(site)
 
 
+def kill_watched(site: EndingSite) -> None:
+    """Kill an endpoint that leaves and is watched."""
+    site.announce_leaving()
+    kill(site)
+
+
 def reset_leaving(site: EndingSite) -> None:
     """Reset the connections of an endpoint that leaves."""
     site.put('first', 'draining')
@@ -225,7 +237,15 @@
 @pytest.mark.parametrize('target', TARGETS)
 @pytest.mark.parametrize(
     'end',
-    [kill, reset, kill_leaving, reset_leaving, kill_removed, kill_ejected],
+    [
+        kill,
+        reset,
+        kill_leaving,
+        kill_watched,
+        reset_leaving,
+        kill_removed,
+        kill_ejected,
+    ],
 )
 def test_answer_without_length_cut_by_its_endpoint_is_not_complete(
     ending_site: EndingSite, target: str, end: Callable[[EndingSite], None]
@@ -257,17 +277,35 @@
     assert not (answer.whole and answer.status == 200)
 
 
+def check_whole(target: str, answer: ReceivedAnswer) -> None:
+    """Check that the first endpoint's answer came whole."""
+    assert answer.whole
+    assert answer.status == 200
+    assert answer.headers['x-response-seal'] == 'seal.first'
+    if target in {'/stream/x', '/oneway/x'}:
+        assert parse_event_ids(answer.body) == ALL_EVENTS
+    else:
+        assert count_lines(answer) == PIECES
+
+
 def receive_ended(
-    site: EndingSite, target: str, framing: Framing, ending: Ending
+    site: EndingSite,
+    target: str,
+    framing: Framing,
+    ending: Ending,
+    *options: str,
 ) -> ReceivedAnswer:
     """Return an answer of an endpoint that leaves and then ends by itself."""
     hold = ('--hold-before', str(HOLD_BEFORE), '--ending', ending)
-    site.start('first', target, '--framing', framing, *hold)
+    site.start('first', target, '--framing', framing, *hold, *options)
     site.start('second', target, '--framing', framing)
     site.put('first')
     caller = site.begin(target)
     site.put('second')
-    site.put('first', 'draining')
+    if framing is Framing.none:
+        site.announce_leaving()
+    else:
+        site.put('first', 'draining')
     site.signal('first', signal.SIGUSR1)
     return caller.receive()
 
@@ -287,13 +325,18 @@
     ending_site: EndingSite, target: str, framing: Framing, ending: Ending
 ):
     answer = receive_ended(ending_site, target, framing, ending)
-    assert answer.whole
-    assert answer.status == 200
-    assert answer.headers['x-response-seal'] == 'seal.first'
-    if target in {'/stream/x', '/oneway/x'}:
-        assert parse_event_ids(answer.body) == ALL_EVENTS
-    else:
-        assert count_lines(answer) == PIECES
+    check_whole(target, answer)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize('target', TARGETS)
+def test_answer_of_an_endpoint_that_stops_listening_first_is_complete(
+    ending_site: EndingSite, target: str
+):
+    answer = receive_ended(
+        ending_site, target, Framing.none, Ending.exits_later, '--deaf'
+    )
+    check_whole(target, answer)
 
 
 @pytest.mark.processes
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -9,6 +9,7 @@
 from wingfall.gateway.endpoints.connection_cache import ConnectionCache
 from wingfall.gateway.endpoints.crash_detector import CrashDetector
 from wingfall.gateway.endpoints.endpoint_ends import EndpointEnds
+from wingfall.gateway.endpoints.leaving_watch import LeavingWatch
 from wingfall.gateway.endpoints.sending_gate import SendingGate
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.knowledge.full_gaps import FullGaps
@@ -116,5 +117,6 @@
                 knowledge=knowledge,
                 metrics=metrics,
             ),
+            leavings=LeavingWatch(connections=connections, knowledge=knowledge),
         ),
     )
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -32,6 +32,8 @@
 from wingfall.gateway.model.binding import AttemptRequest
 
 if TYPE_CHECKING:
+    from contextlib import AbstractContextManager
+
     from wingfall.gateway.calls.destination import Destination
     from wingfall.gateway.calls.reply import Reply
     from wingfall.gateway.endpoints.connection_cache import ConnectionCache
@@ -77,6 +79,7 @@
         '_order',
         '_reply',
         '_sent_ms',
+        '_watch_leaving',
     )
 
     def __init__(
@@ -93,6 +96,7 @@
         on_signals: Callable[[AnswerSignals, int], None],
         on_incomplete: Callable[[IncompleteRequest], None],
         may_send: Callable[[], bool],
+        watch_leaving: Callable[[], AbstractContextManager[None]],
         is_whole: Callable[[], bool],
     ) -> None:
         """Create an attempt that is not sent yet.
@@ -110,6 +114,8 @@
         :param on_incomplete: called if the endpoint won't receive the whole
             request.
         :param may_send: checks if the endpoint may serve the call now.
+        :param watch_leaving: watches the endpoint while an answer is read that
+            ends with its connection.
         :param is_whole: checks if an answer is complete that has ended with its
             connection.
         """
@@ -124,6 +130,7 @@
         self._on_signals = on_signals
         self._on_incomplete = on_incomplete
         self._may_send = may_send
+        self._watch_leaving = watch_leaving
         self._is_whole = is_whole
         self._sent_ms = 0
         self._connection: EndpointConnection | None = None
@@ -205,6 +212,17 @@
         # any answer that it needs relief, and all gateways must receive that.
         self._on_signals(head.signals, self._sent_ms)
         self._note_keep_alive(headers)
+        if not _ends_with_connection(self._call.head.method, response):
+            return self._read_body(response, head, limits)
+        with self._watch_leaving():
+            return self._read_body(response, head, limits)
+
+    def _read_body(
+        self,
+        response: h11.Response,
+        head: AnswerHead,
+        limits: AttemptLimits,
+    ) -> AttemptOutcome:
         if _is_stream(response):
             return self._read_stream(response, limits)
         if self._reply.started:
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -266,6 +266,9 @@
             may_send=functools.partial(
                 may_serve, state, self._call, destination.endpoint
             ),
+            watch_leaving=functools.partial(
+                state.ends.leavings.watch, destination.endpoint
+            ),
             is_whole=functools.partial(
                 state.ends.answers.is_whole,
                 self._call.call_id,
--- a/wingfall/gateway/endpoints/connection_cache.py
+++ b/wingfall/gateway/endpoints/connection_cache.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import weakref
-from typing import TYPE_CHECKING, final
+from typing import TYPE_CHECKING, Final, final
 
 from wingfall.gateway.endpoints.endpoint_connection import (
     EndpointWithheldError,
@@ -23,6 +23,9 @@
     from wingfall.gateway.endpoints.sending_gate import SendingGate
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 
+# Several round trips between availability zones.
+_IDLE_CONNECT_TIMEOUT_MS: Final = 300
+
 
 @final
 class ConnectionCache:
@@ -73,6 +76,15 @@
             raise EndpointWithheldError(withheld)
         return connection
 
+    def connect_idle(self, endpoint: PoolEndpoint) -> EndpointConnection:
+        """Return a new connection on which no request is sent.
+
+        :param endpoint: endpoint to connect to.
+        :returns: a connection, owned by the caller.
+        :raises NotConnectedError: if the connection can't be established.
+        """
+        return self._connect(endpoint, _IDLE_CONNECT_TIMEOUT_MS)
+
     def release(
         self,
         endpoint: PoolEndpoint,
@@ -129,6 +141,11 @@
             if connection.is_reusable:
                 return connection
             connection.close()
+        return self._connect(endpoint, timeout_ms)
+
+    def _connect(
+        self, endpoint: PoolEndpoint, timeout_ms: int
+    ) -> EndpointConnection:
         connection = connect(endpoint, self._clock, timeout_ms)
         observed = self._observed.setdefault(endpoint.name, weakref.WeakSet())
         observed.add(connection)
--- a/wingfall/gateway/endpoints/endpoint_ends.py
+++ b/wingfall/gateway/endpoints/endpoint_ends.py
@@ -7,21 +7,28 @@
 if TYPE_CHECKING:
     from wingfall.gateway.endpoints.answer_end import AnswerEndCheck
     from wingfall.gateway.endpoints.crash_detector import CrashDetector
+    from wingfall.gateway.endpoints.leaving_watch import LeavingWatch
 
 
 @final
 class EndpointEnds:
     """Whether an endpoint has crashed, and whether its answer is complete."""
 
-    __slots__ = ('answers', 'crashes')
+    __slots__ = ('answers', 'crashes', 'leavings')
 
     def __init__(
-        self, *, answers: AnswerEndCheck, crashes: CrashDetector
+        self,
+        *,
+        answers: AnswerEndCheck,
+        crashes: CrashDetector,
+        leavings: LeavingWatch,
     ) -> None:
-        """Combine both checks.
+        """Combine the checks.
 
         :param answers: checks answers that end with their connection.
         :param crashes: detects endpoints that crash.
+        :param leavings: watches leaving endpoints that still answer.
         """
         self.answers = answers
         self.crashes = crashes
+        self.leavings = leavings
