--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -14,6 +14,7 @@
 from wingfall.gateway.assembly import make_state
 from wingfall.gateway.callers.caller_connection import CallerConnection
 from wingfall.gateway.rules.placement.endpoint_choice import placements
+from wingfall.loop_lag import LoopLag
 from wingfall.metrics import Metrics
 
 if TYPE_CHECKING:
@@ -41,7 +42,9 @@
 ) -> CallerConnection:
     """Return a connection of a gateway without a configuration."""
     settings = gateway_site.parse(gateway_site.settings())
-    state = make_state(settings, clock, Metrics())
+    metrics = Metrics()
+    lag = LoopLag(clock=clock, metrics=metrics)
+    state = make_state(settings, clock, metrics, lag)
     return CallerConnection(sock=sockets[1], state=state)
 
 
--- a/wingfall/gateway/assembly.py
+++ b/wingfall/gateway/assembly.py
@@ -10,6 +10,7 @@
 from wingfall.gateway.endpoints.crash_detector import CrashDetector
 from wingfall.gateway.endpoints.endless_answers import EndlessAnswers
 from wingfall.gateway.endpoints.endpoint_ends import EndpointEnds
+from wingfall.gateway.endpoints.leaving_watch import LeavingWatch
 from wingfall.gateway.endpoints.sending_gate import SendingGate
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.knowledge.full_gaps import FullGaps
@@ -118,5 +119,6 @@
                 metrics=metrics,
             ),
             endless=EndlessAnswers(clock=clock, metrics=metrics),
+            leavings=LeavingWatch(connections=connections, knowledge=knowledge),
         ),
     )
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -34,6 +34,8 @@
 from wingfall.gateway.model.binding import AttemptRequest
 
 if TYPE_CHECKING:
+    from contextlib import AbstractContextManager
+
     from wingfall.gateway.calls.destination import Destination
     from wingfall.gateway.calls.reply import Reply
     from wingfall.gateway.endpoints.answer_buffer import AnswerMemory
@@ -81,6 +83,7 @@
         '_order',
         '_reply',
         '_sent_ms',
+        '_watch_leaving',
     )
 
     def __init__(
@@ -97,6 +100,7 @@
         on_signals: Callable[[AnswerSignals, int], None],
         on_incomplete: Callable[[IncompleteRequest], None],
         may_send: Callable[[], bool],
+        watch_leaving: Callable[[], AbstractContextManager[None]],
         is_whole: Callable[[], bool],
         memory: AnswerMemory,
     ) -> None:
@@ -115,6 +119,8 @@
         :param on_incomplete: called if the endpoint won't receive the whole
             request.
         :param may_send: checks if the endpoint may serve the call now.
+        :param watch_leaving: watches the endpoint while an answer is read that
+            ends with its connection.
         :param is_whole: checks if an answer is complete that has ended with its
             connection.
         :param memory: memory that the answers of all attempts share.
@@ -130,6 +136,7 @@
         self._on_signals = on_signals
         self._on_incomplete = on_incomplete
         self._may_send = may_send
+        self._watch_leaving = watch_leaving
         self._is_whole = is_whole
         self._memory = memory
         self._sent_ms = 0
@@ -215,6 +222,17 @@
         # any answer that it needs relief, and all gateways must receive that.
         self._on_signals(head.signals, self._sent_ms)
         self._note_keep_alive(headers)
+        if not _ends_with_connection(self._call.head.method, response):
+            return self._read_answer(response, head, limits)
+        with self._watch_leaving():
+            return self._read_answer(response, head, limits)
+
+    def _read_answer(
+        self,
+        response: h11.Response,
+        head: AnswerHead,
+        limits: AttemptLimits,
+    ) -> AttemptOutcome:
         if _is_stream(response):
             return self._read_stream(response, limits)
         if self._reply.started:
