Log a leaving endpoint that takes no connection to watch it

Cause: the failed connect of LeavingWatch left no line, so that a log with evidence=ended did not tell whether the endpoint had been watched.

tests/test_leaving_watch.py, test_docs.py and test_imports.py pass.

--- a/wingfall/gateway/endpoints/leaving_watch.py
+++ b/wingfall/gateway/endpoints/leaving_watch.py
@@ -14,6 +14,7 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.gateway.endpoints.endpoint_connection import NotConnectedError
+from wingfall.log import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -100,5 +101,11 @@
     def _connect(self, endpoint: PoolEndpoint) -> EndpointConnection | None:
         try:
             return self._connections.connect_idle(endpoint)
-        except NotConnectedError:
+        except NotConnectedError as error:
+            log_event(
+                'dispatch',
+                'A leaving endpoint takes no connection to watch it.',
+                endpoint=endpoint.name,
+                reason=str(error),
+            )
             return None
