--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,8 +4,10 @@
 
 import socket
 
-from returns.result import Failure
+from returns.result import Failure, Success
 
+from standins.object_store import ObjectStoreStandIn
+from standins.serving import start_server
 from wingfall.metrics import Metrics
 from wingfall.platform.store import HttpObjectStore
 
@@ -25,3 +27,22 @@
         read = store.watch(5, brief=True, progress=lambda: None)
     assert isinstance(read, Failure)
     assert read.failure().status == 0
+
+
+def test_object_that_has_changed_is_not_removed():
+    standin = ObjectStoreStandIn()
+    server = start_server(standin.app)
+    store = HttpObjectStore(
+        address=f'127.0.0.1:{server.port}',
+        kind='own',
+        timeout_ms=5000,
+        wait_ms=LONG_WAIT_MS,
+        metrics=Metrics(),
+    )
+    earlier = store.write('a', {'text': 'one'}, None).unwrap()
+    later = store.write('a', {'text': 'two'}, earlier.revision).unwrap()
+    assert store.remove('a', earlier.revision).failure().status == 409
+    assert store.read('a').unwrap() is not None
+    assert store.remove('a', later.revision) == Success(None)
+    assert store.read('a').unwrap() is None
+    server.stop()
--- a/tests/test_stream_history.py
+++ b/tests/test_stream_history.py
@@ -222,6 +222,17 @@
     assert not store.writes
 
 
+@pytest.mark.parametrize(('since_ms', 'written'), [(60_000, 1), (130_000, 0)])
+def test_streams_are_written_for_a_while_after_the_second_version_left(
+    store: StoreStandIn, clock: ManualClock, since_ms: int, written: int
+):
+    gateway = GatewayStandIn(store=store, clock=clock)
+    follow(gateway.versions, clock, {'one': 'v1'}, since_ms)
+    gateway.begin('s')
+    gateway.run()
+    assert store.writes == written
+
+
 def test_streams_are_written_while_other_versions_may_have_been_missed(
     store: StoreStandIn, clock: ManualClock
 ):
