Prove no answer by an address after an agent stood still

What callers saw: an answer without a length or chunks that the end of its endpoint cut off could count as whole, if the agent stood still meanwhile and anything listened at the endpoint's address once it went on.

Cause: the gateway refuses such evidence since; the agent, which looks for the same evidence, did not ask whether it had stood still. The question moves into the function that both use.

Evidence: tests/test_endpoint_client.py test_address_proves_no_answer_after_the_agent_stood_still failed on the code before (without its new parameter): pieces [True] in the place of [True, False], the address was bound again before the end was read. It passes now; the eight other tests of the file and those of the gateway's check too.

--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Iterator
 
+import gevent
 import pytest
 from returns.result import Success
 
 from standins.pool_server import PoolServerStandIn
 from standins.prompt_crash import PromptCrash
 from wingfall.agent.endpoint_client import EndpointAnswer, EndpointClient
-from wingfall.clock import Clock
+from wingfall.clock import Clock, ManualClock
+from wingfall.loop_lag import LoopLag
+from wingfall.metrics import Metrics
 from wingfall.wire.call_messages import Run
 
 LONG_BYTES = 4_000_000
@@ -32,6 +36,7 @@
         slots=1,
         connect_ms=300,
         idle_ms=idle_ms,
+        has_stood_still=lambda within_ms: False,
     )
 
 
@@ -115,3 +120,37 @@
     server.stop()
     assert all(isinstance(piece, Success) for piece in ended.pieces())
     kept.close()
+
+
+def send_part_and_start_again(listener: socket.socket) -> socket.socket:
+    """Send part of an answer, end, and listen at the same address again."""
+    address = listener.getsockname()
+    accepted = listener.accept()[0]
+    accepted.recv(65_536)
+    accepted.sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
+    listener.close()
+    accepted.close()
+    return socket.create_server(address)
+
+
+def test_address_proves_no_answer_after_the_agent_stood_still(
+    clock: ManualClock,
+):
+    listener = socket.create_server(('127.0.0.1', 0))
+    host, port = listener.getsockname()
+    lag = LoopLag(clock=clock, metrics=Metrics())
+    restarting = gevent.spawn(send_part_and_start_again, listener)
+    client = EndpointClient(
+        clock=Clock(),
+        url=f'http://{host}:{port}',
+        slots=1,
+        connect_ms=300,
+        idle_ms=5000,
+        has_stood_still=lag.has_stood_still,
+    )
+    answer = client.open(make_run(body=b'')).unwrap()
+    later = restarting.get()
+    clock.advance(3000)
+    pieces = list(answer.pieces())
+    assert [isinstance(piece, Success) for piece in pieces] == [True, False]
+    later.close()
--- a/wingfall/agent/application.py
+++ b/wingfall/agent/application.py
@@ -26,6 +26,7 @@
 
     from wingfall.agent.call import Call
     from wingfall.agent.session import Session
+    from wingfall.loop_lag import LoopLag
 
 _TICK_MS = 20
 
@@ -67,7 +68,7 @@
         )
         self._calls = CallTable(
             clock=clock,
-            client=_make_client(settings, clock),
+            client=_make_client(settings, clock, self._lag),
             pace=self._pace,
             estimates=self._gate.estimates,
             keys=KeyTable(
@@ -231,11 +232,14 @@
     )
 
 
-def _make_client(settings: SimpleNamespace, clock: Clock) -> EndpointClient:
+def _make_client(
+    settings: SimpleNamespace, clock: Clock, lag: LoopLag
+) -> EndpointClient:
     return EndpointClient(
         clock=clock,
         url=settings.endpoint.url,
         slots=settings.endpoint.slots,
         connect_ms=settings.endpoint.connect_ms,
         idle_ms=settings.endpoint.idle_ms,
+        has_stood_still=lag.has_stood_still,
     )
--- a/wingfall/agent/endpoint_client.py
+++ b/wingfall/agent/endpoint_client.py
@@ -141,6 +141,7 @@
         '_clock',
         '_connect_s',
         '_connections',
+        '_has_stood_still',
         '_idle_s',
         '_pool',
         '_prefix',
@@ -154,6 +155,7 @@
         slots: int,
         connect_ms: int,
         idle_ms: int,
+        has_stood_still: Callable[[int], bool],
     ) -> None:
         """Set up the client; no connection is made yet.
 
@@ -162,8 +164,11 @@
         :param slots: connections to keep.
         :param connect_ms: bound of a connect.
         :param idle_ms: longest silence of a call.
+        :param has_stood_still: returns whether this process stood still within
+            some milliseconds before now.
         """
         self._clock = clock
+        self._has_stood_still = has_stood_still
         self._connections: weakref.WeakSet[EndpointHttpConnection] = (
             weakref.WeakSet()
         )
@@ -226,6 +231,7 @@
             self._clock,
             functools.partial(probe_address, pool.host, pool.port),
             lambda: not all(map(is_readable, others)),
+            self._has_stood_still,
         )
 
 
--- a/wingfall/answer_evidence.py
+++ b/wingfall/answer_evidence.py
@@ -23,6 +23,9 @@
 # Milliseconds after which the end of a connection has arrived even if its first
 # packet was lost: the kernel sends it again after 200 ms and a round trip.
 _MAX_END_DELAY_MS: Final = 300
+# Milliseconds within which the ends of connections are read that arrived while
+# the process stood still.
+_MAX_UNREAD_MS: Final = 1000
 # Interval of the checks for connections that are still open.
 _POLL_INTERVAL_MS: Final = 20
 
@@ -46,6 +49,7 @@
     clock: Clock,
     probe: Callable[[], ProbeResult],
     has_open: Callable[[], bool],
+    has_stood_still: Callable[[int], bool],
 ) -> EndEvidence:
     """Look for evidence that an endpoint still runs.
 
@@ -53,8 +57,14 @@
     :param probe: opens a connection to the endpoint and watches it.
     :param has_open: returns whether another connection to it is still open
         that was open when the answer ended.
+    :param has_stood_still: returns whether this process stood still within some
+        milliseconds before now.
     :returns: the evidence.
     """
+    # The answer may have ended long ago, and another endpoint may have the
+    # address since.
+    if has_stood_still(_MAX_UNREAD_MS):
+        return EndEvidence.unknown_time
     probes = (probe() for _number in range(_MAX_PROBES))
     answered = (each for each in probes if each is not ProbeResult.silent)
     probed = next(answered, ProbeResult.silent)
--- a/wingfall/gateway/endpoints/answer_end.py
+++ b/wingfall/gateway/endpoints/answer_end.py
@@ -20,9 +20,6 @@
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
     from wingfall.metrics import Metrics
 
-# Milliseconds within which the ends of connections are read that arrived while
-# the process stood still.
-_MAX_UNREAD_MS: Final = 1000
 # Maximum lines per second. The end of a busy endpoint ends some hundred
 # answers at once.
 _MAX_LINES_PER_S: Final = 50
@@ -92,15 +89,12 @@
         return is_whole
 
     def _find_evidence(self, endpoint: PoolEndpoint) -> EndEvidence:
-        # The answer may have ended long ago, and another endpoint may have the
-        # address since.
-        if self._has_stood_still(_MAX_UNREAD_MS):
-            return EndEvidence.unknown_time
         others = self._connections.list_open(endpoint.name)
         evidence = find_evidence(
             self._clock,
             lambda: probe_endpoint(endpoint),
             lambda: any(each.is_open for each in others),
+            self._has_stood_still,
         )
         # A later start under the same id may have answered the probe.
         if self._knowledge.incarnations.is_superseded(endpoint):
