Name a version again that another writer dropped from the history

What callers saw: nothing yet on this code. Beside gateways of the last landing (an upgrade), a stream of a version that the object no longer names could be taken up, at a gateway out of step, by "only version" of another one.

Cause: a writer of that has not heard of a new version removes it from the object, and tells nobody what it wrote. The writers of this code read the object only while they know a version that is not named, so they took it for named until something else changed.

Now the writers read it again, at most each 8 s, while a pool had several versions within the time that the object tells of. With one version a drop can only lead to a refusal, so that quiet times cost no read.

Evidence: tests/test_version_history.py test_version_that_another_writer_dropped_is_named_again failed on the code before: the object still named v1 alone after 20 s.

--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -320,6 +320,20 @@
     assert read(store)['pools'] == {'engines': ['v1', 'v2']}
 
 
+def test_version_that_another_writer_dropped_is_named_again(
+    store: StoreStandIn, clock: ManualClock
+):
+    # As a gateway of an earlier release does, which tells nobody.
+    versions = PoolVersions(clock=clock)
+    follow(versions, clock, {'one': 'v1', 'two': 'v2'}, 0)
+    running = gevent.spawn(make_history(store, versions).run, Event())
+    wait_until(lambda: store.writes == 1)
+    spec = {'complete_ms': 0, 'pools': {'engines': ['v1']}}
+    store.write('pools', spec, 1)
+    wait_until(lambda: read(store)['pools'] == {'engines': ['v1', 'v2']})
+    running.kill()
+
+
 def test_version_is_not_named_while_the_store_refuses_writes(
     store: StoreStandIn, clock: ManualClock
 ):
--- a/wingfall/gateway/configuration/version_history.py
+++ b/wingfall/gateway/configuration/version_history.py
@@ -159,7 +159,9 @@
 
     def _read_if_due(self) -> None:
         now_ms = self._clock.now_ms()
-        if not self._versions.unnamed:
+        # A gateway of an earlier release may drop a version, and tells nobody.
+        may_lack = self._versions.has_several and self._may_write()
+        if not self._versions.unnamed and not may_lack:
             self._read_due_ms = None
             self._backoff.reset()
         elif self._read_due_ms is None:
--- a/wingfall/gateway/knowledge/pool_versions.py
+++ b/wingfall/gateway/knowledge/pool_versions.py
@@ -84,6 +84,14 @@
             for version in versions
         }
 
+    @property
+    def has_several(self) -> bool:
+        """Whether a pool had several versions within ``KEPT_MS``."""
+        return any(
+            len(self.list_known(pool, KEPT_MS)) > 1
+            for pool in self._last_listed_ms
+        )
+
     @property
     def awaits_history(self) -> bool:
         """Whether a pool has several versions, and the history is unknown."""
