Show what the checks of streams and of ends of answers miss

- Where no usable version is named (the store refuses writes, the only named version leaves), streams begin at one that no store names.
A gateway that heard of no change, and reads the history, continues them at the version that is named: 200 where 503 is due.
- An endpoint that refuses connections is taken to live on if any other connection to it stays open for 300 ms.
The end of a connection whose packet was lost twice comes after some 600 ms.
- At 298 gateways each reads the history every 1,490 ms, and a call waits for 500 ms: two of four calls in turn get no reading.

--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -253,6 +253,15 @@
     assert not check.is_whole('r1', sockets.endpoint)
 
 
+def test_end_of_another_connection_that_was_lost_twice_is_awaited(
+    check: AnswerEndCheck, sockets: EndpointSockets
+):
+    # Sent again after 200 ms, and 400 ms after that.
+    sockets.listener.close()
+    gevent.spawn_later(0.65, sockets.accepted.close)
+    assert not check.is_whole('r1', sockets.endpoint)
+
+
 def test_connection_made_after_the_end_proves_nothing(
     check: AnswerEndCheck,
     sockets: EndpointSockets,
--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -15,6 +15,7 @@
 from tests.test_gateway_streams import PROMPT, parse_event_ids
 from wingfall.clock import Clock
 from wingfall.gateway.application import GatewayApplication
+from wingfall.gateway.configuration.replica import ObjectReplica
 from wingfall.gateway.configuration.stored_streams import encode_streams
 from wingfall.gateway.endpoints.connection_cache import ConnectionCache
 from wingfall.gateway.endpoints.endpoint_connection import EndpointConnection
@@ -23,8 +24,10 @@
     StreamRecord,
     make_stream_key,
 )
+from wingfall.gateway.model.object_store import StoreResponse
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 from wingfall.gateway.model.stream_origin import StreamOrigin
+from wingfall.gateway.peers.peer_dialer import PeerDialer
 from wingfall.wire.stream_messages import StreamFetch, VersionsListed
 
 VERSIONS: Final = ('v1', 'v2')
@@ -586,6 +589,39 @@
     assert decisions['unnamed_version'] == 1
 
 
+def cut_off(
+    gateway: GatewayApplication, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Have a gateway hear of no change, while it can read the history."""
+    apply_changes = ObjectReplica.apply_changes
+
+    def apply_unless_cut_off(
+        replica: ObjectReplica, response: StoreResponse
+    ) -> None:
+        if replica not in gateway._replicas:
+            apply_changes(replica, response)
+
+    monkeypatch.setattr(ObjectReplica, 'apply_changes', apply_unless_cut_off)
+    monkeypatch.setattr(PeerDialer, '_dial', lambda *_named: None)
+    gateway._peers.stop()
+
+
+def test_stream_that_began_at_an_unnamed_version_is_not_joined_with_another(
+    stale_site: GatewaySite, monkeypatch: pytest.MonkeyPatch
+):
+    late = stale_site.add_gateway()
+    wait_until(lambda: known_endpoints(late).usable('engines'))
+    wait_until(lambda: late._state.knowledge.versions.record)
+    cut_off(late, monkeypatch)
+    add_unnamed_engine(stale_site, 'v2')
+    stale_site.put_server('e0', 'engines', 'draining')
+    first = stale_site.gateways[0]
+    wait_until(lambda: len(known_endpoints(first).usable('engines')) == 1)
+    assert version_of(begin_stream(stale_site, 's0')) == 'v2'
+    first.close()
+    assert take_up(stale_site, 's0', gateway=1).status == 503
+
+
 def test_gateway_learns_from_the_writer_which_versions_are_named(
     gateway_site: GatewaySite,
 ):
--- a/tests/test_version_reader.py
+++ b/tests/test_version_reader.py
@@ -16,6 +16,8 @@
 from wingfall.gateway.model.version_record import VersionReading, parse_record
 
 _TIMEOUT_MS: Final = 10_000
+# For how long a call that takes a stream up waits for the store.
+_CALL_WAIT_MS: Final = 500
 
 
 @final
@@ -98,6 +100,12 @@
     assert clock.now_ms() - began_ms > 1400
 
 
+def test_call_at_one_of_many_gateways_is_served_within_its_wait():
+    reader = make_reader(SlowStore(), gateways=298)
+    readings = [reader.read(_CALL_WAIT_MS) for _call in range(4)]
+    assert all(readings)
+
+
 def test_store_that_is_away_is_not_asked_by_each_call():
     store = SlowStore()
     store.is_away = True
