--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -143,6 +143,7 @@
     drain(engine_site, other)
     # The second stream, at the same engine, goes on after the end of the first.
     gevent.sleep(EVENTS * EVENT_MS / 1000 * 0.7)
+    server.events = 2 * EVENTS
     callers[1].send('/oneway/x', method='POST', X_Attempt_Id='a2', **PROMPT)
     wait_until(lambda: len(server.runs) == 2)
     server.stop()
