Kill all gateways only once streams have begun, in their test

The setup of test_streams_go_on_at_their_version_after_the_end_of_all_gateways waited for a second, in which a busy machine begins no stream (0 or 6 of the 12 that are judged, 7 of 22 runs of the review at load average 15 to 21). It waits for the streams now, and half a second more; what is judged stays. Five runs at load average 15 pass.

--- a/tests/test_streams_of_two_versions.py
+++ b/tests/test_streams_of_two_versions.py
@@ -8,6 +8,7 @@
 import gevent
 import pytest
 
+from tools.fleet import wait_for
 from tools.soak.faults import kill_gateway
 from tools.soak.resuming_callers import ResumingCallers
 from tools.soak.site import Server, SoakSite
@@ -113,14 +114,19 @@
     site: SoakSite,
 ):
     def slow(server: Server) -> None:
-        server.standin.event_ms = 300
+        server.standin.event_ms = 400
 
     site.arm = slow
     for server in site.servers:
         slow(server)
     traffic = Traffic(site=site, seed=SEED, callers=0)
     running = begin_streams(site, traffic)
-    gevent.sleep(1)
+    wait_for(
+        lambda: count_with_events(traffic.outcomes) >= MIN_JUDGED,
+        'streams to begin',
+    )
+    # Longer than a gateway takes to write their origins.
+    gevent.sleep(0.5)
     kill_gateways_beside_release(site, random.Random(SEED), 0)
     firsts = [each.get() for each in running]
     broken = [each for each in firsts if each.events and not each.whole]
