--- a/wingfall/answer_evidence.py
+++ b/wingfall/answer_evidence.py
@@ -20,9 +20,9 @@
 
 # Probes of an endpoint that gives no answer; a packet of one may be lost.
 _MAX_PROBES: Final = 3
-# Milliseconds after which the end of a connection has arrived even if its packet
-# was lost twice: the kernel sends it again after 200 ms and a round trip, and
-# once more after twice that time.
+# Milliseconds after which the end of a connection has arrived even if its
+# packet was lost twice: the kernel sends it again after 200 ms and a round
+# trip, and once more after twice that time.
 _MAX_END_DELAY_MS: Final = 700
 # Milliseconds within which the ends of connections are read that arrived while
 # the process stood still.
