Take a connection with unread bytes for neither open nor ended

What callers saw: a complete answer without a length or chunks was cut, or answered 502, where its endpoint had stopped listening and still sent another stream to the same gateway.

Cause: whether such an endpoint outlives its answer is looked up every 20 ms at its other connections. One with bytes to be read counted as not open, and if no other was open at that look, as ended: an event of the other stream that had just arrived sufficed.

Now a connection is open, unread or ended. Only an end that was received counts against the endpoint. Bytes may hide an end, so that they prove nothing, and after 0.7 s another 0.2 s are granted to the reader; the evidence is then `unread`. Agents use the same function.

--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -30,6 +30,8 @@
 EVENTS: Final = 6
 EVENT_MS: Final = 100
 MAX_CONNECTIONS: Final = 10
+READ_DELAY_S: Final = 0.05
+EVENTS_OF_OTHER_STREAM: Final = 20
 ALL_EVENTS: Final = list(range(1, EVENTS + 1))
 
 
@@ -170,6 +172,14 @@
         for _connection in range(MAX_CONNECTIONS):
             self.listener.accept()[0].close()
 
+    def receive_events(self) -> None:
+        """Send events on the connection, and read each a moment later."""
+        for _event in range(EVENTS_OF_OTHER_STREAM):
+            self.accepted.sendall(b'x')
+            gevent.sleep(READ_DELAY_S)
+            self.connection._socket.recv(1)
+            gevent.sleep(READ_DELAY_S)
+
     def close(self) -> None:
         """Close all sockets."""
         self.connection.close()
@@ -297,6 +307,16 @@
     assert not check.is_whole('r1', sockets.endpoint)
 
 
+def test_connection_whose_bytes_are_read_outlives_the_answer(
+    check: AnswerEndCheck, sockets: EndpointSockets
+):
+    # Events of another stream arrive and are read meanwhile.
+    sockets.listener.close()
+    reading = gevent.spawn(sockets.receive_events)
+    assert check.is_whole('r1', sockets.endpoint)
+    reading.kill()
+
+
 def test_later_start_of_an_endpoint_proves_nothing_of_the_earlier_one(
     check: AnswerEndCheck,
     sockets: EndpointSockets,
--- a/wingfall/agent/endpoint_client.py
+++ b/wingfall/agent/endpoint_client.py
@@ -15,7 +15,7 @@
 from wingfall.answer_evidence import PROOFS, EndEvidence, find_evidence
 from wingfall.clock import MS_PER_S
 from wingfall.errors import RunState
-from wingfall.tcp import is_readable
+from wingfall.tcp import read_state
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -226,11 +226,11 @@
 
     def _find_evidence(self) -> EndEvidence:
         pool = self._pool
-        others = [each.sock for each in self._connections if each.is_open]
+        others = [each.sock for each in self._connections if not each.has_ended]
         return find_evidence(
             self._clock,
             functools.partial(probe_address, pool.host, pool.port),
-            lambda: not all(map(is_readable, others)),
+            lambda: list(map(read_state, others)),
             self._has_stood_still,
         )
 
--- a/wingfall/agent/endpoint_http.py
+++ b/wingfall/agent/endpoint_http.py
@@ -6,7 +6,7 @@
 
 from urllib3.connection import HTTPConnection
 
-from wingfall.tcp import is_readable, send_all
+from wingfall.tcp import peer_closed, send_all
 
 if TYPE_CHECKING:
     import weakref
@@ -39,9 +39,9 @@
         connections.add(self)
 
     @property
-    def is_open(self) -> bool:
-        """Whether it has neither ended nor bytes to be read."""
-        return self.sock is not None and not is_readable(self.sock)
+    def has_ended(self) -> bool:
+        """Whether the endpoint has closed it, or it is not in use."""
+        return self.sock is None or peer_closed(self.sock)
 
     def send(self, data: bytes) -> None:  # noqa: WPS110
         """Send bytes of a request; urllib3 calls this.
--- a/wingfall/answer_evidence.py
+++ b/wingfall/answer_evidence.py
@@ -14,8 +14,11 @@
 
 from wingfall.address_probe import ProbeResult
 from wingfall.clock import MS_PER_S
+from wingfall.tcp import SocketState
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from wingfall.clock import Clock
 
 # Probes of an endpoint that gives no answer; a packet of one may be lost.
@@ -24,6 +27,9 @@
 # packet was lost twice: the kernel sends it again after 200 ms and a round
 # trip, and once more after twice that time.
 _MAX_END_DELAY_MS: Final = 700
+# Milliseconds within which bytes are read that another connection holds at the
+# end of that delay.
+_MAX_READ_DELAY_MS: Final = 200
 # Milliseconds within which the ends of connections are read that arrived while
 # the process stood still.
 _MAX_UNREAD_MS: Final = 1000
@@ -37,6 +43,7 @@
     accepts = 'accepts_connections'
     keeps = 'keeps_connections'
     ended = 'ended'
+    unread = 'unread'
     superseded = 'superseded'
     silent = 'silent'
     unknown_time = 'unknown_time'
@@ -49,15 +56,15 @@
 def find_evidence(
     clock: Clock,
     probe: Callable[[], ProbeResult],
-    has_open: Callable[[], bool],
+    list_states: Callable[[], Collection[SocketState]],
     has_stood_still: Callable[[int], bool],
 ) -> EndEvidence:
     """Look for evidence that an endpoint still runs.
 
     :param clock: clock of this process.
     :param probe: opens a connection to the endpoint and watches it.
-    :param has_open: returns whether another connection to it is still open
-        that was open when the answer ended.
+    :param list_states: returns the states of the other connections to it that
+        had not ended when the answer ended.
     :param has_stood_still: returns whether this process stood still within some
         milliseconds before now.
     :returns: the evidence.
@@ -75,13 +82,21 @@
         return EndEvidence.silent
     # An endpoint may take no new connections and still run: it has too many or
     # finishes its last answers.
-    return _await_ends(clock, has_open)
+    return _await_ends(clock, list_states)
 
 
-def _await_ends(clock: Clock, has_open: Callable[[], bool]) -> EndEvidence:
+def _await_ends(
+    clock: Clock, list_states: Callable[[], Collection[SocketState]]
+) -> EndEvidence:
     until_ms = clock.now_ms() + _MAX_END_DELAY_MS
-    while has_open():
-        if clock.now_ms() >= until_ms:
+    left_ms = _MAX_END_DELAY_MS
+    while left_ms > -_MAX_READ_DELAY_MS:
+        states = set(list_states())
+        if states <= {SocketState.ended}:
+            return EndEvidence.ended
+        # An end can be hidden behind unread bytes.
+        if left_ms <= 0 and SocketState.open in states:
             return EndEvidence.keeps
         gevent.sleep(_POLL_INTERVAL_MS / MS_PER_S)
-    return EndEvidence.ended
+        left_ms = until_ms - clock.now_ms()
+    return EndEvidence.unread
--- a/wingfall/gateway/endpoints/answer_end.py
+++ b/wingfall/gateway/endpoints/answer_end.py
@@ -93,7 +93,7 @@
         evidence = find_evidence(
             self._clock,
             lambda: probe_endpoint(endpoint),
-            lambda: any(each.is_open for each in others),
+            lambda: [each.state for each in others],
             self._has_stood_still,
         )
         # A later start under the same id may have answered the probe.
--- a/wingfall/gateway/endpoints/connection_cache.py
+++ b/wingfall/gateway/endpoints/connection_cache.py
@@ -14,6 +14,7 @@
     EndpointWithheldError,
     connect,
 )
+from wingfall.tcp import SocketState
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
@@ -106,11 +107,14 @@
         """List the connections to an endpoint that are open.
 
         :param name: name of the endpoint.
-        :returns: those, idle or in use, that have no bytes to be read; behind
-            such bytes their end could not be seen.
+        :returns: those, idle or in use, whose end was not received.
         """
         observed = self._observed.get(name, ())
-        return [each for each in list(observed) if each.is_open]
+        return [
+            each
+            for each in list(observed)
+            if each.state is not SocketState.ended
+        ]
 
     def retain_only(self, listed: set[str]) -> None:
         """Close expired connections and those to unlisted endpoints.
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -16,7 +16,13 @@
 
 from wingfall.clock import MS_PER_S
 from wingfall.gateway.endpoints.request_writer import RequestWriter
-from wingfall.tcp import is_readable, reset, silence_options
+from wingfall.tcp import (
+    SocketState,
+    is_readable,
+    read_state,
+    reset,
+    silence_options,
+)
 
 if TYPE_CHECKING:
     from wingfall.clock import Clock
@@ -151,9 +157,9 @@
         )
 
     @property
-    def is_open(self) -> bool:
-        """Whether the connection has neither ended nor bytes to be read."""
-        return not is_readable(self._socket)
+    def state(self) -> SocketState:
+        """What the connection shows of the endpoint's end."""
+        return read_state(self._socket)
 
     @property
     def is_request_delivered(self) -> bool:
--- a/wingfall/tcp.py
+++ b/wingfall/tcp.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import fcntl
 import socket
 import struct
@@ -28,6 +29,14 @@
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 
 
+class SocketState(enum.Enum):
+    """What the reading side of a connection shows."""
+
+    open = 'open'  # Nothing waits to be read, and the peer has not closed.
+    unread = 'unread'  # Bytes wait; behind them the peer may have closed.
+    ended = 'ended'  # The peer has closed, or the socket is closed or failed.
+
+
 @final
 class PeerState:
     """What the kernel knows of the peer of a connection."""
@@ -154,34 +163,36 @@
     )
 
 
-def is_readable(sock: socket.socket) -> bool:
-    """Tell whether bytes or an end wait to be read, without taking them.
+def read_state(sock: socket.socket) -> SocketState:
+    """Return what is known of a connection, without taking bytes.
 
     :param sock: a connected socket.
-    :returns: whether a read would not block.
+    :returns: the state of its reading side.
     """
     flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
     plain = getattr(sock, '_sock', sock)
     try:
-        plain.recv(1, flags)
+        has_bytes = bool(plain.recv(1, flags))
     except BlockingIOError:
-        return False
+        return SocketState.open
     except OSError:
-        return True
-    return True
+        return SocketState.ended
+    return SocketState.unread if has_bytes else SocketState.ended
+
+
+def is_readable(sock: socket.socket) -> bool:
+    """Check if bytes or an end wait to be read, without taking them.
+
+    :param sock: a connected socket.
+    :returns: whether a read would not block.
+    """
+    return read_state(sock) is not SocketState.open
 
 
 def peer_closed(sock: socket.socket) -> bool:
-    """Tell whether the other side has closed, without taking bytes.
+    """Check if the other side has closed, without taking bytes.
 
     :param sock: the caller's socket.
     :returns: whether nothing more can come from it.
     """
-    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-    plain = getattr(sock, '_sock', sock)
-    try:
-        return plain.recv(1, flags) == b''
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
+    return read_state(sock) is SocketState.ended
