Take the rate of the store from the platform's settings

What callers saw: at a gateway of a site with 298, of four calls that took up streams of unknown origin one after the other three were refused with stream_version_unknown though the store answers at once; and origins of streams were written each 14.9 s there, so that after the end of all gateways most short streams could not go on.

Cause: the shares of the store's calls were shares of the 2,000 reads and 400 writes a second that a site of four gateways has. The platform names the rates in its settings; large sites have eight times as many.

The shares stay: a tenth of the reads for the history, a five-hundredth for lists, a twentieth of the writes. By calculation 298 gateways read each 0.19 s and write each 1.86 s, 53 each 0.09 s and 0.88 s.

--- a/tests/test_stream_history.py
+++ b/tests/test_stream_history.py
@@ -114,6 +114,7 @@
         clock: ManualClock,
         name: str = 'a',
         gateways: int = 1,
+        store_scale: int = 1,
         listed: dict[str, str | None] | None = None,
     ) -> None:
         self.clock = clock
@@ -126,6 +127,8 @@
             store=store,
             origins=self.origins,
             versions=self.versions,
+            writes_per_s=400 * store_scale,
+            reads_per_s=2000 * store_scale,
             get_gateway_count=lambda: gateways,
             is_first=lambda: True,
             metrics=Metrics(),
@@ -334,6 +337,20 @@
     assert store.writes <= most
 
 
+def test_streams_of_298_gateways_are_written_within_two_seconds(
+    store: StoreStandIn, clock: ManualClock
+):
+    # The store of such a site takes eight times the calls of a small one.
+    gateway = GatewayStandIn(
+        store=store, clock=clock, gateways=298, store_scale=8
+    )
+    gateway.begin('s')
+    running = gevent.spawn(gateway.history.run, Event())
+    gevent.sleep(2)
+    running.kill()
+    assert stored_keys(store) == {key_of('s')}
+
+
 def test_object_of_298_busy_gateways_is_bounded(
     store: StoreStandIn, clock: ManualClock
 ):
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -141,6 +141,7 @@
             store=binding.versions_store(),
             clock=self._clock,
             versions=self._state.knowledge.versions,
+            reads_per_s=settings.store.reads_per_s,
             get_gateway_count=lambda: self._peers.gateway_count,
         )
         self._version_history = VersionHistory(
@@ -159,6 +160,8 @@
             store=binding.streams_store(),
             origins=self._state.knowledge.streams,
             versions=self._state.knowledge.versions,
+            writes_per_s=settings.store.writes_per_s,
+            reads_per_s=settings.store.reads_per_s,
             get_gateway_count=lambda: self._peers.gateway_count,
             is_first=lambda: not self._peers.view.rank,
             metrics=self._metrics,
--- a/wingfall/gateway/configuration/version_reader.py
+++ b/wingfall/gateway/configuration/version_reader.py
@@ -22,9 +22,8 @@
     from wingfall.gateway.model.object_store import ObjectWriter
 
 OBJECT_NAME: Final = 'pools'
-# Reads a second of all gateways together: a tenth of the 2,000 that the
-# platform's store allows them.
-_MAX_READS_PER_S: Final = 200
+# Fraction of the store's reads that all gateways together use.
+_READS_FRACTION: Final = 0.1
 # Interval of the reads after a failed one, which doubles with each failure.
 _MIN_RETRY_MS: Final = 100
 _MAX_RETRY_MS: Final = 1000
@@ -43,6 +42,7 @@
         '_is_running',
         '_latest',
         '_next_ms',
+        '_reads_per_s',
         '_store',
         '_versions',
         '_waiting_count',
@@ -54,6 +54,7 @@
         store: ObjectWriter,
         clock: Clock,
         versions: PoolVersions,
+        reads_per_s: float,
         get_gateway_count: Callable[[], int],
     ) -> None:
         """Initialize a reader that has read nothing.
@@ -61,12 +62,13 @@
         :param store: store of the object.
         :param clock: source of the current time.
         :param versions: versions known to this gateway, which are updated.
-        :param get_gateway_count: returns the number of gateways that share the
-            rate of the store.
+        :param reads_per_s: reads a second that the store takes of all gateways.
+        :param get_gateway_count: returns the number of gateways.
         """
         self._store = store
         self._clock = clock
         self._versions = versions
+        self._reads_per_s = reads_per_s * _READS_FRACTION
         self._get_gateway_count = get_gateway_count
         self._backoff = Backoff(min_ms=_MIN_RETRY_MS, max_ms=_MAX_RETRY_MS)
         self._begun_count = 0
@@ -122,7 +124,7 @@
         self._begun_count = number
         begun_ms = self._clock.now_ms()
         gateways = max(1, self._get_gateway_count())
-        self._next_ms = begun_ms + MS_PER_S * gateways // _MAX_READS_PER_S
+        self._next_ms = begun_ms + int(MS_PER_S * gateways / self._reads_per_s)
         answer = self._store.read(OBJECT_NAME)
         if isinstance(answer, Success):
             self._backoff.reset()
--- a/wingfall/settings/gateway_schema.py
+++ b/wingfall/settings/gateway_schema.py
@@ -15,10 +15,10 @@
 )
 
 
-def _real(default: float, about: str) -> dict[str, Any]:
+def _real(default: float, about: str, *, low: float = 0) -> dict[str, Any]:
     return {
         'type': 'number',
-        'minimum': 0,
+        'minimum': low,
         'default': default,
         'description': about,
     }
@@ -57,6 +57,16 @@
         # A watch that hangs since the store fell silent must end before VMs
         # count as in touch again, three seconds after the store's return.
         watch_ms=number(3000, 10, 30_000, 'Wait of one watch.'),
+        writes_per_s=_real(
+            400,
+            'Writing calls a second that it takes of all gateways together.',
+            low=1,
+        ),
+        reads_per_s=_real(
+            2000,
+            'Reading calls a second that it takes of all gateways together.',
+            low=1,
+        ),
     ),
     resend=section(
         'How often requests may be sent a second time.',
