Read missed changes of endpoints before a stream follows the only version

What callers saw: a stream that began at v2 while the store refused writes, so that the history named v1 alone, went on at v1 with 200 at a gateway that had not heard of v2: one answer of two versions.

Cause: where no usable version of a pool is named, streams begin without a name, since service goes first. A gateway out of step then reads a history that lacks the version, and its own list can't contradict. Not having heard was taken for not having happened once more.

Now the read that decides also asks the store for the changes of endpoints since the revision that this gateway knows, by a watch that does not wait, both at the same time. Versions among them count as known here, also if their endpoints have left since. Where the store has forgotten these changes, one list tells of the endpoints that are there; where it does not answer, the stream is refused. It costs one more call for each read of the history, which all waiting calls share.

Why this works: an endpoint serves streams after its entry was accepted by the store, so that a read which begins after the call contains the entry.

Open: a version that came and went unnamed before this gateway started, or whose changes were forgotten; the store must refuse writes all that time.

--- /dev/null
+++ b/tests/test_endpoint_changes.py
@@ -0,0 +1,87 @@
+"""Versions of endpoints that a gateway has not heard of."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, final
+
+import pytest
+
+from tests.test_stream_resumption import list_engine
+from wingfall.clock import Clock
+from wingfall.gateway.configuration.endpoint_changes import EndpointChanges
+from wingfall.gateway.configuration.replica import ENDPOINTS_KIND, ObjectReplica
+from wingfall.gateway.knowledge.pool_versions import PoolVersions
+
+if TYPE_CHECKING:
+    from tests.gateway_site import GatewaySite
+
+WITHIN_MS: Final = 60_000
+
+
+@final
+class StaleGateway:
+    """What a gateway knows that heard of no change after its start."""
+
+    def __init__(self, *, site: GatewaySite) -> None:
+        self.site = site
+        for name in ('e0', 'e1'):
+            site.add_server(name, 'engines')
+        list_engine(site, 'e0', 'v1')
+        binding = site.add_gateway()._state.binding
+        store = binding.endpoints_store()
+        self.replica = ObjectReplica(
+            kind=ENDPOINTS_KIND, listener=lambda _name, _spec: None
+        )
+        self.replica.apply_list(store.list_all(progress=lambda: None).unwrap())
+        self.versions = PoolVersions(clock=Clock())
+        self.changes = EndpointChanges(
+            store=store,
+            binding=binding,
+            versions=self.versions,
+            replica=self.replica,
+        )
+
+    @property
+    def known(self) -> set[str | None]:
+        """Versions of the pool that it has heard of."""
+        return self.versions.list_known('engines', WITHIN_MS)
+
+
+@pytest.fixture
+def stale(gateway_site: GatewaySite) -> StaleGateway:
+    """Return a gateway that knows of one version."""
+    return StaleGateway(site=gateway_site)
+
+
+def test_version_that_joined_unheard_is_noted(stale: StaleGateway):
+    list_engine(stale.site, 'e1', 'v2')
+    assert stale.changes.note()
+    assert stale.known == {'v2'}
+
+
+def test_version_that_came_and_went_unheard_is_noted(stale: StaleGateway):
+    list_engine(stale.site, 'e1', 'v2')
+    stale.site.store.delete('servers', 'e1')
+    assert stale.changes.note()
+    assert stale.known == {'v2'}
+
+
+def test_list_tells_of_versions_after_the_history_is_forgotten(
+    stale: StaleGateway,
+):
+    list_engine(stale.site, 'e1', 'v2')
+    stale.site.store.oldest = stale.site.store.revision + 1
+    assert stale.changes.note()
+    assert stale.known == {'v1', 'v2'}
+
+
+def test_store_that_is_away_has_told_nothing(stale: StaleGateway):
+    stale.site.store.script = {'status': 503}
+    assert not stale.changes.note()
+
+
+def test_entry_that_can_not_be_read_hides_no_other(stale: StaleGateway):
+    stale.site.store.put('servers', 'broken', {'service': 7})
+    list_engine(stale.site, 'e1', 'v2')
+    assert stale.changes.note()
+    assert stale.known == {'v2'}
--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -622,6 +622,18 @@
     assert take_up(stale_site, 's0', gateway=1).status == 503
 
 
+def test_unnamed_version_that_came_and_went_unheard_is_not_joined_with_another(
+    stale_site: GatewaySite, monkeypatch: pytest.MonkeyPatch
+):
+    late = stale_site.add_gateway()
+    wait_until(lambda: known_endpoints(late).usable('engines'))
+    wait_until(lambda: late._state.knowledge.versions.record)
+    cut_off(late, monkeypatch)
+    add_unnamed_engine(stale_site, 'v2')
+    stale_site.store.delete('servers', 'e1')
+    assert take_up(stale_site, 's0', gateway=1).status == 503
+
+
 def test_gateway_learns_from_the_writer_which_versions_are_named(
     gateway_site: GatewaySite,
 ):
--- a/tests/test_version_reader.py
+++ b/tests/test_version_reader.py
@@ -54,6 +54,7 @@
         store=store,
         clock=clock,
         versions=PoolVersions(clock=clock),
+        note_changes=lambda: True,
         reads_per_s=reads_per_s,
         get_gateway_count=lambda: gateways,
     )
--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -15,6 +15,7 @@
 from wingfall.gateway.assembly import make_state
 from wingfall.gateway.callers.caller_server import CallerServer
 from wingfall.gateway.callers.readiness import make_readiness_app
+from wingfall.gateway.configuration.assembly import make_version_reader
 from wingfall.gateway.configuration.follower import StoreFollower
 from wingfall.gateway.configuration.object_applier import ObjectApplier
 from wingfall.gateway.configuration.replica import (
@@ -24,7 +25,6 @@
 )
 from wingfall.gateway.configuration.stream_history import StreamHistory
 from wingfall.gateway.configuration.version_history import VersionHistory
-from wingfall.gateway.configuration.version_reader import VersionReader
 from wingfall.gateway.duties.assembly import GatewayDuties
 from wingfall.gateway.knowledge.start_figures import set_start_errors
 from wingfall.gateway.peers.caches.memory_survey import CacheSurvey
@@ -137,12 +137,11 @@
             ),
         )
         self._state.stream_sources.peers = self._peers.streams
-        self._state.knowledge.versions.reads = VersionReader(
-            store=binding.versions_store(),
-            clock=self._clock,
-            versions=self._state.knowledge.versions,
-            reads_per_s=settings.store.reads_per_s,
-            get_gateway_count=lambda: self._peers.gateway_count,
+        self._state.knowledge.versions.reads = make_version_reader(
+            self._state,
+            endpoints,
+            settings.store.reads_per_s,
+            lambda: self._peers.gateway_count,
         )
         self._version_history = VersionHistory(
             store=binding.versions_store(),
--- a/wingfall/gateway/calls/only_version.py
+++ b/wingfall/gateway/calls/only_version.py
@@ -2,7 +2,8 @@
 
 What this gateway knows may be outdated, so that it can only contradict. That a
 pool had no other version within the life of a stream is told by the history in
-the store alone, by a read that begins after the call has arrived.
+the store alone, by a read that begins after the call has arrived. The read also
+brings the versions that this gateway has not heard of.
 """
 
 from __future__ import annotations
--- a/wingfall/gateway/configuration/version_reader.py
+++ b/wingfall/gateway/configuration/version_reader.py
@@ -42,6 +42,7 @@
         '_is_running',
         '_latest',
         '_next_ms',
+        '_note_changes',
         '_reads_per_s',
         '_store',
         '_versions',
@@ -54,6 +55,7 @@
         store: ObjectWriter,
         clock: Clock,
         versions: PoolVersions,
+        note_changes: Callable[[], bool],
         reads_per_s: float,
         get_gateway_count: Callable[[], int],
     ) -> None:
@@ -62,12 +64,16 @@
         :param store: store of the object.
         :param clock: source of the current time.
         :param versions: versions known to this gateway, which are updated.
+        :param note_changes: reads from the store, and records, the versions of
+            endpoints that this gateway has not heard of; returns whether the
+            store has answered.
         :param reads_per_s: reads a second that the store takes of all gateways.
         :param get_gateway_count: returns the number of gateways.
         """
         self._store = store
         self._clock = clock
         self._versions = versions
+        self._note_changes = note_changes
         self._reads_per_s = reads_per_s * _READS_FRACTION
         self._get_gateway_count = get_gateway_count
         self._backoff = Backoff(min_ms=_MIN_RETRY_MS, max_ms=_MAX_RETRY_MS)
@@ -125,8 +131,9 @@
         begun_ms = self._clock.now_ms()
         gateways = max(1, self._get_gateway_count())
         self._next_ms = begun_ms + int(MS_PER_S * gateways / self._reads_per_s)
+        changes = gevent.spawn(self._note_changes)
         answer = self._store.read(OBJECT_NAME)
-        if isinstance(answer, Success):
+        if changes.get() and isinstance(answer, Success):
             self._backoff.reset()
             record = parse_record(answer.unwrap())
             self._versions.adopt(record)
