Begin another read of the version history beside one without an answer

Cause: the reads for calls follow each other, and one without an answer lasts as long as a call to the store may, 1.5 s; calls wait half a second at most.

Now the next read begins after 200 ms without an answer, at the bounded rate and at most three at a time. An answer that comes late replaces no later one, and a call is still served only by a read that began after it arrived.

--- a/tests/test_version_reader.py
+++ b/tests/test_version_reader.py
@@ -28,13 +28,13 @@
         self.versions = ['v1']
         self.reads = 0
         self.is_away = False
-        self._delay_s = delay_s
+        self.delay_s = delay_s
 
     def read(self, name: str) -> Result[StoredObject | None, PlatformError]:
         self.reads += 1
         spec = {'complete_ms': 60_000, 'pools': {'engines': self.versions}}
         stored = StoredObject(name=name, revision=self.reads, spec=spec)
-        gevent.sleep(self._delay_s)
+        gevent.sleep(self.delay_s)
         if self.is_away:
             return Failure(PlatformError(status=503, message='away'))
         return Success(stored)
@@ -121,6 +121,37 @@
     assert store.reads <= 4
 
 
+def test_lost_answer_holds_up_no_other_read():
+    store = SlowStore(delay_s=1.5)
+    reader = make_reader(store)
+    lost = gevent.spawn(reader.read, _CALL_WAIT_MS)
+    gevent.sleep(0.05)
+    store.delay_s = 0
+    served = [gevent.spawn(reader.read, _CALL_WAIT_MS) for _ in range(5)]
+    assert all(each.get() for each in (lost, *served))
+
+
+def test_late_answer_replaces_no_later_one():
+    store = SlowStore(delay_s=0.3)
+    reader = make_reader(store)
+    early = gevent.spawn(reader.read, _TIMEOUT_MS)
+    gevent.sleep(0.05)
+    store.versions = ['v1', 'v2']
+    store.delay_s = 0
+    assert versions_of(early.get()) == ['v1', 'v2']
+    gevent.sleep(0.3)
+    assert reader._latest.record.pools['engines'] == ['v1', 'v2']
+
+
+def test_silent_store_has_few_reads_at_a_time():
+    store = SlowStore(delay_s=5)
+    reader = make_reader(store)
+    waiting = [gevent.spawn(reader.read, 1000) for _ in range(50)]
+    gevent.joinall(waiting)
+    assert not any(each.get() for each in waiting)
+    assert store.reads <= 3
+
+
 def test_call_waits_for_a_store_that_is_back():
     store = SlowStore()
     store.is_away = True
--- a/wingfall/gateway/configuration/version_reader.py
+++ b/wingfall/gateway/configuration/version_reader.py
@@ -10,6 +10,7 @@
 
 import gevent
 from gevent.event import Event
+from gevent.pool import Pool
 from returns.result import Success
 
 from wingfall.clock import MS_PER_S
@@ -24,6 +25,11 @@
 OBJECT_NAME: Final = 'pools'
 # Fraction of the store's reads that all gateways together use.
 _READS_FRACTION: Final = 0.1
+# Milliseconds without an answer after which another read begins beside, so that
+# one lost answer does not use up the time for which calls wait.
+_MAX_ANSWER_MS: Final = 200
+# Maximum reads at a time.
+_MAX_READS: Final = 3
 # Interval of the reads after a failed one, which doubles with each failure.
 _MIN_RETRY_MS: Final = 100
 _MAX_RETRY_MS: Final = 1000
@@ -43,6 +49,7 @@
         '_latest',
         '_next_ms',
         '_note_changes',
+        '_reads',
         '_reads_per_s',
         '_store',
         '_versions',
@@ -77,12 +84,13 @@
         self._reads_per_s = reads_per_s * _READS_FRACTION
         self._get_gateway_count = get_gateway_count
         self._backoff = Backoff(min_ms=_MIN_RETRY_MS, max_ms=_MAX_RETRY_MS)
+        self._reads = Pool(_MAX_READS)
         self._begun_count = 0
         self._next_ms = clock.now_ms()
         self._latest: VersionReading | None = None
         self._waiting_count = 0
         self._is_running = False
-        # Set when the read under way ends; each read has its own.
+        # Set when the next read ends, and then replaced.
         self._finished = Event()
 
     def read(self, timeout_ms: int) -> VersionReading | None:
@@ -121,7 +129,9 @@
                 wait_ms = self._next_ms - self._clock.now_ms()
                 if wait_ms > 0:
                     gevent.sleep(wait_ms / MS_PER_S)
-                self._read_once()
+                self._reads.spawn(self._read_once).join(
+                    _MAX_ANSWER_MS / MS_PER_S
+                )
         finally:
             self._is_running = False
 
@@ -137,8 +147,8 @@
             self._backoff.reset()
             record = parse_record(answer.unwrap())
             self._versions.adopt(record)
-            self._latest = VersionReading(
-                number=number, begun_ms=begun_ms, record=record
+            self._note_reading(
+                VersionReading(number=number, begun_ms=begun_ms, record=record)
             )
         else:
             retry_ms = self._clock.now_ms() + self._backoff.take_ms()
@@ -148,3 +158,8 @@
         finished.set()
         # The calls that this read serves go on before the next one begins.
         gevent.sleep(0)
+
+    def _note_reading(self, reading: VersionReading) -> None:
+        latest = self._latest
+        if latest is None or latest.number < reading.number:
+            self._latest = reading
