Leave out versions of peers that are not of the expected type

What callers could see: for some 65 s a new version is not named, and streams avoid it, after a peer has told of a version that is a number or a list.

Cause: the entries of peers were recorded as they came; the loop that writes the history sorts them, and ends by an exception, again and again until the entry is too old. A history of a peer was adopted in the same way.

Now entries of another type are left out, and a history with one is left out as a whole, since one that lacks a version would show that there was none. A line tells of both.

Evidence: test_version_of_another_type_is_not_recorded was red before in its three cases. That the loop ended for 65 s is by reading.

--- a/tests/test_stream_exchange.py
+++ b/tests/test_stream_exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import gevent
 import pytest
 
@@ -26,7 +28,13 @@
 )
 from wingfall.wire.codec import encode
 from wingfall.wire.gateway_messages import HISTORY_FEATURE, STREAMS_FEATURE
-from wingfall.wire.stream_messages import StreamFetch, StreamFound, StreamsBegun
+from wingfall.wire.stream_messages import (
+    HistoryWritten,
+    StreamFetch,
+    StreamFound,
+    StreamsBegun,
+    VersionsListed,
+)
 
 KEY = make_stream_key('oslo', 's0')
 
@@ -245,6 +253,30 @@
         assert versions.is_named('engines', None)
 
 
+@pytest.mark.parametrize('version', [7, ['v2'], {}])
+def test_version_of_another_type_is_not_recorded(
+    clock: ManualClock, version: Any
+):
+    sessions = make_sessions(1)
+    (session,) = sessions.values()
+    versions = PoolVersions(clock=clock)
+    exchange, _origins = make_exchange(clock, sessions, versions)
+    entries = [['engines', version, 0], ['engines', 'v3', 0]]
+    exchange.merge_versions(
+        session, VersionsListed(complete_ms=0, versions=entries)
+    )
+    assert versions.list_known('engines', 1000) == {'v3'}
+    exchange.merge_history(
+        session,
+        HistoryWritten(
+            revision=7,
+            complete_ms=20_000,
+            versions=[each[:2] for each in entries],
+        ),
+    )
+    assert versions.record is None
+
+
 def test_peers_are_told_of_no_complete_time(clock: ManualClock):
     sessions = make_sessions(1)
     (session,) = sessions.values()
--- a/wingfall/gateway/model/version_record.py
+++ b/wingfall/gateway/model/version_record.py
@@ -108,16 +108,26 @@
     )
 
 
+def is_version(pool: Any, version: Any) -> bool:
+    """Check if two fields are a pool and one of its versions.
+
+    :param pool: the pool, as another process wrote it.
+    :param version: the version, None for endpoints that tell none.
+    :returns: whether both have the right type.
+    """
+    return isinstance(pool, str) and (
+        version is None or isinstance(version, str)
+    )
+
+
 def _is_history(spec: Any) -> bool:
     if not isinstance(spec, dict):
         return False
     complete_ms, pools = spec.get('complete_ms'), spec.get('pools')
     if not isinstance(complete_ms, int) or not isinstance(pools, dict):
         return False
-    return all(map(_is_version_list, pools.values()))
-
-
-def _is_version_list(versions: Any) -> bool:
-    return isinstance(versions, list) and all(
-        version is None or isinstance(version, str) for version in versions
+    return all(
+        isinstance(versions, list)
+        and all(is_version(pool, version) for version in versions)
+        for pool, versions in pools.items()
     )
--- a/wingfall/gateway/peers/streams/stream_exchange.py
+++ b/wingfall/gateway/peers/streams/stream_exchange.py
@@ -20,11 +20,12 @@
     StreamRecord,
 )
 from wingfall.gateway.model.stream_origin import StreamOrigin
-from wingfall.gateway.model.version_record import VersionRecord
+from wingfall.gateway.model.version_record import VersionRecord, is_version
 from wingfall.gateway.peers.streams.stream_replicas import (
     REPLICA_COUNT,
     StreamReplicas,
 )
+from wingfall.log import log_event
 from wingfall.wire.stream_messages import (
     HistoryWritten,
     StreamFetch,
@@ -215,7 +216,13 @@
         :param session: the session with the peer.
         :param message: the report.
         """
-        ages_ms = [(each[0], each[1], each[2]) for each in message.versions]
+        ages_ms = [
+            (pool, version, age_ms)
+            for pool, version, age_ms in message.versions
+            if is_version(pool, version) and isinstance(age_ms, int)
+        ]
+        if len(ages_ms) < len(message.versions):
+            _log_unusable(session, message)
         self._versions.merge(ages_ms)
 
     def announce_history(self, record: VersionRecord) -> None:
@@ -240,6 +247,10 @@
         :param session: the session with the peer.
         :param message: the report.
         """
+        # A history that lacks a version would show that there was none.
+        if not all(is_version(*each) for each in message.versions):
+            _log_unusable(session, message)
+            return
         pools: Pools = {}
         for pool, version in message.versions:
             pools.setdefault(pool, []).append(version)
@@ -289,6 +300,17 @@
         ]
 
 
+def _log_unusable(
+    session: PeerSession, message: VersionsListed | HistoryWritten
+) -> None:
+    log_event(
+        'streams',
+        "A peer's versions are not of the expected type.",
+        peer=session.name,
+        message=type(message).__name__,
+    )
+
+
 def _decode(encoded: list[Any], reported_by: str, now_ms: int) -> StreamRecord:
     pool, version, endpoint = encoded[:3]
     age_ms, life_ms = encoded[3:5]
