Fill the slots of one engine before another one must serve, in a test

Trace by the gateway's log: each choice between two empty engines is drawn, with more weight for the one that keeps the prompt; twelve at one of them are allowed.

Now the twelve run at the same time, more than one engine has slots, so that the other must get some.

--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -567,13 +567,17 @@
     stale_site: GatewaySite,
 ):
     add_unnamed_engine(stale_site, 'v2')
-    caller = stale_site.caller()
-    for number in range(CALLERS):
+    # More streams at the same time than the other engine has slots.
+    for server in stale_site.servers.values():
+        server.event_ms = 100
+    callers = [stale_site.caller() for _number in range(CALLERS)]
+    for number, caller in enumerate(callers):
         caller.send(
             '/oneway/x', method='POST', X_Attempt_Id=f's{number}', **PROMPT
         )
-        caller.receive()
-    caller.close()
+    assert all(caller.receive().whole for caller in callers)
+    for caller in callers:
+        caller.close()
     assert stale_site.servers['e1'].runs
 
 
