Reset the connection of a caller without chunks whose answer is cut

What callers saw: over HTTP/1.0, a stream that broke off and could not go on ended like a complete one.

Cause: the gateway shows that an answer is cut by closing the connection without the last chunk. HTTP/1.0 has no chunks: the end of the connection is the end of the answer. The same class as answers of endpoints without a length, on the side of the caller.

Now a connection that is closed inside such an answer is reset, also where the gateway ends it as it stops.

Evidence: test_stream_that_is_cut_does_not_look_complete_without_chunks was red before in the cut case and passes; the whole stream ends as before. test_gateway_streams.py and test_caller_connection.py pass.

Open: a gateway that is killed ends such answers like complete ones; routers do so for answers that are no event streams, by reading.

--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -9,7 +9,7 @@
 import h11
 import pytest
 
-from tests.gateway_site import GatewaySite
+from tests.gateway_site import API_KEY, GatewaySite
 from wingfall.clock import ManualClock
 from wingfall.gateway.assembly import make_state
 from wingfall.gateway.callers.caller_connection import CallerConnection
@@ -68,6 +68,39 @@
     assert caller.receive().status == 404
 
 
+def ask_by_http_1_0(site: GatewaySite) -> tuple[bytes, bool]:
+    """Begin a stream; return its bytes and whether it ended by a reset."""
+    sock = site.caller().sock
+    sock.sendall(
+        b'POST /oneway/x HTTP/1.0\r\nHost: site.example\r\n'
+        b'Authorization: Token %b\r\nX-Attempt-Id: a1\r\n'
+        b'X-Token-Count: 300,40\r\nX-Prompt-Prefix: aa:200,bb:100\r\n\r\n'
+        % API_KEY.encode()
+    )
+    received = b''
+    try:
+        while piece := sock.recv(65_536):
+            received += piece
+    except ConnectionResetError:
+        return received, True
+    return received, False
+
+
+@pytest.mark.parametrize(('faults', 'is_cut'), [([], False), (['cut'], True)])
+def test_stream_that_is_cut_does_not_look_complete_without_chunks(
+    gateway_site: GatewaySite, faults: list[str], *, is_cut: bool
+):
+    # The end of the connection is the end of an answer to HTTP/1.0.
+    server = gateway_site.add_server('one', 'engines')
+    server.faults = faults
+    server.event_ms = 50
+    gateway_site.add_gateway()
+    received, was_reset = ask_by_http_1_0(gateway_site)
+    assert b'chunked' not in received
+    assert (b'data: a1 3 ' in received) is not is_cut
+    assert was_reset is is_cut
+
+
 def test_idle_connection_is_closed(
     sockets: tuple[socket.socket, socket.socket],
     connection: CallerConnection,
--- a/wingfall/gateway/callers/caller_connection.py
+++ b/wingfall/gateway/callers/caller_connection.py
@@ -36,7 +36,7 @@
     refuse_request,
 )
 from wingfall.log import log_event
-from wingfall.tcp import is_readable, send_all, set_no_delay
+from wingfall.tcp import is_readable, reset, send_all, set_no_delay
 
 if TYPE_CHECKING:
     from gevent import Greenlet
@@ -111,7 +111,7 @@
             self._closing = True
         finally:
             self.is_busy = False
-            self._socket.close()
+            self._close()
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress or arriving.
@@ -135,6 +135,15 @@
         except OSError:  # The caller has already disconnected.
             return
 
+    def _close(self) -> None:
+        # To a caller without chunks, the end of the connection is the end of
+        # the answer.
+        version = self._http.their_http_version or b''
+        if self._http.our_state is h11.SEND_BODY and version < b'1.1':
+            reset(self._socket)
+        else:
+            self._socket.close()
+
     def _limits(self) -> CallerLimits:
         routes = self._state.routes
         return CallerLimits() if routes is None else routes.limits
