--- a/tools/soak/partitioned_releases.py
+++ b/tools/soak/partitioned_releases.py
@@ -1,7 +1,7 @@
 """Releases of a soak beside a gateway that is out of step with the others.
 
 Each release takes a pool that had one version for long. A second version joins
-it while one gateway can't hear of that. Callers begin streams at the other
+it while one gateway does not learn of it. Callers begin streams at the other
 gateways, leave, and take them up at this one.
 """
 
@@ -198,7 +198,7 @@
         callers.stop()
 
     def describe(self) -> str:
-        """Tell what was played and what became of it."""
+        """Return a line with what was played and how the streams went on."""
         taken_up = self.taken_up
         went_on = sum(bool(each.events) for each in taken_up)
         mixed = find_mixed_streams(self.tries)
--- a/tools/soak/partitions.py
+++ b/tools/soak/partitions.py
@@ -26,7 +26,7 @@
 ]
 partitions: Final[Registry[Partition]] = Registry(kind='partition')
 
-# Milliseconds by which words of peers are late.
+# Bounds of the delay of peers' messages in milliseconds.
 _LATE_MS: Final = (110, 400)
 # Seconds that a gateway stands still in a cut, and that the cut lasts after.
 _STILL_S: Final = (1, 2.5)
@@ -91,7 +91,7 @@
 def cut_store_and_delay_peers(
     site: SoakSite, name: str, chance: random.Random
 ) -> _Playing:
-    """Cut a gateway off from the store; what others tell it comes late."""
+    """Cut a gateway off from the store, and delay what its peers send."""
     links = site.peer_links
     links.delay_answers(name, _others(site, name), chance.randrange(*_LATE_MS))
     with cut_store(site, name, chance):
--- a/tools/soak/peer_links.py
+++ b/tools/soak/peer_links.py
@@ -1,8 +1,8 @@
 """The network between the gateways of a soak: a link for each pair of them.
 
-Each gateway announces the address of its door. What connects there names itself
-in its hello, and is passed on over the link that leads from it to the gateway
-behind the door.
+Each gateway announces the address of a listener of the soak. A gateway that
+connects there names itself in its hello, and the connection is relayed over the
+link from that gateway to the one that announced the address.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
     """Links between gateways, which cuts separate by pairs and one way."""
 
     def __init__(self, *, listening: Mapping[str, str]) -> None:
-        """Open a door for each gateway.
+        """Listen for each gateway.
 
         :param listening: ``host:port`` where each gateway listens, by name.
         """
@@ -46,19 +46,19 @@
             (dialing, dialed): Link(target=listening[dialed])
             for dialing, dialed in itertools.permutations(listening, 2)
         }
-        self._doors: dict[str, StreamServer] = {}
+        self._listeners: dict[str, StreamServer] = {}
         for name in listening:
-            door = StreamServer((HOST, 0), self._make_handler(name))
-            door.start()
-            self._doors[name] = door
+            listener = StreamServer((HOST, 0), self._make_handler(name))
+            listener.start()
+            self._listeners[name] = listener
 
     def address(self, gateway: str) -> str:
         """Return the address that a gateway announces.
 
         :param gateway: its name.
-        :returns: ``host:port`` of its door.
+        :returns: its ``host:port``.
         """
-        return f'{HOST}:{self._doors[gateway].server_port}'
+        return f'{HOST}:{self._listeners[gateway].server_port}'
 
     def cut(
         self,
@@ -83,7 +83,7 @@
         """Hold up what others send to a gateway.
 
         :param gateway: its name.
-        :param others: those whose words come late.
+        :param others: those whose messages are late.
         :param delay_ms: milliseconds for each piece of bytes.
         """
         for other in others:
@@ -102,8 +102,8 @@
 
     def close(self) -> None:
         """End all links."""
-        for door in self._doors.values():
-            door.stop(timeout=0)
+        for listener in self._listeners.values():
+            listener.stop(timeout=0)
         for link in self._links.values():
             link.close()
 
