--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import http
 import re
 from typing import TYPE_CHECKING, Callable, Final, final
 
@@ -19,6 +18,10 @@
     BufferedAnswer,
 )
 from wingfall.gateway.endpoints.answer_buffer import AnswerBuffer
+from wingfall.gateway.endpoints.answer_framing import (
+    ends_with_connection,
+    is_stream,
+)
 from wingfall.gateway.endpoints.endpoint_connection import (
     AnswerTimeoutError,
     BrokenAnswerError,
@@ -49,11 +52,6 @@
     from wingfall.gateway.model.call import Call, Headers
     from wingfall.gateway.rules.streams.event_order import EventOrder
 
-_EVENT_STREAM: Final = b'text/event-stream'
-_FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
-_BODILESS_STATUSES: Final = frozenset(
-    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED),
-)
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout=(\d+)')
 # Limits the memory of a buffered answer. Twice the largest request body.
 _MAX_ANSWER_BYTES: Final = 8_388_608
@@ -222,7 +220,7 @@
         # any answer that it needs relief, and all gateways must receive that.
         self._on_signals(head.signals, self._sent_ms)
         self._note_keep_alive(headers)
-        if not _ends_with_connection(self._call.head.method, response):
+        if not ends_with_connection(self._call.head.method, response):
             return self._read_answer(response, head, limits)
         with self._watch_leaving():
             return self._read_answer(response, head, limits)
@@ -233,7 +231,7 @@
         head: AnswerHead,
         limits: AttemptLimits,
     ) -> AttemptOutcome:
-        if _is_stream(response):
+        if is_stream(response):
             return self._read_stream(response, limits)
         if self._reply.started:
             # A started stream can only be continued by another stream.
@@ -299,7 +297,7 @@
         # Without a length or chunks, an answer that the end of its endpoint cut
         # off looks like a whole one.
         method = self._call.head.method
-        if _ends_with_connection(method, response) and not self._is_whole():
+        if ends_with_connection(method, response) and not self._is_whole():
             raise BrokenAnswerError(
                 'nothing shows that the endpoint outlives its answer'
             )
@@ -362,22 +360,6 @@
         return AttemptEnd.cut if self._reply.started else AttemptEnd.late
 
 
-def _is_stream(response: h11.Response) -> bool:
-    content_types = [
-        text for name, text in response.headers if name == b'content-type'
-    ]
-    return response.status_code == http.HTTPStatus.OK and any(
-        content_type.startswith(_EVENT_STREAM) for content_type in content_types
-    )
-
-
-def _ends_with_connection(method: bytes, response: h11.Response) -> bool:
-    if method == b'HEAD' or response.status_code in _BODILESS_STATUSES:
-        return False
-    names = {name for name, _text in response.headers}
-    return names.isdisjoint(_FRAMING_HEADERS)
-
-
 def _classify_answer(head: AnswerHead) -> AttemptEnd:
     if head.not_run:
         return AttemptEnd.not_run
