Answer with a complete, empty stream where nothing is left of it

What callers saw: one that had received the last event of a stream, but not its end, and took the stream up with Last-Event-Id got 502, after the request had been sent to a second endpoint out of the retry budget.

Cause: an endpoint then answers 200 with a stream that has no event. The gateway took each such answer for one that ended inside an event, and a request that was sent so for one that may have crashed its endpoint.

Now an answer to a request that continues a stream may have no event: it is complete if its body is, by its length, its chunks, or the evidence that is asked of each answer without either. The caller gets status 200, the endpoint's headers and no body. A new stream without an event stays broken, and so does one that ends inside an event. Such an answer runs nothing, so it does not count as proof that the request or a part of its prompt crashes no endpoint; an empty rest inside one answer did count.

--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -14,8 +14,9 @@
 request), ``garbage`` (no HTTP), ``encoded`` (a content encoding), ``hang``,
 ``cut`` (a stream ends after two events and half of the third), ``crash``
 (it is reset there, and nothing listens any more), ``endless_third`` (the third
-event never ends), and the keys of ``ENDLESS``: bytes without end until the
-caller closes.
+event never ends), ``half`` (a stream ends well inside its third event),
+``headonly`` (the endpoint ends after the head of a stream), and the keys of
+``ENDLESS``: bytes without end until the caller closes.
 
 A request for a target that ``ends_by`` names ends the endpoint as it begins to
 run: all connections are reset, and nothing listens any more. So does a prompt
@@ -437,6 +438,9 @@
             response = h11.Response(status_code=200, headers=headers)
             sock.sendall(_encode(http, response))
             frame = functools.partial(_frame_by_h11, http)
+        if fault == 'headonly':
+            self.crash()
+            return False
         if not self._send_events(sock, run, fault, frame):
             return False
         run.whole = True
@@ -460,6 +464,9 @@
                 f'id: {self._naming.name(number)}\n'
                 f'data: {run.call_id} {number} {self.version}\n\n'
             ).encode()
+            if fault == 'half' and number > _CUT_AFTER:
+                sock.sendall(frame(event[: len(event) // 2]))
+                return True
             if fault in _BREAKS and number > _CUT_AFTER:
                 self._break_off(sock, fault, event, frame)
                 return False
--- a/tests/test_ends_of_answers.py
+++ b/tests/test_ends_of_answers.py
@@ -351,3 +351,26 @@
     answer = receive_ended(ending_site, target, Framing.none, Ending.exits)
     assert parse_event_ids(answer.body) == ALL_EVENTS
     assert answer.whole is is_whole
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize('framing', list(Framing))
+def test_stream_taken_up_after_its_last_event_ends_well(
+    ending_site: EndingSite, framing: Framing
+):
+    ending_site.start('first', '/stream/x', '--framing', framing)
+    ending_site.put('first')
+    begun = ending_site.site.ask('/stream/x', method='POST', **PROMPT)
+    assert parse_event_ids(begun.body) == ALL_EVENTS
+    answer = ending_site.site.ask(
+        '/stream/x',
+        method='POST',
+        X_Attempt_Id='a2',
+        Resumes='a1',
+        Last_Event_Id=str(PIECES),
+        **PROMPT,
+    )
+    assert answer.status == 200
+    assert answer.whole
+    assert not answer.body
+    assert answer.headers['x-response-seal'] == 'seal.first'
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -169,6 +169,11 @@
             if self._connection is not None:
                 self._connection.close()
 
+    @property
+    def _last_event_id(self) -> str | None:
+        # Of the last event that the caller has, if it has one.
+        return self._reply.last_event_id or self._call.head.last_event_id
+
     def _exchange(self, limits: AttemptLimits) -> AttemptOutcome:
         call = self._call
         connection = self._connections.acquire(
@@ -193,11 +198,10 @@
         return self._read_response(response, limits)
 
     def _make_sending(self, limits: AttemptLimits) -> AttemptRequest:
-        last_event_id = self._reply.last_event_id
         return AttemptRequest(
             endpoint=self._destination.endpoint,
             time_left_ms=limits.deadline_ms - self._now_ms(),
-            last_event_id=last_event_id or self._call.head.last_event_id,
+            last_event_id=self._last_event_id,
             source=self._destination.source,
             backup=self._destination.backup,
             continues=self._destination.is_continuation,
@@ -287,11 +291,19 @@
                 has_events = True
                 self._check_order(events)
                 self._forward_events(response, events, splitter.last_event_id)
-        if splitter.has_partial_event or not self._reply.started:
+        if splitter.has_partial_event:
             raise BrokenAnswerError('the stream ended inside an event')
+        if not has_events:
+            self._check_empty()
         self._check_end(response)
+        if not self._reply.started:
+            self._start_stream(response)
         self._release_connection(is_rest_needed=True)
-        return AttemptOutcome(end=AttemptEnd.answered, reason='stream')
+        return AttemptOutcome(
+            end=AttemptEnd.answered,
+            reason='stream',
+            is_empty_stream=not has_events,
+        )
 
     def _check_end(self, response: h11.Response) -> None:
         # Without a length or chunks, an answer that the end of its endpoint cut
@@ -302,6 +314,11 @@
                 'nothing shows that the endpoint outlives its answer'
             )
 
+    def _check_empty(self) -> None:
+        # Only a stream that has events may have none left to send.
+        if self._last_event_id is None:
+            raise BrokenAnswerError('the stream ended without an event')
+
     def _check_version(self, *, is_first: bool) -> None:
         # The endpoint may have started again as another version under its id
         # before it received the request.
@@ -322,13 +339,15 @@
     ) -> None:
         self._on_output()
         if not self._reply.started:
-            headers = response.headers.raw_items()
-            self._reply.start_stream(
-                response.status_code,
-                self._binding.caller_headers(headers),
-            )
+            self._start_stream(response)
         self._reply.send_events(events, last_event_id)
 
+    def _start_stream(self, response: h11.Response) -> None:
+        headers = response.headers.raw_items()
+        self._reply.start_stream(
+            response.status_code, self._binding.caller_headers(headers)
+        )
+
     def _receive(self, limits: AttemptLimits) -> h11.Event:
         if self._connection is None:
             raise BrokenAnswerError('the attempt has no connection')
--- a/wingfall/gateway/calls/attempt_outcome.py
+++ b/wingfall/gateway/calls/attempt_outcome.py
@@ -39,7 +39,14 @@
 class AttemptOutcome:
     """The end of an attempt, with the buffered answer if there is one."""
 
-    __slots__ = ('answer', 'end', 'endless', 'is_abandoned', 'reason')
+    __slots__ = (
+        'answer',
+        'end',
+        'endless',
+        'is_abandoned',
+        'is_empty_stream',
+        'reason',
+    )
 
     def __init__(
         self,
@@ -48,6 +55,7 @@
         answer: BufferedAnswer | None = None,
         reason: str = '',
         is_abandoned: bool = False,
+        is_empty_stream: bool = False,
         endless: EndlessAnswerError | None = None,
     ) -> None:
         """Create an outcome.
@@ -56,12 +64,14 @@
         :param answer: an answer that has not been forwarded yet.
         :param reason: the observed cause, for logs.
         :param is_abandoned: whether this side, not the endpoint, gave up.
+        :param is_empty_stream: whether the endpoint had no event left to send.
         :param endless: the bound that the answer exceeded, None if it did not.
         """
         self.end = end
         self.answer = answer
         self.reason = reason
         self.is_abandoned = is_abandoned
+        self.is_empty_stream = is_empty_stream
         self.endless = endless
 
     @property
@@ -69,9 +79,9 @@
         """Whether the endpoint has run the request successfully.
 
         A failed answer doesn't prove a run: an endpoint may fail requests
-        without reading them.
+        without reading them, and one without an event left runs nothing.
         """
-        if self.end is not AttemptEnd.answered:
+        if self.end is not AttemptEnd.answered or self.is_empty_stream:
             return False
         return self.answer is None or self.answer.status < _MIN_ERROR_STATUS
 
