Take the end of a stream only from an endpoint of its version

What callers saw: a stream that was cut, and went on at an endpoint that started again as another software version before it got the request, ended as complete after two of four events.

Cause: whether the endpoint is of the stream's version is checked again at its first event. An answer without an event was not checked, so that the other version's end counted as the stream's. Without a length or chunks the evidence of the end refused it already (`superseded`).

Now an empty rest is checked as a first event is: it is dropped, and the stream goes on at another endpoint of its version or is cut.

--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -376,6 +376,56 @@
     assert parse_event_ids(answer.body) == [3, 4]
 
 
+@pytest.mark.parametrize('unframed', [False, True])
+def test_engine_that_changed_does_not_tell_that_a_stream_has_ended(
+    restarting_site: GatewaySite, *, unframed: bool
+):
+    for server in restarting_site.servers.values():
+        server.delay_ms = 500
+        server.unframed_streams = unframed
+    caller = restarting_site.caller(0)
+    caller.send(
+        '/stream/x',
+        method='POST',
+        X_Attempt_Id='s1',
+        Last_Event_Id='2',
+        Resumes='s0',
+        **PROMPT,
+    )
+    names = list(restarting_site.servers)
+    wait_until(
+        lambda: any(resumed_runs(restarting_site, each) for each in names)
+    )
+    (changed,) = [each for each in names if resumed_runs(restarting_site, each)]
+    # Its streams as another version have no event after the second.
+    restarting_site.servers[changed].events = 2
+    put_started(restarting_site, 'v2', 2000, changed)
+    answer = caller.receive()
+    assert parse_event_ids(answer.body) == [3, 4]
+
+
+def test_engine_that_changed_does_not_end_an_answer_that_has_begun(
+    restarting_site: GatewaySite,
+):
+    faults, delays_ms = ['cut'], [500, 1]
+    for server in restarting_site.servers.values():
+        server.draw_delay_ms = delays_ms.pop
+        server.event_ms = 50
+        server.faults = faults
+    caller = restarting_site.caller(0)
+    caller.send('/stream/x', method='POST', X_Attempt_Id='s1', **PROMPT)
+    names = list(restarting_site.servers)
+    wait_until(
+        lambda: any(resumed_runs(restarting_site, each) for each in names)
+    )
+    (changed,) = [each for each in names if resumed_runs(restarting_site, each)]
+    restarting_site.servers[changed].events = 2
+    put_started(restarting_site, 'v2', 2000, changed)
+    answer = caller.receive()
+    assert not answer.whole or parse_event_ids(answer.body) == [1, 2, 3, 4]
+    assert parse_event_ids(answer.body)[:2] == [1, 2]
+
+
 def test_stream_without_a_named_version_is_not_joined_with_another(
     gateway_site: GatewaySite,
 ):
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -318,6 +318,7 @@
         # Only a stream that has events may have none left to send.
         if self._last_event_id is None:
             raise BrokenAnswerError('the stream ended without an event')
+        self._check_version(is_first=True)
 
     def _check_version(self, *, is_first: bool) -> None:
         # The endpoint may have started again as another version under its id
