--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import http
 import re
 from typing import TYPE_CHECKING, Callable, Final, final
 
@@ -19,6 +18,10 @@
     BufferedAnswer,
 )
 from wingfall.gateway.endpoints.answer_buffer import AnswerBuffer
+from wingfall.gateway.endpoints.answer_framing import (
+    ends_with_connection,
+    is_stream,
+)
 from wingfall.gateway.endpoints.endpoint_connection import (
     AnswerTimeoutError,
     BrokenAnswerError,
@@ -49,11 +52,6 @@
     from wingfall.gateway.model.call import Call, Headers
     from wingfall.gateway.rules.streams.event_order import EventOrder
 
-_EVENT_STREAM: Final = b'text/event-stream'
-_FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
-_BODILESS_STATUSES: Final = frozenset(
-    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED),
-)
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout=(\d+)')
 # Limits the memory of a buffered answer. Twice the largest request body.
 _MAX_ANSWER_BYTES: Final = 8_388_608
@@ -171,6 +169,11 @@
             if self._connection is not None:
                 self._connection.close()
 
+    @property
+    def _last_event_id(self) -> str | None:
+        # Of the last event that the caller has, if it has one.
+        return self._reply.last_event_id or self._call.head.last_event_id
+
     def _exchange(self, limits: AttemptLimits) -> AttemptOutcome:
         call = self._call
         connection = self._connections.acquire(
@@ -195,11 +198,10 @@
         return self._read_response(response, limits)
 
     def _make_sending(self, limits: AttemptLimits) -> AttemptRequest:
-        last_event_id = self._reply.last_event_id
         return AttemptRequest(
             endpoint=self._destination.endpoint,
             time_left_ms=limits.deadline_ms - self._now_ms(),
-            last_event_id=last_event_id or self._call.head.last_event_id,
+            last_event_id=self._last_event_id,
             source=self._destination.source,
             backup=self._destination.backup,
             continues=self._destination.is_continuation,
@@ -222,7 +224,7 @@
         # any answer that it needs relief, and all gateways must receive that.
         self._on_signals(head.signals, self._sent_ms)
         self._note_keep_alive(headers)
-        if not _ends_with_connection(self._call.head.method, response):
+        if not ends_with_connection(self._call.head.method, response):
             return self._read_answer(response, head, limits)
         with self._watch_leaving():
             return self._read_answer(response, head, limits)
@@ -233,7 +235,7 @@
         head: AnswerHead,
         limits: AttemptLimits,
     ) -> AttemptOutcome:
-        if _is_stream(response):
+        if is_stream(response):
             return self._read_stream(response, limits)
         if self._reply.started:
             # A started stream can only be continued by another stream.
@@ -289,21 +291,35 @@
                 has_events = True
                 self._check_order(events)
                 self._forward_events(response, events, splitter.last_event_id)
-        if splitter.has_partial_event or not self._reply.started:
+        if splitter.has_partial_event:
             raise BrokenAnswerError('the stream ended inside an event')
+        if not has_events:
+            self._check_empty()
         self._check_end(response)
+        if not self._reply.started:
+            self._start_stream(response)
         self._release_connection(is_rest_needed=True)
-        return AttemptOutcome(end=AttemptEnd.answered, reason='stream')
+        return AttemptOutcome(
+            end=AttemptEnd.answered,
+            reason='stream',
+            is_empty_stream=not has_events,
+        )
 
     def _check_end(self, response: h11.Response) -> None:
         # Without a length or chunks, an answer that the end of its endpoint cut
         # off looks like a whole one.
         method = self._call.head.method
-        if _ends_with_connection(method, response) and not self._is_whole():
+        if ends_with_connection(method, response) and not self._is_whole():
             raise BrokenAnswerError(
                 'nothing shows that the endpoint outlives its answer'
             )
 
+    def _check_empty(self) -> None:
+        # Only a stream that has events may have none left to send.
+        if self._last_event_id is None:
+            raise BrokenAnswerError('the stream ended without an event')
+        self._check_version(is_first=True)
+
     def _check_version(self, *, is_first: bool) -> None:
         # The endpoint may have started again as another version under its id
         # before it received the request.
@@ -324,13 +340,15 @@
     ) -> None:
         self._on_output()
         if not self._reply.started:
-            headers = response.headers.raw_items()
-            self._reply.start_stream(
-                response.status_code,
-                self._binding.caller_headers(headers),
-            )
+            self._start_stream(response)
         self._reply.send_events(events, last_event_id)
 
+    def _start_stream(self, response: h11.Response) -> None:
+        headers = response.headers.raw_items()
+        self._reply.start_stream(
+            response.status_code, self._binding.caller_headers(headers)
+        )
+
     def _receive(self, limits: AttemptLimits) -> h11.Event:
         if self._connection is None:
             raise BrokenAnswerError('the attempt has no connection')
@@ -362,22 +380,6 @@
         return AttemptEnd.cut if self._reply.started else AttemptEnd.late
 
 
-def _is_stream(response: h11.Response) -> bool:
-    content_types = [
-        text for name, text in response.headers if name == b'content-type'
-    ]
-    return response.status_code == http.HTTPStatus.OK and any(
-        content_type.startswith(_EVENT_STREAM) for content_type in content_types
-    )
-
-
-def _ends_with_connection(method: bytes, response: h11.Response) -> bool:
-    if method == b'HEAD' or response.status_code in _BODILESS_STATUSES:
-        return False
-    names = {name for name, _text in response.headers}
-    return names.isdisjoint(_FRAMING_HEADERS)
-
-
 def _classify_answer(head: AnswerHead) -> AttemptEnd:
     if head.not_run:
         return AttemptEnd.not_run
