Write origins of streams while lists of all gateways fail

What callers saw: after the end of all gateways, streams of a pool with several versions were refused with stream_version_unknown if the gateway that began them had got no list of the objects since its start. It wrote none of its streams until a list succeeded: at least 1 s later, with doubled delays after each failure, and never while lists alone fail.

Cause: a gateway must know what an earlier process of its own has left before it replaces it, and took that from the list alone.

Now it reads its own object if the list fails, and begins to write. The list is repeated beside the writes, no more often than its interval allows, so lists stay in their share; what is added is one read of one object after a failed list.

Evidence: test_streams_are_written_while_lists_of_all_gateways_fail fails on the code before (the object holds the stream of the earlier process alone). test_list_that_failed_at_the_start_is_repeated_at_its_interval passes before and after: it bounds what the writes no longer wait for.

--- a/tests/test_stream_history.py
+++ b/tests/test_stream_history.py
@@ -49,6 +49,7 @@
     def __init__(self) -> None:
         self.objects: dict[str, StoredObject] = {}
         self.status = 0
+        self.list_status = 0
         self.loses_answers = False
         self.lists = 0
         self.writes = 0
@@ -69,8 +70,8 @@
     ) -> Result[StoreResponse, PlatformError]:
         self.lists += 1
         self.answers.wait()
-        if self.status:
-            return self._fail(self.status)
+        if self.status or self.list_status:
+            return self._fail(self.status or self.list_status)
         found = list(self.objects.values())
         return Success(StoreResponse(revision=0, objects=found))
 
@@ -280,6 +281,40 @@
     assert not store.writes
 
 
+def test_streams_are_written_while_lists_of_all_gateways_fail(
+    store: StoreStandIn, clock: ManualClock
+):
+    before = GatewayStandIn(store=store, clock=clock)
+    before.begin('old')
+    before.run(lambda: store.objects)
+    store.list_status = http.HTTPStatus.SERVICE_UNAVAILABLE
+    again = GatewayStandIn(store=store, clock=clock)
+    again.begin('new')
+    again.run()
+    assert stored_keys(store) == {key_of('old'), key_of('new')}
+
+
+def test_list_that_failed_at_the_start_is_repeated_at_its_interval(
+    store: StoreStandIn, clock: ManualClock
+):
+    before = GatewayStandIn(store=store, clock=clock, name='b')
+    before.begin('s')
+    before.run(lambda: store.objects)
+    store.lists = 0
+    store.list_status = http.HTTPStatus.SERVICE_UNAVAILABLE
+    after = GatewayStandIn(store=store, clock=clock)
+    running = gevent.spawn(after.history.run, Event())
+    gevent.sleep(WRITTEN_S)
+    assert store.lists == 1
+    clock.advance(1000)
+    wait_until(lambda: store.lists == 2)
+    store.list_status = 0
+    clock.advance(1000)
+    wait_until(lambda: after.version_of('s') == 'v1')
+    running.kill()
+    assert store.lists == 3
+
+
 def test_stream_that_ended_is_dropped_with_the_next_write(
     store: StoreStandIn, clock: ManualClock
 ):
--- a/wingfall/gateway/configuration/stream_history.py
+++ b/wingfall/gateway/configuration/stream_history.py
@@ -68,6 +68,7 @@
         '_get_gateway_count',
         '_has_read',
         '_is_first',
+        '_knows_own',
         '_lists_per_s',
         '_log',
         '_name',
@@ -131,8 +132,10 @@
         self._written: frozenset[StreamKey] = frozenset()
         # Number of objects when they were last read.
         self._object_count = 0
-        # Whether the objects were read since the start.
+        # Whether the objects of all gateways, and that of this one, were read
+        # since the start.
         self._has_read = False
+        self._knows_own = False
         # Set at the end of the list that is under way.
         self._reading: Event | None = None
         self._next_list_ms = clock.now_ms()
@@ -178,10 +181,13 @@
         :param stop: set when the process ends.
         """
         backoff = Backoff(min_ms=_MIN_LIST_INTERVAL_MS, max_ms=_MAX_RETRY_MS)
-        # What an earlier process left must be known before it is replaced.
-        while not self._has_read:
+        # What an earlier process left must be known before it is replaced. The
+        # object of this gateway can be read while lists of all of them fail.
+        while not self._knows_own:
             self._read_when_due()
-            if not self._has_read and stop.wait(backoff.take_ms() / MS_PER_S):
+            if self._knows_own or self._read_own():
+                break
+            if stop.wait(backoff.take_ms() / MS_PER_S):
                 return
         self._keep(stop, backoff)
 
@@ -216,11 +222,17 @@
 
     def _keep(self, stop: Event, backoff: Backoff) -> None:
         while not stop.wait(self._write_interval_ms() / MS_PER_S):
+            self._retry_list()
             if self._write():
                 backoff.reset()
             elif stop.wait(backoff.take_ms() / MS_PER_S):
                 return
 
+    def _retry_list(self) -> None:
+        is_due = self._next_list_ms <= self._clock.now_ms()
+        if not self._has_read and self._reading is None and is_due:
+            gevent.spawn(self._read_when_due)
+
     def _write_interval_ms(self) -> int:
         interval_ms = MS_PER_S * self._gateway_count / self._writes_per_s
         return max(_MIN_WRITE_INTERVAL_MS, int(interval_ms))
@@ -259,6 +271,7 @@
             stream_count = sum(self._merge(each) for each in stored)
             self._object_count = len(stored)
             self._has_read = True
+            self._knows_own = True
         self._log.note_read(
             self._clock.now_ms() - started_ms, stream_count, listed
         )
@@ -267,7 +280,7 @@
         streams = list(decode_streams(stored.spec, self._clock.now_ms()))
         for key, record in streams:
             self._origins.note(key, record)
-        if stored.name == self._name and not self._has_read:
+        if stored.name == self._name and not self._knows_own:
             self._adopt(stored)
         return len(streams)
 
@@ -296,14 +309,17 @@
             self._revision = written.unwrap().revision
             self._written = keys
             return True
+        # It may have taken effect, or the object has changed.
         self._read_own()
         return False
 
-    def _read_own(self) -> None:
-        # The write may have taken effect, or the object has changed.
+    def _read_own(self) -> bool:
         answer = self._store.read(self._name)
-        if isinstance(answer, Success):
-            self._adopt(answer.unwrap())
+        if not isinstance(answer, Success):
+            return False
+        self._adopt(answer.unwrap())
+        self._knows_own = True
+        return True
 
     def _list_streams(self) -> dict[StreamKey, StreamRecord]:
         return {
