Pass on plain answers in up to 65,536 pieces

Callers got 502 or another endpoint's answer where a sound answer came in more than 16,384 short chunks, some 330 KB in chunks of 20 bytes: the endpoint counted as one whose answers do not end.

Cause: each piece counted as 512 bytes at least of the 8 MB bound.

A piece counts as 128 bytes at least now, so an answer of 8 MB may have 65,536 pieces.

--- a/standins/pool_server.py
+++ b/standins/pool_server.py
@@ -48,6 +48,7 @@
 from standins.body_reading import BodyReading, EarlyAnswer
 from standins.endless_answer import ENDLESS, repeat_piece, send_endless
 from standins.event_naming import EventNaming
+from standins.long_answer import LONG, send_long
 from standins.prompt_crash import PromptCrash
 
 _READ_BYTES: Final = 65_536
@@ -255,6 +256,10 @@
         if fault in ENDLESS:
             lines = _encode_lines(self._answer_headers(run))
             send_endless(sock, fault, lines, self._endless_pause_s)
+        if fault in LONG:
+            send_long(sock, fault, _encode_lines(self._answer_headers(run)))
+            run.whole = True
+            return False
         if 'x-token-count' in run.headers:
             return self._answer_stream(sock, http, run, fault)
         return self._answer_whole(sock, http, run, fault)
--- a/wingfall/gateway/endpoints/answer_buffer.py
+++ b/wingfall/gateway/endpoints/answer_buffer.py
@@ -17,8 +17,10 @@
 _MAX_TOTAL_BYTES: Final = 25_165_824
 # Bytes that each answer has for itself, and that it reserves at a time beyond.
 _STEP_BYTES: Final = 65_536
-# Bytes that a shorter piece counts as, since each piece costs processor time.
-_MIN_PIECE_BYTES: Final = 512
+# Bytes that a shorter piece counts as, since each piece costs processor time:
+# the 65,536 pieces of an answer at its bound are to cost two seconds of a core
+# at most.
+_MIN_PIECE_BYTES: Final = 128
 
 
 @final
