Pass on events of up to 8 MB

Callers got no event of more than 64 KB, such as a last event with log probabilities or a long tool call: the stream was cut or tried elsewhere, and the endpoint counted as one whose answers do not end.

Cause: an event had the same bound as what comes between two events.

An event may have 8 MB now, as a plain answer may, and 65,536 pieces. What is no event (comments, empty lines, lines without an id or data) keeps its bound of 64 KB. From 64 KB on an event may take half of the time that its attempt has left, since one that comes slowly reaches no bound of bytes: the other half is left to another endpoint, which goes on with the stream.

Long events may have many lines and long ids: they are not split into lines any more, the last id of an event counts, as in the standard, and an id of more than 64 KB ends the answer, since it is kept and sent on.

--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -7,18 +7,24 @@
 
 from __future__ import annotations
 
-import http
 import re
 from typing import TYPE_CHECKING, Callable, Final, final
 
 import h11
 
+from wingfall.gateway.calls.answer_form import (
+    ends_with_connection,
+    is_stream,
+)
 from wingfall.gateway.calls.attempt_outcome import (
     AttemptLimits,
     AttemptOutcome,
     BufferedAnswer,
 )
-from wingfall.gateway.endpoints.answer_buffer import AnswerBuffer
+from wingfall.gateway.endpoints.answer_buffer import (
+    MAX_ANSWER_BYTES,
+    AnswerBuffer,
+)
 from wingfall.gateway.endpoints.endpoint_connection import (
     AnswerTimeoutError,
     BrokenAnswerError,
@@ -30,6 +36,7 @@
     EventSplitter,
     list_event_ids,
 )
+from wingfall.gateway.endpoints.event_time import EventTime
 from wingfall.gateway.model.attempt_end import AttemptEnd
 from wingfall.gateway.model.binding import AttemptRequest
 
@@ -49,14 +56,7 @@
     from wingfall.gateway.model.call import Call, Headers
     from wingfall.gateway.rules.streams.event_order import EventOrder
 
-_EVENT_STREAM: Final = b'text/event-stream'
-_FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
-_BODILESS_STATUSES: Final = frozenset(
-    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED),
-)
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout=(\d+)')
-# Limits the memory of a buffered answer. Twice the largest request body.
-_MAX_ANSWER_BYTES: Final = 8_388_608
 
 
 class DisorderedStreamError(BrokenAnswerError):
@@ -222,7 +222,7 @@
         # any answer that it needs relief, and all gateways must receive that.
         self._on_signals(head.signals, self._sent_ms)
         self._note_keep_alive(headers)
-        if not _ends_with_connection(self._call.head.method, response):
+        if not ends_with_connection(self._call.head.method, response):
             return self._read_answer(response, head, limits)
         with self._watch_leaving():
             return self._read_answer(response, head, limits)
@@ -233,7 +233,7 @@
         head: AnswerHead,
         limits: AttemptLimits,
     ) -> AttemptOutcome:
-        if _is_stream(response):
+        if is_stream(response):
             return self._read_stream(response, limits)
         if self._reply.started:
             # A started stream can only be continued by another stream.
@@ -262,7 +262,7 @@
         )
 
     def _read_body(self, limits: AttemptLimits) -> bytes:
-        buffer = AnswerBuffer(memory=self._memory, max_bytes=_MAX_ANSWER_BYTES)
+        buffer = AnswerBuffer(memory=self._memory, max_bytes=MAX_ANSWER_BYTES)
         try:
             while True:
                 event = self._receive(limits)
@@ -277,29 +277,45 @@
         response: h11.Response,
         limits: AttemptLimits,
     ) -> AttemptOutcome:
-        splitter = EventSplitter(last_event_id=self._reply.last_event_id)
+        splitter = EventSplitter(
+            last_event_id=self._reply.last_event_id, memory=self._memory
+        )
+        try:
+            self._read_events(response, splitter, limits)
+        finally:
+            splitter.close()
+        if splitter.has_partial_event or not self._reply.started:
+            raise BrokenAnswerError('the stream ended inside an event')
+        self._check_end(response)
+        self._release_connection(is_rest_needed=True)
+        return AttemptOutcome(end=AttemptEnd.answered, reason='stream')
+
+    def _read_events(
+        self,
+        response: h11.Response,
+        splitter: EventSplitter,
+        limits: AttemptLimits,
+    ) -> None:
         has_events = False
+        event_time = EventTime(splitter=splitter)
         while True:
             event = self._receive(limits)
             if isinstance(event, h11.EndOfMessage):
-                break
+                return
             events = splitter.feed(bytes(event.data))
             if events:
                 self._check_version(is_first=not has_events)
                 has_events = True
                 self._check_order(events)
                 self._forward_events(response, events, splitter.last_event_id)
-        if splitter.has_partial_event or not self._reply.started:
-            raise BrokenAnswerError('the stream ended inside an event')
-        self._check_end(response)
-        self._release_connection(is_rest_needed=True)
-        return AttemptOutcome(end=AttemptEnd.answered, reason='stream')
+                splitter.release()
+            event_time.check(self._now_ms(), self._find_end_ms(limits))
 
     def _check_end(self, response: h11.Response) -> None:
         # Without a length or chunks, an answer that the end of its endpoint cut
         # off looks like a whole one.
         method = self._call.head.method
-        if _ends_with_connection(method, response) and not self._is_whole():
+        if ends_with_connection(method, response) and not self._is_whole():
             raise BrokenAnswerError(
                 'nothing shows that the endpoint outlives its answer'
             )
@@ -334,10 +350,15 @@
     def _receive(self, limits: AttemptLimits) -> h11.Event:
         if self._connection is None:
             raise BrokenAnswerError('the attempt has no connection')
-        until_ms = limits.deadline_ms
-        if self._call.route.streaming and not self._reply.started:
-            until_ms = limits.first_byte_ms + self._connection.delivery_ms
-        return self._connection.receive(until_ms - self._now_ms())
+        return self._connection.receive(
+            self._find_end_ms(limits) - self._now_ms()
+        )
+
+    def _find_end_ms(self, limits: AttemptLimits) -> int:
+        is_started = self._reply.started or not self._call.route.streaming
+        if is_started or self._connection is None:
+            return limits.deadline_ms
+        return limits.first_byte_ms + self._connection.delivery_ms
 
     def _release_connection(self, *, is_rest_needed: bool) -> None:
         connection = self._connection
@@ -362,22 +383,6 @@
         return AttemptEnd.cut if self._reply.started else AttemptEnd.late
 
 
-def _is_stream(response: h11.Response) -> bool:
-    content_types = [
-        text for name, text in response.headers if name == b'content-type'
-    ]
-    return response.status_code == http.HTTPStatus.OK and any(
-        content_type.startswith(_EVENT_STREAM) for content_type in content_types
-    )
-
-
-def _ends_with_connection(method: bytes, response: h11.Response) -> bool:
-    if method == b'HEAD' or response.status_code in _BODILESS_STATUSES:
-        return False
-    names = {name for name, _text in response.headers}
-    return names.isdisjoint(_FRAMING_HEADERS)
-
-
 def _classify_answer(head: AnswerHead) -> AttemptEnd:
     if head.not_run:
         return AttemptEnd.not_run
--- a/wingfall/gateway/endpoints/answer_buffer.py
+++ b/wingfall/gateway/endpoints/answer_buffer.py
@@ -1,7 +1,8 @@
 """Buffer of an answer that is passed on only when it is complete.
 
 Each answer has a bound, and so have all answers that a gateway reads at the
-same time: several endpoints may send bytes without end at once.
+same time: several endpoints may send bytes without end at once. The long events
+of streams share that memory.
 """
 
 from __future__ import annotations
@@ -13,14 +14,17 @@
     EndlessAnswerError,
 )
 
+# Limits the memory of a buffered answer or event. Twice the largest request
+# body.
+MAX_ANSWER_BYTES: Final = 8_388_608
+# Bytes that a shorter piece counts as, since each piece costs processor time:
+# the 65,536 pieces of an answer at its bound are to cost two seconds of a core
+# at most.
+MIN_PIECE_BYTES: Final = 128
 # Maximum bytes of all answers together beyond what each has for itself.
 _MAX_TOTAL_BYTES: Final = 25_165_824
 # Bytes that each answer has for itself, and that it reserves at a time beyond.
 _STEP_BYTES: Final = 65_536
-# Bytes that a shorter piece counts as, since each piece costs processor time:
-# the 65,536 pieces of an answer at its bound are to cost two seconds of a core
-# at most.
-_MIN_PIECE_BYTES: Final = 128
 
 
 @final
@@ -51,6 +55,42 @@
         self.reserved_bytes -= reserved_bytes
 
 
+@final
+class MemoryShare:
+    """What one answer has reserved of the memory that all answers share."""
+
+    __slots__ = ('_memory', '_reserved_bytes')
+
+    def __init__(self, *, memory: AnswerMemory) -> None:
+        """Create a share of which nothing is reserved.
+
+        :param memory: memory that it shares with others.
+        """
+        self._memory = memory
+        self._reserved_bytes = 0
+
+    def cover(self, held_bytes: int) -> bool:
+        """Reserve what an answer needs beyond what it has for itself.
+
+        :param held_bytes: bytes that are held of the answer.
+        :returns: whether they are reserved.
+        """
+        while held_bytes > self._reserved_bytes + _STEP_BYTES:
+            if not self._memory.reserve():
+                return False
+            self._reserved_bytes += _STEP_BYTES
+        return True
+
+    def shrink(self, held_bytes: int) -> None:
+        """Release what an answer no longer needs.
+
+        :param held_bytes: bytes that are still held of the answer.
+        """
+        while self._reserved_bytes and held_bytes <= self._reserved_bytes:
+            self._memory.release(_STEP_BYTES)
+            self._reserved_bytes -= _STEP_BYTES
+
+
 @final
 class AnswerBuffer:
     """The body of one answer, as far as it was received."""
@@ -59,8 +99,7 @@
         '_body',
         '_counted_bytes',
         '_max_bytes',
-        '_memory',
-        '_reserved_bytes',
+        '_share',
     )
 
     def __init__(self, *, memory: AnswerMemory, max_bytes: int) -> None:
@@ -69,11 +108,10 @@
         :param memory: memory that it shares with others.
         :param max_bytes: maximum bytes of the body.
         """
-        self._memory = memory
+        self._share = MemoryShare(memory=memory)
         self._max_bytes = max_bytes
         self._body = bytearray()
         self._counted_bytes = 0
-        self._reserved_bytes = 0
 
     def add(self, piece: bytes) -> None:
         """Append the next bytes of the body.
@@ -82,13 +120,11 @@
         :raises EndlessAnswerError: if a bound is exceeded.
         """
         self._body += piece
-        self._counted_bytes += max(len(piece), _MIN_PIECE_BYTES)
+        self._counted_bytes += max(len(piece), MIN_PIECE_BYTES)
         if self._counted_bytes > self._max_bytes:
             raise self._make_error(AnswerPart.body)
-        while len(self._body) > self._reserved_bytes + _STEP_BYTES:
-            if not self._memory.reserve():
-                raise self._make_error(AnswerPart.memory)
-            self._reserved_bytes += _STEP_BYTES
+        if not self._share.cover(len(self._body)):
+            raise self._make_error(AnswerPart.memory)
 
     def read(self) -> bytes:
         """Return a copy of the body.
@@ -100,8 +136,7 @@
     def release(self) -> None:
         """Release the memory of the body."""
         self._body.clear()
-        self._memory.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        self._share.shrink(0)
 
     def _make_error(self, part: AnswerPart) -> EndlessAnswerError:
         return EndlessAnswerError(part=part, received_bytes=len(self._body))
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -81,7 +81,7 @@
     body = 'body'  # The body of an answer that is no stream.
     head = 'head'  # The head, the trailers, or a line between chunks.
     interim = 'interim'  # Informational answers before the answer.
-    memory = 'memory'  # A body, together with those of other answers.
+    memory = 'memory'  # A body or an event, together with those of others.
     stream = 'stream'  # An event, or what comes between two events.
 
 
--- a/wingfall/gateway/endpoints/event_stream.py
+++ b/wingfall/gateway/endpoints/event_stream.py
@@ -9,21 +9,33 @@
 from __future__ import annotations
 
 import re
-from typing import Final, final
+from typing import TYPE_CHECKING, Final, final
 
+from wingfall.gateway.endpoints.answer_buffer import (
+    MAX_ANSWER_BYTES,
+    MIN_PIECE_BYTES,
+    AnswerMemory,
+    MemoryShare,
+)
 from wingfall.gateway.endpoints.endpoint_connection import (
     AnswerPart,
     EndlessAnswerError,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 _EVENT_END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
 _EVENT_FIELD: Final = re.compile(rb'^(?:id|data)(?::|$)', re.MULTILINE)
-# Maximum bytes of an event, and of a stream between two events, to bound the
-# memory of all streams together.
+# Maximum bytes of a stream between two events, and of an event without sharing
+# memory with others, to bound the memory of all streams together.
 _MAX_EVENTLESS_BYTES: Final = 65_536
-# Bytes that a shorter piece counts as, since each piece costs processor time.
-_MIN_PIECE_BYTES: Final = 64
+# Maximum bytes of an id, which is kept and sent on after its event.
+_MAX_ID_BYTES: Final = 65_536
+# Bytes that a shorter piece between two events counts as, since each piece
+# costs processor time.
+_MIN_EVENTLESS_BYTES: Final = 64
 
 
 @final
@@ -33,24 +45,38 @@
     __slots__ = (
         '_buffer',
         '_ended_with_cr',
-        '_eventless_bytes',
+        '_event_bytes',
+        '_has_begun',
         '_has_events',
         '_held',
+        '_share',
+        'eventless_bytes',
         'last_event_id',
     )
 
-    def __init__(self, *, last_event_id: str | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        last_event_id: str | None = None,
+        memory: AnswerMemory | None = None,
+    ) -> None:
         """Create a splitter with an empty buffer.
 
         :param last_event_id: ID of the last event that was passed on.
+        :param memory: memory that long events share, None for one of its own.
         """
+        self._share = MemoryShare(memory=memory or AnswerMemory())
         # The part of an event, or of comments, that is not complete.
         self._buffer = bytearray()
         # Comments before the first event.
         self._held = bytearray()
         self._has_events = False
-        # Bytes received since the last event.
-        self._eventless_bytes = 0
+        # Bytes received since the last event, as they count between two events
+        # and as they count in one.
+        self.eventless_bytes = 0
+        self._event_bytes = 0
+        # Whether the bytes in the buffer are known to be part of an event.
+        self._has_begun = False
         # Whether the bytes so far ended with CR; LF may follow.
         self._ended_with_cr = False
         self.last_event_id = last_event_id
@@ -60,6 +86,11 @@
         """Whether the buffer contains part of an event."""
         return bool(self._buffer)
 
+    @property
+    def is_inside_long_event(self) -> bool:
+        """Whether the buffer contains part of an event that needs its bound."""
+        return self._has_begun
+
     def feed(self, received: bytes) -> bytes:
         """Add received bytes and return the events that are complete.
 
@@ -67,22 +98,53 @@
         answer, so another endpoint may still give one.
 
         :param received: next bytes of the stream.
-        :returns: complete events, empty if there are none yet.
+        :returns: complete events, empty if there are none yet; their memory is
+            reserved until the release.
         :raises EndlessAnswerError: if too many bytes came since the last event.
         """
         complete = self._take_complete(self._decode_line_ends(received))
-        if _EVENT_FIELD.search(complete):
+        if complete and self._includes_event(complete):
             self._has_events = True
-            self._eventless_bytes = len(self._buffer)
+            self.eventless_bytes = len(self._buffer)
+            self._event_bytes = len(self._buffer)
             self._update_last_event_id(complete)
         else:
-            self._eventless_bytes += max(len(received), _MIN_PIECE_BYTES)
-        if self._eventless_bytes > _MAX_EVENTLESS_BYTES:
-            raise EndlessAnswerError(
-                part=AnswerPart.stream, received_bytes=self._eventless_bytes
-            )
-        self._held += complete
-        return self._take_held() if self._has_events else b''
+            self.eventless_bytes += max(len(received), _MIN_EVENTLESS_BYTES)
+            self._event_bytes += max(len(received), MIN_PIECE_BYTES)
+        self._check_bounds()
+        self._reserve(len(complete))
+        return self._take_events(complete)
+
+    def release(self) -> None:
+        """Release the memory of the events that were returned."""
+        self._share.shrink(len(self._buffer) + len(self._held))
+
+    def close(self) -> None:
+        """Release all memory; nothing is fed any more."""
+        self._share.shrink(0)
+
+    def _includes_event(self, complete: bytes) -> bool:
+        has_begun = self._has_begun
+        self._has_begun = False
+        return has_begun or bool(_EVENT_FIELD.search(complete))
+
+    def _check_bounds(self) -> None:
+        if self.eventless_bytes <= _MAX_EVENTLESS_BYTES:
+            return
+        if not self._has_begun:
+            self._has_begun = bool(_EVENT_FIELD.search(self._buffer))
+        if not self._has_begun or self._event_bytes > MAX_ANSWER_BYTES:
+            raise self._make_error(AnswerPart.stream)
+
+    def _reserve(self, complete_bytes: int) -> None:
+        held_bytes = len(self._buffer) + len(self._held) + complete_bytes
+        if not self._share.cover(held_bytes):
+            raise self._make_error(AnswerPart.memory)
+
+    def _make_error(self, part: AnswerPart) -> EndlessAnswerError:
+        return EndlessAnswerError(
+            part=part, received_bytes=self.eventless_bytes
+        )
 
     def _take_complete(self, decoded: bytes) -> bytes:
         # The bytes before these hold no end of an event, but may hold the first
@@ -93,11 +155,18 @@
         if found < 0:
             return b''
         end = found + len(_EVENT_END)
-        complete = bytes(self._buffer[:end])
+        # A slice of the buffer would be another copy.
+        with memoryview(self._buffer) as view:
+            complete = bytes(view[:end])
         del self._buffer[:end]  # noqa: WPS420
         return complete
 
-    def _take_held(self) -> bytes:
+    def _take_events(self, complete: bytes) -> bytes:
+        if self._has_events and not self._held:
+            return complete
+        self._held += complete
+        if not self._has_events:
+            return b''
         events = bytes(self._held)
         self._held.clear()
         return events
@@ -111,10 +180,12 @@
         return received.replace(b'\r\n', b'\n').replace(b'\r', b'\n')
 
     def _update_last_event_id(self, complete: bytes) -> None:
-        for line in reversed(complete.split(b'\n')):
-            if line.startswith(_ID_FIELD):
-                self.last_event_id = _decode_id(line)
-                return
+        for line in _find_id_lines(complete):
+            if len(line) > _MAX_ID_BYTES:
+                raise EndlessAnswerError(
+                    part=AnswerPart.stream, received_bytes=len(line)
+                )
+            self.last_event_id = _decode_id(line)
 
 
 def list_event_ids(events: bytes) -> list[str]:
@@ -123,8 +194,16 @@
     :param events: complete events.
     :returns: the ids in order, none for events without one.
     """
-    lines = events.split(b'\n')
-    return [_decode_id(line) for line in lines if line.startswith(_ID_FIELD)]
+    return list(map(_decode_id, _find_id_lines(events)))
+
+
+def _find_id_lines(events: bytes) -> Iterator[bytes]:
+    # An event is not split into lines, of which a long one may have many; the
+    # last id of an event counts.
+    for event in events.split(_EVENT_END):
+        start = event.rfind(b'\n%b' % _ID_FIELD) + 1
+        if event.startswith(_ID_FIELD, start):
+            yield event[start:].partition(b'\n')[0]
 
 
 def _decode_id(line: bytes) -> str:
