--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -17,7 +17,10 @@
     AttemptOutcome,
     BufferedAnswer,
 )
-from wingfall.gateway.endpoints.answer_buffer import AnswerBuffer
+from wingfall.gateway.endpoints.answer_buffer import (
+    MAX_ANSWER_BYTES,
+    AnswerBuffer,
+)
 from wingfall.gateway.endpoints.answer_framing import (
     ends_with_connection,
     is_stream,
@@ -33,6 +36,7 @@
     EventSplitter,
     list_event_ids,
 )
+from wingfall.gateway.endpoints.event_time import EventTime
 from wingfall.gateway.model.attempt_end import AttemptEnd
 from wingfall.gateway.model.binding import AttemptRequest
 
@@ -53,8 +57,6 @@
     from wingfall.gateway.rules.streams.event_order import EventOrder
 
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout=(\d+)')
-# Limits the memory of a buffered answer. Twice the largest request body.
-_MAX_ANSWER_BYTES: Final = 8_388_608
 
 
 class DisorderedStreamError(BrokenAnswerError):
@@ -264,7 +266,7 @@
         )
 
     def _read_body(self, limits: AttemptLimits) -> bytes:
-        buffer = AnswerBuffer(memory=self._memory, max_bytes=_MAX_ANSWER_BYTES)
+        buffer = AnswerBuffer(memory=self._memory, max_bytes=MAX_ANSWER_BYTES)
         try:
             while True:
                 event = self._receive(limits)
@@ -279,18 +281,13 @@
         response: h11.Response,
         limits: AttemptLimits,
     ) -> AttemptOutcome:
-        splitter = EventSplitter(last_event_id=self._reply.last_event_id)
-        has_events = False
-        while True:
-            event = self._receive(limits)
-            if isinstance(event, h11.EndOfMessage):
-                break
-            events = splitter.feed(bytes(event.data))
-            if events:
-                self._check_version(is_first=not has_events)
-                has_events = True
-                self._check_order(events)
-                self._forward_events(response, events, splitter.last_event_id)
+        splitter = EventSplitter(
+            last_event_id=self._reply.last_event_id, memory=self._memory
+        )
+        try:
+            has_events = self._read_events(response, splitter, limits)
+        finally:
+            splitter.close()
         if splitter.has_partial_event:
             raise BrokenAnswerError('the stream ended inside an event')
         if not has_events:
@@ -305,6 +302,27 @@
             is_empty_stream=not has_events,
         )
 
+    def _read_events(
+        self,
+        response: h11.Response,
+        splitter: EventSplitter,
+        limits: AttemptLimits,
+    ) -> bool:
+        has_events = False
+        event_time = EventTime(splitter=splitter)
+        while True:
+            event = self._receive(limits)
+            if isinstance(event, h11.EndOfMessage):
+                return has_events
+            events = splitter.feed(bytes(event.data))
+            if events:
+                self._check_version(is_first=not has_events)
+                has_events = True
+                self._check_order(events)
+                self._forward_events(response, events, splitter.last_event_id)
+                splitter.release()
+            event_time.check(self._now_ms(), self._find_end_ms(limits))
+
     def _check_end(self, response: h11.Response) -> None:
         # Without a length or chunks, an answer that the end of its endpoint cut
         # off looks like a whole one.
@@ -352,10 +370,15 @@
     def _receive(self, limits: AttemptLimits) -> h11.Event:
         if self._connection is None:
             raise BrokenAnswerError('the attempt has no connection')
-        until_ms = limits.deadline_ms
-        if self._call.route.streaming and not self._reply.started:
-            until_ms = limits.first_byte_ms + self._connection.delivery_ms
-        return self._connection.receive(until_ms - self._now_ms())
+        return self._connection.receive(
+            self._find_end_ms(limits) - self._now_ms()
+        )
+
+    def _find_end_ms(self, limits: AttemptLimits) -> int:
+        is_started = self._reply.started or not self._call.route.streaming
+        if is_started or self._connection is None:
+            return limits.deadline_ms
+        return limits.first_byte_ms + self._connection.delivery_ms
 
     def _release_connection(self, *, is_rest_needed: bool) -> None:
         connection = self._connection
