--- a/wingfall/gateway/calls/only_version.py
+++ b/wingfall/gateway/calls/only_version.py
@@ -123,7 +123,10 @@
     named = set(record.pools.get(pool, ()))
     if len(named) != 1:
         return 'several_versions' if named else 'no_version'
-    return 'other_version' if _list_known(state, pool, life_ms) - named else ''
+    # The history keeps a version for longer than this, so that one which it
+    # lacks was never written. Streams may begin there for as long as a gateway
+    # has not heard that it left.
+    return 'other_version' if _list_known(state, pool, KEPT_MS) - named else ''
 
 
 def _list_known(
