Tell peers of unnamed versions with the objects that they fetch

What callers could see: a stream that began at v2 while the store refused writes went on with 200 at v1, at a gateway that had heard of the endpoints from a peer, after v2 had left.

Cause: a page of objects holds the entries as they are now. A version that came and went since the last page is not among them, but the page raises the revision of the replica, from which the missed changes are read later. So that read takes a change for heard that no message told of. Peers told of their versions at the start of a session alone.

Now a gateway that sends objects first sends the versions of the last minute that the history lacks, on the same connection. It costs nothing while the history names all versions. The message and its handler exist; peers that don't know it are not sent it.

Why this works: who watches the store hears of each change, and nobody raises a revision by a page of a peer without having its versions. A list after a lost history remains, which tells of no version that has left.

--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -7,6 +7,7 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 
 from standins.received_answer import ReceivedAnswer
 from tests.fake_connection import make_peer
@@ -15,7 +16,7 @@
 from tests.test_gateway_streams import PROMPT, parse_event_ids
 from wingfall.clock import Clock
 from wingfall.gateway.application import GatewayApplication
-from wingfall.gateway.configuration.replica import ObjectReplica
+from wingfall.gateway.configuration.replica import ENDPOINTS_KIND, ObjectReplica
 from wingfall.gateway.configuration.stored_streams import encode_streams
 from wingfall.gateway.endpoints.connection_cache import ConnectionCache
 from wingfall.gateway.endpoints.endpoint_connection import EndpointConnection
@@ -28,7 +29,9 @@
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 from wingfall.gateway.model.stream_origin import StreamOrigin
 from wingfall.gateway.peers.peer_dialer import PeerDialer
+from wingfall.wire.gateway_messages import STREAMS_FEATURE
 from wingfall.wire.stream_messages import StreamFetch, VersionsListed
+from wingfall.wire.transfer_messages import ObjectsFetch, ObjectsPage
 
 VERSIONS: Final = ('v1', 'v2')
 # Callers that take up a stream by chance at its own version: one in 2^12.
@@ -634,6 +637,75 @@
     assert take_up(stale_site, 's0', gateway=1).status == 503
 
 
+def hear_of_peers_alone(
+    gateway: GatewayApplication, monkeypatch: pytest.MonkeyPatch, begun: Event
+) -> None:
+    """Have a gateway hear of changes from its peers, once that has begun."""
+    apply_changes = ObjectReplica.apply_changes
+
+    def apply_to_others(replica: ObjectReplica, response: StoreResponse) -> int:
+        is_other = replica not in gateway._replicas
+        return apply_changes(replica, response) if is_other else 0
+
+    def apply_of_peers(replica: ObjectReplica, response: StoreResponse) -> int:
+        if replica in gateway._replicas and not begun.is_set():
+            return 0
+        replica.revision = max(replica.revision, response.revision)
+        return apply_changes(replica, response)
+
+    monkeypatch.setattr(ObjectReplica, 'apply_changes', apply_to_others)
+    monkeypatch.setattr(ObjectReplica, 'apply_peer_changes', apply_of_peers)
+
+
+def test_unnamed_version_that_peers_no_longer_list_is_not_joined_with_another(
+    stale_site: GatewaySite, monkeypatch: pytest.MonkeyPatch
+):
+    late = stale_site.add_gateway()
+    wait_until(lambda: known_endpoints(late).usable('engines'))
+    wait_until(lambda: late._state.knowledge.versions.record)
+    begun = Event()
+    hear_of_peers_alone(late, monkeypatch, begun)
+    add_unnamed_engine(stale_site, 'v2')
+    stale_site.store.delete('servers', 'e1')
+    first = stale_site.gateways[0]
+    wait_until(lambda: 'e1' not in known_endpoints(first).names)
+    begun.set()
+    endpoints, heard = (
+        next(each for each in site._replicas if each.kind == ENDPOINTS_KIND)
+        for site in (first, late)
+    )
+    wait_until(lambda: heard.revision >= endpoints.revision)
+    assert take_up(stale_site, 's0', gateway=1).status == 503
+
+
+def test_gateway_that_is_behind_learns_which_unnamed_versions_came_and_went(
+    stale_site: GatewaySite,
+):
+    (gateway,) = stale_site.gateways
+    add_unnamed_engine(stale_site, 'v2')
+    stale_site.store.delete('servers', 'e1')
+    wait_until(lambda: 'e1' not in known_endpoints(gateway).names)
+    peer = make_peer('late', 'osl-a', [STREAMS_FEATURE])
+    gateway._peers._heartbeats.receive(
+        peer, ObjectsFetch(kind=ENDPOINTS_KIND, revision=1)
+    )
+    listed, page = peer.connection.sent
+    assert [each[:2] for each in listed.versions] == [['engines', 'v2']]
+    assert isinstance(page, ObjectsPage)
+
+
+def test_gateway_that_is_behind_is_sent_no_named_versions(
+    stale_site: GatewaySite,
+):
+    (gateway,) = stale_site.gateways
+    peer = make_peer('late', 'osl-a', [STREAMS_FEATURE])
+    gateway._peers._heartbeats.receive(
+        peer, ObjectsFetch(kind=ENDPOINTS_KIND, revision=1)
+    )
+    (page,) = peer.connection.sent
+    assert isinstance(page, ObjectsPage)
+
+
 def test_gateway_learns_from_the_writer_which_versions_are_named(
     gateway_site: GatewaySite,
 ):
--- a/wingfall/gateway/peers/heartbeats.py
+++ b/wingfall/gateway/peers/heartbeats.py
@@ -133,7 +133,7 @@
         self._handlers: dict[type[Message], Callable[..., None]] = {
             GatewayHeartbeat: self._handle_heartbeat,
             ZoneLoads: self._handle_zone_loads,
-            ObjectsFetch: exchange.send_objects,
+            ObjectsFetch: self._send_objects,
             ObjectsPage: exchange.process_page,
             PartsFetch: transfer.send_parts,
             PartsPage: transfer.record_page,
@@ -261,6 +261,11 @@
             )
             session.connection.send(heartbeat)
 
+    def _send_objects(self, session: PeerSession, fetch: ObjectsFetch) -> None:
+        # The peer must know them before it takes its list for complete.
+        self._streams.send_unnamed(session)
+        self._exchange.send_objects(session, fetch)
+
     def _handle_heartbeat(
         self, session: PeerSession, heartbeat: GatewayHeartbeat
     ) -> None:
--- a/wingfall/gateway/peers/streams/stream_exchange.py
+++ b/wingfall/gateway/peers/streams/stream_exchange.py
@@ -20,7 +20,11 @@
     StreamRecord,
 )
 from wingfall.gateway.model.stream_origin import StreamOrigin
-from wingfall.gateway.model.version_record import VersionRecord, is_version
+from wingfall.gateway.model.version_record import (
+    KEPT_MS,
+    VersionRecord,
+    is_version,
+)
 from wingfall.gateway.peers.streams.stream_replicas import (
     REPLICA_COUNT,
     StreamReplicas,
@@ -171,6 +175,24 @@
         if streams:
             session.connection.send(StreamsBegun(streams=streams))
 
+    def send_unnamed(self, session: PeerSession) -> None:
+        """Send a peer the versions that the history lacks.
+
+        Objects that the peer fetches do not tell of endpoints that have joined
+        and left since it last heard of them.
+
+        :param session: the session with the peer.
+        """
+        unnamed = [
+            [pool, version, age_ms]
+            for pool, version, age_ms in self._versions.ages_ms
+            if age_ms <= KEPT_MS and not self._versions.is_named(pool, version)
+        ]
+        if unnamed and session.knows_streams:
+            session.connection.send(
+                VersionsListed(complete_ms=0, versions=unnamed)
+            )
+
     def note_session_ended(self) -> None:
         """Choose other peers from now on."""
         self._replicas.note_sessions_changed()
