Show that a cut stream looks whole to a caller of HTTP/1.0

What callers see: a stream to a caller of HTTP/1.0 (a proxy such as nginx by default) that is cut after two of three events ends like a whole one.

Cause: for such a caller the answer has no chunks and ends with its connection. Where a stream can't go on, CallerConnection closes that connection the way it does after a whole answer, so that the mere end of a connection counts as evidence at the caller. A reset tells the two apart.

Evidence: test_cut_stream_by_http_1_0_does_not_look_whole fails: "assert is_reset, assert False"; the two events came. The test of a whole stream, which guards against resetting all of them, passes (1 failed, 1 passed).

Not fixed here.

--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -6,7 +6,7 @@
 
 from standins.pool_server import Run
 from standins.prompt_crash import PromptCrash
-from tests.gateway_site import GatewaySite, caches_part, route
+from tests.gateway_site import API_KEY, GatewaySite, caches_part, route
 from tests.local_site import wait_until
 
 PROMPT = {'X_Token_Count': '300,40', 'X_Prompt_Prefix': 'aa:200,bb:100'}
@@ -268,3 +268,43 @@
     engine_site.ask('/stream/x', method='POST', Kv_Fetch='10.0.0.1:1', **PROMPT)
     (run,) = [run for each in engine_site.servers.values() for run in each.runs]
     assert 'kv-fetch' not in run.headers
+
+
+def receive_by_http_1_0(site: GatewaySite, target: str) -> tuple[bytes, bool]:
+    """Ask for a stream by HTTP/1.0, where it ends with its connection.
+
+    :returns: the answer, and whether its connection was reset.
+    """
+    sock = site.caller().sock
+    lines = (
+        f'POST {target} HTTP/1.0',
+        'Host: site.example',
+        f'Authorization: Token {API_KEY}',
+        'X-Attempt-Id: a1',
+        *(f'{name.replace("_", "-")}: {PROMPT[name]}' for name in PROMPT),
+    )
+    sock.sendall('\r\n'.join((*lines, '', '')).encode())
+    received = b''
+    try:
+        while piece := sock.recv(65_536):
+            received += piece
+    except ConnectionResetError:
+        return received, True
+    return received, False
+
+
+def test_whole_stream_by_http_1_0_ends_with_its_connection(
+    engine_site: GatewaySite,
+):
+    received, is_reset = receive_by_http_1_0(engine_site, '/oneway/x')
+    assert parse_event_ids(received) == [1, 2, 3]
+    assert not is_reset
+
+
+def test_cut_stream_by_http_1_0_does_not_look_whole(engine_site: GatewaySite):
+    # Without chunks a caller can tell the end of a cut stream from that of a
+    # whole one by a reset alone.
+    inject_fault(engine_site, 'cut')
+    received, is_reset = receive_by_http_1_0(engine_site, '/oneway/x')
+    assert parse_event_ids(received) != [1, 2, 3]
+    assert is_reset
