Show that an agent takes answers with an invalid length for whole

What callers see: an answer with an empty, negative or malformed Content-Length whose endpoint ends after a part of it is passed on as whole.

Cause: http.client and urllib3 drop a length that they can't parse and read to the end of the connection, while EndpointAnswer asks for evidence only if there is no such header at all. The presence of a header is taken for framing.

Evidence: test_answer_with_an_invalid_length_is_not_whole fails for '', '-1' and '40x': "assert not True" on the last piece; it passes for two lengths that differ, which urllib3 refuses (3 failed, 10 passed).

Not fixed here.

--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -154,3 +154,39 @@
     pieces = list(answer.pieces())
     assert [isinstance(piece, Success) for piece in pieces] == [True, False]
     later.close()
+
+
+def fetch_bytes(answer: bytes) -> list[bool]:
+    """Have an endpoint send bytes and end; return which pieces came."""
+    listener = socket.create_server(('127.0.0.1', 0))
+    host, port = listener.getsockname()
+
+    def send_and_end() -> None:
+        accepted = listener.accept()[0]
+        accepted.recv(65_536)
+        accepted.sendall(answer)
+        listener.close()
+        accepted.close()
+
+    ending = gevent.spawn(send_and_end)
+    client = EndpointClient(
+        clock=Clock(),
+        url=f'http://{host}:{port}',
+        slots=1,
+        connect_ms=300,
+        idle_ms=5000,
+        has_stood_still=lambda within_ms: False,
+    )
+    opened = client.open(make_run(body=b''))
+    ending.get()
+    if not isinstance(opened, Success):
+        return [False]
+    pieces = list(opened.unwrap().pieces())
+    return [isinstance(piece, Success) for piece in pieces]
+
+
+@pytest.mark.parametrize('length', [b'', b'-1', b'40x', b'4, 40'])
+def test_answer_with_an_invalid_length_is_not_whole(length: bytes):
+    # It is read to the end of the connection, like one without a length.
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: %s\r\n\r\npart' % length
+    assert not fetch_bytes(answer)[-1]
