Show that an agent takes an answer for whole that ends in a chunk's size

What callers see: an answer in chunks whose sizes have leading zeros, cut after the first of these digits, is passed on as whole.

Cause: urllib3 reads the line of a size to the end of the connection and takes "00" without a line end for the last chunk. The gateway's h11 does not.

Evidence: test_answer_cut_within_the_size_of_a_chunk_is_not_whole fails: "assert not True" on the last piece (1 failed).

Not fixed here.

--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -190,3 +190,10 @@
     # It is read to the end of the connection, like one without a length.
     answer = b'HTTP/1.1 200 OK\r\nContent-Length: %s\r\n\r\npart' % length
     assert not fetch_bytes(answer)[-1]
+
+
+def test_answer_cut_within_the_size_of_a_chunk_is_not_whole():
+    # The size may have leading zeros, so that its first digits prove no end.
+    lines = b'HTTP/1.1 200 OK', b'Transfer-Encoding: chunked', b''
+    chunks = b'0004', b'part', b'00'
+    assert not fetch_bytes(b'\r\n'.join((*lines, *chunks)))[-1]
