Show a stream that is joined on a route that does not resume streams

What callers see: a route of the kind "safe" whose endpoint answers with events passes on events 1 and 2 of one run and 3 to 6 of another, as one whole answer.

Cause: whether a cut stream goes on elsewhere follows from call.idempotent and the last id alone.

Evidence: test_stream_of_a_route_without_resumption_is_not_joined fails: "assert not True" for the whole answer (1 failed).

Not fixed here.

--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -10,6 +10,7 @@
 import pytest
 
 from tests.gateway_site import GatewaySite, route
+from tests.local_site import wait_until
 from tests.test_answer_end import find_running
 from tests.test_gateway_streams import PROMPT, inject_fault, parse_event_ids
 from wingfall.gateway.rules.streams.event_order import (
@@ -231,3 +232,18 @@
     monkeypatch.setattr(h11.Data, '__init__', leave_out_id)
     received = list_numbers(ask_cut_stream(engine_site, '/stream/x'))
     assert received == ALL_EVENTS[: len(received)]
+
+
+def test_stream_of_a_route_without_resumption_is_not_joined(
+    engine_site: GatewaySite,
+):
+    engine_site.config['routes'].append(
+        route('plain', 'engines', kind='safe', max_attempts=3)
+    )
+    engine_site.write_config()
+    gateway = engine_site.gateways[0]
+    version = engine_site.config['version']
+    wait_until(lambda: gateway.status()['config'] == version)
+    answer = ask_cut_stream(engine_site, '/plain/x')
+    assert not answer.whole
+    assert list_numbers(answer) == SENT_BEFORE_CUT
