Show that an address counts as evidence after a stand-still during the check

What callers could see: an answer without a length that the end of its endpoint cut, as whole, if the gateway or agent stands still between its look for that and the connection, and another endpoint has got the address by then.

Cause: find_evidence asks has_stood_still once, before up to three probes of 50 ms, each of which lets other greenlets run. It does not ask again before it takes what a probe tells for proof.

A unit test; it was not played with stopped processes.

Not fixed here.

--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -15,13 +15,15 @@
 from tests.local_site import wait_until
 from tests.test_crash_watch import endpoint_at
 from tests.test_gateway_streams import PROMPT, parse_event_ids
-from wingfall.clock import Clock
+from wingfall.answer_evidence import EndEvidence, find_evidence
+from wingfall.clock import Clock, ManualClock
 from wingfall.gateway.endpoints.answer_end import AnswerEndCheck
 from wingfall.gateway.endpoints.connection_cache import ConnectionCache
 from wingfall.gateway.endpoints.endpoint_probe import ProbeResult
 from wingfall.gateway.endpoints.sending_gate import SendingGate
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.rules.pacing.rate_share import rate_shares
+from wingfall.loop_lag import LoopLag
 from wingfall.metrics import Metrics
 
 if TYPE_CHECKING:
@@ -362,3 +364,16 @@
         lambda _endpoint: next(probed),
     )
     assert check.is_whole('r1', sockets.endpoint) is is_whole
+
+
+def test_address_proves_nothing_if_the_gateway_stands_still_meanwhile(
+    clock: ManualClock,
+):
+    lag = LoopLag(clock=clock, metrics=Metrics())
+
+    def probe_late() -> ProbeResult:
+        clock.advance(10_000)
+        return ProbeResult.accepted
+
+    evidence = find_evidence(clock, probe_late, list, lag.has_stood_still)
+    assert evidence is EndEvidence.unknown_time
