Show that changes told by a peer hide a version that came and went

What callers see: a stream that began at v2 goes on at v1 with 200, after v2 came and went without a name (the store refused writes, v1 was draining) and the gateway got the endpoints from a peer.

Cause: a peer tells of objects as they are now, so that of an endpoint that came and went only the removal is told, without its version. The replica's revision moves on all the same, and EndpointChanges asks the store from that revision on. The replica is complete as to endpoints, not as to the versions that there were. The same holds for a list that follows a lost history.

In the latter the late delivery is made by the test, by the functions that serve a peer's request.

Not fixed here.

--- a/tests/test_endpoint_changes.py
+++ b/tests/test_endpoint_changes.py
@@ -11,6 +11,7 @@
 from wingfall.gateway.configuration.endpoint_changes import EndpointChanges
 from wingfall.gateway.configuration.replica import ENDPOINTS_KIND, ObjectReplica
 from wingfall.gateway.knowledge.pool_versions import PoolVersions
+from wingfall.gateway.model.object_store import StoreResponse
 
 if TYPE_CHECKING:
     from tests.gateway_site import GatewaySite
@@ -29,6 +30,7 @@
         list_engine(site, 'e0', 'v1')
         binding = site.add_gateway()._state.binding
         store = binding.endpoints_store()
+        self._store = store
         self.replica = ObjectReplica(
             kind=ENDPOINTS_KIND, listener=lambda _name, _spec: None
         )
@@ -46,6 +48,12 @@
         """Versions of the pool that it has heard of."""
         return self.versions.list_known('engines', WITHIN_MS)
 
+    def read_changes(self, revision: int) -> StoreResponse:
+        """Return the changes that the store tells since a revision."""
+        return self._store.watch(
+            revision, progress=lambda: None, brief=True
+        ).unwrap()
+
 
 @pytest.fixture
 def stale(gateway_site: GatewaySite) -> StaleGateway:
@@ -85,3 +93,20 @@
     list_engine(stale.site, 'e1', 'v2')
     assert stale.changes.note()
     assert stale.known == {'v2'}
+
+
+def test_version_that_a_peer_heard_come_and_go_is_noted(stale: StaleGateway):
+    # The peer tells of objects as they are now, up to its revision.
+    peer = ObjectReplica(
+        kind=ENDPOINTS_KIND, listener=lambda _name, _spec: None
+    )
+    known = stale.replica.revision
+    list_engine(stale.site, 'e1', 'v2')
+    peer.apply_changes(stale.read_changes(known))
+    stale.site.store.delete('servers', 'e1')
+    peer.apply_changes(stale.read_changes(known))
+    stale.replica.apply_peer_changes(
+        StoreResponse(revision=peer.revision, objects=peer.objects_since(known))
+    )
+    assert stale.changes.note()
+    assert stale.known == {'v2'}
--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -15,7 +15,7 @@
 from tests.test_gateway_streams import PROMPT, parse_event_ids
 from wingfall.clock import Clock
 from wingfall.gateway.application import GatewayApplication
-from wingfall.gateway.configuration.replica import ObjectReplica
+from wingfall.gateway.configuration.replica import ENDPOINTS_KIND, ObjectReplica
 from wingfall.gateway.configuration.stored_streams import encode_streams
 from wingfall.gateway.endpoints.connection_cache import ConnectionCache
 from wingfall.gateway.endpoints.endpoint_connection import EndpointConnection
@@ -650,3 +650,45 @@
             'revision'
         ]
     }
+
+
+def take_from_peer(
+    gateway: GatewayApplication, peer: GatewayApplication
+) -> None:
+    """Have a gateway get the endpoints that changed from a peer."""
+    own, other = (
+        next(each for each in side._replicas if each.kind == ENDPOINTS_KIND)
+        for side in (gateway, peer)
+    )
+    objects = other.objects_since(own.revision)
+    own.apply_peer_changes(
+        StoreResponse(revision=other.revision, objects=objects)
+    )
+
+
+def begin_at_unnamed_version(site: GatewaySite, call_id: str) -> None:
+    """Begin a stream at a version that comes and goes without a name."""
+    add_unnamed_engine(site, 'v2')
+    site.put_server('e0', 'engines', 'draining')
+    table = known_endpoints(site.gateways[0])
+    wait_until(lambda: len(table.usable('engines')) == 1)
+    assert version_of(begin_stream(site, call_id)) == 'v2'
+    site.store.delete('servers', 'e1')
+    site.put_server('e0', 'engines')
+    wait_until(
+        lambda: {each.name for each in table.usable('engines')} == {'e0'}
+    )
+
+
+def test_unnamed_version_that_a_peer_heard_leave_is_not_joined_with_another(
+    stale_site: GatewaySite, monkeypatch: pytest.MonkeyPatch
+):
+    late = stale_site.add_gateway()
+    wait_until(lambda: known_endpoints(late).usable('engines'))
+    wait_until(lambda: late._state.knowledge.versions.record)
+    cut_off(late, monkeypatch)
+    begin_at_unnamed_version(stale_site, 's0')
+    monkeypatch.undo()
+    take_from_peer(late, stale_site.gateways[0])
+    stale_site.gateways[0].close()
+    assert take_up(stale_site, 's0', gateway=1).status == 503
