Show that a cut answer of a router looks whole by HTTP/1.0

What callers see: an answer too long to be collected, cut after a part, ends like a whole one for a caller of HTTP/1.0.

Cause: for such a caller gevent's server sends neither a length nor chunks and closes the connection; after AnswerCutError it closes it the same way. CALLERS.md promises that a cut answer never looks whole.

Evidence: test_long_answer_that_is_cut_does_not_look_whole_by_http_1_0 fails: "DID NOT RAISE ConnectionResetError" (1 failed).

Not fixed here.

--- a/tests/test_router_reply.py
+++ b/tests/test_router_reply.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import http
+import socket
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Final, final
 
 import pytest
+from bottle import Bottle
 from returns.result import Failure, Success
 
+from tests.local_site import HOST
 from wingfall.errors import Refusal, RunState
+from wingfall.http_server import HttpServer
 from wingfall.router.reply import Reply
 from wingfall.wire.call_messages import Head
 
@@ -70,3 +75,24 @@
     assert [each.partition(b'\n')[0] for each in events].count(
         b'event: error'
     ) == 1
+
+
+def receive_all(sock: socket.socket) -> bytes:
+    """Return what comes until the end of a connection."""
+    received = b''
+    while piece := sock.recv(65_536):
+        received += piece
+    return received
+
+
+def test_long_answer_that_is_cut_does_not_look_whole_by_http_1_0():
+    app = Bottle()
+    app.route('/x', callback=lambda: render('text/plain', b'part'))
+    server = HttpServer(app=app, address=SimpleNamespace(host=HOST, port=0))
+    server.start()
+    sock = socket.create_connection((HOST, server.port), 5)
+    sock.sendall(b'GET /x HTTP/1.0\r\n\r\n')
+    with pytest.raises(ConnectionResetError):
+        receive_all(sock)
+    sock.close()
+    server.stop()
