Show that an empty line or a comment after the last event cuts a sound stream

Cause: has_partial_event takes all bytes behind the last event for a part of another one. Only a line of a field can begin one.

Evidence: test_rest_without_an_event_is_not_part_of_one fails for all three: "assert not True" (3 failed, 27 passed).

--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -133,3 +133,12 @@
     short_s = min(time_events(10) for _round in range(5))
     long_s = min(time_events(1000) for _round in range(5))
     assert long_s < short_s * MAX_GROWTH
+
+
+@pytest.mark.parametrize('rest', [b'\n', b'\r\n', b': end\n'])
+def test_rest_without_an_event_is_not_part_of_one(rest: bytes):
+    # A sound stream may end with an empty line more, or with a comment.
+    splitter = EventSplitter()
+    assert splitter.feed(b'id: 1\ndata: a\n\n')
+    splitter.feed(rest)
+    assert not splitter.has_partial_event
