Show that the check of one answer's end hides the reset of another answer

What callers see: an answer without a length or chunks that its endpoint has reset ends as complete, if the answer of another call at this endpoint ends at that moment.

Cause: AnswerEndCheck looks at all connections to the endpoint, also those in use, by recv with MSG_PEEK (ConnectionCache.list_open, EndpointConnection.state). The kernel reports a reset once, to whoever asks first, and a look takes it too. The greenlet that reads the connection then gets an end without an error; the endpoint runs on, so that its own check finds it whole. The same look is repeated every 20 ms for up to 0.9 s, and made by agents (EndpointHttpConnection.has_ended).

Not fixed here. A look that takes no error is poll() with POLLRDHUP and POLLERR, or TCP_INFO; or the connection keeps what the look has seen and its read raises.

--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -16,7 +16,7 @@
     EndlessAnswerError,
     EndpointConnection,
 )
-from wingfall.tcp import reset
+from wingfall.tcp import SocketState, reset
 
 LONG_BYTES = 8_000_000
 # The head and a part of an answer without a length.
@@ -144,3 +144,20 @@
     for _piece in range(100):
         pair.connection.receive(1000)
     assert turns
+
+
+def test_reset_answer_is_incomplete_if_a_look_at_it_takes_the_error(
+    pair: _Pair,
+):
+    # The answer of another call has ended, and its check looks at the other
+    # connections before the greenlet that reads this one runs.
+    pair.send_short()
+    pair.endpoint.sendall(BEGUN_ANSWER)
+    assert pair.connection.receive(1000).status_code == 200
+    assert pair.connection.receive(1000).data == b'begun'
+    reading = gevent.spawn(pair.connection.receive, 1000)
+    gevent.sleep(0.1)
+    reset(pair.endpoint)
+    assert pair.connection.state is SocketState.ended
+    with pytest.raises(BrokenAnswerError):
+        reading.get()
