Test that an agent's check of one end leaves a reset of another answer alone

The connections of answers without a length belong to their responses, so that EndpointHttpConnection.has_ended does not look at them.

--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -15,6 +15,7 @@
 from wingfall.clock import Clock, ManualClock
 from wingfall.loop_lag import LoopLag
 from wingfall.metrics import Metrics
+from wingfall.tcp import reset
 from wingfall.wire.call_messages import Run
 
 LONG_BYTES = 4_000_000
@@ -197,3 +198,29 @@
     lines = b'HTTP/1.1 200 OK', b'Transfer-Encoding: chunked', b''
     chunks = b'0004', b'part', b'00'
     assert not fetch_bytes(b'\r\n'.join((*lines, *chunks)))[-1]
+
+
+def test_reset_answer_is_not_whole_where_another_one_ends():
+    listener = socket.create_server(('127.0.0.1', 0))
+    host, port = listener.getsockname()
+    client = EndpointClient(
+        clock=Clock(),
+        url=f'http://{host}:{port}',
+        slots=2,
+        connect_ms=300,
+        idle_ms=5000,
+        has_stood_still=lambda within_ms: False,
+    )
+    answers, accepted = [], []
+    for _call in range(2):
+        opening = gevent.spawn(client.open, make_run(body=b''))
+        accepted.append(listener.accept()[0])
+        accepted[-1].recv(65_536)
+        accepted[-1].sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
+        answers.append(opening.get().unwrap())
+    accepted[0].close()
+    reset(accepted[1])
+    ended, broken = (list(each.pieces()) for each in answers)
+    assert isinstance(ended[-1], Success)
+    assert not isinstance(broken[-1], Success)
+    listener.close()
