--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -15,6 +15,7 @@
 from wingfall.clock import Clock, ManualClock
 from wingfall.loop_lag import LoopLag
 from wingfall.metrics import Metrics
+from wingfall.tcp import reset
 from wingfall.wire.call_messages import Run
 
 LONG_BYTES = 4_000_000
@@ -154,3 +155,72 @@
     pieces = list(answer.pieces())
     assert [isinstance(piece, Success) for piece in pieces] == [True, False]
     later.close()
+
+
+def fetch_bytes(answer: bytes) -> list[bool]:
+    """Have an endpoint send bytes and end; return which pieces came."""
+    listener = socket.create_server(('127.0.0.1', 0))
+    host, port = listener.getsockname()
+
+    def send_and_end() -> None:
+        accepted = listener.accept()[0]
+        accepted.recv(65_536)
+        accepted.sendall(answer)
+        listener.close()
+        accepted.close()
+
+    ending = gevent.spawn(send_and_end)
+    client = EndpointClient(
+        clock=Clock(),
+        url=f'http://{host}:{port}',
+        slots=1,
+        connect_ms=300,
+        idle_ms=5000,
+        has_stood_still=lambda within_ms: False,
+    )
+    opened = client.open(make_run(body=b''))
+    ending.get()
+    if not isinstance(opened, Success):
+        return [False]
+    pieces = list(opened.unwrap().pieces())
+    return [isinstance(piece, Success) for piece in pieces]
+
+
+@pytest.mark.parametrize('length', [b'', b'-1', b'40x', b'4, 40'])
+def test_answer_with_an_invalid_length_is_not_whole(length: bytes):
+    # It is read to the end of the connection, like one without a length.
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: %s\r\n\r\npart' % length
+    assert not fetch_bytes(answer)[-1]
+
+
+def test_answer_cut_within_the_size_of_a_chunk_is_not_whole():
+    # The size may have leading zeros, so that its first digits prove no end.
+    lines = b'HTTP/1.1 200 OK', b'Transfer-Encoding: chunked', b''
+    chunks = b'0004', b'part', b'00'
+    assert not fetch_bytes(b'\r\n'.join((*lines, *chunks)))[-1]
+
+
+def test_reset_answer_is_not_whole_where_another_one_ends():
+    listener = socket.create_server(('127.0.0.1', 0))
+    host, port = listener.getsockname()
+    client = EndpointClient(
+        clock=Clock(),
+        url=f'http://{host}:{port}',
+        slots=2,
+        connect_ms=300,
+        idle_ms=5000,
+        has_stood_still=lambda within_ms: False,
+    )
+    answers, accepted = [], []
+    for _call in range(2):
+        opening = gevent.spawn(client.open, make_run(body=b''))
+        accepted.append(listener.accept()[0])
+        accepted[-1].recv(65_536)
+        accepted[-1].sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
+        answers.append(opening.get().unwrap())
+    accepted[0].close()
+    reset(accepted[1])
+    ended, broken = (list(each.pieces()) for each in answers)
+    assert isinstance(ended[-1], Success)
+    assert not isinstance(broken[-1], Success)
+    listener.close()
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import gevent
+import h11
 import pytest
 
 from tests.gateway_site import GatewaySite, route
+from tests.local_site import wait_until
 from tests.test_answer_end import find_running
 from tests.test_gateway_streams import PROMPT, inject_fault, parse_event_ids
 from wingfall.gateway.rules.streams.event_order import (
@@ -198,3 +200,50 @@
     started_s = time.process_time()
     assert order.admits(map(str, range(100_000)))
     assert time.process_time() - started_s < 2
+
+
+def list_numbers(answer: ReceivedAnswer) -> list[int]:
+    """Return the numbers of the events in the body of a stream."""
+    return [
+        int(line.split(b' ')[2])
+        for line in answer.body.split(b'\n')
+        if line.startswith(b'data: ')
+    ]
+
+
+def test_stream_is_not_begun_anew_after_an_event_with_an_empty_id(
+    engine_site: GatewaySite,
+):
+    name_events(engine_site, ['1', '', '3', '4', '5', '6'])
+    received = list_numbers(ask_cut_stream(engine_site, '/stream/x'))
+    assert received == ALL_EVENTS[: len(received)]
+
+
+def test_event_without_an_id_is_not_repeated_where_a_stream_goes_on(
+    engine_site: GatewaySite, monkeypatch: pytest.MonkeyPatch
+):
+    name_events(engine_site, ['1', 'none', '3', '4', '5', '6'])
+    encode = h11.Data.__init__
+
+    def leave_out_id(event: h11.Data, **fields: Any) -> None:
+        fields['data'] = bytes(fields['data']).replace(b'id: none\n', b'')
+        encode(event, **fields)
+
+    monkeypatch.setattr(h11.Data, '__init__', leave_out_id)
+    received = list_numbers(ask_cut_stream(engine_site, '/stream/x'))
+    assert received == ALL_EVENTS[: len(received)]
+
+
+def test_stream_of_a_route_without_resumption_is_not_joined(
+    engine_site: GatewaySite,
+):
+    engine_site.config['routes'].append(
+        route('plain', 'engines', kind='safe', max_attempts=3)
+    )
+    engine_site.write_config()
+    gateway = engine_site.gateways[0]
+    version = engine_site.config['version']
+    wait_until(lambda: gateway.status()['config'] == version)
+    answer = ask_cut_stream(engine_site, '/plain/x')
+    assert not answer.whole
+    assert list_numbers(answer) == SENT_BEFORE_CUT
