Keep a reset that a look at a connection has taken

What callers saw: of two streams without a length at one endpoint that runs on, one ended well and the other was reset at that moment; both ended as complete, the latter without its rest.

Cause: that check looks at all connections to the endpoint, also those in use, by recv() with MSG_PEEK. The kernel reports a reset once, to whoever asks first. The greenlet that reads the connection then got an end without an error, and the endpoint, which runs on, was taken for proof.

Now the connection keeps the failure that a look at it has shown, and its read raises that, as it does for a failure that its writer was told of.

--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -19,7 +19,7 @@
 from wingfall.tcp import (
     SocketState,
     is_readable,
-    read_state,
+    peek_state,
     reset,
     silence_options,
 )
@@ -116,6 +116,7 @@
         '_answer_bytes',
         '_clock',
         '_events_in_a_row',
+        '_failure',
         '_http',
         '_idle_since_ms',
         '_is_early_answer',
@@ -139,6 +140,8 @@
         )
         # Bytes received since the request was sent.
         self._answer_bytes = 0
+        # Why the connection has failed, if its state has shown that.
+        self._failure = ''
         # Writes a long request; None for a short one, which is written at once.
         self._writer: RequestWriter | None = None
         self._events_in_a_row = 0
@@ -159,7 +162,11 @@
     @property
     def state(self) -> SocketState:
         """What the connection shows of the endpoint's end."""
-        return read_state(self._socket)
+        try:
+            return peek_state(self._socket)
+        except OSError as error:
+            self._failure = str(error)
+            return SocketState.ended
 
     @property
     def is_request_delivered(self) -> bool:
@@ -350,10 +357,11 @@
             if remaining_ms <= 0:
                 raise AnswerTimeoutError
             received = self._receive_within(min(remaining_ms, _MAX_WAIT_MS))
-        # The kernel reports a reset once. After the writer has got it, the end
-        # of the connection looks like that of an answer without a length.
-        if not received and self._writer is not None and self._writer.failure:
-            raise BrokenAnswerError(self._writer.failure)
+        # The kernel reports a reset once. After something else has got it, the
+        # end of the connection looks like that of an answer without a length.
+        failure = self._failure or (self._writer and self._writer.failure)
+        if not received and failure:
+            raise BrokenAnswerError(failure)
         self._answer_bytes += len(received)
         try:
             self._http.receive_data(received)
--- a/wingfall/tcp.py
+++ b/wingfall/tcp.py
@@ -163,11 +163,13 @@
     )
 
 
-def read_state(sock: socket.socket) -> SocketState:
+def peek_state(sock: socket.socket) -> SocketState:
     """Return what is known of a connection, without taking bytes.
 
     :param sock: a connected socket.
     :returns: the state of its reading side.
+    :raises OSError: if the connection has failed; the kernel reports that once,
+        so a later read gets the end of the connection without an error.
     """
     flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
     plain = getattr(sock, '_sock', sock)
@@ -175,9 +177,19 @@
         has_bytes = bool(plain.recv(1, flags))
     except BlockingIOError:
         return SocketState.open
+    return SocketState.unread if has_bytes else SocketState.ended
+
+
+def read_state(sock: socket.socket) -> SocketState:
+    """Return what is known of a connection that nobody reads.
+
+    :param sock: a connected socket.
+    :returns: the state of its reading side.
+    """
+    try:
+        return peek_state(sock)
     except OSError:
         return SocketState.ended
-    return SocketState.unread if has_bytes else SocketState.ended
 
 
 def is_readable(sock: socket.socket) -> bool:
