Continue streams elsewhere only on routes that resume them

What callers saw: a route of the kind "safe" whose endpoint answers with events passed on events 1 and 2 of one run and 3 to 6 of another, as one whole answer.

Cause: whether a cut stream goes on at another endpoint followed from the call being idempotent and its last id. Routes that repeat plain answers are idempotent, but a second run may continue a stream only where streams may be resumed.

Now the route must say that its streams may be resumed; else the stream is cut.

--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -348,11 +348,13 @@
     def _may_retry(self, end: AttemptEnd) -> bool:
         if self._continuation is not None:
             return True
-        reply = self._reply
+        reply, route = self._reply, self._call.route
+        may_continue = route.streaming and route.resumable
+        has_place = may_continue and reply.last_event_id is not None
         terms = RetryTerms(
             idempotent=self._call.idempotent,
-            max_attempts=self._call.route.max_attempts,
-            is_resumable=not reply.started or reply.last_event_id is not None,
+            max_attempts=route.max_attempts,
+            is_resumable=not reply.started or has_place,
         )
         verdict = decide_retry(end, self._progress, terms)
         if verdict is RetryDecision.from_budget:
