Continue no stream after an event without an id

What callers saw, on a stream that may be resumed and was cut after the second of six events: 1, 2, 1, 2, 3, 4, 5, 6 if the second event's id was empty, and 1, 2, 2, 3, 4, 5, 6 if it had none, each ended as complete.

Cause: the stream went on after the last id, which was not that of the last event that was passed on; an empty id was taken for a place to go on from, and sent as none.

Now the place is the id of the last event. An event without one leaves no place, so that a stream that is cut behind it is cut for its caller too, until a later event has an id.

--- a/wingfall/gateway/endpoints/event_stream.py
+++ b/wingfall/gateway/endpoints/event_stream.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import re
-from typing import TYPE_CHECKING, Final, final
+from typing import Final, final
 
 from wingfall.gateway.endpoints.answer_buffer import (
     MAX_ANSWER_BYTES,
@@ -22,9 +22,6 @@
     EndlessAnswerError,
 )
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
 _EVENT_END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
 _EVENT_FIELD: Final = re.compile(rb'^(?:id|data)(?::|$)', re.MULTILINE)
@@ -79,6 +76,7 @@
         self._has_begun = False
         # Whether the bytes so far ended with CR; LF may follow.
         self._ended_with_cr = False
+        # ID of the last event, None if it has none.
         self.last_event_id = last_event_id
 
     @property
@@ -180,12 +178,18 @@
         return received.replace(b'\r\n', b'\n').replace(b'\r', b'\n')
 
     def _update_last_event_id(self, complete: bytes) -> None:
-        for line in _find_id_lines(complete):
-            if len(line) > _MAX_ID_BYTES:
-                raise EndlessAnswerError(
-                    part=AnswerPart.stream, received_bytes=len(line)
-                )
-            self.last_event_id = _decode_id(line)
+        for event in complete.split(_EVENT_END):
+            if _EVENT_FIELD.search(event):
+                self.last_event_id = self._read_id(event)
+
+    def _read_id(self, event: bytes) -> str | None:
+        # A stream can't go on after an event that can't be named.
+        line = _find_id_line(event)
+        if line is not None and len(line) > _MAX_ID_BYTES:
+            raise EndlessAnswerError(
+                part=AnswerPart.stream, received_bytes=len(line)
+            )
+        return None if line is None else _decode_id(line) or None
 
 
 def list_event_ids(events: bytes) -> list[str]:
@@ -194,16 +198,17 @@
     :param events: complete events.
     :returns: the ids in order, none for events without one.
     """
-    return list(map(_decode_id, _find_id_lines(events)))
+    lines = map(_find_id_line, events.split(_EVENT_END))
+    return [_decode_id(line) for line in lines if line is not None]
 
 
-def _find_id_lines(events: bytes) -> Iterator[bytes]:
+def _find_id_line(event: bytes) -> bytes | None:
     # An event is not split into lines, of which a long one may have many; the
     # last id of an event counts.
-    for event in events.split(_EVENT_END):
-        start = event.rfind(b'\n%b' % _ID_FIELD) + 1
-        if event.startswith(_ID_FIELD, start):
-            yield event[start:].partition(b'\n')[0]
+    start = event.rfind(b'\n%b' % _ID_FIELD) + 1
+    if not event.startswith(_ID_FIELD, start):
+        return None
+    return event[start:].partition(b'\n')[0]
 
 
 def _decode_id(line: bytes) -> str:
