Take an empty line or a comment after the last event for no part of an event

What callers saw: a stream with chunks that its endpoint ended well was cut, or sent to a second endpoint first, if one more empty line or a comment line came by itself behind the last event; the endpoint was blamed for a failure.

Cause: all bytes behind the last event counted as a part of another one. Only a line of a field can begin one.

These bytes are not passed on: the caller gets the same events.

--- a/wingfall/gateway/endpoints/event_stream.py
+++ b/wingfall/gateway/endpoints/event_stream.py
@@ -24,6 +24,8 @@
 
 _EVENT_END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
+# Of a line that is neither empty nor a comment.
+_FIELD_START: Final = re.compile(rb'^[^:\n]', re.MULTILINE)
 _EVENT_FIELD: Final = re.compile(rb'^(?:id|data)(?::|$)', re.MULTILINE)
 # Maximum bytes of a stream between two events, and of an event without sharing
 # memory with others, to bound the memory of all streams together.
@@ -82,7 +84,7 @@
     @property
     def has_partial_event(self) -> bool:
         """Whether the buffer contains part of an event."""
-        return bool(self._buffer)
+        return bool(_FIELD_START.search(self._buffer))
 
     @property
     def is_inside_long_event(self) -> bool:
