Ask again whether the process stood still after the evidence was found

What callers could see: an answer without a length that the end of its endpoint cut, as whole, if the gateway or agent stood still between its look for that and the connection that it opens, and another endpoint had the address by then.

Cause: find_evidence() asked whether the process stood still once, before up to three probes and the wait for the ends of other connections, in all of which other greenlets run or the machine may be suspended.

Now it asks again before anything counts as proof.

Not played with stopped processes.

--- a/wingfall/answer_evidence.py
+++ b/wingfall/answer_evidence.py
@@ -73,6 +73,18 @@
     # address since.
     if has_stood_still(_MAX_UNREAD_MS):
         return EndEvidence.unknown_time
+    evidence = _probe_and_await(clock, probe, list_states)
+    # The same holds if the process stood still meanwhile.
+    if evidence in PROOFS and has_stood_still(_MAX_UNREAD_MS):
+        return EndEvidence.unknown_time
+    return evidence
+
+
+def _probe_and_await(
+    clock: Clock,
+    probe: Callable[[], ProbeResult],
+    list_states: Callable[[], Collection[SocketState]],
+) -> EndEvidence:
     probes = (probe() for _number in range(_MAX_PROBES))
     answered = (each for each in probes if each is not ProbeResult.silent)
     probed = next(answered, ProbeResult.silent)
