Test reads of missed changes that are lost, unreadable or at the same time

No change of logic. Until now no test of the reader had a read of missed changes that fails or gets no answer, and none of the changes had an unreadable answer, several reads in turn or several at once.

Evidence: with the result of the missed changes ignored, without another read beside one that is not answered, and without the list after unreadable changes test_history_without_the_missed_changes_serves_no_call, test_lost_answer_about_missed_changes_holds_up_no_other_read and test_list_tells_of_versions_if_the_changes_can_not_be_read fail. The other two show what holds.

--- a/tests/test_endpoint_changes.py
+++ b/tests/test_endpoint_changes.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final, final
 
+import gevent
 import pytest
 
 from tests.test_stream_resumption import list_engine
@@ -75,6 +76,31 @@
     assert stale.known == {'v1', 'v2'}
 
 
+def test_list_tells_of_versions_if_the_changes_can_not_be_read(
+    stale: StaleGateway,
+):
+    list_engine(stale.site, 'e1', 'v2')
+    stale.site.store.replaced = {b'"events"': b'"unknown"'}
+    assert stale.changes.note()
+    assert stale.known == {'v1', 'v2'}
+
+
+def test_changes_since_the_last_read_are_noted(stale: StaleGateway):
+    for version in ('v2', 'v3', 'v4'):
+        list_engine(stale.site, 'e1', version)
+        assert stale.changes.note()
+        assert version in stale.known
+
+
+def test_reads_at_the_same_time_miss_no_change(stale: StaleGateway):
+    list_engine(stale.site, 'e1', 'v2')
+    reads = [gevent.spawn(stale.changes.note) for _ in range(3)]
+    list_engine(stale.site, 'e1', 'v3')
+    assert all(each.get() for each in reads)
+    assert stale.changes.note()
+    assert stale.known == {'v2', 'v3'}
+
+
 def test_store_that_is_away_has_told_nothing(stale: StaleGateway):
     stale.site.store.script = {'status': 503}
     assert not stale.changes.note()
--- a/tests/test_version_reader.py
+++ b/tests/test_version_reader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Final, final
+from typing import Any, Callable, Final, final
 
 import gevent
 import pytest
@@ -46,7 +46,10 @@
 
 
 def make_reader(
-    store: SlowStore, gateways: int = 4, reads_per_s: float = 2000
+    store: SlowStore,
+    gateways: int = 4,
+    reads_per_s: float = 2000,
+    note_changes: Callable[[], bool] | None = None,
 ) -> VersionReader:
     """Make the reader of one of some gateways."""
     clock = Clock()
@@ -54,7 +57,7 @@
         store=store,
         clock=clock,
         versions=PoolVersions(clock=clock),
-        note_changes=lambda: True,
+        note_changes=note_changes or (lambda: True),
         reads_per_s=reads_per_s,
         get_gateway_count=lambda: gateways,
     )
@@ -131,6 +134,27 @@
     assert all(each.get() for each in (lost, *served))
 
 
+def test_lost_answer_about_missed_changes_holds_up_no_other_read():
+    delays_s = [1.5]
+
+    def note_changes() -> bool:
+        gevent.sleep(delays_s.pop() if delays_s else 0)
+        return True
+
+    reader = make_reader(SlowStore(), note_changes=note_changes)
+    lost = gevent.spawn(reader.read, _CALL_WAIT_MS)
+    gevent.sleep(0.05)
+    served = [gevent.spawn(reader.read, _CALL_WAIT_MS) for _ in range(5)]
+    assert all(each.get() for each in (lost, *served))
+
+
+def test_history_without_the_missed_changes_serves_no_call():
+    store = SlowStore()
+    reader = make_reader(store, note_changes=bool)
+    assert reader.read(_CALL_WAIT_MS) is None
+    assert store.reads <= 4
+
+
 def test_late_answer_replaces_no_later_one():
     store = SlowStore(delay_s=0.3)
     reader = make_reader(store)
