Show that a long cut joins streams of a version that the history dropped

What callers could see: a gateway that is cut off from the store and its peers for over 65 s has a version in its list that left meanwhile, takes it for named, and begins streams there while the endpoint serves on. The history has dropped it by then, and another gateway continues such a stream at the pool's only version.

The read of missed changes does not help: the gateway that takes the stream up has missed nothing. It heard the version leave, more than a minute ago. By reading, it would not help either if versions stopped counting as named at the gateway that is cut off: all of them would, and then streams begin at any.

--- a/tests/test_version_model.py
+++ b/tests/test_version_model.py
@@ -26,6 +26,7 @@
 from wingfall.gateway.model.object_store import StoredObject, StoreResponse
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 from wingfall.gateway.model.version_record import (
+    KEPT_MS,
     VersionReading,
     VersionRecord,
     parse_record,
@@ -253,6 +254,15 @@
             self.mixed += sum(each[1] != version for each in self.begun)
 
 
+def follow(site: _Site, duration_ms: int) -> None:
+    """Let all gateways but those that are cut off do their work."""
+    for _second in range(duration_ms // 1000):
+        site.clock.advance(1000)
+        for gateway in site.gateways:
+            gateway.hear()
+            gateway.write()
+
+
 def run_site(seed: int, refusal: float) -> _Site:
     """Let many things happen."""
     site = _Site(seed, refusal)
@@ -276,3 +286,19 @@
     site = run_site(8173, refusal)
     assert site.continued
     assert site.unnamed
+
+
+@pytest.mark.parametrize('cut_ms', [KEPT_MS, 2 * KEPT_MS])
+def test_stream_of_a_gateway_that_is_cut_off_is_not_joined_with_another(
+    cut_ms: int,
+):
+    site = _Site(8171, refusal=0)
+    site.endpoints.put('v1')
+    follow(site, KEPT_MS)
+    late, first, *_others = site.gateways
+    late.cut(2 * cut_ms, can_read=False)
+    # The endpoint serves on at gateways that have not heard of it.
+    site.endpoints.remove('v1')
+    follow(site, cut_ms)
+    assert 'v1' in {late.begin(site.rng) for _stream in range(20)}
+    assert first.take_up() is None
