Read missed changes from the last one of which the store has told

What callers saw: a stream that began at v2 went on at v1 with 200, after v2 had come and gone without a name and the gateway had got the endpoints from a peer.

Cause: a peer tells of objects as they are, so that of an endpoint that came and went only the removal is told, without its version. The revision of the replica moves on all the same, and the missed changes were asked for from there.

Now the replica keeps the revision up to which the store itself told of each change, and the changes are asked for from that one; where the store has forgotten them, from the replica's, before which peers of this release tell of versions without a name; else by a list. So it holds beside earlier gateways too.

--- a/wingfall/gateway/configuration/endpoint_changes.py
+++ b/wingfall/gateway/configuration/endpoint_changes.py
@@ -1,8 +1,8 @@
 """Versions of endpoints that changed since this gateway last heard of them.
 
 A gateway that is out of step does not know which versions its pools have. The
-store is asked for what it has missed before it draws conclusions from a version
-that it does not know.
+store is asked for what the gateway has missed, from the last change of which
+the store itself has told: peers tell of no endpoint that came and went.
 """
 
 from __future__ import annotations
@@ -88,14 +88,15 @@
         return True
 
     def _read(self) -> Result[StoreResponse, PlatformError]:
-        revision = max(self._revision, self._replica.revision)
-        if not revision:
-            return self._store.list_all(progress=_pass_over)
-        answer = self._store.watch(revision, progress=_pass_over, brief=True)
-        if isinstance(answer, Success):
-            return answer
-        if answer.failure().status not in _LIST_STATUSES:
-            return answer
+        replica = self._replica
+        known = {replica.store_revision, replica.revision}
+        revisions = {max(self._revision, each) for each in known}
+        for revision in sorted(filter(None, revisions)):
+            answer = self._store.watch(
+                revision, progress=_pass_over, brief=True
+            )
+            if not _is_forgotten(answer):
+                return answer
         return self._store.list_all(progress=_pass_over)
 
     def _note_listed(self, changed: Iterable[StoredObject]) -> None:
@@ -106,5 +107,11 @@
                 parsed.map(self._versions.note_listed)
 
 
+def _is_forgotten(answer: Result[StoreResponse, PlatformError]) -> bool:
+    if isinstance(answer, Success):
+        return False
+    return answer.failure().status in _LIST_STATUSES
+
+
 def _pass_over() -> None:
     """Take no note of the progress of an answer."""
--- a/wingfall/gateway/configuration/replica.py
+++ b/wingfall/gateway/configuration/replica.py
@@ -46,7 +46,14 @@
     The replica is complete up to its revision.
     """
 
-    __slots__ = ('_entries', '_tombstones', '_listener', 'kind', 'revision')
+    __slots__ = (
+        '_entries',
+        '_tombstones',
+        '_listener',
+        'kind',
+        'revision',
+        'store_revision',
+    )
 
     def __init__(self, *, kind: str, listener: ChangeListener) -> None:
         """Create an empty replica.
@@ -57,6 +64,9 @@
         """
         self.kind = kind
         self.revision = 0
+        # Up to where the store told of each change. A peer tells of objects as
+        # they are, so that nothing is known of one that came and went.
+        self.store_revision = 0
         self._listener = listener
         self._entries: dict[str, _Entry] = {}
         # Names of the removed objects, the oldest first.
@@ -87,9 +97,8 @@
         """
         if reading.objects:
             self.revision = max(self.revision, reading.revision)
-        return sum(
-            self._apply(each, reading.revision) for each in reading.objects
-        )
+            self.store_revision = max(self.store_revision, reading.revision)
+        return self._apply_all(reading)
 
     def apply_peer_changes(self, reading: StoreResponse) -> int:
         """Apply changes of a peer that are complete up to its revision.
@@ -98,7 +107,7 @@
         :returns: number of changes that were new.
         """
         self.revision = max(self.revision, reading.revision)
-        return self.apply_changes(reading)
+        return self._apply_all(reading)
 
     def objects_since(self, revision: int) -> list[StoredObject]:
         """Return the objects that changed after a revision, for a peer.
@@ -114,6 +123,11 @@
         changed.sort(key=lambda each: each.revision)
         return changed
 
+    def _apply_all(self, reading: StoreResponse) -> int:
+        return sum(
+            self._apply(each, reading.revision) for each in reading.objects
+        )
+
     def _apply(self, changed: StoredObject, source_revision: int) -> bool:
         known = self._entries.get(changed.name)
         if known is not None and not _is_newer(changed, known.stored):
