Ask for evidence where an answer's length can't be read

What callers saw, through an agent: an answer with an empty, negative or malformed Content-Length whose endpoint ended after a part of it was passed on as whole.

Cause: http.client and urllib3 drop a length that they can't parse and read to the end of the connection, while the agent asked for evidence only if there was no such header. The presence of a header was taken for framing.

Now it asks wherever urllib3 knows no length.

--- a/wingfall/agent/endpoint_client.py
+++ b/wingfall/agent/endpoint_client.py
@@ -53,7 +53,7 @@
 class EndpointAnswer:
     """An answer whose head has come."""
 
-    __slots__ = ('_find_evidence', '_method', '_response')
+    __slots__ = ('_find_evidence', '_has_length', '_method', '_response')
 
     def __init__(
         self,
@@ -71,6 +71,8 @@
         """
         self._method = method
         self._response = response
+        # False also if the endpoint's length can't be read.
+        self._has_length = response.length_remaining is not None
         self._find_evidence = find_end_evidence
 
     @property
@@ -123,7 +125,7 @@
     def _ends_with_connection(self) -> bool:
         if self._method == 'HEAD' or self.status in _BODILESS_STATUSES:
             return False
-        return 'content-length' not in self._response.headers
+        return not self._has_length
 
     def _check_end(self) -> None:
         evidence = self._find_evidence()
