Answer a HEAD request that is refused

What callers saw: the connection closed without an answer wherever a gateway refused a HEAD request, also after an endpoint that failed.

Cause: a complete answer was written with its body, which h11 does not allow after HEAD; the exception ended the greenlet of the connection.

Now such an answer has the length of its body and no body.

--- a/wingfall/gateway/callers/caller_connection.py
+++ b/wingfall/gateway/callers/caller_connection.py
@@ -180,7 +180,7 @@
         body: RequestBody,
         arrived_ms: int,
     ) -> None:
-        reply = self._make_reply()
+        reply = self._make_reply(has_body=head.method != b'HEAD')
         outcome = accept_call(self._state.routes, head, body, arrived_ms)
         call = outcome.unwrap() if isinstance(outcome, Success) else None
         refusal = self._serve(call, reply) if call else outcome.failure()
@@ -217,8 +217,9 @@
             raise ReplyCutError
         return refuse_fault()
 
-    def _make_reply(self) -> Reply:
+    def _make_reply(self, *, has_body: bool = True) -> Reply:
         return Reply(
+            has_body=has_body,
             write=self._write,
             is_closing=lambda: self._closing or self._state.draining,
             now_ms=self._state.clock.now_ms,
--- a/wingfall/gateway/calls/reply.py
+++ b/wingfall/gateway/calls/reply.py
@@ -38,6 +38,7 @@
     """The answer to a call; a truncated answer never looks complete."""
 
     __slots__ = (
+        '_has_body',
         '_is_closing',
         '_last_event_ms',
         '_write',
@@ -56,13 +57,16 @@
         write: EventWriter,
         is_closing: Callable[[], bool],
         now_ms: Callable[[], int],
+        has_body: bool = True,
     ) -> None:
         """Create an answer of which nothing is written yet.
 
         :param write: writes h11 events to the caller.
         :param is_closing: returns if the connection closes after the answer.
         :param now_ms: returns the time in milliseconds.
+        :param has_body: whether the answer may have a body, unlike to HEAD.
         """
+        self._has_body = has_body
         self._write = write
         self._is_closing = is_closing
         self.now_ms = now_ms
@@ -87,7 +91,7 @@
         self._note_start(status)
         self._write(
             self._make_response(status, framed),
-            h11.Data(data=body),
+            h11.Data(data=body if self._has_body else b''),
             h11.EndOfMessage(),
         )
         self.finished = True
