Look at connections again after the process stood still within the check

What callers saw: whole answers without a length or chunks were cut, or answered 502, at a gateway that the machine held up for some tenths of a second, where their endpoint had stopped listening and finished its answers.

Cause: whether another connection outlives an answer is looked up every 20 ms for 0.7 s, and for another 0.2 s while bytes on it are unread. The 0.2 s were a time: if the process stood still for longer between two looks, the check ended with `unread` by a look from before, though nothing had been read meanwhile.

Now these are ten looks of 20 ms each, so the readers run between them.

--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -15,7 +15,8 @@
 from tests.local_site import wait_until
 from tests.test_crash_watch import endpoint_at
 from tests.test_gateway_streams import PROMPT, parse_event_ids
-from wingfall.clock import Clock
+from wingfall.answer_evidence import EndEvidence, find_evidence
+from wingfall.clock import Clock, ManualClock
 from wingfall.gateway.endpoints.answer_end import AnswerEndCheck
 from wingfall.gateway.endpoints.connection_cache import ConnectionCache
 from wingfall.gateway.endpoints.endpoint_probe import ProbeResult
@@ -23,6 +24,7 @@
 from wingfall.gateway.knowledge.endpoint_knowledge import EndpointKnowledge
 from wingfall.gateway.rules.pacing.rate_share import rate_shares
 from wingfall.metrics import Metrics
+from wingfall.tcp import SocketState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -30,6 +32,7 @@
 EVENTS: Final = 6
 EVENT_MS: Final = 100
 MAX_CONNECTIONS: Final = 10
+STOOD_STILL_MS: Final = 2000
 READ_DELAY_S: Final = 0.05
 EVENTS_OF_OTHER_STREAM: Final = 20
 ALL_EVENTS: Final = list(range(1, EVENTS + 1))
@@ -317,6 +320,21 @@
     reading.kill()
 
 
+def test_connection_is_looked_at_again_after_the_process_stood_still():
+    # Only the second look after that finds the bytes read.
+    clock = ManualClock(start_ms=1000)
+    looks = iter((SocketState.unread, SocketState.unread, SocketState.open))
+
+    def list_states() -> list[SocketState]:
+        clock.advance(STOOD_STILL_MS)
+        return [next(looks)]
+
+    evidence = find_evidence(
+        clock, lambda: ProbeResult.refused, list_states, lambda _ms: False
+    )
+    assert evidence is EndEvidence.keeps
+
+
 def test_later_start_of_an_endpoint_proves_nothing_of_the_earlier_one(
     check: AnswerEndCheck,
     sockets: EndpointSockets,
--- a/wingfall/answer_evidence.py
+++ b/wingfall/answer_evidence.py
@@ -27,14 +27,14 @@
 # packet was lost twice: the kernel sends it again after 200 ms and a round
 # trip, and once more after twice that time.
 _MAX_END_DELAY_MS: Final = 700
-# Milliseconds within which bytes are read that another connection holds at the
-# end of that delay.
-_MAX_READ_DELAY_MS: Final = 200
 # Milliseconds within which the ends of connections are read that arrived while
 # the process stood still.
 _MAX_UNREAD_MS: Final = 1000
 # Interval of the checks for connections that are still open.
 _POLL_INTERVAL_MS: Final = 20
+# Further checks after that delay, 0.2 s, while others hold bytes that are not
+# read. A number, since no bytes are read while the process stands still.
+_MAX_LATE_LOOKS: Final = 10
 
 
 class EndEvidence(enum.StrEnum):
@@ -89,14 +89,15 @@
     clock: Clock, list_states: Callable[[], Collection[SocketState]]
 ) -> EndEvidence:
     until_ms = clock.now_ms() + _MAX_END_DELAY_MS
-    left_ms = _MAX_END_DELAY_MS
-    while left_ms > -_MAX_READ_DELAY_MS:
+    late_looks = 0
+    while late_looks <= _MAX_LATE_LOOKS:
+        is_late = clock.now_ms() >= until_ms
         states = set(list_states())
         if states <= {SocketState.ended}:
             return EndEvidence.ended
         # An end can be hidden behind unread bytes.
-        if left_ms <= 0 and SocketState.open in states:
+        if is_late and SocketState.open in states:
             return EndEvidence.keeps
+        late_looks += is_late
         gevent.sleep(_POLL_INTERVAL_MS / MS_PER_S)
-        left_ms = until_ms - clock.now_ms()
     return EndEvidence.unread
