--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -25,6 +25,7 @@
 from wingfall.gateway.rules.pacing.rate_share import rate_shares
 from wingfall.loop_lag import LoopLag
 from wingfall.metrics import Metrics
+from wingfall.tcp import SocketState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -32,6 +33,7 @@
 EVENTS: Final = 6
 EVENT_MS: Final = 100
 MAX_CONNECTIONS: Final = 10
+STOOD_STILL_MS: Final = 2000
 READ_DELAY_S: Final = 0.05
 EVENTS_OF_OTHER_STREAM: Final = 20
 ALL_EVENTS: Final = list(range(1, EVENTS + 1))
@@ -319,6 +321,21 @@
     reading.kill()
 
 
+def test_connection_is_looked_at_again_after_the_process_stood_still():
+    # Only the second look after that finds the bytes read.
+    clock = ManualClock(start_ms=1000)
+    looks = iter((SocketState.unread, SocketState.unread, SocketState.open))
+
+    def list_states() -> list[SocketState]:
+        clock.advance(STOOD_STILL_MS)
+        return [next(looks)]
+
+    evidence = find_evidence(
+        clock, lambda: ProbeResult.refused, list_states, lambda _ms: False
+    )
+    assert evidence is EndEvidence.keeps
+
+
 def test_later_start_of_an_endpoint_proves_nothing_of_the_earlier_one(
     check: AnswerEndCheck,
     sockets: EndpointSockets,
