Let calls of a starting gateway wait for the store's first answer

What callers saw: after the end of all gateways, 503 no_configuration for streams that were taken up and for new calls, if the store took longer than half a second for its first answer.

Cause: connections waited unread for the configuration for 500 ms after the start, though a short call to the store may take store.timeout_ms (1,500 by default), and after the end of all gateways no peer has the configuration.

Now they wait as long as that call may take while the store has not answered. Once it has answered, a site without a configuration refuses after 500 ms, as before; so does the wait for the version history, and a gateway that has the configuration from a peer does not wait for it.

A store that never answers costs callers a second more until they are refused.

--- a/wingfall/gateway/application.py
+++ b/wingfall/gateway/application.py
@@ -48,9 +48,9 @@
 # Milliseconds by which a watch may be late before its gateway counts as cut off
 # from the store: the time that the store's client allows for an answer.
 _WATCH_TOLERANCE_MS: Final = 1000
-# Maximum milliseconds for which connections wait unread after a start: enough
-# for the configuration to arrive from a peer or the store, while a caller of a
-# site without a configuration soon gets an error.
+# Maximum milliseconds for which connections wait unread after a start, once the
+# store has answered: a caller of a site without a configuration soon gets an
+# error. Before, they wait for as long as the answer may take.
 _MAX_CONFIG_WAIT_MS: Final = 500
 # Interval at which the state of removed endpoints is deleted.
 _CLEANUP_INTERVAL_MS: Final = 1000
@@ -310,14 +310,20 @@
 
     def _start_accepting(self) -> None:
         # Connections wait unread for the configuration for a limited time.
-        deadline_ms = self._clock.now_ms() + _MAX_CONFIG_WAIT_MS
-        versions = self._state.knowledge.versions
-        while self.not_ready() or versions.awaits_history:
-            if self._clock.now_ms() >= deadline_ms:
-                break
+        started_ms = self._clock.now_ms()
+        while self._clock.now_ms() - started_ms < self._max_unread_ms():
             gevent.sleep(_POLL_INTERVAL_MS / MS_PER_S)
         self._callers.start()
 
+    def _max_unread_ms(self) -> int:
+        if self.not_ready():
+            if self._is_watching_store():
+                return _MAX_CONFIG_WAIT_MS
+            return max(_MAX_CONFIG_WAIT_MS, self._settings.store.timeout_ms)
+        if self._state.knowledge.versions.awaits_history:
+            return _MAX_CONFIG_WAIT_MS
+        return 0
+
     def _max_watch_gap_ms(self) -> int:
         return self._settings.store.watch_ms + _WATCH_TOLERANCE_MS
 
