Pass on a long chunk in pieces at the agent

An agent read each chunk of its endpoint's answer whole before it passed any of it on. A chunk may have any length, so an endpoint that declares one of 4 GB and goes on sending takes as much of the agent's memory, and the caller gets nothing. By reading, the timeout of a read never ends it, since bytes keep coming.

Cause: urllib3 was asked for chunks instead of a number of bytes.

A piece has 64 KB at most now, also of an answer in chunks; a shorter chunk is passed on as it comes, as before. The window of an answer bounds the rest, as for answers with a length.

The new test failed before, with its timeout of 5 s: no piece came.

--- a/standins/endless_answer.py
+++ b/standins/endless_answer.py
@@ -50,6 +50,7 @@
         'endless_blank': (_STATUS + _STREAM, True, '', '\n' * 1000),
         'endless_comments': (_STATUS + _STREAM, True, '', ': none\n\n' * 120),
         'endless_body': (_STATUS, True, '', _FILLER),
+        'endless_chunk': (_STATUS + _CHUNKED, True, 'ffffffff\r\n', _FILLER),
         'endless_chunks': (_STATUS + _CHUNKED, True, '', '2\r\nxx\r\n' * 150),
     }
 )
--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -18,6 +18,9 @@
 from wingfall.wire.call_messages import Run
 
 LONG_BYTES = 4_000_000
+# Maximum bytes of a piece of an answer.
+READ_BYTES = 65_536
+WAIT_S = 5
 
 
 @pytest.fixture
@@ -79,6 +82,16 @@
     assert send(server, idle_ms=500) is None
 
 
+def test_chunk_without_end_is_passed_on_in_pieces(server: PoolServerStandIn):
+    # The agent held the whole chunk, of any length, before it passed it on.
+    server.faults = ['endless_chunk']
+    answer = make_client(server, idle_ms=5000).open(make_run(b'')).unwrap()
+    with gevent.Timeout(WAIT_S):
+        pieces = [piece.unwrap() for piece, _ in zip(answer.pieces(), range(3))]
+    answer.close()
+    assert {len(piece) for piece in pieces} == {READ_BYTES}
+
+
 def open_unframed(
     client: EndpointClient, server: PoolServerStandIn
 ) -> EndpointAnswer:
--- a/wingfall/agent/endpoint_client.py
+++ b/wingfall/agent/endpoint_client.py
@@ -23,6 +23,7 @@
     from wingfall.clock import Clock
     from wingfall.wire.call_messages import Run
 
+# Maximum bytes of a piece of an answer; a chunk may have any length.
 _READ_BYTES: Final = 65_536
 _GRACE_MS: Final = 1000
 _BODILESS_STATUSES: Final = frozenset(
@@ -112,7 +113,7 @@
 
     def _read(self) -> Iterator[bytes]:
         if getattr(self._response, 'chunked', False):
-            yield from self._response.stream(amt=None)
+            yield from self._response.stream(amt=_READ_BYTES)
             return
         while received := self._response.read1(_READ_BYTES):
             yield received
