Tell the replica of the model of versions what the store has told

The model stands in for the replica, which keeps that revision since missed changes are read from there; its tests failed with AttributeError. They pass but for the case that is known red.

--- a/tests/test_version_model.py
+++ b/tests/test_version_model.py
@@ -100,7 +100,7 @@
         self.heard_ms = 0
         self._followed_since_ms = site.clock.now_ms()
         # Revision of the list up to which this gateway has heard of it.
-        self._replica: Any = SimpleNamespace(revision=0)
+        self._replica: Any = SimpleNamespace(revision=0, store_revision=0)
         self._changes = EndpointChanges(
             store=site.endpoints,
             binding=_BINDING,
@@ -169,6 +169,7 @@
             if change.spec is not None:
                 self.versions.note_listed(change.spec)
         self._replica.revision = endpoints.revision
+        self._replica.store_revision = endpoints.revision
         self.usable = list(endpoints.listed.values())
 
     def _followed_ms(self) -> int:
