--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -93,6 +93,8 @@
         'names': ['usage', 'scale'],
         'lease_ms': 3000,
         'late_s': 10,
+        'writes_per_s': 400,
+        'reads_per_s': 2000,
     }
     template = pathlib.Path('deploy/gateway.yaml').read_text('utf-8')
     # The platform leaves a section out that it has no value for.
