Give requests a short deadline only where their endpoint falls silent, in a test

Trace by three gateways' logs: with a deadline of 1.5 s the first attempt was given up after 596 or 597 ms without bytes, before the test had ended the endpoint, and used up one of two attempts.

The deadline is there for the test in which the endpoint falls silent.

--- a/tests/test_ends_of_answers.py
+++ b/tests/test_ends_of_answers.py
@@ -116,17 +116,18 @@
         """
         self.processes[name].signal(number)
 
-    def begin(self, target: str) -> CallerStandIn:
+    def begin(self, target: str, **headers: str) -> CallerStandIn:
         """Send a request and wait until the first endpoint waits within it.
 
         :param target: path of the request.
+        :param headers: its headers, beside those of a prompt.
         :returns: the caller.
         """
         wait_until(lambda: not self._gateway.not_ready())
         caller = self.site.caller()
         prompt = PROMPT if self._pool == 'engines' else {}
         method = 'GET' if target == '/safe/x' else 'POST'
-        caller.send(target, method=method, X_Deadline_Ms=DEADLINE_MS, **prompt)
+        caller.send(target, method=method, **headers, **prompt)
         log = self.processes['first'].log
         wait_until(lambda: 'holds' in log.read_text('utf-8'))
         return caller
@@ -201,13 +202,14 @@
     target: str,
     framing: Framing,
     end: Callable[[EndingSite], None],
+    **headers: str,
 ) -> ReceivedAnswer:
     """Return the answer to a request whose first endpoint ends within it."""
     options = ('--framing', framing)
     site.start('first', target, '--hold-before', str(HOLD_BEFORE), *options)
     site.start('second', target, *options)
     site.put('first')
-    caller = site.begin(target)
+    caller = site.begin(target, **headers)
     site.put('second')
     end(site)
     return caller.receive()
@@ -271,7 +273,9 @@
 def test_answer_of_an_endpoint_that_falls_silent_is_not_complete(
     ending_site: EndingSite, target: str
 ):
-    answer = receive_cut(ending_site, target, Framing.none, stop)
+    answer = receive_cut(
+        ending_site, target, Framing.none, stop, X_Deadline_Ms=DEADLINE_MS
+    )
     received = parse_event_ids(answer.body)
     assert received in ([], SENT_BEFORE_END)
     assert not (answer.whole and answer.status == 200)
