--- a/wingfall/gateway/endpoints/answer_buffer.py
+++ b/wingfall/gateway/endpoints/answer_buffer.py
@@ -17,9 +17,7 @@
 # Limits the memory of a buffered answer or event. Twice the largest request
 # body.
 MAX_ANSWER_BYTES: Final = 8_388_608
-# Bytes that a shorter piece counts as, since each piece costs processor time:
-# the 65,536 pieces of an answer at its bound are to cost two seconds of a core
-# at most.
+# Bytes that a shorter piece counts as, since each piece costs processor time.
 MIN_PIECE_BYTES: Final = 128
 # Maximum bytes of all answers together beyond what each has for itself.
 _MAX_TOTAL_BYTES: Final = 25_165_824
