--- a/tests/test_call_rules.py
+++ b/tests/test_call_rules.py
@@ -69,6 +69,7 @@
     may_have_run: bool = False,
     started: bool = False,
     last_event_id: str | None = None,
+    resumable: bool = True,
     asked: list[str] | None = None,
 ) -> Dispatch:
     """Create the dispatch of a call between two attempts."""
@@ -89,6 +90,8 @@
                 target_ms=target_ms,
                 max_attempts=max_attempts,
                 pools=(pool,),
+                streaming=True,
+                resumable=resumable,
             ),
         ),
         reply=SimpleNamespace(started=started, last_event_id=last_event_id),
@@ -310,6 +313,14 @@
 }
 
 
+@pytest.mark.parametrize(('resumable', 'verdict'), [(True, 'b'), (False, 'n')])
+def test_stream_that_has_begun_goes_on_only_where_streams_are_resumed(
+    verdict: str, *, resumable: bool
+):
+    case = {'sent': 1, 'started': True, 'last_event_id': '2'}
+    assert retry_verdict(AttemptEnd.cut, resumable=resumable, **case) == verdict
+
+
 @pytest.mark.parametrize('name', TABLES)
 def test_rule_matches_golden_record(name: str):
     assert TABLES[name]() == orjson.loads(RECORD.read_bytes())[name]
