--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,5 @@
 # flake8: noqa
-"""A run that ends with 503 and no X-Not-Executed reaches the client as 503."""
+"""A server whose entry went still gets requests from a gateway that restarted."""
 
 import pathlib
 import sys
@@ -13,28 +13,31 @@
 
 HOST_NAME = 'lobby.example'
 KEY = 'n2ctnfzs989anu6wsjnb'
+CONTACT_S = kit.BOUNDS['contact_ms'] / 1000
+DRAIN_S = kit.BOUNDS['drain_ms'] / 1000
+SERVERS = 5
+ROUNDS = 2
+IN_TOUCH_S = 5
 
 
 class Service(kit.Server):
-    """Runs each request; some of the runs fail, as at a grey server."""
+    """Runs each request and notes when it reached it."""
 
-    def __init__(self, *, fails, **known):
-        self.fails = fails
-        self.runs = []
+    def __init__(self, **known):
+        self.arrivals = []
+        self.gone_s = None
         super().__init__(slots=6, **known)
 
     def behave(self, sock, request):
-        # The run begins here, and takes its 45 ms whatever its end.
-        self.runs.append(request.id)
-        number = len(self.runs)
-        self.record.note(f'{self.instance} begins to run {request.id}')
-        time.sleep(0.045)
-        if self.fails and number % 5 in (0, 3):
-            self.record.note(f'{self.instance} ran {request.id}: 503, failed')
-            self.answer(sock, request, 503, b'failed while seating')
-            return
-        self.record.note(f'{self.instance} ran {request.id}: 200')
-        self.answer(sock, request, 200, b'seated ' + request.id.encode())
+        now = self.record.now()
+        self.arrivals.append((now, request.id))
+        if self.gone_s is not None:
+            self.record.note(
+                f'{request.id} reaches {self.instance},'
+                f' {now - self.gone_s:.3f} s after its entry went'
+            )
+        time.sleep(0.03)
+        self.answer(sock, request, 200, b'ok ' + request.id.encode())
 
 
 def configuration():
@@ -60,69 +63,130 @@
     }
 
 
+class Clients:
+    """Send to all gateways, some requests a second."""
+
+    def __init__(self, site):
+        self.site = site
+        self.stopped = False
+        self.count = 0
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while not self.stopped:
+            self.count += 1
+            gateway = self.site.gateways[self.count % len(self.site.gateways)]
+            threading.Thread(
+                target=self.ask, args=(self.count, gateway), daemon=True
+            ).start()
+            time.sleep(0.05)
+
+    def ask(self, number, gateway):
+        answer = kit.ask(
+            gateway.callers,
+            'POST',
+            '/join/7',
+            {
+                'X-Attempt-Id': f'{gateway.name}-{number:06x}',
+                'X-Deadline-Ms': '1000',
+                'Authorization': f'Token {KEY}',
+            },
+            b'{"player":7}',
+            host=HOST_NAME,
+        )
+        if answer.status != 200:
+            self.site.record.note(
+                f'client gets {answer.status or answer.error}'
+                f' for {number:06x} from {gateway.name}'
+            )
+
+
+def kill_and_restart(record, gateway):
+    """End a process by SIGKILL; the platform starts it again soon after."""
+    record.note(f'{gateway.name} is killed')
+    gateway.kill()
+    time.sleep(0.5)
+    gateway.start()
+    deadline = time.monotonic() + 10
+    while not gateway.is_ready():
+        if time.monotonic() > deadline:
+            raise kit.CouldNotRun(f'{gateway.name} is not ready')
+        time.sleep(0.02)
+    record.note(f'{gateway.name} is ready again')
+
+
+def list_late(site, in_touch):
+    """Arrivals later than drain_ms, from gateways that were in touch."""
+    late = []
+    for server in site.servers:
+        for at_s, run in server.arrivals:
+            if server.gone_s is None or at_s <= server.gone_s + DRAIN_S:
+                continue
+            name = run.rpartition('-')[0]
+            if any(
+                gateway == name and begin <= at_s <= end
+                for gateway, begin, end in in_touch
+            ):
+                late.append((server.instance, at_s, run))
+    return late
+
+
 def body(record, trouble):
     site = kit.Site(record, gateways=2)
+    clients = None
     try:
         site.store.put('config', 'main', configuration())
-        for number, zone in enumerate(('a', 'b', 'a')):
+        for number in range(SERVERS):
             site.add_server(
                 Service(
-                    fails=trouble and number == 0,
                     record=record,
-                    instance=f'i-{number}{number}f1',
+                    instance=f'i-{number:04x}f1',
                     service='match-api',
-                    zone=zone,
+                    zone='ab'[number % 2],
                 )
             )
         site.start_gateways()
+        clients = Clients(site)
+        time.sleep(CONTACT_S + 1)
+        steady, struck = site.gateways
+        steady_s = record.now()
+        in_touch = []
+        if trouble:
+            kill_and_restart(record, struck)
         time.sleep(1)
-        promised = []
-        lock = threading.Lock()
-
-        def join(number):
-            attempt = f'{number:04x}a7be2a35f68'
-            gateway = site.gateways[number % len(site.gateways)]
-            record.note(f'client sends {attempt} to {gateway.name}')
-            answer = kit.ask(
-                gateway.callers,
-                'POST',
-                '/join/7',
-                {
-                    'X-Attempt-Id': attempt,
-                    'X-Deadline-Ms': '1000',
-                    'Authorization': f'Token {KEY}',
-                },
-                b'{"player":7}',
-                host=HOST_NAME,
-            )
-            record.note(
-                f'client gets {answer.status or answer.error} for {attempt},'
-                f' seal {answer.headers.get("x-response-seal")}'
-            )
-            if answer.status in {408, 421, 429, 503}:
-                with lock:
-                    promised.append(attempt)
-
-        threads = []
-        for number in range(60):
-            thread = threading.Thread(target=join, args=(number,))
-            thread.start()
-            threads.append(thread)
-            time.sleep(0.1)
-        for thread in threads:
-            thread.join()
-        ran = {run for server in site.servers for run in server.runs}
-        broken = [attempt for attempt in promised if attempt in ran]
-        for attempt in broken:
-            record.note(f'REFUSED: {attempt} was promised not to run, but ran')
+        for leaving in site.servers[:ROUNDS]:
+            # It never says draining: its entry goes, and it serves on.
+            site.store.delete('servers', leaving.instance)
+            leaving.gone_s = record.now()
+            record.note(f'the entry of {leaving.instance} went')
+            time.sleep(1)
+            if trouble:
+                record.note(f'the store turns {struck.name} away')
+                struck.store_front.turns_away = True
+                kill_and_restart(record, struck)
+                time.sleep(0.5)
+                struck.store_front.turns_away = False
+                record.note(f'the store serves {struck.name} again')
+            time.sleep(CONTACT_S + 0.5)
+            begin_s = record.now()
+            record.note('both gateways are in touch')
+            time.sleep(IN_TOUCH_S)
+            in_touch.append((struck.name, begin_s, record.now()))
+        in_touch.append((steady.name, steady_s, record.now()))
+        late = list_late(site, in_touch)
+        for instance, at_s, run in late:
+            record.note(f'DRAIN: {run} reached {instance} at {at_s:.3f} s')
+        runs = sum(len(server.arrivals) for server in site.servers)
         record.note(
-            f'{len(ran)} requests ran, {len(promised)} answers were promises,'
-            f' {len(broken)} of these were false'
+            f'{runs} requests ran; {len(late)} reached servers from gateways in'
+            f' touch, later than drain_ms after the entry went'
         )
-        if not ran:
+        if not runs:
             return 2
-        return 1 if broken else 0
+        return 1 if late else 0
     finally:
+        if clients is not None:
+            clients.stopped = True
         site.close()
 
 
--- a/review/7/kit.py
+++ b/review/6/kit.py
@@ -233,19 +233,13 @@
             )
             self.changed.notify_all()
 
-    def serve(self, sock, front=None):
+    def serve(self, sock):
         peer = HttpPeer(sock)
         while True:
             first, headers = peer.read_head()
             method, target, _ = first.split(' ')
             body = peer.read_body(headers)
-            status, answer = 503, {}
-            if front is None or not front.turns_away:
-                status, answer = self._answer(method, target, body)
-            if front is not None and front.turns_away:
-                status, answer = 503, {}
-            # 4 ms an answer, by the sheet.
-            time.sleep(0.004)
+            status, answer = self._answer(method, target, body)
             encoded = json.dumps(answer).encode()
             sock.sendall(
                 (
@@ -320,18 +314,6 @@
                 self.changed.wait(left)
 
 
-class StoreFront(Listener):
-    """Where one machine reaches the store, which may turn it away."""
-
-    def __init__(self, store):
-        self.store = store
-        self.turns_away = False
-        super().__init__()
-
-    def serve(self, sock):
-        self.store.serve(sock, self)
-
-
 class Request:
     """A request as it reached a server."""
 
@@ -448,7 +430,6 @@
         self.zone = zone
         self.callers, self.ready, self.control, self.admin = ports
         self.path = site.folder / f'{name}.yaml'
-        self.store_front = StoreFront(site.store)
         self.child = None
 
     def write_settings(self):
@@ -462,7 +443,7 @@
             'binding': 'fjordgrid',
             'peers': {'listen': f'{HOST}:{self.control}', 'seeds': seeds},
             'store': {
-                'address': self.store_front.address,
+                'address': self.site.store.address,
                 'writes_per_s': 400,
                 'reads_per_s': 2000,
             },
@@ -571,7 +552,6 @@
     def close(self):
         for gateway in self.gateways:
             gateway.kill()
-            gateway.store_front.stop()
         for server in self.servers:
             server.stop()
         self.store.stop()
