Name the exception of an attempt, and the address of a listed endpoint

An attempt that an exception ended was logged with the reason "the caller left", and no line told which address an endpoint was listed with, so the hypotheses of docs/incidents/odd-addresses.md could be told apart by the trace of a call alone. Now the line of the attempt names the exception, the line of a listed endpoint has its address (also where only that changes), and calls that a fault of the program ends are counted: wingfall_decisions_total{part="calls",reason="fault"}. No decision is changed.

--- a/wingfall/gateway/callers/caller_connection.py
+++ b/wingfall/gateway/callers/caller_connection.py
@@ -311,6 +311,7 @@
             self._stop.note_answer(call.route.name, duration_ms)
 
     def _note_fault(self, call: Call, reply: Reply) -> Refusal:
+        self._state.metrics.decisions.inc({'part': 'calls', 'reason': 'fault'})
         log_event(
             'gateway',
             'A fault of the program ended a call.',
--- a/wingfall/gateway/callers/caller_writer.py
+++ b/wingfall/gateway/callers/caller_writer.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final, final
 
 from wingfall.clock import MS_PER_S
+from wingfall.gateway.model.attempt_end import CallEndError
 
 if TYPE_CHECKING:
     import socket
@@ -27,7 +28,7 @@
 _PIECE_BYTES: Final = 65_536
 
 
-class CallerDisconnectedError(Exception):
+class CallerDisconnectedError(CallEndError):
     """The caller has closed the connection or accepts no more bytes."""
 
 
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -43,7 +43,7 @@
     defer_call,
     is_pool_withheld,
 )
-from wingfall.gateway.model.attempt_end import AttemptEnd
+from wingfall.gateway.model.attempt_end import AttemptEnd, CallEndError
 from wingfall.gateway.rules.admission.refusals import (
     refuse_after,
     refuse_blocked,
@@ -80,11 +80,11 @@
 _NO_ENDPOINT: Final = AttemptEnd.not_sent
 
 
-class ReplyCutError(Exception):
+class ReplyCutError(CallEndError):
     """A stream can't be continued; the caller's connection must be closed."""
 
 
-class GatewayStoppingError(Exception):
+class GatewayStoppingError(CallEndError):
     """A planned stop ends the call; it gets a final answer."""
 
 
@@ -313,6 +313,11 @@
         except GatewayStoppingError:
             outcome.reason = 'the gateway stops'
             raise
+        except CallEndError:
+            raise
+        except Exception as error:
+            outcome.reason = f'a fault of the program: {error!r}'
+            raise
         finally:
             tracker.end(outcome, self._reply)
             state.stream_log.note_order(
--- a/wingfall/gateway/knowledge/endpoint_table.py
+++ b/wingfall/gateway/knowledge/endpoint_table.py
@@ -98,6 +98,7 @@
                 endpoint=endpoint.name,
                 pool=endpoint.pool,
                 zone=endpoint.zone,
+                address=endpoint.address,
                 draining=endpoint.draining,
                 version=endpoint.version,
             )
@@ -168,7 +169,11 @@
     return _describe_state(previous) != _describe_state(endpoint)
 
 
-def _describe_state(
-    endpoint: PoolEndpoint,
-) -> tuple[str, str, bool, str | None]:
-    return endpoint.name, endpoint.pool, endpoint.draining, endpoint.version
+def _describe_state(endpoint: PoolEndpoint) -> tuple[str | bool | None, ...]:
+    return (
+        endpoint.name,
+        endpoint.pool,
+        endpoint.address,
+        endpoint.draining,
+        endpoint.version,
+    )
--- a/wingfall/gateway/model/attempt_end.py
+++ b/wingfall/gateway/model/attempt_end.py
@@ -1,4 +1,4 @@
-"""Outcome of an attempt at an endpoint."""
+"""Ends of attempts at endpoints, and of calls whatever their attempts do."""
 
 from __future__ import annotations
 
@@ -16,3 +16,7 @@
     lost = 'lost'  # The connection broke before an answer.
     late = 'late'  # No first byte within the attempt's timeout.
     cut = 'cut'  # The stream broke after events were forwarded.
+
+
+class CallEndError(Exception):
+    """The call ends: its caller has left, or it can't be answered any more."""
--- a/wingfall/gateway/model/pool_endpoint.py
+++ b/wingfall/gateway/model/pool_endpoint.py
@@ -62,3 +62,9 @@
         self.slots = slots
         self.draining = draining
         self.version = version
+
+    @property
+    def address(self) -> str:
+        """Host and port, the host in brackets if it has colons."""
+        host = f'[{self.host}]' if ':' in self.host else self.host
+        return f'{host}:{self.port}'
