Refuse entries whose address is no IP number with a port

Callers got 502 at three of four calls while an entry of another writer with an address such as a..b:8080 stood in the list: the schema took any text with a port, so the entry was listed as an endpoint and dialed.

wingfall/address.py decides what an address is, by the standard library's reader of IP numbers: no names, no scopes, no digits of other scripts, no number that is not of one VM (0.0.0.0, groups, broadcast). A refused entry is named in "endpoints: Refused." with the field address. The protocol writes addresses as IP:PORT. IPv6 numbers may be in brackets, and have them in headers.

The second fault, that one exception of one endpoint's connection ends a call that others could serve, is not mended by this.

--- a/wingfall/gateway/model/pool_endpoint.py
+++ b/wingfall/gateway/model/pool_endpoint.py
@@ -4,6 +4,8 @@
 
 from typing import final
 
+from wingfall.address import Address
+
 
 @final
 class PoolEndpoint:
@@ -66,5 +68,4 @@
     @property
     def address(self) -> str:
         """Host and port, the host in brackets if it has colons."""
-        host = f'[{self.host}]' if ':' in self.host else self.host
-        return f'{host}:{self.port}'
+        return str(Address(host=self.host, port=self.port))
--- a/wingfall/platform/endpoint_entry.py
+++ b/wingfall/platform/endpoint_entry.py
@@ -10,18 +10,18 @@
 import functools
 from typing import TYPE_CHECKING, Any, Final
 
+from returns.result import Success
+
+from wingfall.address import parse_destination
+from wingfall.errors import ObjectFault
 from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 from wingfall.platform.schema_check import SchemaCheck
 
 if TYPE_CHECKING:
     from returns.result import Result
 
-    from wingfall.errors import ObjectFault
+    from wingfall.address import Address
 
-# A TCP port, 1 to 65535.
-_PORT: Final = (
-    r'([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d|6553[0-5])'
-)
 _DRAINING: Final = 'draining'
 _TEXT: Final = {'type': 'string', 'minLength': 1}
 _ENTRY: Final = SchemaCheck(
@@ -30,7 +30,7 @@
         'required': ['service', 'address', 'zone', 'slots', 'state'],
         'properties': {
             'service': _TEXT,
-            'address': {'type': 'string', 'pattern': rf'^[^\s/]+:{_PORT}$'},
+            'address': {'type': 'string'},
             'zone': _TEXT,
             'slots': {'type': 'integer', 'minimum': 1},
             'state': {'enum': ['ready', _DRAINING]},
@@ -54,18 +54,28 @@
     :param spec: what the stored object says.
     :returns: the endpoint, or what is wrong with the entry.
     """
-    return _ENTRY.find_fault(spec).map(functools.partial(_make, name))
+    checked = _ENTRY.find_fault(spec)
+    if not isinstance(checked, Success):
+        return checked
+    return (
+        parse_destination(checked.unwrap()['address'])
+        .alt(functools.partial(_make_fault, 'address'))
+        .map(functools.partial(_make, name, spec))
+    )
+
+
+def _make_fault(field: str, reason: str) -> ObjectFault:
+    return ObjectFault(field=field, reason=reason)
 
 
-def _make(name: str, spec: dict[str, Any]) -> PoolEndpoint:
-    host, _colon, port = spec['address'].rpartition(':')
+def _make(name: str, spec: dict[str, Any], address: Address) -> PoolEndpoint:
     born = spec.get('born')
     return PoolEndpoint(
         name=name if born is None else f'{name}@{int(born)}',
         instance=name,
         pool=spec['service'],
-        host=host,
-        port=int(port),
+        host=address.host,
+        port=address.port,
         zone=spec['zone'],
         slots=int(spec['slots']),
         draining=spec['state'] == _DRAINING,
--- a/wingfall/platform/headers.py
+++ b/wingfall/platform/headers.py
@@ -188,7 +188,7 @@
 
 
 def _address(endpoint: PoolEndpoint) -> bytes:
-    return f'{endpoint.host}:{endpoint.port}'.encode()
+    return endpoint.address.encode()
 
 
 def _passed_on(headers: Headers, first: dict[bytes, bytes]) -> Headers:
