Try another endpoint after any exception of an attempt

Callers got 502 where one endpoint's connection raised what no attempt expected (UnicodeError of an odd host), and nothing at all where it raised an OSError outside of the places that knew one: the call ended, no other endpoint was tried, and nothing counted against this one, so that it looked idle and was chosen again.

An attempt now ends with an outcome whatever its exchange raises, but for the errors that end the call (CallEndError: the caller left, the gateway stops). Without a connection the endpoint is ejected as any that takes none; later the failure counts, and only a call that may be repeated is sent again once bytes may have been sent. The line "A fault of the program ended an attempt." has call, endpoint and trace. It is no evidence of a crash.

--- a/tests/test_attempt_faults.py
+++ b/tests/test_attempt_faults.py
@@ -10,11 +10,13 @@
 from absl import logging as absl_logging
 
 from wingfall.gateway.endpoints import connection_cache
+from wingfall.gateway.endpoints.endpoint_connection import EndpointConnection
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from tests.gateway_site import GatewaySite
+    from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 
 
 @contextlib.contextmanager
@@ -58,3 +60,89 @@
     with collected_lines('endpoints: The list has an endpoint.') as lines:
         gateway_site.add_gateway()
     assert lines[0]['address'] == server.address
+
+
+def raise_at_first(
+    monkeypatch: pytest.MonkeyPatch, place: Any, name: str, error: Exception
+) -> list[str]:
+    """Let a function fail for the first endpoint that it is called for."""
+    original = getattr(place, name)
+    failed: list[str] = []
+
+    def fail(endpoint: PoolEndpoint, *others: Any, **options: Any) -> Any:
+        if not failed:
+            failed.append(endpoint.name)
+        if endpoint.name in failed:
+            raise error
+        return original(endpoint, *others, **options)
+
+    monkeypatch.setattr(place, name, fail)
+    return failed
+
+
+ERRORS = (
+    UnicodeError('label empty or too long'),
+    OverflowError('port'),
+    ValueError('a host'),
+    ZeroDivisionError('odd'),
+    MemoryError(),
+)
+
+
+@pytest.mark.parametrize('target', ['/safe/x', '/unsafe/x', '/oneway/x'])
+@pytest.mark.parametrize('error', ERRORS, ids=repr)
+def test_connection_that_raises_ends_no_call(
+    gateway_site: GatewaySite,
+    monkeypatch: pytest.MonkeyPatch,
+    target: str,
+    error: Exception,
+):
+    for name in ('one', 'two'):
+        gateway_site.add_server(name)
+        gateway_site.add_server(f'engine-{name}', 'engines')
+    gateway = gateway_site.add_gateway()
+    failed = raise_at_first(monkeypatch, connection_cache, 'connect', error)
+    count = '1' if 'oneway' in target else ''
+    statuses = [
+        gateway_site.ask(target, X_Token_Count=count).status
+        for _call in range(6)
+    ]
+    assert set(statuses) == {200}
+    assert failed
+    # It counts against the endpoint, which is not chosen again and again.
+    health = gateway._state.knowledge.health
+    assert health.is_ejected(failed[0])
+
+
+@pytest.mark.parametrize('step', ['send', 'receive'])
+def test_exchange_that_raises_is_tried_at_another_endpoint(
+    gateway_site: GatewaySite, monkeypatch: pytest.MonkeyPatch, step: str
+):
+    gateway_site.add_server('one')
+    gateway_site.add_server('two')
+    gateway = gateway_site.add_gateway()
+    original = getattr(EndpointConnection, step)
+    raised: list[int] = []
+
+    def fail(connection: EndpointConnection, *others: Any, **options: Any):
+        if not raised:
+            raised.append(1)
+            raise OSError('of the endpoint')
+        return original(connection, *others, **options)
+
+    monkeypatch.setattr(EndpointConnection, step, fail)
+    assert gateway_site.ask('/safe/x').status == 200
+    assert raised
+    rates = gateway._state.knowledge.health
+    assert max(map(rates.failure_rate, ('one', 'two'))) > 0
+
+
+def test_unsafe_call_whose_exchange_raises_is_not_sent_again(
+    gateway_site: GatewaySite, monkeypatch: pytest.MonkeyPatch
+):
+    server = gateway_site.add_server('one')
+    gateway_site.add_gateway()
+    monkeypatch.setattr(EndpointConnection, 'receive', raise_fault)
+    answer = gateway_site.ask('/unsafe/x')
+    assert answer.status == 502
+    assert len(server.runs) <= 1
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+import traceback
 from typing import TYPE_CHECKING, Callable, Final, final
 
 import h11
@@ -34,8 +35,9 @@
     list_event_ids,
 )
 from wingfall.gateway.endpoints.event_time import EventTime
-from wingfall.gateway.model.attempt_end import AttemptEnd
+from wingfall.gateway.model.attempt_end import AttemptEnd, CallEndError
 from wingfall.gateway.model.binding import AttemptRequest
+from wingfall.log import log_event
 
 if TYPE_CHECKING:
     from contextlib import AbstractContextManager
@@ -72,6 +74,7 @@
         '_connection',
         '_connections',
         '_destination',
+        '_is_sending',
         '_is_whole',
         '_may_send',
         '_memory',
@@ -142,6 +145,8 @@
         self._answers = answers
         self._memory = memory
         self._sent_ms = 0
+        # Whether bytes of the request may have been sent.
+        self._is_sending = False
         self._connection: EndpointConnection | None = None
 
     def run(self, limits: AttemptLimits) -> AttemptOutcome:
@@ -152,23 +157,10 @@
         """
         try:
             return self._exchange(limits)
-        except NotConnectedError as error:
-            is_withheld = isinstance(error, EndpointWithheldError)
-            end = AttemptEnd.held if is_withheld else AttemptEnd.not_sent
-            return AttemptOutcome(end=end, reason=str(error))
-        except BrokenAnswerError as error:
-            return AttemptOutcome(
-                end=self._broken_end(),
-                reason=str(error),
-                is_abandoned=isinstance(error, DisorderedStreamError),
-                endless=error
-                if isinstance(error, EndlessAnswerError)
-                else None,
-            )
-        except AnswerTimeoutError:
-            return AttemptOutcome(
-                end=self._late_end(), reason='no bytes in time'
-            )
+        except CallEndError:
+            raise
+        except Exception as error:
+            return self._describe_error(error)
         finally:
             if self._connection is not None:
                 self._connection.close()
@@ -190,10 +182,14 @@
         if not self._may_send():
             raise EndpointWithheldError('not the version of the stream')
         self._sent_ms = self._now_ms()
+        headers = self._binding.endpoint_headers(
+            call, self._make_sending(limits)
+        )
+        self._is_sending = True
         connection.send(
             call.head.method,
             call.head.target,
-            self._binding.endpoint_headers(call, self._make_sending(limits)),
+            headers,
             call.body,
             deadline_ms=limits.deadline_ms,
             on_incomplete=self._on_incomplete,
@@ -403,6 +399,41 @@
     def _broken_end(self) -> AttemptEnd:
         return AttemptEnd.cut if self._reply.started else AttemptEnd.lost
 
+    def _describe_error(self, error: Exception) -> AttemptOutcome:
+        match error:
+            case NotConnectedError():
+                is_withheld = isinstance(error, EndpointWithheldError)
+                end = AttemptEnd.held if is_withheld else AttemptEnd.not_sent
+                return AttemptOutcome(end=end, reason=str(error))
+            case BrokenAnswerError():
+                is_endless = isinstance(error, EndlessAnswerError)
+                return AttemptOutcome(
+                    end=self._broken_end(),
+                    reason=str(error),
+                    is_abandoned=isinstance(error, DisorderedStreamError),
+                    endless=error if is_endless else None,
+                )
+            case AnswerTimeoutError():
+                return AttemptOutcome(
+                    end=self._late_end(), reason='no bytes in time'
+                )
+        return self._describe_fault(error)
+
+    def _describe_fault(self, error: Exception) -> AttemptOutcome:
+        log_event(
+            'dispatch',
+            'A fault of the program ended an attempt.',
+            call=self._call.call_id,
+            endpoint=self._destination.endpoint.name,
+            trace=traceback.format_exc(),
+        )
+        return AttemptOutcome(
+            end=self._broken_end() if self._is_sending else AttemptEnd.not_sent,
+            reason=f'a fault of the program: {error!r}',
+            is_abandoned=True,
+            is_fault=self._connection is not None,
+        )
+
     def _late_end(self) -> AttemptEnd:
         return AttemptEnd.cut if self._reply.started else AttemptEnd.late
 
--- a/wingfall/gateway/calls/attempt_outcome.py
+++ b/wingfall/gateway/calls/attempt_outcome.py
@@ -56,6 +56,7 @@
         'endless',
         'is_abandoned',
         'is_empty_stream',
+        'is_fault',
         'reason',
     )
 
@@ -67,6 +68,7 @@
         reason: str = '',
         is_abandoned: bool = False,
         is_empty_stream: bool = False,
+        is_fault: bool = False,
         endless: EndlessAnswerError | None = None,
     ) -> None:
         """Create an outcome.
@@ -76,6 +78,8 @@
         :param reason: the observed cause, for logs.
         :param is_abandoned: whether this side, not the endpoint, gave up.
         :param is_empty_stream: whether the endpoint had no event left to send.
+        :param is_fault: whether an exception ended the attempt that may come
+            from the request, or from this program, as well.
         :param endless: the bound that the answer exceeded, None if it did not.
         """
         self.end = end
@@ -83,6 +87,7 @@
         self.reason = reason
         self.is_abandoned = is_abandoned
         self.is_empty_stream = is_empty_stream
+        self.is_fault = is_fault
         self.endless = endless
 
     @property
--- a/wingfall/gateway/calls/dispatcher.py
+++ b/wingfall/gateway/calls/dispatcher.py
@@ -313,11 +313,6 @@
         except GatewayStoppingError:
             outcome.reason = 'the gateway stops'
             raise
-        except CallEndError:
-            raise
-        except Exception as error:
-            outcome.reason = f'a fault of the program: {error!r}'
-            raise
         finally:
             tracker.end(outcome, self._reply)
             state.stream_log.note_order(
@@ -373,7 +368,7 @@
         self._progress.note(name, outcome.end)
         if outcome.end is AttemptEnd.held:
             return
-        if outcome.end is AttemptEnd.not_sent:
+        if outcome.end is AttemptEnd.not_sent and not outcome.is_fault:
             self._state.knowledge.health.note_unreachable(name)
             return
         self._state.knowledge.note_failure(name)
--- a/wingfall/gateway/endpoints/endpoint_connection.py
+++ b/wingfall/gateway/endpoints/endpoint_connection.py
@@ -418,6 +418,11 @@
             (endpoint.host, endpoint.port),
             timeout=bounded_ms / MS_PER_S,
         )
+    # The last two are of a host or port that no socket takes.
+    except (OSError, ValueError, OverflowError) as error:
+        raise NotConnectedError(str(error)) from error
+    try:
+        return EndpointConnection(sock=sock, clock=clock)
     except OSError as error:
+        sock.close()
         raise NotConnectedError(str(error)) from error
-    return EndpointConnection(sock=sock, clock=clock)
