Bound the digits of an endpoint's keep-alive time

An endpoint whose answers say Keep-Alive: timeout= with 400 digits ended calls by OverflowError as its kept connection was asked for, and with 5,000 digits by ValueError after each sound answer of it; the same product is computed as idle connections to all endpoints are closed. Only nine digits are read now.

--- a/tests/test_attempt_faults.py
+++ b/tests/test_attempt_faults.py
@@ -4,20 +4,27 @@
 
 import contextlib
 import logging
-from typing import TYPE_CHECKING, Any
+import re
+from typing import TYPE_CHECKING, Any, final
 
+import gevent
 import pytest
 from absl import logging as absl_logging
+from gevent.server import StreamServer
 
+from tests.gateway_site import HOST
 from wingfall.gateway.endpoints import connection_cache
 from wingfall.gateway.endpoints.endpoint_connection import EndpointConnection
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterator
 
     from tests.gateway_site import GatewaySite
     from wingfall.gateway.model.pool_endpoint import PoolEndpoint
 
+FAULT_LINE = 'dispatch: A fault of the program ended an attempt.'
+
 
 @contextlib.contextmanager
 def collected_lines(sentence: str) -> Iterator[list[dict[str, Any]]]:
@@ -146,3 +153,74 @@
     answer = gateway_site.ask('/unsafe/x')
     assert answer.status == 502
     assert len(server.runs) <= 1
+
+
+@final
+class RawEndpoint:
+    """Answers each request with the same bytes, on connections it keeps."""
+
+    def __init__(self, head: bytes) -> None:
+        """Listen on loopback.
+
+        :param head: lines of the head of each answer, before its call id.
+        """
+        self._head = head
+        self._server = StreamServer((HOST, 0), self._serve)
+        self._server.start()
+        self.requests = 0
+
+    @property
+    def address(self) -> str:
+        """Host and port."""
+        return f'{HOST}:{self._server.server_port}'
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock: socket.socket, _peer: Any) -> None:
+        while True:
+            asked = sock.recv(65_536)
+            if not asked:
+                return
+            self.requests += 1
+            found = re.search(rb'(?i)x-attempt-id: *([^\r]*)', asked)
+            call_id = found.group(1) if found else b''
+            sock.sendall(
+                b'HTTP/1.1 200 OK\r\n%bX-Attempt-Id: %b\r\n\r\n'
+                % (self._head, call_id)
+            )
+
+
+def ask_at_once(site: GatewaySite) -> set[int]:
+    """Return the statuses of calls that keep all endpoints busy."""
+    calls = [gevent.spawn(site.ask, '/safe/x') for _call in range(12)]
+    return {each.get().status for each in calls}
+
+
+ODD_HEADS = {
+    'keep-alive of 400 digits': b'Content-Length: 0\r\nKeep-Alive: timeout=%b'
+    b'\r\n' % (b'9' * 400),
+    'keep-alive of 5,000 digits': b'Content-Length: 0\r\nKeep-Alive: timeout='
+    b'%b\r\n' % (b'9' * 5000),
+    'a length of 5,000 digits': b'Content-Length: %b\r\n' % (b'9' * 5000),
+    'a length of 400 digits': b'Content-Length: %b\r\n' % (b'9' * 400),
+}
+
+
+@pytest.mark.parametrize('case', ODD_HEADS)
+def test_odd_number_in_an_answers_head_ends_no_call(
+    gateway_site: GatewaySite, case: str
+):
+    raw = RawEndpoint(ODD_HEADS[case])
+    gateway_site.add_server('one')
+    gateway_site.add_server('two')
+    entry = gateway_site.make_entry('one', 'plain', address=raw.address)
+    gateway_site.store.put('servers', 'raw', entry)
+    gateway_site.add_gateway()
+    with collected_lines(FAULT_LINE) as lines:
+        statuses = [ask_at_once(gateway_site) for _round in range(4)]
+    raw.stop()
+    assert raw.requests
+    assert set().union(*statuses) == {200}
+    assert not lines
--- a/wingfall/gateway/calls/attempt.py
+++ b/wingfall/gateway/calls/attempt.py
@@ -56,7 +56,8 @@
     from wingfall.gateway.model.call import Call, Headers
     from wingfall.gateway.rules.streams.event_order import EventOrder
 
-_KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout=(\d+)')
+# Seconds of nine digits are decades, so that further digits change nothing.
+_KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout=(\d{1,9})')
 
 
 class DisorderedStreamError(BrokenAnswerError):
