Soak: entries of other writers whose address is none

The soak of other writers wrote no entry under a name of its own whose address passed the earlier schema and could not be dialed, and no promise looked at calls that the gateway itself ended.

Drawn apart from the faults, so that the draws of the faults stay as they were.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,9 @@
 # With other writers and endpoints that start again; 4006 turned red on the code
 # that read a page of the store as a whole.
 WRITER_SEEDS = (4006, 4012)
+# The same for a little longer; red where an entry is listed whose address is
+# none, and each call that chooses it ends.
+ODD_ENTRY_SEEDS = (80101,)
 # With a caller whose requests end engines. In one run each, seeds 2 and 6042
 # had other requests refused for it.
 CRASH_SEEDS = ((2, 20), (6042, 20), (5001, 12), (5002, 12))
@@ -162,6 +165,14 @@
     run_soak(tmp_path, seed, '--writers', seconds=10)
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize('seed', ODD_ENTRY_SEEDS)
+def test_no_call_ends_beside_addresses_that_are_none(
+    tmp_path: pathlib.Path, seed: int
+):
+    run_soak(tmp_path, seed, '--writers', seconds=12)
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize(('seed', 'seconds'), CRASH_SEEDS)
 def test_promises_hold_beside_crashes(
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -37,6 +37,7 @@
 from tools.soak.failing_pools import FAILING_POOL_BOUND, FailingPools
 from tools.soak.faults import Fault, faults
 from tools.soak.long_requests import LongRequests
+from tools.soak.odd_entries import OddEntries
 from tools.soak.partitioned_releases import (
     BESIDE_PARTITIONS,
     PartitionedReleases,
@@ -207,9 +208,11 @@
     end_bodies = _start_bodies(site, traffic, chosen, seed)
     end_partitions = _start_partitions(site, traffic, chosen, seed)
     join_upgrade = _start_upgrade(site, chosen, seed)
+    end_odd_entries = _start_odd_entries(site, chosen, seed)
     watch = GatewayWatch(site=site) if chosen.endurance else None
     struck = _strike(site, chance, chosen.seconds, _find_faults(chosen))
     join_upgrade()
+    end_odd_entries()
     end_partitions()
     end_bodies()
     end_streams()
@@ -357,6 +360,16 @@
     return SpeakingEndpoints(site=site, seed=seed).stop
 
 
+def _start_odd_entries(
+    site: SoakSite,
+    chosen: argparse.Namespace,
+    seed: int,
+) -> Callable[[], None]:
+    if not chosen.writers:
+        return lambda: None
+    return OddEntries(site=site, seed=seed).stop
+
+
 def _start_failures(
     site: SoakSite,
     chosen: argparse.Namespace,
