Refuse entries of endpoints whose name no header can carry

Cause: the gateway writes the name into X-Expect-Instance as it is. That the 502s come from an exception of the attempt was not traced.

Change: such an entry is refused by its field 'name'.

--- a/wingfall/platform/endpoint_entry.py
+++ b/wingfall/platform/endpoint_entry.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import functools
+import re
 from typing import TYPE_CHECKING, Any, Final
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from wingfall.address import parse_destination
 from wingfall.errors import ObjectFault
@@ -23,6 +24,11 @@
     from wingfall.address import Address
 
 _DRAINING: Final = 'draining'
+# What a value of an HTTP header can be: printable ASCII characters, none of
+# them white space at an end.
+_NAME: Final = re.compile('[!-~](?:[ -~]*[!-~])?')
+# Characters of a name that a reason shows.
+_MAX_SHOWN: Final = 60
 _TEXT: Final = {'type': 'string', 'minLength': 1}
 _ENTRY: Final = SchemaCheck(
     schema={
@@ -54,6 +60,9 @@
     :param spec: what the stored object says.
     :returns: the endpoint, or what is wrong with the entry.
     """
+    if not _NAME.fullmatch(name):
+        shown = repr(name[:_MAX_SHOWN])
+        return Failure(_make_fault('name', f'{shown} fits in no header'))
     checked = _ENTRY.find_fault(spec)
     if not isinstance(checked, Success):
         return checked
