Leave out names of peers that are no address of one VM

Seen: a gateway kept and passed on what a peer named though nothing can be dialed there: host names, '127.1:80', a NUL, '::::1', scopes, 0.0.0.0. Cause: peer_addresses had a list of exceptions of its own. Change: parse_destination decides; what it refuses is counted as left out. The test of the bound named hosts 'h0-0:1' and '10.0.619.1', which are none now and would bound nothing: it names IP numbers, and also checks that many are kept.

--- a/tests/test_peer_addresses.py
+++ b/tests/test_peer_addresses.py
@@ -31,6 +31,15 @@
         'a..b:1',
         f'{"a" * 70}:1',
         f'{"a." * 200}b:1',
+        'somewhere:80',
+        '127.1:80',
+        '127.0.0.1:080',
+        '127.0.0.1\x00:80',
+        '0.0.0.0:80',
+        '[ff02::1]:80',
+        '[::1:80',
+        '::::1',
+        'fe80::1%lo:80',
     ],
 )
 def test_named_address_that_is_none_is_not_passed_on(address: str):
@@ -39,12 +48,24 @@
     assert addresses.sample() == ['127.0.0.1:80']
 
 
+@pytest.mark.parametrize('address', ['[::1]:80', '::1:80', '10.0.0.1:65535'])
+def test_named_address_of_one_vm_is_passed_on(address: str):
+    addresses = PeerAddresses(own=(), seeds=())
+    assert not addresses.add_named([address])
+    assert addresses.sample() == [address]
+
+
 def test_named_addresses_are_bounded():
     addresses = PeerAddresses(own=(), seeds=['seed:1'])
-    daemons = [f'10.0.{number}.1:9' for number in range(DAEMONS)]
+    daemons = [
+        f'10.{number // 250}.{number % 250}.1:9' for number in range(DAEMONS)
+    ]
     assert not addresses.add_named(daemons)
     for number in range(1000):
-        addresses.add_named(f'h{number}-{each}:1' for each in range(9))
+        addresses.add_named(
+            f'172.{each}.{number // 250}.{number % 250}:1' for each in range(9)
+        )
+    assert addresses.count > 2 * DAEMONS
     assert addresses.count < 10 * DAEMONS
     assert not addresses.add_named(daemons)
 
--- a/wingfall/gateway/peers/peer_addresses.py
+++ b/wingfall/gateway/peers/peer_addresses.py
@@ -5,6 +5,10 @@
 import random
 from typing import TYPE_CHECKING, Final, final
 
+from returns.pipeline import is_successful
+
+from wingfall.address import parse_destination
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -19,9 +23,6 @@
 _MOST_NAMED: Final = 24
 # Maximum addresses that peers can add.
 _MAX_NAMED_ADDRESSES: Final = 2_480
-# Maximum characters of an address: of a host name, a colon and a port.
-_MAX_ADDRESS_CHARS: Final = 259
-_MAX_PORT: Final = 65_535
 
 
 @final
@@ -77,7 +78,7 @@
             if address in self._failed_dials:
                 continue
             is_full = self.count >= _MAX_NAMED_ADDRESSES
-            if is_full or not _is_address(address):
+            if is_full or not is_successful(parse_destination(address)):
                 left_out += 1
             else:
                 self.add((address,))
@@ -138,16 +139,3 @@
             return False
         self._failed_dials.pop(address)
         return True
-
-
-def _is_address(address: str) -> bool:
-    host, _colon, port = address.rpartition(':')
-    is_number = port.isascii() and port.isdecimal()
-    if not host or len(address) > _MAX_ADDRESS_CHARS or not is_number:
-        return False
-    try:
-        host.encode('idna')
-    except UnicodeError:
-        # A name that can not be resolved; the caller logs it.
-        return False
-    return 0 < int(port) <= _MAX_PORT
