Dial peers whose IPv6 number is in brackets, and look up no names

Seen: a peer named by '[::1]:port' was never reached, and a host name among the addresses was looked up. Cause: the dialer split the text itself, brackets stayed in the host, and a list of exceptions of its own stood for addresses that are none. Change: parse_destination decides; of a connection, OSError alone fails it.

--- a/wingfall/gateway/peers/peer_dialer.py
+++ b/wingfall/gateway/peers/peer_dialer.py
@@ -11,11 +11,13 @@
 
 import gevent
 
+from wingfall.address import parse_destination
 from wingfall.clock import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from wingfall.address import Address
     from wingfall.gateway.peers.peer_addresses import PeerAddresses
     from wingfall.supervisor import Supervisor
 
@@ -75,10 +77,8 @@
         address: str,
         on_removed: Callable[[], None],
     ) -> None:
-        try:
-            sock = _open_connection(address)
-        except (OSError, OverflowError, ValueError):
-            # The last two are of an address that is none.
+        sock = parse_destination(address).map(_open_connection).value_or(None)
+        if sock is None:
             if self._addresses.note_dial_failed(address):
                 on_removed()
             return
@@ -86,6 +86,9 @@
         self._run(sock)
 
 
-def _open_connection(address: str) -> socket.socket:
-    host, _colon, port = address.rpartition(':')
-    return socket.create_connection((host, int(port)), _CONNECT_TIMEOUT_S)
+def _open_connection(address: Address) -> socket.socket | None:
+    target = (address.host, address.port)
+    try:
+        return socket.create_connection(target, _CONNECT_TIMEOUT_S)
+    except OSError:
+        return None
