--- a/wingfall/address.py
+++ b/wingfall/address.py
@@ -1,7 +1,7 @@
-"""IP numbers with a port, as texts of settings, entries and other processes.
+"""IP numbers with a port, as texts of entries and other processes.
 
-The only place that decides what an address is. Names of hosts are none: looking
-one up can take seconds, and raises more than errors of the operating system.
+Names of hosts are no addresses: looking one up can take seconds, and raises
+more than errors of the operating system.
 """
 
 from __future__ import annotations
